--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,10 @@
 GEN_C = $(filter %.c,$(GEN))
 
 # Programs: each has one main file; the client has its commands beside it.
-MAINS = $(wildcard bamboofrontd.c bamboofront.c bamboofront-replay.c)
+MAINS = $(wildcard bamboofrontd.c bamboofront.c bamboofront-replay.c \
+	bamboofront-entryd.c)
 CMD_SRC = $(wildcard cmd-*.c)
-LIB_SRC = $(filter-out $(MAINS) $(CMD_SRC) $(GEN_C),$(wildcard *.c)) $(GEN_C)
+LIB_SRC = $(filter-out $(MAINS) $(CMD_SRC) $(GEN_C),$(wildcard *.c platform/*.c)) $(GEN_C)
 STANDINS = $(patsubst tests/%.c,%,$(wildcard tests/standin-*.c))
 TOOLS = $(patsubst bench/%.c,%,$(wildcard bench/bench-*.c))
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/test-*.c))
@@ -38,7 +39,8 @@
 # Helpers that several tests share.
 TEST_LIB = $(patsubst tests/%.c,%,$(wildcard tests/support-*.c))
 
-HAND = $(filter-out $(GEN),$(wildcard *.c *.h tests/*.c tests/*.h \
+HAND = $(filter-out $(GEN),$(wildcard *.c *.h platform/*.c platform/*.h \
+	tests/*.c tests/*.h \
 	tests/*.cc bench/*.c))
 
 all: release
@@ -57,11 +59,11 @@
 $(B)/%.o: %.c Makefile
 	@mkdir -p $(@D)
 	@echo CC $@
-	@$(CC) $(CPPFLAGS) $(WARN) $(FLAGS_$(V)) -MMD -c -o $@ $<
+	@$(CC) $(CPPFLAGS) $(WARN) $(FLAGS_$(V)) -MMD -MP -c -o $@ $<
 $(B)/%.o: %.cc Makefile
 	@mkdir -p $(@D)
 	@echo CXX $@
-	@$(CXX) -std=c++17 $(CPPFLAGS) $(WARN) $(FLAGS_$(V)) -MMD -c -o $@ $<
+	@$(CXX) -std=c++17 $(CPPFLAGS) $(WARN) $(FLAGS_$(V)) -MMD -MP -c -o $@ $<
 $(GEN_C:%.c=$(B)/%.o): WARN = -w
 
 $(B)/libbamboofront.a: $(LIB_SRC:%.c=$(B)/%.o)
@@ -71,7 +73,7 @@
 	$(B)/libbamboofront.a
 	@echo LINK $@
 	@$(CC) $(FLAGS_$(V)) -o $@ $^ $(LIBS)
-$(B)/bamboofrontd $(B)/bamboofront-replay: $(B)/%: $(B)/%.o \
+$(B)/bamboofrontd $(B)/bamboofront-replay $(B)/bamboofront-entryd: $(B)/%: $(B)/%.o \
 	$(B)/libbamboofront.a
 	@echo LINK $@
 	@$(CC) $(FLAGS_$(V)) -o $@ $^ $(LIBS)
@@ -98,6 +100,11 @@
 	@echo LINK $@
 	@$(CXX) $(FLAGS_$(V)) -o $@ $^ $(LIBS) -lrapidcheck
 
+# What the deploy file runs: the daemon of the platform's entry VMs alone.
+deploy:
+	@$(MAKE) --no-print-directory V=release B=target \
+		target/bamboofront-entryd
+
 gen:
 	for x in $(XDR); do rm -f $$x.h $${x}_xdr.c && \
 		rpcgen -N -M -h -o $$x.h $$x.x && \
@@ -113,9 +120,9 @@
 check-format:
 	clang-format --dry-run -Werror $(HAND)
 
-TIDY_SRC = $(filter-out $(GEN),$(wildcard *.c bench/*.c tests/*.c))
+TIDY_SRC = $(filter-out $(GEN),$(wildcard *.c platform/*.c bench/*.c tests/*.c))
 TIDY = $(TIDY_SRC:%=build/tidy/%.ok)
-build/tidy/%.ok: % .clang-tidy $(wildcard *.h *.def)
+build/tidy/%.ok: % .clang-tidy $(wildcard *.h *.def platform/*.h)
 	@mkdir -p $(@D)
 	@clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) >$@.out 2>/dev/null \
 		|| { cat $@.out; exit 1; }
@@ -125,7 +132,7 @@
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
 		--enable=warning,performance,portability -j 8 \
 		--suppress=missingIncludeSystem --suppress=nullPointerOutOfMemory \
-		-D_GNU_SOURCE --include=.cppcheck.h $(filter-out $(GEN),$(wildcard *.c bench/*.c))
+		-D_GNU_SOURCE --include=.cppcheck.h $(filter-out $(GEN),$(wildcard *.c platform/*.c bench/*.c))
 
 check: install-packages
 	@$(MAKE) --no-print-directory -j12 check-format san release
@@ -145,10 +152,11 @@
 	@bench/today
 
 clean:
-	rm -rf build
+	rm -rf build target
+
+-include $(wildcard $(B)/*.d $(B)/*/*.d)
 
--include $(wildcard build/$(V)/*.d build/$(V)/*/*.d)
 
-.PHONY: all release san tsan build tests gen install-packages format \
+.PHONY: deploy all release san tsan build tests gen install-packages format \
 	check-format tidy lint check demo bench clean
 .SECONDARY:
--- a/bamboofront.h
+++ b/bamboofront.h
@@ -114,6 +114,8 @@
 void log_open(const char *program, enum log_level most);
 void log_event(uint32_t number, const char *fmt, ...) PRINTF_LIKE(2, 3);
 void log_debug(const char *fmt, ...) PRINTF_LIKE(1, 2);
+void log_to(int fd, int vm_len, const char *vm); /* structured from now on */
+void log_flush(void);				 /* never blocks */
 
 /* counter.c: every counter of the process (counter.def). */
 enum counter_id {
--- /dev/null
+++ b/entry-settings.c
@@ -0,0 +1,147 @@
+/*
+ * Reading and checking the settings of an entry VM.
+ */
+#include "entry-settings.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Final states stay longer than callers may ask, for late askers. */
+#define KEEP_SLACK_MS 30000
+
+/* A member on a path like "bounds.stop_ms"; NULL: it is missing. */
+static const json_t *member(const json_t *j, const char *path)
+{
+	const char *dot;
+	char name[64];
+
+	while ((dot = strchr(path, '.'))) {
+		snprintf(name, sizeof(name), "%.*s", (int)(dot - path), path);
+		j = json_object_get(j, name);
+		path = dot + 1;
+	}
+	return json_object_get(j, path);
+}
+
+/* A text that must be there. */
+static const char *text_get(const json_t *j, const char *path, struct error *e)
+{
+	const char *text = json_string_value(member(j, path));
+
+	if (text && *text)
+		return text;
+	error_add(e, path, "a text is wanted");
+	return "";
+}
+
+/* A number within bounds; left out: the default. */
+static int64_t number_get(const json_t *j, const char *path, double least,
+			  double most, double fallback, struct error *e)
+{
+	const json_t *v = member(j, path);
+
+	if (!v)
+		return (int64_t)fallback;
+	if (json_is_number(v) && json_number_value(v) >= least &&
+	    json_number_value(v) <= most)
+		return (int64_t)json_number_value(v);
+	error_add(e, path, "a number from %g to %g is wanted", least, most);
+	return (int64_t)fallback;
+}
+
+/* An address "IP:PORT". */
+static void address_get(const json_t *j, const char *path, struct address *a,
+			struct error *e)
+{
+	const char *text = text_get(j, path, e), *colon = strrchr(text, ':');
+	long port = colon ? strtol(colon + 1, NULL, 10) : 0;
+
+	if (!*text)
+		return;
+	if (!colon || port < 1 || port > 65535) {
+		error_add(e, path, "IP:PORT is wanted, not \"%s\"", text);
+		return;
+	}
+	a->host = xasprintf("%.*s", (int)(colon - text), text);
+	a->port = (uint16_t)port;
+}
+
+/* Read the bounds that the scheduler works by. */
+static void bounds_get(const json_t *j, struct sched_options *o,
+		       struct error *e)
+{
+	const json_t *far = member(j, "bounds.far_factor");
+
+	o->lease_max_ms = number_get(j, "bounds.lease_max_ms", 1000, 600000,
+				     6000, e);
+	o->stop_ms = number_get(j, "bounds.stop_ms", 1, 60000, 1000, e);
+	o->keep_ms = 1000 * number_get(j, "bounds.keep_s", 1, 86400, 120, e) +
+		     KEEP_SLACK_MS;
+	o->grace_ms = 1000 * number_get(j, "bounds.grace_s", 1, 600, 6, e);
+	o->harm_ms = number_get(j, "bounds.harm_ms", 100, 60000, 4000, e);
+	o->notice_ms = number_get(j, "bounds.notice_ms", 100, 60000, 4500, e);
+	o->maintenance_ms = 1000 * number_get(j, "bounds.maintenance_s", 0,
+					      3600, 2, e);
+	o->far_factor = json_is_number(far) ? json_number_value(far) : 1;
+}
+
+/* Read the level of the log. */
+static enum log_level level_get(const json_t *j, struct error *e)
+{
+	static const char *const names[] = {
+		[LEVEL_ERR] = "error",	   [LEVEL_WARNING] = "warning",
+		[LEVEL_NOTICE] = "notice", [LEVEL_INFO] = "info",
+		[LEVEL_DEBUG] = "debug",
+	};
+	const json_t *v = member(j, "log_level");
+	size_t i;
+
+	for (i = LEVEL_ERR; v && i < NELEMS(names); i++)
+		if (!strcmp(names[i],
+			    json_string_value(v) ? json_string_value(v) : ""))
+			return (enum log_level)i;
+	if (v)
+		error_add(e, "log_level",
+			  "error, warning, notice, info or debug is wanted");
+	return LEVEL_INFO;
+}
+
+/* Read the settings; false: e tells all that is wrong. */
+bool entry_settings_load(const char *path, struct entry_settings *s,
+			 struct error *e)
+{
+	json_error_t je;
+	json_t *j = json_load_file(path, JSON_REJECT_DUPLICATES, &je);
+	const char *advice;
+
+	memset(s, 0, sizeof(*s));
+	if (!j) {
+		error_add(e, path, "line %d: %s", je.line, je.text);
+		return false;
+	}
+	s->document = j;
+	s->sched.vm = bstr_lit(text_get(j, "vm", e));
+	s->sched.zone = bstr_lit(text_get(j, "dc", e));
+	address_get(j, "callers", &s->front.callers, e);
+	address_get(j, "readiness", &s->front.readiness, e);
+	s->front.metrics.host = xstrdup(
+		s->front.callers.host ? s->front.callers.host : "");
+	s->front.metrics.port = (uint16_t)number_get(j, "metrics_port", 0,
+						     65535, 0, e);
+	s->platform.store = text_get(j, "store", e);
+	s->platform.cloud = text_get(j, "machines", e);
+	advice = json_string_value(member(j, "advice"));
+	s->platform.advice = advice ? advice : "";
+	bounds_get(j, &s->sched, e);
+	s->log_level = level_get(j, e);
+	return !e->count;
+}
+
+/* Free the settings. */
+void entry_settings_free(struct entry_settings *s)
+{
+	free(s->front.callers.host);
+	free(s->front.readiness.host);
+	free(s->front.metrics.host);
+	json_decref(s->document);
+}
--- /dev/null
+++ b/entry-settings.h
@@ -0,0 +1,21 @@
+/*
+ * The settings of an entry VM on the platform: one JSON file, made from
+ * deploy/settings.json, checked whole.
+ */
+#ifndef ENTRY_SETTINGS_H
+#define ENTRY_SETTINGS_H
+
+#include "platform/platform.h"
+
+struct entry_settings {
+	struct sched_options sched;
+	struct front_options front;
+	struct platform_options platform;
+	enum log_level log_level;
+	json_t *document; /* what the texts above refer to */
+};
+bool entry_settings_load(const char *path, struct entry_settings *s,
+			 struct error *e);
+void entry_settings_free(struct entry_settings *s);
+
+#endif
--- a/http-client.c
+++ b/http-client.c
@@ -48,6 +48,7 @@
 	bool framed; /* the answer's length is known from its headers */
 	size_t header_bytes;
 	size_t room;
+	struct curl_slist *headers; /* the client's and the request's own */
 	struct http_answer answer;
 };
 TAILQ_HEAD(transfer_list, transfer);
@@ -91,6 +92,12 @@
 /* Free what a request holds; the request itself is its owner's. */
 void http_request_clear(struct http_request *r)
 {
+	size_t i;
+
+	for (i = 0; i < HTTP_HEADERS_MAX; i++) {
+		free(r->headers[i]);
+		r->headers[i] = NULL;
+	}
 	free(r->url);
 	free(r->queue);
 	r->url = r->queue = NULL;
@@ -445,10 +452,30 @@
 	t->queue->in_flight--;
 	TAILQ_REMOVE(&c->running, t, entry);
 	TAILQ_INSERT_HEAD(&c->idle, t, entry);
+	curl_slist_free_all(t->headers);
+	t->headers = NULL;
 	request_end(c, t->request, &a);
 	bstr_free(&a.body);
 }
 
+/* Give a transfer the client's headers, and its request's after them. */
+static void transfer_headers(struct transfer *t, const struct http_request *r)
+{
+	const struct curl_slist *h;
+	size_t i;
+
+	if (!r->headers[0]) {
+		curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER,
+				 t->client->headers);
+		return;
+	}
+	for (h = t->client->headers; h; h = h->next)
+		t->headers = curl_slist_append(t->headers, h->data);
+	for (i = 0; i < HTTP_HEADERS_MAX && r->headers[i]; i++)
+		t->headers = curl_slist_append(t->headers, r->headers[i]);
+	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
 /* Begin the exchange of a request whose queue has a place for it. */
 static void request_start(struct http_client *c, struct queue *q,
 			  struct http_request *r)
@@ -475,6 +502,7 @@
 
 	h = t->easy;
 	curl_easy_setopt(h, CURLOPT_URL, r->url);
+	transfer_headers(t, r);
 	curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 0L);
 	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)c->options.connect_ms);
--- a/http-client.h
+++ b/http-client.h
@@ -31,11 +31,13 @@
  * the request again and returns it for another round (a further page), which
  * is never refused, or NULL.
  */
+#define HTTP_HEADERS_MAX 3
 struct http_request {
 	TAILQ_ENTRY(http_request) entry;
 	const char *method;
 	char *url;
 	char *queue;
+	char *headers[HTTP_HEADERS_MAX]; /* whole lines, or NULL */
 	bstr body;
 	size_t max_answer; /* bytes */
 	int64_t start_at;  /* not before; 0: at once */
--- a/reduce.h
+++ b/reduce.h
@@ -10,13 +10,7 @@
 #include "config.h"
 #include "rows.h"
 
-#include <uthash.h>
-
-#define HASH_FIND_BSTR(head, key, out) \
-	HASH_FIND(hh, head, (key).bstr_val, (key).bstr_len, out)
-#define HASH_ADD_BSTR(head, field, add)                  \
-	HASH_ADD_KEYPTR(hh, head, (add)->field.bstr_val, \
-			(add)->field.bstr_len, add)
+#include "bstr-hash.h"
 
 /*
  * A message to a peer is not sent after this, see edge-peer.c, and not taken
--- /dev/null
+++ b/sched-call.c
@@ -0,0 +1,403 @@
+/*
+ * Callers' requests: every entry VM admits jobs and answers for them by the
+ * store alone, whoever owns the scheduling.
+ */
+#include "sched-state.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The rows of a cancel end so. */
+#define CANCEL_SUFFIX "/cancel"
+
+/* Reply to a caller, and log the decision. */
+static void reply(struct sched *s, uint64_t id, int status, const char *text,
+		  const char *job)
+{
+	struct sched_effect *fx = sched_effect_add(s, EFFECT_REPLY);
+
+	fx->reply = (struct reply){.call = id,
+				   .status = status,
+				   .kind = status < 300 ? REPLY_EMPTY
+							: REPLY_ERROR,
+				   .text = text};
+	if (status == 503 || status == 429)
+		fx->reply.retry_after_s = RETRY_AFTER_S;
+	sched_log(s, status < 300 ? LOG_CALL_DONE : LOG_CALL_REFUSED,
+		  "job=%s status=%d reason=%s config=%llu store_age_ms=%lld",
+		  job, status, text,
+		  (unsigned long long)(s->config ? s->config->version : 0),
+		  (long long)(s->now - s->store_ok_at));
+}
+
+/* Refuse, and count why. */
+static void refuse(struct sched *s, uint64_t id, int status,
+		   enum counter_id reason, const char *text, const char *job)
+{
+	sched_count(s, reason, 1);
+	reply(s, id, status, text, job);
+}
+
+/* Is it a job's id: 16 hexadecimal digits? */
+static bool job_id_read(bstr text, char id[JOB_ID_BYTES + 1])
+{
+	u_int i;
+
+	if (text.bstr_len != JOB_ID_BYTES)
+		return false;
+	for (i = 0; i < JOB_ID_BYTES; i++)
+		if (!isxdigit((unsigned char)text.bstr_val[i]))
+			return false;
+	memcpy(id, text.bstr_val, JOB_ID_BYTES);
+	id[JOB_ID_BYTES] = '\0';
+	return true;
+}
+
+/* Remember a call that waits for the store. */
+static struct call *call_new(struct sched *s, const struct call_in *in,
+			     const char *job, const struct tenant *t, bool open)
+{
+	struct call *c = xcalloc(1, sizeof(*c));
+
+	c->id = in->id;
+	memcpy(c->job, job, sizeof(c->job));
+	c->tenant = t ? bstr_copy(t->name) : BSTR_NONE;
+	c->open = open;
+	c->deadline = in->deadline - REPLY_MARGIN_MS;
+	c->came_at = s->now;
+	HASH_ADD(hh, s->calls, id, sizeof(c->id), c);
+	return c;
+}
+
+/* Forget a call. */
+void call_free(struct sched *s, struct call *c)
+{
+	HASH_DEL(s->calls, c);
+	bstr_free(&c->tenant);
+	bstr_free(&c->row);
+	bstr_free(&c->progress);
+	free(c);
+}
+
+/* When a try of a call's exchange with the store ends. */
+static int64_t call_try_until(const struct sched *s, const struct call *c)
+{
+	int64_t at = s->now + STORE_TIMEOUT_MS;
+
+	return at < c->deadline ? at : c->deadline;
+}
+
+/*
+ * Store a job under the condition that there is none of its id.  Sending the
+ * same again is safe: whichever copy comes first writes the rows, and all
+ * others conflict with them, which is success too.
+ */
+static void submit_send(struct sched *s, struct call *c)
+{
+	struct request *rq;
+	struct tx *t = sched_tx(s, FOR_SUBMIT, call_try_until(s, c), &rq);
+	bstr key = bstr_lit(c->job);
+
+	rq->call = c->id;
+	tx_expect(t, TABLE_JOBS, key, 0);
+	tx_write(t, TABLE_JOBS, key, bstr_copy(c->row));
+	tx_write(t, TABLE_PROGRESS, key, bstr_copy(c->progress));
+}
+
+/* Write the rows of a new job. */
+static void submit_rows(struct sched *s, struct call *c, struct call_in *in,
+			const struct route *r)
+{
+	struct job j = {.submitted = s->wall,
+			.tenant = c->tenant,
+			.route = r->name,
+			.service = r->service,
+			.body = in->body,
+			.fate = FATE_QUEUED};
+
+	TAILQ_INIT(&j.occs);
+	c->row = job_row_write(&j);
+	c->progress = progress_write(&j);
+}
+
+/* Can any worker ever hold a task of this step?  Unknown: yes. */
+static bool body_is_sane(const struct job_body *b, const char **why)
+{
+	*why = "spec-invalid";
+	if (b->repeat_count && b->interval_ms < 0)
+		return false;
+	return b->payload.bstr_len <= 4000;
+}
+
+/* Take a job. */
+static void submit_take(struct sched *s, struct call_in *in, const char *id,
+			const struct route *r, const struct tenant *t)
+{
+	struct call *c;
+	const char *why;
+
+	if (!in->body) {
+		refuse(s, in->id, 400, COUNT_REFUSED_SPEC,
+		       in->body_error ? "spec-unreadable" : "spec-missing", id);
+		sched_log(s, LOG_BAD_INPUT, "job=%s error=\"%s\"", id,
+			  in->body_error ? in->body_error : "");
+		return;
+	}
+	if (!body_is_sane(in->body, &why)) {
+		refuse(s, in->id, 400, COUNT_REFUSED_SPEC, why, id);
+		return;
+	}
+	c = call_new(s, in, id, t, r->open);
+	submit_rows(s, c, in, r);
+	submit_send(s, c);
+}
+
+/* Read a job's progress for a caller. */
+static void state_send(struct sched *s, struct call *c, enum purpose purpose)
+{
+	struct ask *ask;
+	struct request *rq = sched_ask(s, purpose, ASK_GET,
+				       call_try_until(s, c), &ask);
+
+	rq->call = c->id;
+	ask->range.table = TABLE_PROGRESS;
+	ask->range.from = bstr_new(c->job);
+	ask->range.limit = 1;
+	sched_count(s, COUNT_TABLE_READS, 1);
+}
+
+/* Answer how many jobs of a queue wait. */
+static void count_take(struct sched *s, const struct call_in *in,
+		       const struct route *r)
+{
+	struct sched_effect *fx;
+	struct waiting_count *w;
+
+	if (!s->own.known) {
+		refuse(s, in->id, 503, COUNT_REFUSED_NO_OWNER, "no-owner", "-");
+		return;
+	}
+	HASH_FIND(hh, s->waiting, r->name.bstr_val, r->name.bstr_len, w);
+	fx = sched_effect_add(s, EFFECT_REPLY);
+	fx->reply = (struct reply){.call = in->id,
+				   .status = 200,
+				   .kind = REPLY_WAITING,
+				   .waiting = w ? w->count : 0};
+}
+
+/* Take a request for one job. */
+static void job_call_take(struct sched *s, struct call_in *in, const char *id,
+			  const struct route *r, const struct tenant *t)
+{
+	/*
+	 * What can't be served is refused at once: the store has failed
+	 * before, so nothing of this request has been sent to it.
+	 */
+	if (!sched_store_works(s)) {
+		refuse(s, in->id, 503, COUNT_REFUSED_PLATFORM,
+		       "store-unavailable", id);
+		return;
+	}
+	if (in->kind == VERB_SUBMIT)
+		submit_take(s, in, id, r, t);
+	else
+		state_send(s, call_new(s, in, id, t, r->open),
+			   in->kind == VERB_STATE ? FOR_STATE
+						  : FOR_CANCEL_READ);
+}
+
+/* Take a caller's request. */
+void call_take(struct sched *s, struct call_in *in)
+{
+	const struct route *r;
+	const struct tenant *t;
+	char id[JOB_ID_BYTES + 1] = "-";
+	bstr rest;
+
+	if (!s->config) {
+		refuse(s, in->id, 503, COUNT_REFUSED_NO_CONFIG, "no-config",
+		       id);
+		return;
+	}
+	r = route_find(s, in->host, in->path);
+	if (!r) {
+		refuse(s, in->id, 404, COUNT_REFUSED_POOL, "no-such-queue", id);
+		return;
+	}
+	rest = bstr_ref(in->path.bstr_val + r->prefix.bstr_len,
+			in->path.bstr_len - r->prefix.bstr_len);
+	t = tenant_of_key(s, in->key);
+	if (!t && !r->open) {
+		if (job_id_read(rest, id))
+			id[JOB_ID_BYTES] = '\0';
+		refuse(s, in->id, 401, COUNT_REFUSED_KEY, "key", id);
+		return;
+	}
+	if (!rest.bstr_len && in->kind == VERB_STATE) {
+		count_take(s, in, r);
+		return;
+	}
+	if (!job_id_read(rest, id)) {
+		refuse(s, in->id, 404, COUNT_REFUSED_JOB, "no-such-path", "-");
+		return;
+	}
+	if (in->kind == VERB_OTHER) {
+		refuse(s, in->id, 405, COUNT_REFUSED_SPEC, "method", id);
+		return;
+	}
+	job_call_take(s, in, id, r, t);
+}
+
+/* The outcome of storing a job. */
+static void submit_answer(struct sched *s, struct call *c, struct answer *a)
+{
+	switch (a->outcome) {
+	case OUT_DONE:
+		sched_count(s, COUNT_ACCEPTED, 1);
+		reply(s, c->id, 200, "accepted", c->job);
+		break;
+	case OUT_CONFLICT:
+		reply(s, c->id, 200, "accepted-before", c->job);
+		break;
+	case OUT_REFUSED:
+	case OUT_GONE:
+		/* Nothing was done by this try, but by an earlier one? */
+		if (c->uncertain)
+			break;
+		refuse(s, c->id, 503, COUNT_REFUSED_PLATFORM, "store-refused",
+		       c->job);
+		call_free(s, c);
+		return;
+	case OUT_UNKNOWN:
+		c->uncertain = true;
+		break;
+	}
+	if (a->outcome == OUT_DONE || a->outcome == OUT_CONFLICT) {
+		call_free(s, c);
+		return;
+	}
+	if (s->now + STORE_AGAIN_MS < c->deadline && !s->stop_by) {
+		sched_count(s, COUNT_RETRY_PLATFORM_UNKNOWN, 1);
+		submit_send(s, c);
+		return;
+	}
+	refuse(s, c->id, 504, COUNT_REFUSED_DEADLINE, "store-unknown", c->job);
+	call_free(s, c);
+}
+
+/* Find the job's row of progress in an answer; NULL: there is none. */
+static const struct row *state_row(const struct call *c, const struct answer *a)
+{
+	if (!a->row_count || !bstr_eq_str(a->rows[0].key, c->job))
+		return NULL;
+	return &a->rows[0];
+}
+
+/* Write the row of a cancel. */
+static void cancel_send(struct sched *s, struct call *c)
+{
+	struct request *rq;
+	struct tx *t = sched_tx(s, FOR_CANCEL, call_try_until(s, c), &rq);
+	bstr key = bstr_printf("%s" CANCEL_SUFFIX, c->job);
+
+	rq->call = c->id;
+	tx_write(t, TABLE_JOBS, key, bstr_new("{}"));
+	bstr_free(&key);
+}
+
+/* What the store says of a job that a caller asks for or cancels. */
+static void state_answer(struct sched *s, struct call *c, enum purpose purpose,
+			 const struct answer *a)
+{
+	const struct row *row = state_row(c, a);
+	struct sched_effect *fx;
+	enum job_fate fate;
+	int64_t ended;
+	bstr tenant;
+
+	if (row && !progress_peek(row->value, &tenant, &fate, &ended)) {
+		refuse(s, c->id, 500, COUNT_REFUSED_JOB, "row-unreadable",
+		       c->job);
+		call_free(s, c);
+		return;
+	}
+	/* Other organisations' jobs are none of the caller's business. */
+	if (!row || (!c->open && !bstr_eq(tenant, c->tenant))) {
+		reply(s, c->id, 410, "no-such-job", c->job);
+		if (row)
+			bstr_free(&tenant);
+		call_free(s, c);
+		return;
+	}
+	bstr_free(&tenant);
+	if (purpose == FOR_CANCEL_READ && fate <= FATE_RUNNING) {
+		cancel_send(s, c);
+		return;
+	}
+	if (purpose == FOR_CANCEL_READ) {
+		reply(s, c->id, 200, fate_name(fate), c->job);
+		call_free(s, c);
+		return;
+	}
+	fx = sched_effect_add(s, EFFECT_REPLY);
+	fx->reply = (struct reply){.call = c->id,
+				   .status = 200,
+				   .kind = REPLY_STATE,
+				   .text = fate_name(fate)};
+	call_free(s, c);
+}
+
+/* Try an exchange of a call once more, or give up. */
+static void call_again(struct sched *s, struct call *c, enum purpose purpose)
+{
+	if (s->now + STORE_AGAIN_MS >= c->deadline || !sched_store_works(s)) {
+		refuse(s, c->id, purpose == FOR_CANCEL ? 504 : 503,
+		       COUNT_REFUSED_PLATFORM, "store-unavailable", c->job);
+		call_free(s, c);
+		return;
+	}
+	sched_count(s, COUNT_RETRY_PLATFORM_UNKNOWN, 1);
+	if (purpose == FOR_CANCEL)
+		cancel_send(s, c);
+	else
+		state_send(s, c, purpose);
+}
+
+/* An answer of the store for a call. */
+void call_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct call *c;
+
+	HASH_FIND(hh, s->calls, &rq->call, sizeof(rq->call), c);
+	if (!c)
+		return;
+	if (rq->purpose == FOR_SUBMIT) {
+		submit_answer(s, c, a);
+		return;
+	}
+	if (a->outcome != OUT_DONE) {
+		call_again(s, c, rq->purpose);
+		return;
+	}
+	if (rq->purpose == FOR_CANCEL) {
+		reply(s, c->id, 200, "cancelled", c->job);
+		call_free(s, c);
+		return;
+	}
+	state_answer(s, c, rq->purpose, a);
+}
+
+/* Give up what has no time left; its exchange ends by then as well. */
+void call_tick(struct sched *s)
+{
+	struct call *c, *next;
+
+	HASH_ITER(hh, s->calls, c, next) {
+		if (s->now < c->deadline + REPLY_MARGIN_MS)
+			continue;
+		refuse(s, c->id, 504, COUNT_REFUSED_DEADLINE, "deadline",
+		       c->job);
+		call_free(s, c);
+	}
+}
--- /dev/null
+++ b/sched-commit.c
@@ -0,0 +1,93 @@
+/*
+ * Making progress durable: the progress of many jobs goes into one
+ * transaction, under the condition that this VM is still the owner.  A
+ * worker's ends are acknowledged only after that, so that a successor finds
+ * either the progress or the ends.
+ */
+#include "sched-state.h"
+
+/* Put what was in a failed commit back at the front, in its order. */
+static void commit_undo(struct sched *s)
+{
+	struct job *j;
+
+	while ((j = TAILQ_LAST(&s->flying, job_queue))) {
+		TAILQ_REMOVE(&s->flying, j, dirty);
+		j->dirty_seq = j->flying_seq;
+		j->flying_seq = 0;
+		TAILQ_INSERT_HEAD(&s->dirty, j, dirty);
+	}
+}
+
+/*
+ * Jobs that changed again while their commit was under way went to the tail
+ * with a new number, and their older number is lost with a failed commit:
+ * then nothing may count as durable before all that is dirty now has been
+ * written.  dirty_seq of the head gives way to 1, below every end seen.
+ */
+static void commit_taint(struct sched *s)
+{
+	struct job *j = TAILQ_FIRST(&s->dirty);
+
+	if (j)
+		j->dirty_seq = 1;
+}
+
+/* Begin a commit if something is dirty and none is under way. */
+void commit_tick(struct sched *s)
+{
+	struct request *rq;
+	struct job *j;
+	struct tx *t;
+	unsigned n;
+
+	if (s->committing || !own_acts(s) || TAILQ_EMPTY(&s->dirty) ||
+	    s->now < s->commit_at)
+		return;
+	t = sched_tx(s, FOR_COMMIT, s->now + STORE_TIMEOUT_MS, &rq);
+	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	for (n = 0; n < COMMIT_ROWS_MAX && (j = TAILQ_FIRST(&s->dirty)); n++) {
+		TAILQ_REMOVE(&s->dirty, j, dirty);
+		TAILQ_INSERT_TAIL(&s->flying, j, dirty);
+		j->flying_seq = j->dirty_seq;
+		j->dirty_seq = 0;
+		tx_write(t, TABLE_PROGRESS, bstr_lit(j->id), progress_write(j));
+	}
+	s->committing = true;
+	s->commit_at = s->now + COMMIT_PACE_MS;
+}
+
+/* The outcome of a commit. */
+void commit_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct job *j;
+
+	if (rq->epoch != s->own.epoch || s->own.state != OWN_YES)
+		return;
+	s->committing = false;
+	if (a->outcome == OUT_CONFLICT) {
+		own_lose(s, "replaced");
+		return;
+	}
+	if (a->outcome != OUT_DONE) {
+		commit_undo(s);
+		commit_taint(s);
+		s->commit_at = s->now + STORE_AGAIN_MS;
+		sched_count(s, COUNT_RETRY_PLATFORM_UNKNOWN, 1);
+		return;
+	}
+	while ((j = TAILQ_FIRST(&s->flying))) {
+		TAILQ_REMOVE(&s->flying, j, dirty);
+		j->flying_seq = 0;
+		job_settle(s, j);
+	}
+	worker_acknowledge(s);
+}
+
+/* The outcome of removing rows: a conflict tells of a new owner. */
+void sweep_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	(void)rq;
+	if (a->outcome == OUT_CONFLICT)
+		own_lose(s, "replaced");
+}
--- /dev/null
+++ b/sched-config.c
@@ -0,0 +1,104 @@
+/*
+ * The operator's configuration in force here, and finding things in it.
+ */
+#include "sched-state.h"
+
+#include <string.h>
+
+/*
+ * Put a configuration in force, never an older one: a page that was on its
+ * way while the feed brought a newer row would set a route back otherwise,
+ * and callers would see the old rules again.
+ */
+void config_take(struct sched *s, struct row *r)
+{
+	if (s->config && r->config->version <= s->config->version)
+		return;
+	fleet_config_free(s->config);
+	s->config = r->config;
+	r->config = NULL;
+	r->kind = ROW_RAW;
+	s->place = true;
+	sched_count(s, COUNT_CONFIG_REVISION, s->config->version);
+	sched_log(s, LOG_CONFIG_ADOPTED,
+		  "version=%llu revision=%llu routes=%zu organisations=%zu",
+		  (unsigned long long)s->config->version,
+		  (unsigned long long)r->revision, s->config->route_count,
+		  s->config->tenant_count);
+}
+
+/* The route of a host with the longest prefix that a path begins with. */
+const struct route *route_find(const struct sched *s, bstr host, bstr path)
+{
+	const struct route *best = NULL, *r;
+	const char *colon;
+	size_t i;
+
+	if (!s->config)
+		return NULL;
+	colon = host.bstr_len ? memchr(host.bstr_val, ':', host.bstr_len)
+			      : NULL;
+	if (colon)
+		host.bstr_len = (u_int)(colon - host.bstr_val);
+	for (i = 0; i < s->config->route_count; i++) {
+		r = &s->config->routes[i];
+		if (!bstr_eq(r->host, host) ||
+		    r->prefix.bstr_len > path.bstr_len ||
+		    !bstr_eq(r->prefix,
+			     bstr_ref(path.bstr_val, r->prefix.bstr_len)))
+			continue;
+		if (!best || r->prefix.bstr_len > best->prefix.bstr_len)
+			best = r;
+	}
+	return best;
+}
+
+/* A route by its name. */
+const struct route *route_named(const struct sched *s, bstr name)
+{
+	size_t i;
+
+	for (i = 0; s->config && i < s->config->route_count; i++)
+		if (bstr_eq(s->config->routes[i].name, name))
+			return &s->config->routes[i];
+	return NULL;
+}
+
+/* Whose key is it? */
+const struct tenant *tenant_of_key(const struct sched *s, bstr key)
+{
+	const struct tenant *t;
+	size_t i, k;
+
+	if (!key.bstr_len || !s->config)
+		return NULL;
+	for (i = 0; i < s->config->tenant_count; i++) {
+		t = &s->config->tenants[i];
+		for (k = 0; k < t->key_count; k++)
+			if (bstr_eq(t->keys[k], key))
+				return t;
+	}
+	return NULL;
+}
+
+/* An organisation by its name. */
+const struct tenant *tenant_named(const struct sched *s, bstr name)
+{
+	size_t i;
+
+	for (i = 0; s->config && i < s->config->tenant_count; i++)
+		if (bstr_eq(s->config->tenants[i].name, name))
+			return &s->config->tenants[i];
+	return NULL;
+}
+
+/* A service by its name. */
+const struct service *service_named(const struct sched *s, bstr name)
+{
+	size_t i;
+
+	for (i = 0; s->config && i < s->config->service_count; i++)
+		if (bstr_eq(s->config->services[i].name, name))
+			return &s->config->services[i];
+	return NULL;
+}
--- /dev/null
+++ b/sched-data.c
@@ -0,0 +1,232 @@
+/*
+ * What events and effects of the scheduler hold: freeing it, and sums of
+ * sizes.
+ */
+#include "scheduler.h"
+
+#include <stdlib.h>
+
+/* Free an array of strings. */
+static void bstrs_free(bstr *list, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		bstr_free(&list[i]);
+	free(list);
+}
+
+/* Free what a caller asked for. */
+void job_body_free(struct job_body *b)
+{
+	size_t i;
+
+	if (!b)
+		return;
+	for (i = 0; i < b->step_count; i++) {
+		free(b->steps[i].after);
+		bstr_free(&b->steps[i].label);
+		bstr_free(&b->steps[i].rack);
+		bstr_free(&b->steps[i].image);
+	}
+	free(b->steps);
+	bstr_free(&b->payload);
+	free(b);
+}
+
+/* Free a configuration. */
+void fleet_config_free(struct fleet_config *c)
+{
+	size_t i;
+
+	if (!c)
+		return;
+	for (i = 0; i < c->route_count; i++) {
+		bstr_free(&c->routes[i].name);
+		bstr_free(&c->routes[i].host);
+		bstr_free(&c->routes[i].prefix);
+		bstr_free(&c->routes[i].service);
+	}
+	for (i = 0; i < c->tenant_count; i++) {
+		bstr_free(&c->tenants[i].name);
+		bstrs_free(c->tenants[i].keys, c->tenants[i].key_count);
+	}
+	for (i = 0; i < c->service_count; i++)
+		bstr_free(&c->services[i].name);
+	free(c->routes);
+	free(c->tenants);
+	free(c->services);
+	free(c);
+}
+
+/* Free what a wave's row holds. */
+void wave_row_free(struct wave_row *w)
+{
+	bstrs_free(w->machines, w->machine_count);
+	w->machines = NULL;
+	w->machine_count = 0;
+}
+
+/* Free what a worker's row holds. */
+void worker_row_free(struct worker_row *w)
+{
+	bstr_free(&w->service);
+	bstr_free(&w->address);
+	bstr_free(&w->zone);
+	bstrs_free(w->labels, w->label_count);
+	w->labels = NULL;
+	w->label_count = 0;
+}
+
+/* Free what a row holds. */
+static void row_free(struct row *r)
+{
+	bstr_free(&r->key);
+	bstr_free(&r->value);
+	switch (r->kind) {
+	case ROW_CONFIG:
+		fleet_config_free(r->config);
+		break;
+	case ROW_WAVE:
+		wave_row_free(&r->wave);
+		break;
+	case ROW_WORKER:
+		worker_row_free(&r->worker);
+		break;
+	case ROW_RAW:
+	case ROW_BAD:
+		break;
+	}
+}
+
+/* Free what an answer holds. */
+static void answer_free(struct answer *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->row_count; i++)
+		row_free(&a->rows[i]);
+	for (i = 0; i < a->running_count; i++) {
+		bstr_free(&a->running[i].task);
+		bstr_free(&a->running[i].checkpoint);
+	}
+	for (i = 0; i < a->ended_count; i++) {
+		bstr_free(&a->ended[i].task);
+		bstr_free(&a->ended[i].checkpoint);
+	}
+	for (i = 0; i < a->machine_count; i++) {
+		bstr_free(&a->machines[i].machine);
+		bstr_free(&a->machines[i].pool);
+		bstr_free(&a->machines[i].worker);
+		bstr_free(&a->machines[i].zone);
+	}
+	for (i = 0; i < a->ticket_count; i++) {
+		bstr_free(&a->tickets[i].worker);
+		bstr_free(&a->tickets[i].text);
+	}
+	free(a->rows);
+	free(a->running);
+	free(a->ended);
+	free(a->machines);
+	free(a->tickets);
+	bstr_free(&a->next_page);
+}
+
+/* Free an event with what it holds. */
+void sched_event_free(struct sched_event *ev)
+{
+	switch (ev->kind) {
+	case EVENT_CALL:
+		bstr_free(&ev->call.host);
+		bstr_free(&ev->call.path);
+		bstr_free(&ev->call.key);
+		job_body_free(ev->call.body);
+		free(ev->call.body_error);
+		break;
+	case EVENT_ANSWER:
+		answer_free(&ev->answer);
+		break;
+	case EVENT_TICK:
+	case EVENT_STOP:
+		break;
+	}
+	free(ev);
+}
+
+/* Free what a transaction holds. */
+static void tx_free(struct tx *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->expect_count; i++)
+		bstr_free(&t->expect[i].key);
+	for (i = 0; i < t->write_count; i++) {
+		bstr_free(&t->writes[i].key);
+		bstr_free(&t->writes[i].value);
+	}
+	for (i = 0; i < t->remove_count; i++)
+		bstr_free(&t->removes[i].key);
+	free(t->expect);
+	free(t->writes);
+	free(t->removes);
+}
+
+/* Free what an order holds. */
+static void order_free(struct order *o)
+{
+	bstr_free(&o->worker);
+	bstr_free(&o->address);
+	bstr_free(&o->task);
+	bstr_free(&o->payload);
+	bstr_free(&o->checkpoint);
+	bstr_free(&o->ticket);
+	bstr_free(&o->machine);
+	bstr_free(&o->pool);
+	bstr_free(&o->holder);
+	bstr_free(&o->page);
+	bstr_free(&o->step);
+	bstrs_free(o->workers, o->worker_count);
+}
+
+/* Free an effect with what it holds. */
+void sched_effect_free(struct sched_effect *fx)
+{
+	if (fx->kind == EFFECT_LOG)
+		free(fx->log.text);
+	if (fx->kind == EFFECT_ASK) {
+		switch (fx->ask.kind) {
+		case ASK_TX:
+			tx_free(&fx->ask.tx);
+			break;
+		case ASK_GET:
+		case ASK_FEED:
+			bstr_free(&fx->ask.range.from);
+			break;
+		default:
+			order_free(&fx->ask.order);
+			break;
+		}
+	}
+	free(fx);
+}
+
+/* Does a need fit into what is free? */
+bool size_fits(struct size need, struct size room)
+{
+	return need.cpu <= room.cpu && need.memory <= room.memory &&
+	       need.gpus <= room.gpus;
+}
+
+/* Add sizes. */
+struct size size_add(struct size a, struct size b)
+{
+	return (struct size){a.cpu + b.cpu, a.memory + b.memory,
+			     a.gpus + b.gpus};
+}
+
+/* Subtract sizes. */
+struct size size_sub(struct size a, struct size b)
+{
+	return (struct size){a.cpu - b.cpu, a.memory - b.memory,
+			     a.gpus - b.gpus};
+}
--- /dev/null
+++ b/sched-job.c
@@ -0,0 +1,446 @@
+/*
+ * The owner's book of jobs: their occurrences and tasks, what is ready, and
+ * when a job is final.
+ */
+#include "sched-state.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The wall clock jumps; an occurrence is begun no sooner than this late, to
+ * be on the right side of the 250 ms that its start may be early. */
+#define DUE_SLACK_MS 20
+
+/* Find a job that is not final. */
+struct job *sched_job_find(struct sched *s, const char *id)
+{
+	struct job *j;
+
+	HASH_FIND(hh, s->jobs, id, JOB_ID_BYTES, j);
+	return j;
+}
+
+/* The step of a task. */
+const struct job_step *task_step(const struct task *t)
+{
+	return &t->occ->job->body->steps[t->step];
+}
+
+/* The name of a task on its worker: ID.K.STEP.INDEX. */
+bstr task_name(const struct task *t)
+{
+	return bstr_printf("%s.%u.%u.%u", t->occ->job->id, t->occ->k, t->step,
+			   t->index);
+}
+
+/* The service whose workers run a job now. */
+bstr job_service(const struct sched *s, const struct job *j)
+{
+	const struct route *r = route_named(s, j->route);
+
+	return r ? r->service : j->service;
+}
+
+/* Make the tasks of an occurrence. */
+void job_make_occurrence(struct job *j, unsigned k)
+{
+	struct occurrence *o = xcalloc(1, sizeof(*o));
+	const struct job_body *b = j->body;
+	struct task *t;
+	size_t i;
+	unsigned n;
+
+	o->job = j;
+	o->k = k;
+	o->left = xcalloc(b->step_count, sizeof(*o->left));
+	o->first = xcalloc(b->step_count, sizeof(*o->first));
+	for (i = 0; i < b->step_count; i++) {
+		o->first[i] = o->task_count;
+		o->left[i] = b->steps[i].count;
+		o->task_count += b->steps[i].count;
+	}
+	o->undone = o->task_count;
+	o->tasks = xcalloc(o->task_count, sizeof(*o->tasks));
+	for (i = 0; i < b->step_count; i++) {
+		for (n = 0; n < b->steps[i].count; n++) {
+			t = &o->tasks[o->first[i] + n];
+			t->occ = o;
+			t->step = (unsigned)i;
+			t->index = n;
+			t->pace = 100;
+		}
+	}
+	TAILQ_INSERT_TAIL(&j->occs, o, entry);
+}
+
+/* Free an occurrence; none of its tasks is anywhere. */
+static void occurrence_free(struct occurrence *o)
+{
+	unsigned i;
+
+	for (i = 0; i < o->task_count; i++)
+		bstr_free(&o->tasks[i].checkpoint);
+	free(o->tasks);
+	free(o->left);
+	free(o->first);
+	free(o);
+}
+
+/* Take a job's tasks off their workers' lists, whatever they do there. */
+static void job_detach(struct sched *s, struct job *j)
+{
+	struct occurrence *o;
+	unsigned i;
+
+	TAILQ_FOREACH(o, &j->occs, entry) {
+		for (i = 0; i < o->task_count; i++)
+			if (o->tasks[i].worker)
+				task_rest(s, &o->tasks[i]);
+	}
+}
+
+/* Free a job. */
+void sched_job_free(struct sched *s, struct job *j)
+{
+	struct occurrence *o;
+
+	job_detach(s, j);
+	if (j->dirty_seq)
+		TAILQ_REMOVE(&s->dirty, j, dirty);
+	else if (j->flying_seq)
+		TAILQ_REMOVE(&s->flying, j, dirty);
+	TAILQ_REMOVE(&s->order, j, entry);
+	HASH_DEL(s->jobs, j);
+	while ((o = TAILQ_FIRST(&j->occs))) {
+		TAILQ_REMOVE(&j->occs, o, entry);
+		occurrence_free(o);
+	}
+	bstr_free(&j->tenant);
+	bstr_free(&j->route);
+	bstr_free(&j->service);
+	job_body_free(j->body);
+	free(j);
+}
+
+/* Is everything before a step done? */
+bool step_ready(const struct occurrence *o, unsigned at)
+{
+	const struct job_step *st = &o->job->body->steps[at];
+	size_t i;
+
+	for (i = 0; i < st->after_count; i++)
+		if (o->left[st->after[i]])
+			return false;
+	return true;
+}
+
+/* A job's progress has changed and is to be written. */
+void job_touch(struct sched *s, struct job *j)
+{
+	if (j->dirty_seq)
+		return;
+	/* In the commit under way: it is written once more after that. */
+	if (j->flying_seq)
+		TAILQ_REMOVE(&s->flying, j, dirty);
+	j->dirty_seq = ++s->dirty_seq;
+	TAILQ_INSERT_TAIL(&s->dirty, j, dirty);
+}
+
+/* Remember a final job until its rows may go. */
+static void job_retire(struct sched *s, const char *id, int64_t ended)
+{
+	struct retired *r;
+
+	HASH_FIND(hh, s->retired, id, JOB_ID_BYTES, r);
+	if (r)
+		return;
+	r = xcalloc(1, sizeof(*r));
+	memcpy(r->id, id, JOB_ID_BYTES);
+	r->ended = ended ? ended : s->wall;
+	HASH_ADD(hh, s->retired, id, JOB_ID_BYTES, r);
+	TAILQ_INSERT_TAIL(&s->retirees, r, entry);
+}
+
+/* Stop all that a final job still has on workers. */
+static void job_stop(struct sched *s, struct job *j)
+{
+	struct occurrence *o;
+	unsigned i;
+
+	TAILQ_FOREACH(o, &j->occs, entry) {
+		for (i = 0; i < o->task_count; i++)
+			if (o->tasks[i].worker)
+				task_stop(s, &o->tasks[i]);
+	}
+}
+
+/* Give a job its final state. */
+static void job_finish(struct sched *s, struct job *j, enum job_fate fate)
+{
+	if (j->fate > FATE_RUNNING)
+		return;
+	j->fate = fate;
+	j->ended = s->wall;
+	sched_count(s,
+		    fate == FATE_COMPLETED ? COUNT_JOBS_DONE
+		    : fate == FATE_FAILED  ? COUNT_JOBS_FAILED
+					   : COUNT_JOBS_NOT_RUN,
+		    1);
+	sched_log(s, LOG_JOB_FINAL, "job=%s state=%s starts=%u ms=%lld", j->id,
+		  fate_name(fate), j->starts, (long long)(s->now - j->arrived));
+	job_stop(s, j);
+	job_touch(s, j);
+	s->place = true;
+}
+
+/* A final job whose state is durable and that runs nowhere is forgotten. */
+void job_settle(struct sched *s, struct job *j)
+{
+	if (j->fate <= FATE_RUNNING || j->dirty_seq || j->flying_seq ||
+	    j->placed)
+		return;
+	job_retire(s, j->id, j->ended);
+	sched_job_free(s, j);
+}
+
+/* Are all times of a job done? */
+static bool job_is_done(const struct job *j)
+{
+	unsigned times = j->body->repeat_count ? j->body->repeat_count : 1;
+
+	return j->next_k >= times && TAILQ_EMPTY(&j->occs);
+}
+
+/* Make the occurrences that are due. */
+static void job_due(struct sched *s, struct job *j)
+{
+	const struct job_body *b = j->body;
+	int64_t due;
+
+	if (j->fate > FATE_RUNNING)
+		return;
+	if (!b->repeat_count) {
+		if (!j->next_k) {
+			job_make_occurrence(j, 0);
+			j->next_k = 1;
+			s->place = true;
+		}
+		return;
+	}
+	while (j->next_k < b->repeat_count) {
+		due = b->first_at + (int64_t)j->next_k * b->interval_ms;
+		if (s->wall < due + DUE_SLACK_MS)
+			return;
+		job_make_occurrence(j, j->next_k++);
+		s->place = true;
+		job_touch(s, j);
+	}
+}
+
+/* Put a job into the book. */
+static void job_add(struct sched *s, struct job *j)
+{
+	j->arrived = s->now;
+	j->inherited = s->own.state == OWN_LOADING;
+	HASH_ADD(hh, s->jobs, id, JOB_ID_BYTES, j);
+	TAILQ_INSERT_TAIL(&s->order, j, entry);
+	if (!j->inherited)
+		job_due(s, j);
+}
+
+/* A job's cancel has been written. */
+static void job_cancel(struct sched *s, const char *id)
+{
+	struct job *j = sched_job_find(s, id);
+
+	if (!j || j->fate > FATE_RUNNING)
+		return;
+	sched_log(s, LOG_JOB_CANCEL, "job=%s placed=%u", id, j->placed);
+	job_finish(s, j, FATE_CANCELLED);
+}
+
+/* A row of a job, or of its cancel. */
+void job_row_take(struct sched *s, struct row *r)
+{
+	char id[JOB_ID_BYTES + 1] = "";
+	struct retired *done;
+	struct job *j;
+
+	if (r->removed || r->kind == ROW_BAD || r->key.bstr_len < JOB_ID_BYTES)
+		return;
+	memcpy(id, r->key.bstr_val, JOB_ID_BYTES);
+	if (r->key.bstr_len > JOB_ID_BYTES) {
+		job_cancel(s, id);
+		return;
+	}
+	HASH_FIND(hh, s->retired, id, JOB_ID_BYTES, done);
+	if (done || sched_job_find(s, id))
+		return;
+	j = job_row_read(id, r->value);
+	if (!j) {
+		sched_log(s, LOG_JOURNAL_BAD, "job=%s revision=%llu", id,
+			  (unsigned long long)r->revision);
+		return;
+	}
+	job_add(s, j);
+	if (!j->inherited)
+		sched_log(s, LOG_JOB_SEEN, "job=%s queue=%.*s revision=%llu",
+			  id, BSTR_ARG(j->route),
+			  (unsigned long long)r->revision);
+}
+
+/* A row of progress, read at a takeover after the jobs' rows. */
+void progress_row_take(struct sched *s, struct row *r)
+{
+	char id[JOB_ID_BYTES + 1] = "";
+	enum job_fate fate;
+	struct job *j;
+	int64_t ended;
+	bstr tenant;
+
+	if (r->removed || r->kind == ROW_BAD || r->key.bstr_len != JOB_ID_BYTES)
+		return;
+	memcpy(id, r->key.bstr_val, JOB_ID_BYTES);
+	if (!progress_peek(r->value, &tenant, &fate, &ended)) {
+		sched_log(s, LOG_JOURNAL_BAD, "progress=%s", id);
+		return;
+	}
+	bstr_free(&tenant);
+	j = sched_job_find(s, id);
+	if (fate > FATE_RUNNING) {
+		job_retire(s, id, ended);
+		if (j && j->inherited)
+			sched_job_free(s, j);
+		return;
+	}
+	if (j && j->inherited && TAILQ_EMPTY(&j->occs) && !j->next_k &&
+	    j->fate <= FATE_RUNNING)
+		progress_apply(j, r->value);
+}
+
+/* A task has ended as done. */
+void job_task_done(struct sched *s, struct task *t)
+{
+	struct occurrence *o = t->occ;
+	struct job *j = o->job;
+
+	if (t->phase == AT_END)
+		return;
+	t->phase = AT_END;
+	o->left[t->step]--;
+	o->undone--;
+	job_touch(s, j);
+	if (o->undone)
+		return;
+	TAILQ_REMOVE(&j->occs, o, entry);
+	occurrence_free(o);
+	if (job_is_done(j))
+		job_finish(s, j, FATE_COMPLETED);
+}
+
+/* How often may a task of a job fail? */
+static unsigned job_attempts(const struct sched *s, const struct job *j)
+{
+	const struct route *r = route_named(s, j->route);
+
+	return r && r->attempts ? r->attempts : 1;
+}
+
+/* Failed runs of a task; of a gang, whose members fail for all, of it. */
+static unsigned task_failures(const struct task *t)
+{
+	const struct occurrence *o = t->occ;
+	unsigned i, n = 0;
+
+	if (!task_step(t)->gang)
+		return t->fails;
+	for (i = 0; i < task_step(t)->count; i++)
+		n += o->tasks[o->first[t->step] + i].fails;
+	return n;
+}
+
+/* A task has ended as failed; it is not placed now. */
+void job_task_failed(struct sched *s, struct task *t)
+{
+	struct job *j = t->occ->job;
+
+	t->fails++;
+	job_touch(s, j);
+	if (task_step(t)->lasts)
+		return;
+	if (task_failures(t) >= job_attempts(s, j))
+		job_finish(s, j, FATE_FAILED);
+}
+
+/* Find a task by its name on a worker; job is set if that is known. */
+struct task *task_find(struct sched *s, bstr name, struct job **job)
+{
+	char text[64];
+	struct occurrence *o;
+	unsigned k, number, index;
+
+	*job = NULL;
+	if (name.bstr_len <= JOB_ID_BYTES || name.bstr_len >= sizeof(text))
+		return NULL;
+	memcpy(text, name.bstr_val, name.bstr_len);
+	text[name.bstr_len] = '\0';
+	*job = sched_job_find(s, text);
+	if (!*job ||
+	    sscanf(text + JOB_ID_BYTES, ".%u.%u.%u", &k, &number, &index) != 3)
+		return NULL;
+	if (number >= (*job)->body->step_count ||
+	    index >= (*job)->body->steps[number].count)
+		return NULL;
+	TAILQ_FOREACH(o, &(*job)->occs, entry)
+		if (o->k == k)
+			return &o->tasks[o->first[number] + index];
+	return NULL;
+}
+
+/* Remove the rows of jobs that nobody may ask for any more. */
+static void job_sweep(struct sched *s)
+{
+	struct retired *r;
+	struct request *rq;
+	struct tx *t = NULL;
+	unsigned n = 0;
+	bstr key;
+
+	while (n < COMMIT_ROWS_MAX / 2 && (r = TAILQ_FIRST(&s->retirees)) &&
+	       s->wall - r->ended > s->options.keep_ms) {
+		if (!t) {
+			t = sched_tx(s, FOR_SWEEP, s->now + STORE_TIMEOUT_MS,
+				     &rq);
+			tx_expect(t, TABLE_OWNER, bstr_lit("epoch"),
+				  s->own.revision);
+		}
+		key = bstr_printf("%s/cancel", r->id);
+		tx_remove(t, TABLE_JOBS, bstr_lit(r->id));
+		tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
+		tx_remove(t, TABLE_JOBS, key);
+		bstr_free(&key);
+		TAILQ_REMOVE(&s->retirees, r, entry);
+		HASH_DEL(s->retired, r);
+		free(r);
+		n++;
+	}
+	s->sweep_at = s->now + 1000;
+}
+
+/* Look at the clock: occurrences that are due, rows to remove. */
+void job_tick(struct sched *s)
+{
+	struct job *j, *next;
+
+	if (s->own.state != OWN_YES)
+		return;
+	for (j = TAILQ_FIRST(&s->order); j; j = next) {
+		next = TAILQ_NEXT(j, entry);
+		if (!j->next_k || j->body->repeat_count)
+			job_due(s, j);
+		job_settle(s, j);
+	}
+	if (s->now >= s->sweep_at && own_acts(s))
+		job_sweep(s);
+}
--- /dev/null
+++ b/sched-order.c
@@ -0,0 +1,275 @@
+/*
+ * Orders to workers: starting, stopping and pacing runs, and what an order's
+ * outcome means for its task.
+ */
+#include "sched-state.h"
+
+#include <string.h>
+
+/* A worker that turned a start away gets no other for so long. */
+#define UNWELL_MS 400
+/* One without room is asked again when an end may have made some. */
+#define ROOM_AGAIN_MS 100
+
+/* What a task takes of a worker; one that fills uses only idle cores. */
+static struct size task_room(const struct task *t)
+{
+	struct size need = task_step(t)->need;
+
+	if (task_step(t)->fills)
+		need.cpu = 0;
+	return need;
+}
+
+/* Put a task on a worker. */
+static void task_place(struct sched *s, struct task *t, struct worker *w,
+		       uint64_t run)
+{
+	struct job *j = t->occ->job;
+
+	t->worker = w;
+	t->run = run;
+	t->stopping = false;
+	t->pace = 100;
+	t->percent = 0;
+	t->figure = 0;
+	t->begun_at = s->now;
+	TAILQ_INSERT_TAIL(&w->tasks, t, on);
+	w->used = size_add(w->used, task_room(t));
+	usage_add(s, t, 1);
+	j->placed++;
+	if (!j->starts++ && j->fate == FATE_QUEUED) {
+		j->fate = FATE_RUNNING;
+		job_touch(s, j);
+	}
+}
+
+/* A task is nowhere now. */
+void task_rest(struct sched *s, struct task *t)
+{
+	struct worker *w = t->worker;
+
+	if (!w)
+		return;
+	TAILQ_REMOVE(&w->tasks, t, on);
+	w->used = size_sub(w->used, task_room(t));
+	usage_add(s, t, -1);
+	t->worker = NULL;
+	t->asked = t->stopping = false;
+	if (t->phase != AT_END)
+		t->phase = AT_REST;
+	t->ready_at = 0;
+	t->occ->job->placed--;
+	s->place = true;
+}
+
+/* Set up an order to a worker. */
+static struct order *order_ask(struct sched *s, enum purpose purpose,
+			       enum ask_kind kind, struct worker *w,
+			       struct request **rq)
+{
+	struct ask *ask;
+
+	*rq = sched_ask(s, purpose, kind, s->now + ORDER_TIMEOUT_MS, &ask);
+	(*rq)->worker = w;
+	w->requests++;
+	ask->order.worker = bstr_copy(w->id);
+	ask->order.address = bstr_copy(w->row.address);
+	ask->order.epoch = s->own.epoch;
+	sched_count(s, COUNT_WORKER_EXCHANGES, 1);
+	return &ask->order;
+}
+
+/* Start a task on a worker. */
+void sched_task_start(struct sched *s, struct task *t, struct worker *w,
+		      uint64_t run)
+{
+	const struct job *j = t->occ->job;
+	struct request *rq;
+	struct order *o;
+
+	task_place(s, t, w, run);
+	t->phase = AT_START;
+	t->asked = true;
+	t->start_by = worker_clock(s, w) + START_BY_MS;
+	if (t->start_by > w->lease_end)
+		w->lease_end = t->start_by;
+	o = order_ask(s, FOR_START, ASK_START, w, &rq);
+	memcpy(rq->job, j->id, sizeof(rq->job));
+	rq->k = t->occ->k;
+	rq->task = (unsigned)(t - t->occ->tasks);
+	rq->run = run;
+	o->task = task_name(t);
+	o->run = run;
+	o->deadline = t->start_by;
+	o->payload = bstr_copy(j->body->payload);
+	o->checkpoint = bstr_copy(t->checkpoint);
+	sched_count(s, COUNT_STARTS, 1);
+	sched_log(s, LOG_TASK_START,
+		  "task=%.*s run=%llu worker=%.*s waited_ms=%lld epoch=%llu",
+		  BSTR_ARG(o->task), (unsigned long long)run, BSTR_ARG(w->id),
+		  (long long)(t->ready_at ? s->now - t->ready_at : 0),
+		  (unsigned long long)s->own.epoch);
+}
+
+/* A worker runs a task that an earlier owner started: keep it. */
+void task_adopt(struct sched *s, struct task *t, struct worker *w, uint64_t run)
+{
+	task_place(s, t, w, run);
+	t->phase = AT_WORK;
+	sched_log(s, LOG_TASK_ADOPTED, "task=%s.%u.%u.%u run=%llu worker=%.*s",
+		  t->occ->job->id, t->occ->k, t->step, t->index,
+		  (unsigned long long)run, BSTR_ARG(w->id));
+}
+
+/* Stop a task; its end comes with the worker's list. */
+void task_stop(struct sched *s, struct task *t)
+{
+	struct request *rq;
+	struct order *o;
+
+	if (!t->worker)
+		return;
+	t->stopping = true;
+	t->stop_at = s->now + STOP_AGAIN_MS;
+	if (!own_acts(s))
+		return;
+	o = order_ask(s, FOR_STOP, ASK_STOP, t->worker, &rq);
+	o->task = task_name(t);
+	o->run = t->run;
+}
+
+/* Stop a run that belongs to no task here. */
+void run_stop(struct sched *s, struct worker *w, bstr task, uint64_t run)
+{
+	struct request *rq;
+	struct order *o;
+
+	if (!own_acts(s))
+		return;
+	o = order_ask(s, FOR_STOP, ASK_STOP, w, &rq);
+	o->task = bstr_copy(task);
+	o->run = run;
+	sched_log(s, LOG_RUN_STRAY, "task=%.*s run=%llu worker=%.*s",
+		  BSTR_ARG(task), (unsigned long long)run, BSTR_ARG(w->id));
+}
+
+/* Let a task work at a share of its speed. */
+void task_pace(struct sched *s, struct task *t, unsigned percent)
+{
+	struct request *rq;
+	struct order *o;
+
+	t->pace = percent;
+	t->paced_at = s->now;
+	if (!own_acts(s))
+		return;
+	o = order_ask(s, FOR_PACE, ASK_PACE, t->worker, &rq);
+	o->task = task_name(t);
+	o->run = t->run;
+	o->percent = percent;
+	sched_log(s, LOG_TASK_PACED, "task=%.*s run=%llu percent=%u",
+		  BSTR_ARG(o->task), (unsigned long long)t->run, percent);
+}
+
+/* The task that a start was for, if it is still that run. */
+static struct task *start_task(struct sched *s, const struct request *rq)
+{
+	struct job *j = sched_job_find(s, rq->job);
+	struct occurrence *o;
+	struct task *t;
+
+	if (!j)
+		return NULL;
+	TAILQ_FOREACH(o, &j->occs, entry) {
+		if (o->k != rq->k)
+			continue;
+		t = &o->tasks[rq->task];
+		return t->worker == rq->worker && t->run == rq->run ? t : NULL;
+	}
+	return NULL;
+}
+
+/* A start was turned away: it has not run and will not. */
+static void start_refused(struct sched *s, struct task *t, struct worker *w,
+			  enum refusal why)
+{
+	static const char *const words[] = {
+		[REFUSAL_NONE] = "none",
+		[REFUSAL_FENCE] = "fence",
+		[REFUSAL_OLD] = "old",
+		[REFUSAL_LATE] = "late",
+		[REFUSAL_ROOM] = "room",
+		[REFUSAL_TICKET] = "ticket",
+		[REFUSAL_BUSY] = "busy",
+		[REFUSAL_WAVE] = "wave",
+		[REFUSAL_OTHER_LIFE] = "other-life",
+		[REFUSAL_UNWELL] = "unwell",
+		[REFUSAL_INVALID] = "invalid",
+		[REFUSAL_NOT_SENT] = "not-sent",
+	};
+
+	sched_count(s, COUNT_RETRY_TASK_REFUSED, 1);
+	sched_log(s, LOG_TASK_REFUSED,
+		  "task=%s.%u.%u.%u run=%llu worker=%.*s "
+		  "reason=%s",
+		  t->occ->job->id, t->occ->k, t->step, t->index,
+		  (unsigned long long)t->run, BSTR_ARG(w->id), words[why]);
+	task_rest(s, t);
+	switch (why) {
+	case REFUSAL_FENCE:
+		own_doubt(s, "fenced");
+		break;
+	case REFUSAL_ROOM:
+		w->unwell_until = s->now + ROOM_AGAIN_MS;
+		break;
+	case REFUSAL_INVALID:
+		t->not_before = s->now + UNWELL_MS;
+		break;
+	case REFUSAL_OTHER_LIFE:
+	case REFUSAL_UNWELL:
+	case REFUSAL_NOT_SENT:
+		w->unwell_until = s->now + UNWELL_MS;
+		break;
+	default:
+		break;
+	}
+}
+
+/* The outcome of an order.  Stops and paces are seen in the lists. */
+void order_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct worker *w = rq->worker;
+	struct task *t;
+
+	if (!w || rq->epoch != s->own.epoch)
+		return;
+	if (a->refusal == REFUSAL_FENCE && rq->purpose != FOR_START)
+		own_doubt(s, "fenced");
+	if (rq->purpose != FOR_START)
+		return;
+	t = start_task(s, rq);
+	if (!t)
+		return;
+	t->asked = false;
+	switch (a->outcome) {
+	case OUT_DONE:
+		if (t->phase == AT_START) {
+			t->phase = AT_WORK;
+			t->acked = a->clock;
+		}
+		break;
+	case OUT_UNKNOWN:
+		w->unwell_until = s->now + UNWELL_MS;
+		sched_log(s, LOG_TASK_UNSURE,
+			  "task=%s.%u.%u.%u run=%llu "
+			  "worker=%.*s start_by=%lld",
+			  rq->job, rq->k, t->step, t->index,
+			  (unsigned long long)t->run, BSTR_ARG(w->id),
+			  (long long)t->start_by);
+		break;
+	default:
+		start_refused(s, t, w, a->refusal);
+		break;
+	}
+}
--- /dev/null
+++ b/sched-own.c
@@ -0,0 +1,327 @@
+/*
+ * Who owns the scheduling.  A row of the store holds the owner and its epoch
+ * and changes only under the condition of its revision; another holds the
+ * owner's beat.  Every transaction of the owner demands that the first is
+ * unchanged, and workers refuse orders of a lower epoch, so an owner that was
+ * replaced without knowing can harm nothing.
+ */
+#include "sched-state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_EPOCH "epoch"
+#define KEY_BEAT "beat"
+/* Claims of several VMs are spread over so long; the first one wins. */
+#define CLAIM_SPREAD_MS 150
+
+/* May this VM give orders now? */
+bool own_acts(const struct sched *s)
+{
+	return s->own.state == OWN_YES && !s->own.doubtful;
+}
+
+/* Is this process the holder that the row names? */
+static bool own_is_self(const struct sched *s)
+{
+	return s->own.holder.bstr_len &&
+	       bstr_eq(s->own.holder, s->options.vm) &&
+	       s->own.life == s->options.seed;
+}
+
+/* Forget all that only the owner knows. */
+static void own_forget(struct sched *s)
+{
+	struct retired *r;
+	struct job *j;
+
+	while ((j = TAILQ_FIRST(&s->order)))
+		sched_job_free(s, j);
+	while ((r = TAILQ_FIRST(&s->retirees))) {
+		TAILQ_REMOVE(&s->retirees, r, entry);
+		HASH_DEL(s->retired, r);
+		free(r);
+	}
+	sched_workers_free(s);
+	wave_forget(s);
+	usage_free(s);
+	s->dirty_seq = 0;
+	s->committing = false;
+	s->settled = false;
+	s->follows[2].wanted = s->follows[3].wanted = false;
+	s->progress.wanted = false;
+	follow_restart(&s->follows[2]);
+	follow_restart(&s->follows[3]);
+	follow_restart(&s->progress);
+}
+
+/* This VM is not the owner any more. */
+void own_lose(struct sched *s, const char *why)
+{
+	if (s->own.state == OWN_NOT)
+		return;
+	if (s->own.state != OWN_CLAIMING)
+		sched_log(s, LOG_OWNER_LOST, "epoch=%llu why=%s",
+			  (unsigned long long)s->own.epoch, why);
+	s->own.state = OWN_NOT;
+	s->own.doubtful = false;
+	s->own.heard_at = s->now;
+	s->own.silent = 0;
+	own_forget(s);
+}
+
+/* Give no order until the store has confirmed the ownership. */
+void own_doubt(struct sched *s, const char *why)
+{
+	s->own.heard_at = s->now;
+	s->own.silent = 0;
+	if (s->own.state == OWN_NOT || s->own.doubtful)
+		return;
+	s->own.doubtful = true;
+	s->own.beat_at = s->now;
+	sched_log(s, LOG_OWNER_DOUBT, "epoch=%llu why=%s",
+		  (unsigned long long)s->own.epoch, why);
+}
+
+/* The row of the owner: it may name another, or nobody. */
+static void epoch_row_take(struct sched *s, struct row *r)
+{
+	uint64_t epoch = s->own.epoch;
+
+	if (r->revision < s->own.revision || !owner_row_read(r->value, &s->own))
+		return;
+	s->own.revision = r->revision;
+	s->own.known = true;
+	s->own.heard_at = s->now;
+	s->own.silent = 0;
+	if (s->own.epoch != epoch || !s->own.holder.bstr_len)
+		sched_log(s, LOG_OWNER_SEEN, "epoch=%llu vm=%.*s revision=%llu",
+			  (unsigned long long)s->own.epoch,
+			  BSTR_ARG(s->own.holder),
+			  (unsigned long long)r->revision);
+	if (own_is_self(s)) {
+		s->own.doubtful = false;
+		return;
+	}
+	if (s->own.state == OWN_YES || s->own.state == OWN_LOADING)
+		own_lose(s, "replaced");
+}
+
+/* A row of the ownership's table. */
+void own_row_take(struct sched *s, struct row *r)
+{
+	uint64_t epoch;
+
+	if (r->removed || r->kind == ROW_BAD)
+		return;
+	if (bstr_eq_str(r->key, KEY_EPOCH)) {
+		epoch_row_take(s, r);
+		return;
+	}
+	if (!bstr_eq_str(r->key, KEY_BEAT)) {
+		wave_status_take(s, r);
+		return;
+	}
+	if (s->own.state == OWN_YES || !beat_row_read(s, r->value, &epoch))
+		return;
+	s->own.heard_at = s->now;
+	s->own.silent = 0;
+}
+
+/* The store has answered about the ownership: silence counts from here. */
+void own_answered(struct sched *s)
+{
+	if (s->now - s->own.heard_at >= OWNER_FEED_WAIT_MS)
+		s->own.silent++;
+}
+
+/*
+ * Is the owner gone?  Silence counts only while the store answers: without
+ * the store nobody can beat and nobody can take over, and a takeover just
+ * after its return would throw away what the owner runs.
+ */
+static bool owner_is_gone(const struct sched *s)
+{
+	int64_t spread = (int64_t)(s->options.seed % CLAIM_SPREAD_MS);
+
+	if (!s->own.known || !sched_store_works(s) || s->stop_by)
+		return false;
+	if (!s->own.holder.bstr_len)
+		return s->now - s->own.heard_at >= spread / 4;
+	return s->now - s->own.heard_at >= OWNER_SILENT_MS + spread &&
+	       s->own.silent >= 2;
+}
+
+/* Try to become the owner. */
+static void own_claim(struct sched *s)
+{
+	struct ownership next = {.epoch = s->own.epoch + 1,
+				 .holder = s->options.vm,
+				 .life = s->options.seed};
+	bstr key = bstr_lit(KEY_EPOCH);
+	struct request *rq;
+	struct tx *t;
+
+	sched_log(s, LOG_OWNER_CLAIM,
+		  "epoch=%llu old=%.*s silent_ms=%lld revision=%llu",
+		  (unsigned long long)next.epoch, BSTR_ARG(s->own.holder),
+		  (long long)(s->now - s->own.heard_at),
+		  (unsigned long long)s->own.revision);
+	t = sched_tx(s, FOR_CLAIM, s->now + STORE_TIMEOUT_MS, &rq);
+	tx_expect(t, TABLE_OWNER, key, s->own.revision);
+	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
+	rq->number = next.epoch;
+	s->own.state = OWN_CLAIMING;
+}
+
+/* This VM is the owner: read what there is to do. */
+static void own_gain(struct sched *s, uint64_t epoch, uint64_t revision)
+{
+	s->own.state = OWN_LOADING;
+	s->own.epoch = epoch;
+	if (revision > s->own.revision)
+		s->own.revision = revision;
+	s->own.life = s->options.seed;
+	bstr_set(&s->own.holder, s->options.vm);
+	s->own.owned_at = s->now;
+	s->own.beat_at = s->now;
+	s->own.doubtful = false;
+	own_forget(s);
+	s->follows[2].wanted = s->follows[3].wanted = true;
+	follow_tick(s);
+	sched_count(s, COUNT_TAKEOVERS, 1);
+	sched_log(s, LOG_OWNER_GAINED, "epoch=%llu revision=%llu",
+		  (unsigned long long)epoch, (unsigned long long)revision);
+}
+
+/* A table was read whole; with all of them the owner begins to work. */
+void own_loaded(struct sched *s)
+{
+	if (s->own.state != OWN_LOADING)
+		return;
+	/* Progress is of jobs that are in the book: read after the jobs. */
+	s->progress.wanted = s->follows[3].whole;
+	if (!s->follows[2].whole || !s->follows[3].whole || !s->progress.whole)
+		return;
+	s->own.state = OWN_YES;
+	s->place = true;
+	sched_log(s, LOG_OWNER_READY, "epoch=%llu jobs=%u workers=%u ms=%lld",
+		  (unsigned long long)s->own.epoch, HASH_COUNT(s->jobs),
+		  HASH_COUNT(s->workers),
+		  (long long)(s->now - s->own.owned_at));
+	worker_tick(s);
+}
+
+/* The outcome of a claim; the feed tells if it was another's luck. */
+static void claim_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	/* The feed was quicker: the claim had been carried out. */
+	if (s->own.state != OWN_CLAIMING)
+		return;
+	if (a->outcome == OUT_DONE) {
+		own_gain(s, rq->number, a->revision);
+		return;
+	}
+	/*
+	 * The rows come with a conflict; without an answer the next reading
+	 * of the feed tells, and names this process if the claim was done.
+	 */
+	s->own.state = OWN_NOT;
+	s->own.heard_at = s->now;
+	s->own.silent = 0;
+}
+
+/* The outcome of a beat. */
+static void beat_answer(struct sched *s, struct answer *a)
+{
+	s->own.beating = false;
+	if (s->own.state != OWN_YES && s->own.state != OWN_LOADING)
+		return;
+	switch (a->outcome) {
+	case OUT_DONE:
+		s->own.doubtful = false;
+		s->own.heard_at = s->now;
+		break;
+	case OUT_CONFLICT:
+		own_lose(s, "replaced");
+		break;
+	default:
+		s->own.beat_at = s->now + STORE_AGAIN_MS;
+		break;
+	}
+}
+
+/* An answer about the ownership. */
+void own_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	switch (rq->purpose) {
+	case FOR_CLAIM:
+		claim_answer(s, rq, a);
+		break;
+	case FOR_BEAT:
+		beat_answer(s, a);
+		break;
+	default: /* a release: whatever came of it, this VM is done */
+		break;
+	}
+}
+
+/* Write the beat. */
+static void own_beat(struct sched *s)
+{
+	struct request *rq;
+	struct tx *t;
+
+	s->own.beat_seq++;
+	t = sched_tx(s, FOR_BEAT, s->now + STORE_TIMEOUT_MS, &rq);
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
+	tx_write(t, TABLE_OWNER, bstr_lit(KEY_BEAT), beat_row_write(s));
+	s->own.beating = true;
+	s->own.beat_at = s->now + BEAT_MS;
+}
+
+/*
+ * A claim without an answer may have been carried out: then the row names
+ * this process although it is not the owner yet.
+ */
+static bool own_unaware(const struct sched *s)
+{
+	return s->own.state == OWN_NOT && own_is_self(s) && !s->stop_by;
+}
+
+/* Look at the clock. */
+void own_tick(struct sched *s)
+{
+	switch (s->own.state) {
+	case OWN_NOT:
+		if (own_unaware(s))
+			own_gain(s, s->own.epoch, s->own.revision);
+		else if (owner_is_gone(s))
+			own_claim(s);
+		break;
+	case OWN_LOADING:
+	case OWN_YES:
+		if (!s->own.beating && s->now >= s->own.beat_at)
+			own_beat(s);
+		break;
+	case OWN_CLAIMING:
+	case OWN_RELEASING:
+		break;
+	}
+}
+
+/* Give the ownership up for another VM to take at once. */
+void own_release(struct sched *s)
+{
+	struct ownership none = {.epoch = s->own.epoch};
+	struct request *rq;
+	struct tx *t;
+
+	if (s->own.state != OWN_YES && s->own.state != OWN_LOADING)
+		return;
+	t = sched_tx(s, FOR_RELEASE, s->now + STORE_TIMEOUT_MS, &rq);
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
+	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
+		 owner_row_write(&none, true));
+	own_lose(s, "released");
+}
--- /dev/null
+++ b/sched-place.c
@@ -0,0 +1,431 @@
+/*
+ * Which task goes where: the order among what is ready, and the choice of a
+ * worker for each.
+ */
+#include "sched-state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Weights of a worker's merits; only their order matters. */
+#define MERIT_RACK 1e9	    /* it is near the step's data */
+#define MERIT_NOT_AVOID 1e8 /* the task has not failed there */
+#define MERIT_SIBLINGS 1e6  /* a tight step's other tasks are in its rack */
+#define MERIT_LASTING 1e5   /* one lasting task less on it */
+
+/* A step with tasks that wait. */
+struct candidate {
+	struct job *job;
+	struct occurrence *occ;
+	unsigned step;
+	unsigned rank; /* lasting work, then priorities */
+	bool late;     /* its objective can't be met any more */
+	int64_t due;   /* when its objective ends; if late: its length */
+};
+
+/* The workers of one service that may get work. */
+struct pool {
+	bstr service;
+	struct worker **workers;
+	size_t count;
+	struct size most; /* the most room of any, in each resource */
+};
+
+struct placing {
+	struct pool *pools;
+	size_t pool_count;
+	struct candidate *list;
+	size_t count;
+	size_t room;
+};
+
+/* What is free on a worker. */
+static struct size worker_room(const struct worker *w)
+{
+	return size_sub(w->row.capacity, w->used);
+}
+
+/* The pool of a service; NULL: none of its workers may get work. */
+static struct pool *pool_find(struct placing *p, bstr service)
+{
+	size_t i;
+
+	for (i = 0; i < p->pool_count; i++)
+		if (bstr_eq(p->pools[i].service, service))
+			return &p->pools[i];
+	return NULL;
+}
+
+/* Sum up again the most that one worker of a pool has free. */
+static void pool_measure(struct pool *pool)
+{
+	struct size r;
+	size_t i;
+
+	pool->most = (struct size){-1, -1, -1};
+	for (i = 0; i < pool->count; i++) {
+		r = worker_room(pool->workers[i]);
+		if (r.cpu > pool->most.cpu)
+			pool->most.cpu = r.cpu;
+		if (r.memory > pool->most.memory)
+			pool->most.memory = r.memory;
+		if (r.gpus > pool->most.gpus)
+			pool->most.gpus = r.gpus;
+	}
+}
+
+/* Sort the workers that may get work by their services. */
+static void pools_make(struct sched *s, struct placing *p)
+{
+	struct worker *w, *next;
+	struct pool *pool;
+	size_t i;
+
+	HASH_ITER(hh, s->workers, w, next) {
+		if (!worker_takes(s, w))
+			continue;
+		pool = pool_find(p, w->row.service);
+		if (!pool) {
+			p->pools = xrealloc(p->pools, p->pool_count + 1,
+					    sizeof(*p->pools));
+			pool = &p->pools[p->pool_count++];
+			memset(pool, 0, sizeof(*pool));
+			pool->service = w->row.service;
+		}
+		pool->workers = xrealloc(pool->workers, pool->count + 1,
+					 sizeof(struct worker *));
+		pool->workers[pool->count++] = w;
+	}
+	for (i = 0; i < p->pool_count; i++)
+		pool_measure(&p->pools[i]);
+}
+
+/* The longest chain of declared times from a step to the end of its job. */
+static int64_t chain_from(const struct occurrence *o, unsigned at)
+{
+	const struct job_body *b = o->job->body;
+	int64_t longest = 0, rest;
+	size_t i, k;
+
+	for (i = at + 1; i < b->step_count; i++) {
+		for (k = 0; k < b->steps[i].after_count; k++) {
+			if (b->steps[i].after[k] != at)
+				continue;
+			rest = chain_from(o, (unsigned)i);
+			if (rest > longest)
+				longest = rest;
+		}
+	}
+	return longest + b->steps[at].estimated_ms;
+}
+
+/* The longest chain of a whole job. */
+static int64_t chain_whole(const struct occurrence *o)
+{
+	int64_t longest = 0, n;
+	unsigned i;
+
+	for (i = 0; i < o->job->body->step_count; i++) {
+		n = chain_from(o, i);
+		if (n > longest)
+			longest = n;
+	}
+	return longest;
+}
+
+/* Does a step have a task that waits to be placed now? */
+static bool step_waits(struct sched *s, const struct occurrence *o,
+		       unsigned at)
+{
+	struct task *t = &o->tasks[o->first[at]];
+	bool waits = false;
+	unsigned i;
+
+	if (!o->left[at] || !step_ready(o, at))
+		return false;
+	for (i = 0; i < o->job->body->steps[at].count; i++, t++) {
+		if (t->phase != AT_REST)
+			continue;
+		if (!t->ready_at)
+			t->ready_at = s->now;
+		if (s->now >= t->not_before)
+			waits = true;
+	}
+	return waits;
+}
+
+/* Add a step to those that wait. */
+static void candidate_add(struct sched *s, struct placing *p,
+			  struct occurrence *o, unsigned at)
+{
+	const struct job_step *st = &o->job->body->steps[at];
+	const struct route *r = route_named(s, o->job->route);
+	struct candidate *c;
+	int64_t whole = chain_whole(o);
+
+	if (p->count == p->room) {
+		p->room = p->room ? p->room * 2 : 64;
+		p->list = xrealloc(p->list, p->room, sizeof(*p->list));
+	}
+	c = &p->list[p->count++];
+	*c = (struct candidate){.job = o->job, .occ = o, .step = at};
+	c->rank = st->lasts ? 0 : 1 + (r ? r->priority : 0);
+	c->due = o->job->arrived +
+		 (int64_t)((r ? r->stretch : 1) * (double)whole) +
+		 (r ? r->objective_ms : 0);
+	if (!st->lasts && s->now + chain_from(o, at) > c->due) {
+		c->late = true;
+		c->due = whole;
+	}
+}
+
+/* Collect what waits. */
+static void candidates_make(struct sched *s, struct placing *p)
+{
+	struct occurrence *o;
+	struct job *j;
+	unsigned i;
+
+	TAILQ_FOREACH(j, &s->order, entry) {
+		if (j->fate > FATE_RUNNING || (j->inherited && !s->settled))
+			continue;
+		TAILQ_FOREACH(o, &j->occs, entry)
+			for (i = 0; i < j->body->step_count; i++)
+				if (step_waits(s, o, i))
+					candidate_add(s, p, o, i);
+	}
+}
+
+/* The order among what waits. */
+static int candidate_cmp(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	if (x->rank != y->rank)
+		return x->rank < y->rank ? -1 : 1;
+	if (x->late != y->late)
+		return x->late ? 1 : -1;
+	if (x->due != y->due)
+		return x->due < y->due ? -1 : 1;
+	return strcmp(x->job->id, y->job->id);
+}
+
+/* How many tasks of a step are on a worker? */
+static unsigned step_on(const struct worker *w, const struct occurrence *o,
+			unsigned at)
+{
+	const struct task *t;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(t, &w->tasks, on)
+		if (t->occ == o && t->step == at)
+			n++;
+	return n;
+}
+
+/* Has a worker the label that a step needs? */
+static bool label_fits(const struct worker *w, bstr label)
+{
+	size_t i;
+
+	for (i = 0; label.bstr_len && i < w->row.label_count; i++)
+		if (bstr_eq(w->row.labels[i], label))
+			return true;
+	return !label.bstr_len;
+}
+
+/* Lasting tasks on a worker. */
+static unsigned lasting_on(const struct worker *w)
+{
+	const struct task *t;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(t, &w->tasks, on)
+		if (task_step(t)->lasts)
+			n++;
+	return n;
+}
+
+/* Tasks of a step in a rack. */
+static unsigned rack_siblings(const struct pool *pool, bstr rack,
+			      const struct task *t)
+{
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < pool->count; i++)
+		if (bstr_eq(pool->workers[i]->rack, rack))
+			n += step_on(pool->workers[i], t->occ, t->step);
+	return n;
+}
+
+/* How well a worker suits a task; below 0: not at all. */
+static double worker_merit(struct sched *s, const struct pool *pool,
+			   const struct worker *w, const struct task *t)
+{
+	const struct job_step *st = task_step(t);
+	struct size need = st->need, room = worker_room(w);
+	double merit;
+
+	if (st->fills)
+		need.cpu = 0;
+	if (!size_fits(need, room) || !label_fits(w, st->label))
+		return -1;
+	if (st->apart && step_on(w, t->occ, t->step) >= st->apart)
+		return -1;
+	if (s->now < w->doubt_until)
+		return -1;
+	merit = (double)room.cpu / (double)(w->row.capacity.cpu + 1) * 1e4;
+	if (merit < 0)
+		merit = 0;
+	if (st->rack.bstr_len && bstr_eq(st->rack, w->rack))
+		merit += MERIT_RACK;
+	if (t->avoid != w->serial)
+		merit += MERIT_NOT_AVOID;
+	if (st->tight)
+		merit += MERIT_SIBLINGS * rack_siblings(pool, w->rack, t);
+	if (st->lasts)
+		merit += MERIT_LASTING * (16 - (double)lasting_on(w));
+	return merit;
+}
+
+/* The best worker for a task, or NULL. */
+static struct worker *worker_choose(struct sched *s, const struct pool *pool,
+				    const struct task *t)
+{
+	struct worker *best = NULL;
+	double top = 0, merit;
+	size_t i;
+
+	for (i = 0; i < pool->count; i++) {
+		merit = worker_merit(s, pool, pool->workers[i], t);
+		if (merit >= 0 && (!best || merit > top)) {
+			best = pool->workers[i];
+			top = merit;
+		}
+	}
+	return best;
+}
+
+/* The number of a task's next run. */
+static uint64_t run_next(const struct sched *s, const struct task *t)
+{
+	uint64_t base = (s->own.epoch - 1) * RUNS_PER_EPOCH;
+
+	return (t->run > base ? t->run : base) + 1;
+}
+
+/* Place the tasks of a step, one by one. */
+static void step_place(struct sched *s, struct pool *pool,
+		       const struct candidate *c)
+{
+	const struct job_step *st = &c->job->body->steps[c->step];
+	struct task *t = &c->occ->tasks[c->occ->first[c->step]];
+	struct worker *w;
+	unsigned i;
+
+	for (i = 0; i < st->count; i++, t++) {
+		if (t->phase != AT_REST || s->now < t->not_before)
+			continue;
+		if (!limit_allows(s, c->job, st))
+			return;
+		w = worker_choose(s, pool, t);
+		if (!w)
+			return;
+		sched_task_start(s, t, w, run_next(s, t));
+	}
+}
+
+/* Undo what was reserved for the first n tasks of a gang. */
+static void gang_undo(struct sched *s, struct task *t, struct worker **chosen,
+		      unsigned n)
+{
+	const struct job_step *st = task_step(t);
+	struct usage *u = usage_of(s, t->occ->job->tenant);
+	unsigned i;
+
+	for (i = 0; i < n; i++) {
+		chosen[i]->used = size_sub(chosen[i]->used, st->need);
+		u->used = size_sub(u->used, st->need);
+	}
+}
+
+/*
+ * Place a gang: all of its tasks at once, or none.  Each choice is reserved
+ * while the next is made, so that the whole fits.
+ */
+static void gang_place(struct sched *s, struct pool *pool,
+		       const struct candidate *c)
+{
+	const struct job_step *st = &c->job->body->steps[c->step];
+	struct task *first = &c->occ->tasks[c->occ->first[c->step]];
+	struct usage *u = usage_of(s, c->job->tenant);
+	struct worker **chosen = xcalloc(st->count, sizeof(struct worker *));
+	bstr checkpoint = BSTR_NONE;
+	uint64_t run = 0;
+	unsigned i;
+
+	for (i = 0; i < st->count; i++) {
+		chosen[i] = NULL;
+		if (first[i].phase == AT_REST &&
+		    s->now >= first[i].not_before &&
+		    limit_allows(s, c->job, st))
+			chosen[i] = worker_choose(s, pool, &first[i]);
+		if (!chosen[i])
+			break;
+		chosen[i]->used = size_add(chosen[i]->used, st->need);
+		u->used = size_add(u->used, st->need);
+		if (run_next(s, &first[i]) > run)
+			run = run_next(s, &first[i]);
+		if (!checkpoint.bstr_len)
+			checkpoint = first[i].checkpoint;
+	}
+	gang_undo(s, first, chosen, i);
+	if (i == st->count) {
+		checkpoint = bstr_copy(checkpoint);
+		for (i = 0; i < st->count; i++) {
+			bstr_set(&first[i].checkpoint, checkpoint);
+			sched_task_start(s, &first[i], chosen[i], run);
+		}
+		bstr_free(&checkpoint);
+	}
+	free(chosen);
+}
+
+/* Place what can be placed. */
+void place_all(struct sched *s)
+{
+	struct placing p = {0};
+	struct candidate *c;
+	struct pool *pool;
+	struct size need;
+	size_t i;
+
+	s->place = false;
+	if (!own_acts(s))
+		return;
+	pools_make(s, &p);
+	candidates_make(s, &p);
+	if (p.count)
+		qsort(p.list, p.count, sizeof(*p.list), candidate_cmp);
+	for (i = 0; i < p.count; i++) {
+		c = &p.list[i];
+		pool = pool_find(&p, job_service(s, c->job));
+		if (!pool)
+			continue;
+		need = c->job->body->steps[c->step].need;
+		if (c->job->body->steps[c->step].fills)
+			need.cpu = 0;
+		if (!size_fits(need, pool->most))
+			continue;
+		if (c->job->body->steps[c->step].gang)
+			gang_place(s, pool, c);
+		else
+			step_place(s, pool, c);
+		pool_measure(pool);
+	}
+	for (i = 0; i < p.pool_count; i++)
+		free(p.pools[i].workers);
+	free(p.pools);
+	free(p.list);
+}
--- /dev/null
+++ b/sched-row.c
@@ -0,0 +1,377 @@
+/*
+ * The scheduler's own rows in the store, as JSON: a job as it was accepted,
+ * its progress, the ownership and the owner's beat.
+ */
+#include "sched-state.h"
+#include "json-read.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const fate_names[] = {
+	[FATE_QUEUED] = "queued",	[FATE_RUNNING] = "running",
+	[FATE_COMPLETED] = "completed", [FATE_FAILED] = "failed",
+	[FATE_CANCELLED] = "cancelled",
+};
+
+/* The word for a job's state. */
+const char *fate_name(enum job_fate f)
+{
+	return fate_names[f];
+}
+
+/* A whole number of an object, or 0. */
+static int64_t int_of(const json_t *j, const char *key)
+{
+	return json_integer_value(json_object_get(j, key));
+}
+
+/* Set a flag that is left out when it is false. */
+static void set_flag(json_t *j, const char *key, bool on)
+{
+	if (on)
+		json_object_set_new(j, key, json_true());
+}
+
+/* Set a number that is left out when it is 0. */
+static void set_number(json_t *j, const char *key, int64_t n)
+{
+	if (n)
+		json_object_set_new(j, key, json_integer(n));
+}
+
+/* Set a text that is left out when it is empty. */
+static void set_string(json_t *j, const char *key, bstr b)
+{
+	if (b.bstr_len)
+		json_object_set_new(j, key, bstr_json(b));
+}
+
+/* A step as JSON. */
+static json_t *step_write(const struct job_step *st)
+{
+	json_t *j = json_object(), *after = json_array();
+	size_t i;
+
+	set_number(j, "count", st->count);
+	set_number(j, "cpu", st->need.cpu);
+	set_number(j, "memory", st->need.memory);
+	set_number(j, "gpus", st->need.gpus);
+	set_number(j, "estimated_ms", st->estimated_ms);
+	for (i = 0; i < st->after_count; i++)
+		json_array_append_new(after, json_integer(st->after[i]));
+	json_object_set_new(j, "after", after);
+	set_flag(j, "checkpoints", st->checkpoints);
+	set_flag(j, "gang", st->gang);
+	set_flag(j, "tight", st->tight);
+	set_flag(j, "speculative", st->speculative);
+	set_flag(j, "lasts", st->lasts);
+	set_flag(j, "fills", st->fills);
+	set_string(j, "label", st->label);
+	set_string(j, "rack", st->rack);
+	set_string(j, "image", st->image);
+	set_number(j, "apart", st->apart);
+	set_number(j, "target_ms", st->target_ms);
+	set_number(j, "may_miss", st->may_miss);
+	return j;
+}
+
+/* A step from JSON. */
+static void step_parse(const json_t *j, struct job_step *st)
+{
+	const json_t *after = json_object_get(j, "after");
+	json_t *v;
+	size_t i;
+
+	st->count = (unsigned)int_of(j, "count");
+	st->need.cpu = int_of(j, "cpu");
+	st->need.memory = int_of(j, "memory");
+	st->need.gpus = int_of(j, "gpus");
+	st->estimated_ms = (uint32_t)int_of(j, "estimated_ms");
+	st->after = xcalloc(json_array_size(after) + 1, sizeof(*st->after));
+	json_array_foreach(after, i, v)
+		st->after[st->after_count++] = (unsigned)json_integer_value(v);
+	st->checkpoints = json_is_true(json_object_get(j, "checkpoints"));
+	st->gang = json_is_true(json_object_get(j, "gang"));
+	st->tight = json_is_true(json_object_get(j, "tight"));
+	st->speculative = json_is_true(json_object_get(j, "speculative"));
+	st->lasts = json_is_true(json_object_get(j, "lasts"));
+	st->fills = json_is_true(json_object_get(j, "fills"));
+	st->label = json_bstr(json_object_get(j, "label"));
+	st->rack = json_bstr(json_object_get(j, "rack"));
+	st->image = json_bstr(json_object_get(j, "image"));
+	st->apart = (unsigned)int_of(j, "apart");
+	st->target_ms = (uint32_t)int_of(j, "target_ms");
+	st->may_miss = (unsigned)int_of(j, "may_miss");
+}
+
+/* The row of a job as it was accepted. */
+bstr job_row_write(const struct job *j)
+{
+	json_t *steps = json_array(), *row;
+	size_t i;
+
+	for (i = 0; i < j->body->step_count; i++)
+		json_array_append_new(steps, step_write(&j->body->steps[i]));
+	row = json_pack("{s:o, s:o, s:o, s:I, s:o}", "tenant",
+			bstr_json(j->tenant), "route", bstr_json(j->route),
+			"service", bstr_json(j->service), "submitted",
+			(json_int_t)j->submitted, "payload",
+			bstr_json(j->body->payload));
+	set_number(row, "repeat", j->body->repeat_count);
+	set_number(row, "first_at", j->body->first_at);
+	set_number(row, "interval_ms", j->body->interval_ms);
+	json_object_set_new(row, "steps", steps);
+	return json_write(row);
+}
+
+/* A job from its row; NULL if it is none. */
+struct job *job_row_read(const char *id, bstr text)
+{
+	json_t *row = json_read(text);
+	const json_t *steps = json_object_get(row, "steps");
+	struct job *j;
+	json_t *v;
+	size_t i;
+
+	if (!json_array_size(steps)) {
+		json_decref(row);
+		return NULL;
+	}
+	j = xcalloc(1, sizeof(*j));
+	snprintf(j->id, sizeof(j->id), "%s", id);
+	TAILQ_INIT(&j->occs);
+	j->tenant = json_bstr(json_object_get(row, "tenant"));
+	j->route = json_bstr(json_object_get(row, "route"));
+	j->service = json_bstr(json_object_get(row, "service"));
+	j->submitted = int_of(row, "submitted");
+	j->body = xcalloc(1, sizeof(*j->body));
+	j->body->payload = json_bstr(json_object_get(row, "payload"));
+	j->body->repeat_count = (unsigned)int_of(row, "repeat");
+	j->body->first_at = int_of(row, "first_at");
+	j->body->interval_ms = int_of(row, "interval_ms");
+	j->body->step_count = json_array_size(steps);
+	j->body->steps = xcalloc(j->body->step_count, sizeof(*j->body->steps));
+	json_array_foreach(steps, i, v)
+		step_parse(v, &j->body->steps[i]);
+	json_decref(row);
+	return j;
+}
+
+/* The tasks of an occurrence that are done, a bit each, in hex. */
+static json_t *done_write(const struct occurrence *o)
+{
+	size_t bytes = (o->task_count + 7) / 8;
+	uint8_t *bits = xcalloc(bytes, 1);
+	json_t *j;
+	bstr hex;
+	unsigned i;
+
+	for (i = 0; i < o->task_count; i++)
+		if (o->tasks[i].phase == AT_END)
+			bits[i / 8] |= (uint8_t)(1U << (i % 8));
+	hex = hex_encode(bits, bytes);
+	j = bstr_json(hex);
+	bstr_free(&hex);
+	free(bits);
+	return j;
+}
+
+/* Progress of an occurrence: done, failures and checkpoints by task. */
+static json_t *occurrence_write(const struct occurrence *o)
+{
+	json_t *fails = json_object(), *saved = json_object();
+	const struct task *t;
+	char number[16];
+	unsigned i;
+
+	for (i = 0; i < o->task_count; i++) {
+		t = &o->tasks[i];
+		if (t->phase == AT_END)
+			continue;
+		snprintf(number, sizeof(number), "%u", i);
+		if (t->fails && !task_step(t)->lasts)
+			json_object_set_new(fails, number,
+					    json_integer(t->fails));
+		if (t->checkpoint.bstr_len)
+			json_object_set_new(saved, number,
+					    bstr_json(t->checkpoint));
+	}
+	return json_pack("{s:I, s:o, s:o, s:o}", "k", (json_int_t)o->k, "done",
+			 done_write(o), "fails", fails, "saved", saved);
+}
+
+/* The row of a job's progress. */
+bstr progress_write(const struct job *j)
+{
+	const struct occurrence *o;
+	json_t *row, *occs;
+
+	row = json_pack("{s:s, s:o}", "state", fate_name(j->fate), "tenant",
+			bstr_json(j->tenant));
+	if (j->fate > FATE_RUNNING) {
+		set_number(row, "ended", j->ended);
+		return json_write(row);
+	}
+	occs = json_array();
+	TAILQ_FOREACH(o, &j->occs, entry)
+		json_array_append_new(occs, occurrence_write(o));
+	set_number(row, "next", j->next_k);
+	json_object_set_new(row, "times", occs);
+	return json_write(row);
+}
+
+/* Read the state in a row of progress. */
+static bool fate_parse(const json_t *row, enum job_fate *fate)
+{
+	const char *word = json_string_value(json_object_get(row, "state"));
+	size_t i;
+
+	for (i = 0; word && i < NELEMS(fate_names); i++) {
+		if (strcmp(word, fate_names[i]) == 0) {
+			*fate = (enum job_fate)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* What a caller wants to know of a row of progress; tenant is copied. */
+bool progress_peek(bstr text, bstr *tenant, enum job_fate *fate, int64_t *ended)
+{
+	json_t *row = json_read(text);
+	bool ok = fate_parse(row, fate);
+
+	*tenant = ok ? json_bstr(json_object_get(row, "tenant")) : BSTR_NONE;
+	*ended = int_of(row, "ended");
+	json_decref(row);
+	return ok;
+}
+
+/* Set what an occurrence's progress tells. */
+static void occurrence_parse(struct occurrence *o, const json_t *j)
+{
+	size_t bytes = (o->task_count + 7) / 8;
+	uint8_t *bits = xcalloc(bytes, 1);
+	bstr hex = json_bstr(json_object_get(j, "done"));
+	struct task *t;
+	json_t *v;
+	char number[16];
+	unsigned i;
+
+	if (!hex_decode(hex, bits, bytes))
+		memset(bits, 0, bytes);
+	for (i = 0; i < o->task_count; i++) {
+		t = &o->tasks[i];
+		snprintf(number, sizeof(number), "%u", i);
+		v = json_object_get(json_object_get(j, "fails"), number);
+		t->fails = (unsigned)json_integer_value(v);
+		v = json_object_get(json_object_get(j, "saved"), number);
+		bstr_free(&t->checkpoint);
+		t->checkpoint = json_bstr(v);
+		if (!(bits[i / 8] >> (i % 8) & 1) || t->phase == AT_END)
+			continue;
+		t->phase = AT_END;
+		o->left[t->step]--;
+		o->undone--;
+	}
+	bstr_free(&hex);
+	free(bits);
+}
+
+/* Set a job's progress from its row. */
+bool progress_apply(struct job *j, bstr text)
+{
+	json_t *row = json_read(text), *v;
+	const json_t *occs = json_object_get(row, "times");
+	size_t i;
+
+	if (!fate_parse(row, &j->fate)) {
+		json_decref(row);
+		return false;
+	}
+	j->ended = int_of(row, "ended");
+	json_array_foreach(occs, i, v) {
+		job_make_occurrence(j, (unsigned)int_of(v, "k"));
+		occurrence_parse(TAILQ_LAST(&j->occs, occurrence_list), v);
+	}
+	j->next_k = (unsigned)int_of(row, "next");
+	json_decref(row);
+	return true;
+}
+
+/* The row that says who owns the scheduling; released: nobody. */
+bstr owner_row_write(const struct ownership *o, bool release)
+{
+	return json_write(json_pack("{s:I, s:o, s:I}", "epoch",
+				    (json_int_t)o->epoch, "vm",
+				    bstr_json(release ? BSTR_NONE : o->holder),
+				    "life", (json_int_t)o->life));
+}
+
+/* Read it. */
+bool owner_row_read(bstr text, struct ownership *o)
+{
+	json_t *row = json_read(text);
+	bool ok = json_is_integer(json_object_get(row, "epoch"));
+
+	if (ok) {
+		o->epoch = (uint64_t)int_of(row, "epoch");
+		o->life = (uint64_t)int_of(row, "life");
+		bstr_free(&o->holder);
+		o->holder = json_bstr(json_object_get(row, "vm"));
+	}
+	json_decref(row);
+	return ok;
+}
+
+/* The owner's beat, with the waiting jobs of each queue. */
+bstr beat_row_write(struct sched *s)
+{
+	json_t *counts = json_object();
+	const struct job *j;
+	json_t *v;
+	char *route;
+
+	TAILQ_FOREACH(j, &s->order, entry) {
+		if (j->fate != FATE_QUEUED || j->starts)
+			continue;
+		route = bstr_cstr(j->route);
+		v = json_object_get(counts, route);
+		json_object_set_new(counts, route,
+				    json_integer(json_integer_value(v) + 1));
+		free(route);
+	}
+	return json_write(json_pack(
+		"{s:I, s:I, s:o}", "epoch", (json_int_t)s->own.epoch, "seq",
+		(json_int_t)s->own.beat_seq, "waiting", counts));
+}
+
+/* Read a beat: its epoch, and the counts. */
+bool beat_row_read(struct sched *s, bstr text, uint64_t *epoch)
+{
+	json_t *row = json_read(text), *v;
+	struct waiting_count *w, *next;
+	const char *route;
+
+	if (!json_is_integer(json_object_get(row, "epoch"))) {
+		json_decref(row);
+		return false;
+	}
+	*epoch = (uint64_t)int_of(row, "epoch");
+	HASH_ITER(hh, s->waiting, w, next) {
+		HASH_DEL(s->waiting, w);
+		bstr_free(&w->route);
+		free(w);
+	}
+	json_object_foreach(json_object_get(row, "waiting"), route, v) {
+		w = xcalloc(1, sizeof(*w));
+		w->route = bstr_new(route);
+		w->count = (uint64_t)json_integer_value(v);
+		HASH_ADD_KEYPTR(hh, s->waiting, w->route.bstr_val,
+				w->route.bstr_len, w);
+	}
+	json_decref(row);
+	return true;
+}
--- /dev/null
+++ b/sched-state.h
@@ -0,0 +1,495 @@
+/*
+ * Inside of the scheduler: its state, and what its files offer each other.
+ */
+#ifndef SCHED_STATE_H
+#define SCHED_STATE_H
+
+#include "scheduler.h"
+
+/*
+ * The owner writes a beat so often, and is taken as gone when no beat came
+ * for so long although the store answers.  What runs lapses 4.5 s after its
+ * last renewal, which is up to 0.7 s old when the owner dies: the successor
+ * has 3.8 s to notice (1.8), to claim, to load and to renew.
+ */
+#define BEAT_MS 400
+#define OWNER_SILENT_MS 1800
+#define LEASE_MS 4500
+/* A hold waits so long for an end, and so renews at least so often. */
+#define HOLD_WAIT_MS 700
+/* Between looks at a worker that has unacknowledged ends, or is silent. */
+#define HOLD_PACE_MS 300
+/* An exchange with a worker takes at most so long beyond its wait. */
+#define ORDER_TIMEOUT_MS 800
+/*
+ * A start is void on the worker after this: one without an answer may be
+ * carried out until then and is looked for in the worker's list after it.
+ */
+#define START_BY_MS 1200
+#define STOP_AGAIN_MS 600
+/* Steady clocks of workers may be slow by 2%. */
+#define CLOCK_SLOW 1.02
+/* Store exchanges, far above the usual 5 ms; a slow store answers in 350. */
+#define STORE_TIMEOUT_MS 700
+#define STORE_AGAIN_MS 120
+#define FEED_WAIT_MS 1500
+#define OWNER_FEED_WAIT_MS 500
+#define FEED_TIMEOUT_MS 700 /* beyond the wait */
+/* Answers must leave this VM before the caller's deadline: two ways of 3 ms,
+ * and the round of a loaded processor. */
+#define REPLY_MARGIN_MS 120
+#define RETRY_AFTER_S 1
+/* Ends of many tasks are made durable together; at most so many rows. */
+#define COMMIT_ROWS_MAX 60
+#define COMMIT_PACE_MS 20
+#define PAGE_ROWS 500
+/* Run numbers of one epoch; a restart a second for 2.7 hours stays below. */
+#define RUNS_PER_EPOCH 10000
+/* This process did not run for so long: its beliefs are old. */
+#define SUSPENDED_MS 1000
+/* A worker that did not answer for so long gets nothing new. */
+#define WORKER_QUIET_MS 1300
+/* Ends by failure in a row, of different jobs, that cast doubt on a worker. */
+#define DOUBT_FAILURES 2
+#define DOUBT_MS 4000
+/* A task that failed or lapsed waits so long, so that it does not spin. */
+#define TASK_PAUSE_MS 50
+/* After a takeover, lists of workers that can't be reached are waited for no
+ * longer than the longest lease and the spread of clocks. */
+#define SETTLE_SLACK_MS 300
+
+struct job;
+struct worker;
+
+enum run_phase {
+	AT_REST,  /* nowhere */
+	AT_START, /* ordered, the outcome is not known */
+	AT_WORK,  /* its worker has it */
+	AT_END	  /* done */
+};
+
+struct task {
+	TAILQ_ENTRY(task) on; /* among its worker's */
+	struct occurrence *occ;
+	unsigned step;
+	unsigned index; /* within the step */
+	enum run_phase phase;
+	struct worker *worker; /* AT_START, AT_WORK */
+	uint64_t run;	       /* the latest */
+	bool asked;	       /* its start is under way */
+	bool stopping;
+	int64_t stop_at;  /* when to say so again */
+	int64_t start_by; /* on the worker's clock */
+	int64_t acked;	  /* the worker's clock when it took the start */
+	int64_t begun_at;
+	int64_t ready_at;
+	int64_t not_before;
+	unsigned fails;
+	unsigned percent;
+	unsigned pace; /* percent it is let work at */
+	int64_t paced_at;
+	int64_t figure;
+	uint32_t avoid; /* serial of the worker it failed on; 0: none */
+	bstr checkpoint;
+};
+TAILQ_HEAD(task_on, task);
+
+/* One time of a job; a job that is not repeated has one. */
+struct occurrence {
+	TAILQ_ENTRY(occurrence) entry;
+	struct job *job;
+	unsigned k;
+	unsigned *left;	 /* tasks not done, by step */
+	unsigned *first; /* of each step, in tasks */
+	unsigned task_count;
+	unsigned undone;
+	struct task *tasks;
+};
+TAILQ_HEAD(occurrence_list, occurrence);
+
+enum job_fate {
+	FATE_QUEUED,
+	FATE_RUNNING,
+	FATE_COMPLETED,
+	FATE_FAILED,
+	FATE_CANCELLED
+};
+
+/* A job that is not final, or whose final state is not durable yet. */
+struct job {
+	TAILQ_ENTRY(job) entry; /* by arrival */
+	TAILQ_ENTRY(job) dirty; /* progress to be written */
+	char id[JOB_ID_BYTES + 1];
+	bstr tenant;
+	bstr route;
+	bstr service; /* when it was accepted */
+	struct job_body *body;
+	int64_t submitted; /* wall clock */
+	int64_t arrived;   /* here */
+	bool inherited;	   /* an earlier owner may have started its tasks */
+	enum job_fate fate;
+	int64_t ended; /* wall clock */
+	unsigned next_k;
+	unsigned placed; /* tasks AT_START or AT_WORK */
+	unsigned starts;
+	struct occurrence_list occs;
+	uint64_t dirty_seq;  /* 0: not among the dirty */
+	uint64_t flying_seq; /* 0: not in the commit under way */
+	UT_hash_handle hh;
+};
+TAILQ_HEAD(job_queue, job);
+
+/* A final job, kept until its rows may be removed. */
+struct retired {
+	TAILQ_ENTRY(retired) entry;
+	char id[JOB_ID_BYTES + 1];
+	int64_t ended; /* wall clock */
+	UT_hash_handle hh;
+};
+TAILQ_HEAD(retired_list, retired);
+
+struct worker {
+	bstr id;
+	uint32_t serial;
+	struct worker_row row;
+	bstr rack;
+	bool listed;	  /* its row is there */
+	unsigned reading; /* in which it was last seen */
+	bool gone;	  /* it runs nothing any more */
+	int64_t born;
+	int64_t clock; /* its clock, and ours when it was told */
+	int64_t clock_at;
+	int64_t lease_end; /* the latest told to it, on its clock */
+	bool fenced;	   /* it has answered to our epoch */
+	bool looking;	   /* a hold is under way */
+	int64_t look_at;
+	int64_t answered_at;
+	int64_t stray_at; /* runs that nobody wants are stopped from then on */
+	bool strays_due;
+	int64_t unwell_until;
+	uint64_t seen;	   /* highest end known here */
+	uint64_t seen_seq; /* dirty_seq then */
+	uint64_t acked;	   /* highest durable end */
+	unsigned doubt;	   /* failures in a row */
+	char doubt_job[JOB_ID_BYTES + 1];
+	int64_t doubt_until;
+	bool leaving; /* its machine is about to be taken */
+	bool taken;   /* the call that takes it is under way */
+	unsigned requests;
+	struct size used;
+	struct task_on tasks;
+	UT_hash_handle hh;
+};
+
+enum purpose {
+	FOR_OPERATOR_GET,
+	FOR_OPERATOR_FEED,
+	FOR_OWNER_GET,
+	FOR_OWNER_FEED,
+	FOR_WORKERS_GET,
+	FOR_WORKERS_FEED,
+	FOR_JOBS_GET,
+	FOR_JOBS_FEED,
+	FOR_PROGRESS_GET,
+	FOR_BEAT,
+	FOR_CLAIM,
+	FOR_RELEASE,
+	FOR_COMMIT,
+	FOR_SWEEP,
+	FOR_SUBMIT,
+	FOR_STATE,
+	FOR_CANCEL_READ,
+	FOR_CANCEL,
+	FOR_HOLD,
+	FOR_START,
+	FOR_STOP,
+	FOR_PACE,
+	FOR_ADVICE,
+	FOR_MACHINES,
+	FOR_UPKEEP,
+	FOR_WAVE_ROW,
+	PURPOSE_MAX
+};
+
+/* A caller's request that waits for the store. */
+struct call {
+	uint64_t id;
+	char job[JOB_ID_BYTES + 1];
+	bstr tenant;
+	bool open; /* the route needs no key */
+	int64_t deadline;
+	int64_t came_at;
+	bool uncertain; /* a try may have taken effect */
+	bstr row;	/* a submit's, for another try */
+	bstr progress;
+	UT_hash_handle hh;
+};
+
+/* A request under way. */
+struct request {
+	uint64_t id;
+	enum purpose purpose;
+	uint64_t epoch; /* of the owner it was sent for; 0: any */
+	uint64_t call;
+	struct worker *worker;
+	char job[JOB_ID_BYTES + 1];
+	unsigned k;
+	unsigned task;
+	uint64_t run;
+	uint64_t number; /* a wave's, or a lease on a worker's clock */
+	bstr name;	 /* a machine's */
+	UT_hash_handle hh;
+};
+
+/* How a table is followed: read whole, then by its feed. */
+struct follow {
+	enum table table;
+	enum purpose get;
+	enum purpose feed;
+	uint32_t wait_ms;
+	bool wanted;
+	unsigned reading; /* counts whole readings */
+	bool open;	  /* a request is under way */
+	bool whole;	  /* read whole; the feed goes on at revision */
+	uint64_t revision;
+	uint64_t first; /* revision of the first page */
+	bstr from;	/* next page */
+	int64_t again_at;
+};
+
+enum own_state { OWN_NOT, OWN_CLAIMING, OWN_LOADING, OWN_YES, OWN_RELEASING };
+
+struct ownership {
+	enum own_state state;
+	uint64_t epoch;	   /* the latest seen */
+	uint64_t revision; /* of its row */
+	bstr holder;	   /* empty: nobody */
+	uint64_t life;	   /* of the holder's process */
+	int64_t heard_at;  /* latest beat, or change of owner */
+	unsigned silent;   /* answers of the store since, without one */
+	int64_t beat_at;   /* next, if this VM is the owner */
+	bool beating;
+	uint64_t beat_seq;
+	int64_t owned_at;
+	bool doubtful; /* read the row before the next order */
+	bool known;    /* the row was read, or found missing */
+};
+
+struct waiting_count {
+	bstr route;
+	uint64_t count;
+	UT_hash_handle hh;
+};
+
+struct machine {
+	bstr id;
+	bstr pool;
+	bstr worker;
+	enum machine_state state;
+	bool marked;
+	UT_hash_handle hh;
+};
+struct wave_machine {
+	bstr id;
+	bool done;
+	bool asked;  /* a call is under way */
+	bool marked; /* its worker gets nothing new */
+	int64_t marked_at;
+	int64_t again_at;
+	int64_t away_until; /* it is down for its maintenance */
+};
+struct wave {
+	uint64_t number;
+	struct wave_machine *machines;
+	size_t count;
+	unsigned maximum;
+	int64_t finish_at;
+	bool completed;
+	bool dirty; /* its rows are to be written */
+	bool writing;
+	int64_t write_at;
+	UT_hash_handle hh;
+};
+
+struct usage {
+	bstr tenant;
+	struct size used;
+	double share; /* weighted cpu in use; for the order among tenants */
+	UT_hash_handle hh;
+};
+
+struct sched {
+	struct sched_options options;
+	bstr self; /* holder name */
+	int64_t now;
+	int64_t wall;
+	int64_t ticked_at;
+	struct sched_effects *out;
+	uint64_t last_request;
+	uint32_t last_worker;
+	struct request *requests;
+	struct call *calls;
+
+	struct fleet_config *config;
+	struct follow follows[4];
+	struct ownership own;
+	struct waiting_count *waiting; /* as the owner told */
+	unsigned store_failures;       /* in a row */
+	int64_t store_ok_at;
+	bool store_down; /* as logged */
+	bool ready;
+	int64_t stop_by; /* 0: not stopping */
+	bool ended;
+
+	/* The owner's. */
+	struct follow progress; /* read once, at a takeover */
+	struct job *jobs;
+	struct job_queue order;
+	struct job_queue dirty;
+	struct job_queue flying;
+	uint64_t dirty_seq;
+	bool committing;
+	int64_t commit_at;
+	struct retired *retired;
+	struct retired_list retirees;
+	int64_t sweep_at;
+	struct worker *workers;
+	struct usage *usage;
+	bool settled; /* all workers' lists are known, or their leases over */
+	bool place;   /* something changed: look for work to place */
+	struct machine *machines;
+	bool listing;
+	int64_t list_at;
+	bool list_whole;
+	struct wave *waves;
+};
+
+/* sched.c */
+struct sched_effect *sched_effect_add(struct sched *s,
+				      enum sched_effect_kind kind);
+struct request *sched_ask(struct sched *s, enum purpose purpose,
+			  enum ask_kind kind, int64_t deadline,
+			  struct ask **ask);
+void sched_log(struct sched *s, uint32_t number, const char *fmt, ...)
+	PRINTF_LIKE(3, 4);
+void sched_count(struct sched *s, enum counter_id id, uint64_t n);
+bool sched_store_works(const struct sched *s);
+
+/* sched-tx.c: making transactions */
+struct tx *sched_tx(struct sched *s, enum purpose purpose, int64_t deadline,
+		    struct request **rq);
+void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision);
+void tx_write(struct tx *t, enum table table, bstr key, bstr value);
+void tx_remove(struct tx *t, enum table table, bstr key);
+
+/* sched-follow.c */
+void follow_tick(struct sched *s);
+void follow_answer(struct sched *s, struct request *rq, struct answer *a);
+void follow_restart(struct follow *f);
+
+/* sched-config.c */
+void config_take(struct sched *s, struct row *r);
+const struct route *route_find(const struct sched *s, bstr host, bstr path);
+const struct route *route_named(const struct sched *s, bstr name);
+const struct tenant *tenant_of_key(const struct sched *s, bstr key);
+const struct tenant *tenant_named(const struct sched *s, bstr name);
+const struct service *service_named(const struct sched *s, bstr name);
+
+/* sched-row.c: rows of the scheduler's own */
+bstr job_row_write(const struct job *j);
+struct job *job_row_read(const char *id, bstr row);
+bstr progress_write(const struct job *j);
+bool progress_apply(struct job *j, bstr row);
+bool progress_peek(bstr row, bstr *tenant, enum job_fate *fate, int64_t *ended);
+const char *fate_name(enum job_fate f);
+bstr owner_row_write(const struct ownership *o, bool release);
+bool owner_row_read(bstr row, struct ownership *o);
+bstr beat_row_write(struct sched *s);
+bool beat_row_read(struct sched *s, bstr row, uint64_t *epoch);
+
+/* sched-call.c */
+void call_take(struct sched *s, struct call_in *in);
+void call_answer(struct sched *s, struct request *rq, struct answer *a);
+void call_tick(struct sched *s);
+void call_free(struct sched *s, struct call *c);
+
+/* sched-own.c */
+void own_row_take(struct sched *s, struct row *r);
+void own_answered(struct sched *s);
+void own_answer(struct sched *s, struct request *rq, struct answer *a);
+void own_tick(struct sched *s);
+void own_loaded(struct sched *s);
+void own_lose(struct sched *s, const char *why);
+void own_doubt(struct sched *s, const char *why);
+void own_release(struct sched *s);
+bool own_acts(const struct sched *s); /* may give orders now */
+
+/* sched-job.c */
+struct job *sched_job_find(struct sched *s, const char *id);
+void job_row_take(struct sched *s, struct row *r);
+void progress_row_take(struct sched *s, struct row *r);
+void sched_job_free(struct sched *s, struct job *j);
+void job_make_occurrence(struct job *j, unsigned k);
+void job_touch(struct sched *s, struct job *j);
+void job_tick(struct sched *s);
+void job_task_done(struct sched *s, struct task *t);
+void job_task_failed(struct sched *s, struct task *t);
+void job_settle(struct sched *s, struct job *j);
+bool step_ready(const struct occurrence *o, unsigned at);
+struct task *task_find(struct sched *s, bstr name, struct job **job);
+bstr task_name(const struct task *t);
+const struct job_step *task_step(const struct task *t);
+bstr job_service(const struct sched *s, const struct job *j);
+
+/* sched-commit.c */
+void commit_tick(struct sched *s);
+void commit_answer(struct sched *s, struct request *rq, struct answer *a);
+void sweep_answer(struct sched *s, struct request *rq, struct answer *a);
+
+/* sched-worker.c */
+void worker_row_take(struct sched *s, struct row *r);
+void worker_sweep(struct sched *s); /* after a whole reading */
+struct worker *worker_find(struct sched *s, bstr id);
+void worker_tick(struct sched *s);
+void worker_answer(struct sched *s, struct request *rq, struct answer *a);
+void worker_acknowledge(struct sched *s);
+void worker_lost(struct sched *s, struct worker *w, const char *why);
+void sched_worker_free(struct sched *s, struct worker *w);
+int64_t worker_clock(const struct sched *s, const struct worker *w);
+bool worker_takes(const struct sched *s, const struct worker *w);
+void sched_workers_free(struct sched *s);
+
+/* sched-order.c */
+void sched_task_start(struct sched *s, struct task *t, struct worker *w,
+		      uint64_t run);
+void task_adopt(struct sched *s, struct task *t, struct worker *w,
+		uint64_t run);
+void task_rest(struct sched *s, struct task *t);
+void task_stop(struct sched *s, struct task *t);
+void run_stop(struct sched *s, struct worker *w, bstr task, uint64_t run);
+void task_pace(struct sched *s, struct task *t, unsigned percent);
+void order_answer(struct sched *s, struct request *rq, struct answer *a);
+
+/* sched-limit.c */
+struct usage *usage_of(struct sched *s, bstr tenant);
+void usage_add(struct sched *s, const struct task *t, int sign);
+bool limit_allows(struct sched *s, const struct job *j,
+		  const struct job_step *st);
+void usage_free(struct sched *s);
+
+/* sched-place.c */
+void place_all(struct sched *s);
+
+/* sched-pace.c */
+void pace_worker(struct sched *s, struct worker *w);
+
+/* sched-wave.c */
+void wave_row_take(struct sched *s, struct row *r);
+void wave_status_take(struct sched *s, struct row *r);
+void wave_tick(struct sched *s);
+void wave_answer(struct sched *s, struct request *rq, struct answer *a);
+void wave_forget(struct sched *s); /* what only the owner knows */
+void sched_waves_free(struct sched *s);
+bool wave_may_take(struct sched *s, const struct worker *w);
+
+#endif
--- /dev/null
+++ b/sched-tx.c
@@ -0,0 +1,43 @@
+/*
+ * Making transactions.
+ */
+#include "sched-state.h"
+
+#include <stdlib.h>
+
+/* Ask for a transaction, empty so far. */
+struct tx *sched_tx(struct sched *s, enum purpose purpose, int64_t deadline,
+		    struct request **rq)
+{
+	struct ask *ask;
+
+	*rq = sched_ask(s, purpose, ASK_TX, deadline, &ask);
+	sched_count(s, COUNT_TABLE_COMMITS, 1);
+	return &ask->tx;
+}
+
+/* Demand that a row still has a revision. */
+void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision)
+{
+	t->expect = xrealloc(t->expect, t->expect_count + 1,
+			     sizeof(*t->expect));
+	t->expect[t->expect_count++] = (struct tx_expect){
+		.table = table, .key = bstr_copy(key), .revision = revision};
+}
+
+/* Write a row; the value is moved. */
+void tx_write(struct tx *t, enum table table, bstr key, bstr value)
+{
+	t->writes = xrealloc(t->writes, t->write_count + 1, sizeof(*t->writes));
+	t->writes[t->write_count++] = (struct tx_write){
+		.table = table, .key = bstr_copy(key), .value = value};
+}
+
+/* Remove a row. */
+void tx_remove(struct tx *t, enum table table, bstr key)
+{
+	t->removes = xrealloc(t->removes, t->remove_count + 1,
+			      sizeof(*t->removes));
+	t->removes[t->remove_count++] = (struct tx_write){
+		.table = table, .key = bstr_copy(key)};
+}
--- /dev/null
+++ b/sched-wave.c
@@ -0,0 +1,498 @@
+/*
+ * Maintenance waves: each machine of a wave is taken down once, at most so
+ * many at a time, when what serves on it can be missed.
+ */
+#include "sched-state.h"
+#include "json-read.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A machine that is about to go gets nothing new for so long before it; most
+ * tasks of quick queues end within it. */
+#define WAVE_DRAIN_MS 1200
+/* The list of machines is read so often while a wave is open. */
+#define LIST_EVERY_MS 900
+#define CLOUD_TIMEOUT_MS 1500
+#define CLOUD_AGAIN_MS 500
+/* A machine counts as down this much longer than its maintenance takes. */
+#define AWAY_SLACK_MS 400
+#define WAVE_NAME_MAX 40
+
+/* Find a wave. */
+static struct wave *wave_find(struct sched *s, uint64_t number)
+{
+	struct wave *v;
+
+	HASH_FIND(hh, s->waves, &number, sizeof(number), v);
+	return v;
+}
+
+/* A machine of a wave, by its id. */
+static struct wave_machine *wave_member(struct wave *v, bstr id)
+{
+	size_t i;
+
+	for (i = 0; i < v->count; i++)
+		if (bstr_eq(v->machines[i].id, id))
+			return &v->machines[i];
+	return NULL;
+}
+
+/* The operator asks for a wave. */
+void wave_row_take(struct sched *s, struct row *r)
+{
+	struct wave_row *row = &r->wave;
+	struct wave *v = wave_find(s, row->number);
+	size_t i;
+
+	if (v || r->removed)
+		return;
+	v = xcalloc(1, sizeof(*v));
+	v->number = row->number;
+	v->maximum = row->maximum;
+	v->finish_at = s->now + row->finish_by_s * 1000;
+	v->count = row->machine_count;
+	v->machines = xcalloc(v->count + 1, sizeof(*v->machines));
+	for (i = 0; i < v->count; i++)
+		v->machines[i].id = bstr_copy(row->machines[i]);
+	v->dirty = true;
+	HASH_ADD(hh, s->waves, number, sizeof(v->number), v);
+	sched_log(s, LOG_WAVE_SEEN,
+		  "wave=%" PRIu64 " machines=%zu maximum=%u finish_by_s=%lld",
+		  v->number, v->count, v->maximum, (long long)row->finish_by_s);
+}
+
+/* What an owner wrote of a wave: the machines that were taken down. */
+void wave_status_take(struct sched *s, struct row *r)
+{
+	json_t *row = json_read(r->value), *id;
+	struct wave *v = wave_find(
+		s, (uint64_t)json_integer_value(json_object_get(row, "wave")));
+	struct wave_machine *m;
+	bstr name;
+	size_t i;
+
+	json_array_foreach(json_object_get(row, "done"), i, id) {
+		name = json_bstr(id);
+		m = v ? wave_member(v, name) : NULL;
+		if (m)
+			m->done = true;
+		bstr_free(&name);
+	}
+	if (v && json_is_true(json_object_get(row, "completed"))) {
+		v->completed = true;
+		v->dirty = false;
+	}
+	json_decref(row);
+}
+
+/* Forget the machines. */
+static void machines_free(struct sched *s)
+{
+	struct machine *m, *next;
+
+	HASH_ITER(hh, s->machines, m, next) {
+		HASH_DEL(s->machines, m);
+		bstr_free(&m->id);
+		bstr_free(&m->pool);
+		bstr_free(&m->worker);
+		free(m);
+	}
+	s->list_whole = false;
+}
+
+/* Forget what only the owner knows; what the operator asks for stays. */
+void wave_forget(struct sched *s)
+{
+	struct wave *v, *next;
+	size_t i;
+
+	HASH_ITER(hh, s->waves, v, next) {
+		v->writing = false;
+		v->dirty = !v->completed;
+		for (i = 0; i < v->count; i++) {
+			v->machines[i].asked = v->machines[i].marked = false;
+			v->machines[i].again_at = 0;
+		}
+	}
+	s->listing = false;
+	machines_free(s);
+}
+
+/* Free all waves. */
+void sched_waves_free(struct sched *s)
+{
+	struct wave *v, *next;
+	size_t i;
+
+	HASH_ITER(hh, s->waves, v, next) {
+		HASH_DEL(s->waves, v);
+		for (i = 0; i < v->count; i++)
+			bstr_free(&v->machines[i].id);
+		free(v->machines);
+		free(v);
+	}
+	machines_free(s);
+}
+
+/* Is a lasting task at work? */
+static bool task_serves(const struct task *t)
+{
+	return t->phase == AT_WORK && !t->stopping && t->percent == 100 &&
+	       !t->worker->taken;
+}
+
+/* May a task be taken away, by the others of its step? */
+static bool task_may_miss(const struct task *t)
+{
+	const struct job_step *st = task_step(t);
+	const struct task *o = &t->occ->tasks[t->occ->first[t->step]];
+	unsigned i, away = 0;
+
+	if (!st->lasts || !st->may_miss || !task_serves(t))
+		return true;
+	for (i = 0; i < st->count; i++, o++)
+		if (o != t && !task_serves(o))
+			away++;
+	return away < st->may_miss;
+}
+
+/* May a worker be taken away now, by the lasting tasks on it? */
+bool wave_may_take(struct sched *s, const struct worker *w)
+{
+	const struct task *t;
+
+	(void)s;
+	TAILQ_FOREACH(t, &w->tasks, on)
+		if (!task_may_miss(t))
+			return false;
+	return true;
+}
+
+/* Tasks of a worker that end soon by themselves. */
+static unsigned short_tasks(const struct worker *w)
+{
+	const struct task *t;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(t, &w->tasks, on)
+		if (!task_step(t)->lasts)
+			n++;
+	return n;
+}
+
+/* The machine of a wave's member, and its worker if it has one. */
+static struct machine *member_machine(struct sched *s, bstr id,
+				      struct worker **w)
+{
+	struct machine *m;
+
+	*w = NULL;
+	HASH_FIND_BSTR(s->machines, id, m);
+	if (m && m->worker.bstr_len)
+		*w = worker_find(s, m->worker);
+	return m;
+}
+
+/* Take a machine down for its maintenance. */
+static void upkeep_send(struct sched *s, struct wave *v,
+			struct wave_machine *wm)
+{
+	struct request *rq;
+	struct ask *ask;
+
+	rq = sched_ask(s, FOR_UPKEEP, ASK_UPKEEP, s->now + CLOUD_TIMEOUT_MS,
+		       &ask);
+	rq->number = v->number;
+	rq->name = bstr_copy(wm->id);
+	ask->order.machine = bstr_copy(wm->id);
+	ask->order.wave = v->number;
+	ask->order.holder = bstr_copy(s->options.vm);
+	ask->order.epoch = s->own.epoch;
+	wm->asked = true;
+	wm->away_until = s->now + CLOUD_TIMEOUT_MS;
+	sched_log(s, LOG_WAVE_MACHINE, "wave=%" PRIu64 " machine=%.*s step=ask",
+		  v->number, BSTR_ARG(wm->id));
+}
+
+/* Is a machine of a wave down, or may it be? */
+static bool member_is_away(struct sched *s, const struct wave_machine *wm)
+{
+	struct worker *w;
+	struct machine *m = member_machine(s, wm->id, &w);
+
+	return wm->asked || s->now < wm->away_until ||
+	       (m && m->state == MACHINE_UPKEEP);
+}
+
+/* What taking a machine costs now: fewer of it first. */
+static double member_cost(struct sched *s, const struct wave_machine *wm)
+{
+	struct worker *w;
+	const struct task *t;
+	double cost = 0;
+
+	member_machine(s, wm->id, &w);
+	if (!w)
+		return 0;
+	TAILQ_FOREACH(t, &w->tasks, on) {
+		cost += (double)task_step(t)->need.cpu;
+		if (!task_may_miss(t))
+			cost += 1e9;
+	}
+	return cost;
+}
+
+/* Choose the next machine to take down, and give it nothing new. */
+static bool wave_mark(struct sched *s, struct wave *v)
+{
+	struct wave_machine *best = NULL, *wm;
+	double least = 0, cost;
+	struct worker *w;
+	size_t i;
+
+	for (i = 0; i < v->count; i++) {
+		wm = &v->machines[i];
+		if (wm->done || wm->marked || wm->asked ||
+		    s->now < wm->again_at)
+			continue;
+		cost = member_cost(s, wm);
+		if (!best || cost < least) {
+			best = wm;
+			least = cost;
+		}
+	}
+	if (!best)
+		return false;
+	best->marked = true;
+	best->marked_at = s->now;
+	member_machine(s, best->id, &w);
+	if (w)
+		w->leaving = true;
+	return true;
+}
+
+/* Drive a marked machine on. */
+static void member_tick(struct sched *s, struct wave *v,
+			struct wave_machine *wm)
+{
+	struct worker *w;
+
+	if (!wm->marked || wm->asked || wm->done || s->now < wm->again_at)
+		return;
+	member_machine(s, wm->id, &w);
+	if (w)
+		w->leaving = true;
+	if (w && short_tasks(w) && s->now < wm->marked_at + WAVE_DRAIN_MS)
+		return;
+	if (w && !wave_may_take(s, w))
+		return;
+	/* Tasks of the same steps on other machines can't be missed now. */
+	if (w)
+		w->taken = true;
+	upkeep_send(s, v, wm);
+}
+
+/* Write how far a wave is, for the operator and for a later owner. */
+static void wave_write(struct sched *s, struct wave *v)
+{
+	json_t *done = json_array();
+	char key[WAVE_NAME_MAX];
+	struct request *rq;
+	struct tx *t;
+	size_t i;
+
+	for (i = 0; i < v->count; i++)
+		if (v->machines[i].done)
+			json_array_append_new(done,
+					      bstr_json(v->machines[i].id));
+	snprintf(key, sizeof(key), "wave/%" PRIu64, v->number);
+	t = sched_tx(s, FOR_WAVE_ROW, s->now + STORE_TIMEOUT_MS, &rq);
+	rq->number = v->number;
+	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	tx_write(t, TABLE_STATUS, bstr_lit(key),
+		 bstr_printf("{\"state\":\"%s\"}",
+			     v->completed ? "completed" : "running"));
+	tx_write(t, TABLE_OWNER, bstr_lit(key),
+		 json_write(json_pack("{s:I, s:o, s:b}", "wave",
+				      (json_int_t)v->number, "done", done,
+				      "completed", v->completed)));
+	v->writing = true;
+	v->dirty = false;
+}
+
+/* Drive a wave on. */
+static void wave_drive(struct sched *s, struct wave *v)
+{
+	unsigned away = 0;
+	bool all = true;
+	size_t i;
+
+	if (v->dirty && !v->writing && s->now >= v->write_at)
+		wave_write(s, v);
+	if (v->completed || !s->list_whole)
+		return;
+	for (i = 0; i < v->count; i++) {
+		if (member_is_away(s, &v->machines[i]) ||
+		    (v->machines[i].marked && !v->machines[i].done))
+			away++;
+		all = all && v->machines[i].done;
+	}
+	while (away < v->maximum && wave_mark(s, v))
+		away++;
+	for (i = 0; i < v->count; i++)
+		member_tick(s, v, &v->machines[i]);
+	if (!all)
+		return;
+	v->completed = v->dirty = true;
+	sched_log(s, LOG_WAVE_DONE, "wave=%" PRIu64 " left_ms=%lld", v->number,
+		  (long long)(v->finish_at - s->now));
+}
+
+/* Ask for the list of machines, from a page on. */
+static void machines_list(struct sched *s, bstr page)
+{
+	struct ask *ask;
+
+	sched_ask(s, FOR_MACHINES, ASK_MACHINES, s->now + CLOUD_TIMEOUT_MS,
+		  &ask);
+	ask->order.page = bstr_copy(page);
+	s->listing = true;
+	s->list_at = s->now + LIST_EVERY_MS;
+}
+
+/* Is a wave open? */
+static bool wave_is_open(const struct sched *s)
+{
+	const struct wave *v;
+
+	for (v = s->waves; v; v = v->hh.next)
+		if (!v->completed)
+			return true;
+	return false;
+}
+
+/* Look at the clock. */
+void wave_tick(struct sched *s)
+{
+	struct wave *v, *next;
+
+	if (!own_acts(s) || !s->settled)
+		return;
+	if (wave_is_open(s) && !s->listing && s->now >= s->list_at)
+		machines_list(s, BSTR_NONE);
+	HASH_ITER(hh, s->waves, v, next)
+		wave_drive(s, v);
+}
+
+/* Take a row of the list of machines. */
+static void machine_take(struct sched *s, struct machine_row *r)
+{
+	struct machine *m;
+
+	HASH_FIND_BSTR(s->machines, r->machine, m);
+	if (!m) {
+		m = xcalloc(1, sizeof(*m));
+		m->id = bstr_copy(r->machine);
+		HASH_ADD_BSTR(s->machines, id, m);
+	}
+	bstr_set(&m->pool, r->pool);
+	bstr_set(&m->worker, r->worker);
+	m->state = r->state;
+}
+
+/* The list of machines, a page of it. */
+static void list_answer(struct sched *s, struct answer *a)
+{
+	size_t i;
+
+	s->listing = false;
+	if (a->outcome != OUT_DONE) {
+		s->list_at = s->now + CLOUD_AGAIN_MS;
+		return;
+	}
+	for (i = 0; i < a->machine_count; i++)
+		machine_take(s, &a->machines[i]);
+	if (a->next_page.bstr_len)
+		machines_list(s, a->next_page);
+	else
+		s->list_whole = true;
+}
+
+/* A machine has gone down: what ran on it has ended. */
+static void upkeep_done(struct sched *s, struct wave *v,
+			struct wave_machine *wm)
+{
+	struct worker *w;
+
+	wm->done = true;
+	wm->away_until = s->now + s->options.maintenance_ms + AWAY_SLACK_MS;
+	v->dirty = true;
+	member_machine(s, wm->id, &w);
+	if (w) {
+		worker_lost(s, w, "maintenance");
+		w->gone = true;
+		w->listed = false;
+	}
+	sched_log(s, LOG_WAVE_MACHINE,
+		  "wave=%" PRIu64 " machine=%.*s step=down", v->number,
+		  BSTR_ARG(wm->id));
+}
+
+/* The outcome of taking a machine down. */
+static void upkeep_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct wave *v = wave_find(s, rq->number);
+	struct wave_machine *wm = v ? wave_member(v, rq->name) : NULL;
+	struct worker *w;
+
+	if (!wm || rq->epoch != s->own.epoch)
+		return;
+	wm->asked = false;
+	if (a->outcome == OUT_DONE) {
+		upkeep_done(s, v, wm);
+		return;
+	}
+	member_machine(s, wm->id, &w);
+	if (w && a->outcome != OUT_UNKNOWN)
+		w->taken = false;
+	sched_log(s, LOG_WAVE_MACHINE,
+		  "wave=%" PRIu64 " machine=%.*s step=refused outcome=%d "
+		  "reason=%d",
+		  v->number, BSTR_ARG(wm->id), a->outcome, a->refusal);
+	wm->again_at = s->now + CLOUD_AGAIN_MS;
+	if (a->refusal == REFUSAL_INVALID || a->refusal == REFUSAL_WAVE) {
+		/* There is no such machine any more, or it is not due. */
+		wm->done = true;
+		v->dirty = true;
+	}
+}
+
+/* An answer about waves or machines. */
+void wave_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct wave *v;
+
+	switch (rq->purpose) {
+	case FOR_MACHINES:
+		list_answer(s, a);
+		break;
+	case FOR_UPKEEP:
+		upkeep_answer(s, rq, a);
+		break;
+	default:
+		v = wave_find(s, rq->number);
+		if (!v)
+			break;
+		v->writing = false;
+		if (a->outcome == OUT_CONFLICT)
+			own_lose(s, "replaced");
+		else if (a->outcome != OUT_DONE) {
+			v->dirty = true;
+			v->write_at = s->now + STORE_AGAIN_MS;
+		}
+		break;
+	}
+}
--- /dev/null
+++ b/sched-worker.c
@@ -0,0 +1,554 @@
+/*
+ * The owner's view of the workers: their rows, their leases, what their
+ * lists say runs and has ended.
+ */
+#include "sched-state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A task that one hold did not list is looked for in newer ones only. */
+#define CLOCK_NONE (-1)
+/* Runs that nobody wants are stopped at most so often on one worker. */
+#define STRAY_AGAIN_MS 300
+
+/* Find a worker. */
+struct worker *worker_find(struct sched *s, bstr id)
+{
+	struct worker *w;
+
+	HASH_FIND_BSTR(s->workers, id, w);
+	return w;
+}
+
+/* What its clock shows now, at least. */
+int64_t worker_clock(const struct sched *s, const struct worker *w)
+{
+	return w->clock + (s->now - w->clock_at);
+}
+
+/* Has the latest lease told to it ended, however slow its clock is? */
+static bool lease_is_over(const struct sched *s, const struct worker *w)
+{
+	double elapsed = (double)(s->now - w->clock_at) / CLOCK_SLOW;
+
+	return (double)w->clock + elapsed > (double)w->lease_end;
+}
+
+/* May it get new work? */
+bool worker_takes(const struct sched *s, const struct worker *w)
+{
+	return w->listed && !w->gone && !w->row.draining && !w->leaving &&
+	       w->fenced && s->now - w->answered_at < WORKER_QUIET_MS &&
+	       s->now >= w->unwell_until;
+}
+
+/* Make a worker that nothing is known of. */
+static struct worker *worker_new(struct sched *s, bstr id)
+{
+	struct worker *w = xcalloc(1, sizeof(*w));
+
+	w->id = bstr_copy(id);
+	w->serial = ++s->last_worker;
+	TAILQ_INIT(&w->tasks);
+	HASH_ADD_BSTR(s->workers, id, w);
+	return w;
+}
+
+/* Free a worker that no request speaks of. */
+void sched_worker_free(struct sched *s, struct worker *w)
+{
+	HASH_DEL(s->workers, w);
+	worker_row_free(&w->row);
+	bstr_free(&w->rack);
+	bstr_free(&w->id);
+	free(w);
+}
+
+/* Free all workers; requests under way forget theirs. */
+void sched_workers_free(struct sched *s)
+{
+	struct request *rq, *next_rq;
+	struct worker *w, *next;
+	struct task *t;
+
+	HASH_ITER(hh, s->requests, rq, next_rq)
+		rq->worker = NULL;
+	HASH_ITER(hh, s->workers, w, next) {
+		while ((t = TAILQ_FIRST(&w->tasks)))
+			task_rest(s, t);
+		sched_worker_free(s, w);
+	}
+}
+
+/*
+ * A worker runs nothing any more: it was cut off for longer than its lease,
+ * started anew, or its machine was taken.  Its tasks may start elsewhere.
+ */
+void worker_lost(struct sched *s, struct worker *w, const char *why)
+{
+	struct task *t;
+	unsigned n = 0;
+
+	while ((t = TAILQ_FIRST(&w->tasks))) {
+		task_rest(s, t);
+		n++;
+	}
+	sched_log(s, LOG_WORKER_LOST,
+		  "worker=%.*s why=%s tasks=%u quiet_ms=%lld", BSTR_ARG(w->id),
+		  why, n, (long long)(s->now - w->answered_at));
+	s->place = true;
+}
+
+/* A worker under the same id has begun a new life: it knows nothing. */
+static void worker_reborn(struct sched *s, struct worker *w, int64_t born)
+{
+	if (w->born)
+		worker_lost(s, w, "restarted");
+	w->born = born;
+	w->seen = w->acked = 0;
+	w->seen_seq = 0;
+	w->fenced = false;
+	w->lease_end = 0;
+	w->look_at = s->now;
+	w->doubt = 0;
+}
+
+/* Its row was removed. */
+static void worker_unlist(struct sched *s, struct worker *w)
+{
+	if (!w->listed)
+		return;
+	w->listed = false;
+	sched_log(s, LOG_WORKER_GONE, "worker=%.*s quiet_ms=%lld",
+		  BSTR_ARG(w->id), (long long)(s->now - w->answered_at));
+}
+
+/* Take over a worker's row. */
+static void worker_update(struct sched *s, struct worker *w, struct row *r)
+{
+	bool was = w->row.draining;
+	bool moved = w->row.address.bstr_len &&
+		     !bstr_eq(w->row.address, r->worker.address);
+
+	worker_row_free(&w->row);
+	w->row = r->worker;
+	memset(&r->worker, 0, sizeof(r->worker));
+	r->kind = ROW_RAW;
+	bstr_free(&w->rack);
+	if (w->row.label_count)
+		w->rack = bstr_copy(w->row.labels[w->row.label_count - 1]);
+	w->reading = s->follows[2].reading;
+	if (!w->listed)
+		w->look_at = s->now;
+	w->listed = true;
+	w->gone = false;
+	if (moved)
+		w->look_at = s->now;
+	if (w->row.draining && !was)
+		sched_log(s, LOG_WORKER_DRAINS, "worker=%.*s revision=%llu",
+			  BSTR_ARG(w->id), (unsigned long long)r->revision);
+	if (w->row.born && w->born && w->row.born > w->born)
+		worker_reborn(s, w, w->row.born);
+	s->place = true;
+}
+
+/* A row of a worker. */
+void worker_row_take(struct sched *s, struct row *r)
+{
+	struct worker *w = worker_find(s, r->key);
+
+	if (r->removed || r->kind != ROW_WORKER) {
+		if (w)
+			worker_unlist(s, w);
+		return;
+	}
+	if (!w) {
+		w = worker_new(s, r->key);
+		w->answered_at = s->now;
+		w->clock_at = s->now;
+		sched_log(s, LOG_WORKER_SEEN,
+			  "worker=%.*s service=%.*s address=%.*s",
+			  BSTR_ARG(w->id), BSTR_ARG(r->worker.service),
+			  BSTR_ARG(r->worker.address));
+	}
+	worker_update(s, w, r);
+	if (s->own.state == OWN_YES)
+		worker_tick(s);
+}
+
+/*
+ * After a whole reading, the rows that did not come are not there any more:
+ * they were removed during a gap of the feed.
+ */
+void worker_sweep(struct sched *s)
+{
+	struct worker *w, *next;
+
+	HASH_ITER(hh, s->workers, w, next)
+		if (w->reading != s->follows[2].reading)
+			worker_unlist(s, w);
+}
+
+/* How long a hold may wait for an end. */
+static uint32_t hold_wait(const struct worker *w)
+{
+	if (!w->fenced || !w->clock || w->acked < w->seen)
+		return 0;
+	return HOLD_WAIT_MS;
+}
+
+/* Renew a worker's lease and look what runs and has ended there. */
+static void worker_hold(struct sched *s, struct worker *w)
+{
+	uint32_t wait = hold_wait(w);
+	struct request *rq;
+	struct ask *ask;
+	struct order *o;
+
+	rq = sched_ask(s, FOR_HOLD, ASK_HOLD, s->now + wait + ORDER_TIMEOUT_MS,
+		       &ask);
+	rq->worker = w;
+	w->requests++;
+	o = &ask->order;
+	o->worker = bstr_copy(w->id);
+	o->address = bstr_copy(w->row.address);
+	o->epoch = s->own.epoch;
+	o->last_seen = w->acked;
+	o->wait_ms = wait;
+	/*
+	 * Without an answer for a while the lease is not renewed: it ends,
+	 * and the tasks may start elsewhere the sooner.
+	 */
+	if (w->clock && s->now - w->answered_at < WORKER_QUIET_MS) {
+		o->deadline = worker_clock(s, w) + LEASE_MS;
+		if (o->deadline > w->lease_end)
+			w->lease_end = o->deadline;
+	}
+	w->looking = true;
+	w->look_at = s->now + HOLD_PACE_MS;
+	sched_count(s, COUNT_WORKER_EXCHANGES, 1);
+}
+
+/*
+ * Is it over with a silent worker?  What it was told to hold has lapsed, by
+ * the slowest clock.  Of a worker that never answered this owner nothing is
+ * known: an earlier one may have renewed it up to the longest lease.
+ */
+static bool worker_is_over(const struct sched *s, const struct worker *w)
+{
+	int64_t longest = (int64_t)((double)s->options.lease_max_ms *
+				    CLOCK_SLOW) +
+			  SETTLE_SLACK_MS;
+	int64_t since;
+
+	if (s->now - w->answered_at < WORKER_QUIET_MS)
+		return false;
+	if (w->fenced && w->clock)
+		return lease_is_over(s, w);
+	since = w->clock_at > s->own.owned_at ? w->clock_at : s->own.owned_at;
+	return s->now - since > longest;
+}
+
+/* Look at one worker. */
+static void worker_check(struct sched *s, struct worker *w)
+{
+	struct task *t, *next;
+
+	if (!w->gone && worker_is_over(s, w)) {
+		w->gone = true;
+		if (!TAILQ_EMPTY(&w->tasks))
+			worker_lost(s, w, "silent");
+	}
+	if (w->gone && !w->listed && !w->looking && !w->requests &&
+	    TAILQ_EMPTY(&w->tasks)) {
+		sched_worker_free(s, w);
+		return;
+	}
+	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+		next = TAILQ_NEXT(t, on);
+		if (t->stopping && s->now >= t->stop_at)
+			task_stop(s, t);
+	}
+	if (!w->looking && s->now >= w->look_at && own_acts(s))
+		worker_hold(s, w);
+}
+
+/*
+ * After a takeover tasks of earlier owners may run anywhere, until each
+ * worker has answered or cannot hold a lease any more.
+ */
+static void settle_check(struct sched *s)
+{
+	struct worker *w, *next;
+	unsigned n = 0;
+
+	if (s->settled)
+		return;
+	HASH_ITER(hh, s->workers, w, next)
+		if (!w->fenced && !w->gone)
+			n++;
+	if (n)
+		return;
+	s->settled = true;
+	s->place = true;
+	sched_log(s, LOG_OWNER_SETTLED, "epoch=%llu ms=%lld",
+		  (unsigned long long)s->own.epoch,
+		  (long long)(s->now - s->own.owned_at));
+}
+
+/* Look at all workers. */
+void worker_tick(struct sched *s)
+{
+	struct worker *w, *next;
+
+	if (s->own.state != OWN_YES)
+		return;
+	HASH_ITER(hh, s->workers, w, next)
+		worker_check(s, w);
+	settle_check(s);
+}
+
+/* Ends up to here are durable: tell the workers with the next hold. */
+void worker_acknowledge(struct sched *s)
+{
+	const struct job *first = TAILQ_FIRST(&s->dirty);
+	uint64_t durable = first ? first->dirty_seq - 1 : s->dirty_seq;
+	struct worker *w, *next;
+
+	HASH_ITER(hh, s->workers, w, next) {
+		if (w->acked == w->seen || w->seen_seq > durable)
+			continue;
+		w->acked = w->seen;
+		if (!w->looking && own_acts(s))
+			worker_hold(s, w);
+	}
+}
+
+/* Does a run's failure cast doubt on its worker? */
+static void worker_doubt(struct sched *s, struct worker *w,
+			 const struct task *t)
+{
+	if (!strcmp(w->doubt_job, t->occ->job->id))
+		return;
+	memcpy(w->doubt_job, t->occ->job->id, sizeof(w->doubt_job));
+	if (++w->doubt < DOUBT_FAILURES)
+		return;
+	w->doubt_until = s->now + DOUBT_MS;
+	sched_log(s, LOG_WORKER_SUSPECT, "worker=%.*s failures=%u",
+		  BSTR_ARG(w->id), w->doubt);
+}
+
+/* A run has ended, and it was the task's own. */
+static void end_apply(struct sched *s, struct worker *w, struct task *t,
+		      const struct ended *n)
+{
+	if (n->checkpoint.bstr_len && !bstr_eq(n->checkpoint, t->checkpoint)) {
+		bstr_set(&t->checkpoint, n->checkpoint);
+		if (n->how != END_DONE)
+			job_touch(s, t->occ->job);
+	}
+	task_rest(s, t);
+	switch (n->how) {
+	case END_DONE:
+		w->doubt = 0;
+		w->doubt_job[0] = '\0';
+		job_task_done(s, t);
+		return;
+	case END_FAILED:
+		t->avoid = w->serial;
+		t->not_before = s->now + TASK_PAUSE_MS;
+		worker_doubt(s, w, t);
+		job_task_failed(s, t);
+		return;
+	case END_LAPSED:
+	case END_ALONE:
+	case END_BROKEN:
+		t->not_before = s->now + TASK_PAUSE_MS;
+		return;
+	case END_STOPPED:
+		return;
+	}
+}
+
+/* An end that a worker lists. */
+static void end_take(struct sched *s, struct worker *w, const struct ended *n)
+{
+	static const char *const words[] = {"done",   "failed", "stopped",
+					    "lapsed", "broken", "alone"};
+	struct job *j;
+	struct task *t = task_find(s, n->task, &j);
+
+	if (n->how != END_DONE || s->settled == false)
+		sched_log(s, LOG_TASK_ENDED,
+			  "task=%.*s run=%llu worker=%.*s how=%s known=%d",
+			  BSTR_ARG(n->task), (unsigned long long)n->run,
+			  BSTR_ARG(w->id), words[n->how], t != NULL);
+	if (!t || t->phase == AT_END)
+		return;
+	if (t->worker == w && t->run == n->run) {
+		end_apply(s, w, t, n);
+	} else if (n->how == END_DONE) {
+		/*
+		 * A run of an earlier owner, or one given up as lost, was
+		 * done after all.  What runs now is for nothing.
+		 */
+		if (t->worker)
+			task_stop(s, t);
+		if (t->worker)
+			task_rest(s, t);
+		job_task_done(s, t);
+	} else if (n->how == END_FAILED && !t->worker && n->run > t->run) {
+		t->run = n->run;
+		job_task_failed(s, t);
+	} else if (n->run > t->run) {
+		t->run = n->run;
+	}
+	s->place = true;
+}
+
+/* All ends of a list that are new here. */
+static void ends_take(struct sched *s, struct worker *w, const struct answer *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->ended_count; i++) {
+		if (a->ended[i].number <= w->seen)
+			continue;
+		w->seen = a->ended[i].number;
+		end_take(s, w, &a->ended[i]);
+		w->seen_seq = s->dirty_seq;
+		s->place = true;
+	}
+}
+
+/* A run that a worker lists as running. */
+static void running_take(struct sched *s, struct worker *w,
+			 const struct running *r)
+{
+	struct job *j;
+	struct task *t = task_find(s, r->task, &j);
+
+	if (t && t->phase == AT_REST && j->fate <= FATE_RUNNING &&
+	    r->run > t->run)
+		task_adopt(s, t, w, r->run);
+	if (!t || t->worker != w || t->run != r->run) {
+		if (w->strays_due)
+			run_stop(s, w, r->task, r->run);
+		return;
+	}
+	if (t->phase == AT_START)
+		t->phase = AT_WORK;
+	t->percent = r->percent;
+	t->figure = r->figure;
+	t->acked = CLOCK_NONE; /* seen in a list: its absence counts */
+	if (r->checkpoint.bstr_len && !bstr_eq(t->checkpoint, r->checkpoint))
+		bstr_set(&t->checkpoint, r->checkpoint);
+}
+
+/* Is a task in a list of what runs? */
+static bool running_has(const struct answer *a, const struct task *t)
+{
+	bstr name = task_name(t);
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < a->running_count && !found; i++)
+		found = a->running[i].run == t->run &&
+			bstr_eq(a->running[i].task, name);
+	bstr_free(&name);
+	return found;
+}
+
+/*
+ * Tasks that a list does not name.  A list may be older than the start of a
+ * task that another exchange told of, and a start without an answer may yet
+ * be carried out until its own deadline; both are seen by the worker's clock.
+ */
+static void absent_take(struct sched *s, struct worker *w,
+			const struct answer *a)
+{
+	struct task *t, *next;
+
+	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+		next = TAILQ_NEXT(t, on);
+		if (t->asked || running_has(a, t))
+			continue;
+		if (t->phase == AT_START && a->clock <= t->start_by)
+			continue;
+		if (t->phase == AT_WORK && t->acked != CLOCK_NONE &&
+		    a->clock <= t->acked)
+			continue;
+		sched_log(s, LOG_TASK_MISSING,
+			  "task=%s.%u.%u.%u run=%llu worker=%.*s phase=%d",
+			  t->occ->job->id, t->occ->k, t->step, t->index,
+			  (unsigned long long)t->run, BSTR_ARG(w->id),
+			  t->phase);
+		task_rest(s, t);
+		t->not_before = s->now + TASK_PAUSE_MS;
+		s->place = true;
+	}
+}
+
+/* A worker has answered a hold. */
+static void hold_take(struct sched *s, struct worker *w, struct answer *a)
+{
+	size_t i;
+
+	if (a->born && a->born != w->born)
+		worker_reborn(s, w, a->born);
+	if (a->clock < w->clock) {
+		if (a->sent_at < w->clock_at)
+			return; /* overtaken by a newer answer */
+		worker_reborn(s, w, a->born);
+	}
+	w->clock = a->clock;
+	w->clock_at = s->now;
+	w->answered_at = s->now;
+	w->gone = false;
+	if (!w->fenced) {
+		w->fenced = true;
+		s->place = true;
+	}
+	w->strays_due = s->now >= w->stray_at;
+	if (w->strays_due)
+		w->stray_at = s->now + STRAY_AGAIN_MS;
+	ends_take(s, w, a);
+	for (i = 0; i < a->running_count; i++)
+		running_take(s, w, &a->running[i]);
+	absent_take(s, w, a);
+	pace_worker(s, w);
+}
+
+/* An answer to a hold. */
+void worker_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct worker *w = rq->worker;
+
+	if (!w || rq->epoch != s->own.epoch || s->own.state != OWN_YES)
+		return;
+	w->looking = false;
+	if (a->outcome == OUT_DONE) {
+		hold_take(s, w, a);
+		w->look_at = w->acked < w->seen ? s->now + HOLD_PACE_MS
+						: s->now;
+		worker_acknowledge(s);
+		if (!w->looking && s->now >= w->look_at && own_acts(s))
+			worker_hold(s, w);
+		settle_check(s);
+		return;
+	}
+	w->look_at = s->now + HOLD_PACE_MS;
+	if (a->refusal == REFUSAL_FENCE) {
+		own_doubt(s, "fenced");
+	} else if (a->refusal == REFUSAL_OTHER_LIFE) {
+		/* Another worker answers there: this one has ended. */
+		w->gone = true;
+		w->answered_at = s->now - WORKER_QUIET_MS;
+		if (!TAILQ_EMPTY(&w->tasks))
+			worker_lost(s, w, "replaced");
+	} else if (a->outcome == OUT_REFUSED) {
+		w->unwell_until = s->now + HOLD_PACE_MS;
+	}
+	settle_check(s);
+}
--- /dev/null
+++ b/sched.c
@@ -0,0 +1,340 @@
+/*
+ * The scheduler's reducer: it hands each event to the file whose subject it
+ * is, and lets every subject look at the clock.
+ */
+#include "sched-state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Add an effect of a kind. */
+struct sched_effect *sched_effect_add(struct sched *s,
+				      enum sched_effect_kind kind)
+{
+	struct sched_effect *fx = xcalloc(1, sizeof(*fx));
+
+	fx->kind = kind;
+	TAILQ_INSERT_TAIL(s->out, fx, entry);
+	return fx;
+}
+
+/* Add an ask, and remember what its answer is for. */
+struct request *sched_ask(struct sched *s, enum purpose purpose,
+			  enum ask_kind kind, int64_t deadline,
+			  struct ask **ask)
+{
+	struct sched_effect *fx = sched_effect_add(s, EFFECT_ASK);
+	struct request *rq = xcalloc(1, sizeof(*rq));
+
+	rq->id = ++s->last_request;
+	rq->purpose = purpose;
+	rq->epoch = own_acts(s) || s->own.state == OWN_LOADING ? s->own.epoch
+							       : 0;
+	HASH_ADD(hh, s->requests, id, sizeof(rq->id), rq);
+	fx->ask.request = rq->id;
+	fx->ask.kind = kind;
+	fx->ask.deadline = deadline;
+	*ask = &fx->ask;
+	return rq;
+}
+
+/* Log a numbered event; fmt gives its fields, key=value. */
+void sched_log(struct sched *s, uint32_t number, const char *fmt, ...)
+{
+	struct sched_effect *fx = sched_effect_add(s, EFFECT_LOG);
+	va_list ap;
+
+	va_start(ap, fmt);
+	fx->log.number = number;
+	if (vasprintf(&fx->log.text, fmt, ap) < 0)
+		abort(); /* out of memory */
+	va_end(ap);
+}
+
+/* Count something. */
+void sched_count(struct sched *s, enum counter_id id, uint64_t n)
+{
+	struct sched_effect *fx = sched_effect_add(s, EFFECT_COUNT);
+
+	fx->count.id = id;
+	fx->count.n = n;
+}
+
+/*
+ * Does the store serve this VM?  After two failures in a row it does not,
+ * until a request succeeds; the feeds go on asking.
+ */
+bool sched_store_works(const struct sched *s)
+{
+	return s->store_failures < 2;
+}
+
+/* Judge the store by an answer of it. */
+static void store_judge(struct sched *s, const struct answer *a)
+{
+	if (a->outcome == OUT_REFUSED || a->outcome == OUT_UNKNOWN) {
+		s->store_failures++;
+		if (s->store_failures == 2 && !s->store_down) {
+			s->store_down = true;
+			sched_log(s, LOG_STORE_LOST, "idle_ms=%lld",
+				  (long long)(s->now - s->store_ok_at));
+		}
+		return;
+	}
+	if (s->store_down)
+		sched_log(s, LOG_STORE_BACK, "away_ms=%lld",
+			  (long long)(s->now - s->store_ok_at));
+	s->store_down = false;
+	s->store_failures = 0;
+	s->store_ok_at = s->now;
+}
+
+/* Is the purpose an exchange with the store? */
+static bool purpose_is_store(enum purpose p)
+{
+	return p < FOR_HOLD || p == FOR_WAVE_ROW;
+}
+
+/* Hand an answer to whoever asked. */
+static void answer_dispatch(struct sched *s, struct request *rq,
+			    struct answer *a)
+{
+	switch (rq->purpose) {
+	case FOR_OPERATOR_GET:
+	case FOR_OPERATOR_FEED:
+	case FOR_OWNER_GET:
+	case FOR_OWNER_FEED:
+	case FOR_WORKERS_GET:
+	case FOR_WORKERS_FEED:
+	case FOR_JOBS_GET:
+	case FOR_JOBS_FEED:
+	case FOR_PROGRESS_GET:
+		follow_answer(s, rq, a);
+		break;
+	case FOR_BEAT:
+	case FOR_CLAIM:
+	case FOR_RELEASE:
+		own_answer(s, rq, a);
+		break;
+	case FOR_COMMIT:
+		commit_answer(s, rq, a);
+		break;
+	case FOR_SWEEP:
+		sweep_answer(s, rq, a);
+		break;
+	case FOR_SUBMIT:
+	case FOR_STATE:
+	case FOR_CANCEL_READ:
+	case FOR_CANCEL:
+		call_answer(s, rq, a);
+		break;
+	case FOR_HOLD:
+		worker_answer(s, rq, a);
+		break;
+	case FOR_START:
+	case FOR_STOP:
+	case FOR_PACE:
+	case FOR_ADVICE:
+		order_answer(s, rq, a);
+		break;
+	case FOR_MACHINES:
+	case FOR_UPKEEP:
+	case FOR_WAVE_ROW:
+		wave_answer(s, rq, a);
+		break;
+	case PURPOSE_MAX:
+		break;
+	}
+}
+
+/* Take an answer. */
+static void answer_take(struct sched *s, struct answer *a)
+{
+	struct request *rq;
+
+	HASH_FIND(hh, s->requests, &a->request, sizeof(a->request), rq);
+	if (!rq)
+		return;
+	HASH_DEL(s->requests, rq);
+	if (purpose_is_store(rq->purpose))
+		store_judge(s, a);
+	if (rq->worker)
+		rq->worker->requests--;
+	answer_dispatch(s, rq, a);
+	bstr_free(&rq->name);
+	free(rq);
+}
+
+/*
+ * A process that did not run for a while may have lost its ownership: it
+ * gives no order before the store has told that it has not.
+ */
+static void suspension_check(struct sched *s)
+{
+	int64_t gap = s->now - s->ticked_at;
+
+	if (s->ticked_at && gap > SUSPENDED_MS) {
+		sched_log(s, LOG_SUSPENDED, "gap_ms=%lld", (long long)gap);
+		own_doubt(s, "suspended");
+	}
+	s->ticked_at = s->now;
+}
+
+/* Say whether this VM wants new connections, when that changes. */
+static void ready_tick(struct sched *s)
+{
+	bool ready = s->config && sched_store_works(s) && !s->stop_by;
+
+	if (ready == s->ready)
+		return;
+	s->ready = ready;
+	sched_effect_add(s, EFFECT_READY)->ready = ready;
+	sched_log(s, LOG_READY, "ready=%d config=%d store=%d stopping=%d",
+		  ready, s->config != NULL, sched_store_works(s),
+		  s->stop_by != 0);
+}
+
+/* A planned stop: finish what is under way, then end. */
+static void stop_tick(struct sched *s)
+{
+	bool idle = s->now >= s->stop_by - s->options.grace_ms / 4;
+
+	if (!s->stop_by || s->ended)
+		return;
+	if (s->now < s->stop_by && !(idle && !s->calls))
+		return;
+	s->ended = true;
+	sched_effect_add(s, EFFECT_END);
+}
+
+/* Begin a planned stop. */
+static void stop_take(struct sched *s)
+{
+	if (s->stop_by)
+		return;
+	s->stop_by = s->now + s->options.grace_ms;
+	sched_log(s, LOG_STOPPING, "calls=%u owner=%d", HASH_COUNT(s->calls),
+		  s->own.state == OWN_YES);
+	own_release(s);
+}
+
+/* Look at the clock. */
+static void tick_take(struct sched *s)
+{
+	suspension_check(s);
+	follow_tick(s);
+	own_tick(s);
+	call_tick(s);
+	job_tick(s);
+	worker_tick(s);
+	wave_tick(s);
+	commit_tick(s);
+	ready_tick(s);
+	stop_tick(s);
+}
+
+/* Take an event, give its effects. */
+void sched_reduce(struct sched *s, const struct sched_event *ev,
+		  struct sched_effects *out)
+{
+	s->now = ev->now;
+	s->wall = ev->wall;
+	s->out = out;
+	switch (ev->kind) {
+	case EVENT_TICK:
+		tick_take(s);
+		break;
+	case EVENT_CALL:
+		call_take(s, (struct call_in *)&ev->call);
+		break;
+	case EVENT_ANSWER:
+		answer_take(s, (struct answer *)&ev->answer);
+		break;
+	case EVENT_STOP:
+		stop_take(s);
+		break;
+	}
+	if (s->place)
+		place_all(s);
+	commit_tick(s);
+	s->out = NULL;
+}
+
+/* Set up how a table is followed. */
+static struct follow follow_make(enum table table, enum purpose get,
+				 enum purpose feed, uint32_t wait_ms,
+				 bool wanted)
+{
+	return (struct follow){.table = table,
+			       .get = get,
+			       .feed = feed,
+			       .wait_ms = wait_ms,
+			       .wanted = wanted};
+}
+
+/* Make a scheduler that knows nothing yet. */
+struct sched *sched_new(const struct sched_options *o)
+{
+	struct sched *s = xcalloc(1, sizeof(*s));
+
+	s->options = *o;
+	s->options.vm = bstr_copy(o->vm);
+	s->options.zone = bstr_copy(o->zone);
+	s->follows[0] = follow_make(TABLE_OPERATOR, FOR_OPERATOR_GET,
+				    FOR_OPERATOR_FEED, FEED_WAIT_MS, true);
+	s->follows[1] = follow_make(TABLE_OWNER, FOR_OWNER_GET, FOR_OWNER_FEED,
+				    OWNER_FEED_WAIT_MS, true);
+	s->follows[2] = follow_make(TABLE_WORKERS, FOR_WORKERS_GET,
+				    FOR_WORKERS_FEED, FEED_WAIT_MS, false);
+	s->follows[3] = follow_make(TABLE_JOBS, FOR_JOBS_GET, FOR_JOBS_FEED,
+				    FEED_WAIT_MS, false);
+	s->progress = follow_make(TABLE_PROGRESS, FOR_PROGRESS_GET, PURPOSE_MAX,
+				  0, false);
+	TAILQ_INIT(&s->order);
+	TAILQ_INIT(&s->dirty);
+	TAILQ_INIT(&s->flying);
+	TAILQ_INIT(&s->retirees);
+	return s;
+}
+
+/* Free the scheduler; what is under way is forgotten. */
+void sched_free(struct sched *s)
+{
+	struct request *rq, *next_rq;
+	struct call *c, *next_c;
+	struct waiting_count *w, *next_w;
+	struct sched_effects out;
+	size_t i;
+
+	TAILQ_INIT(&out);
+	s->out = &out;
+	own_lose(s, "ended");
+	sched_workers_free(s);
+	sched_waves_free(s);
+	HASH_ITER(hh, s->calls, c, next_c)
+		call_free(s, c);
+	HASH_ITER(hh, s->requests, rq, next_rq) {
+		HASH_DEL(s->requests, rq);
+		bstr_free(&rq->name);
+		free(rq);
+	}
+	HASH_ITER(hh, s->waiting, w, next_w) {
+		HASH_DEL(s->waiting, w);
+		bstr_free(&w->route);
+		free(w);
+	}
+	for (i = 0; i < NELEMS(s->follows); i++)
+		bstr_free(&s->follows[i].from);
+	bstr_free(&s->progress.from);
+	while (!TAILQ_EMPTY(&out)) {
+		struct sched_effect *fx = TAILQ_FIRST(&out);
+
+		TAILQ_REMOVE(&out, fx, entry);
+		sched_effect_free(fx);
+	}
+	fleet_config_free(s->config);
+	bstr_free(&s->own.holder);
+	bstr_free(&s->options.vm);
+	bstr_free(&s->options.zone);
+	free(s);
+}
