Ownership that can't be proved lets its leases end; waiting told by the owner's book

Cause: an owner cut off from the store took silent workers' leases for over while its successor renewed them, and started their tasks a second time; a claim that was lost looked like the own row again; waves did not count tasks of one step on one machine; the owner answered counts from its last beat as a follower; two feeds cut at once counted as a store that is away.

--- a/sched-call.c
+++ b/sched-call.c
@@ -167,23 +167,38 @@
 	sched_count(s, COUNT_TABLE_READS, 1);
 }
 
+/* How many jobs of a queue wait: the owner's own book, or its last beat. */
+static uint64_t count_waiting(struct sched *s, bstr route)
+{
+	struct waiting_count *w;
+	const struct job *j;
+	uint64_t n = 0;
+
+	if (s->own.state != OWN_YES) {
+		HASH_FIND_BSTR(s->waiting, route, w);
+		return w ? w->count : 0;
+	}
+	TAILQ_FOREACH(j, &s->order, entry)
+		if (job_waits(j) && bstr_eq(j->route, route))
+			n++;
+	return n;
+}
+
 /* Answer how many jobs of a queue wait. */
 static void count_take(struct sched *s, const struct call_in *in,
 		       const struct route *r)
 {
 	struct sched_effect *fx;
-	struct waiting_count *w;
 
 	if (!s->own.known) {
 		refuse(s, in->id, 503, COUNT_REFUSED_NO_OWNER, "no-owner", "-");
 		return;
 	}
-	HASH_FIND(hh, s->waiting, r->name.bstr_val, r->name.bstr_len, w);
 	fx = sched_effect_add(s, EFFECT_REPLY);
 	fx->reply = (struct reply){.call = in->id,
 				   .status = 200,
 				   .kind = REPLY_WAITING,
-				   .waiting = w ? w->count : 0};
+				   .waiting = count_waiting(s, r->name)};
 }
 
 /* Take a request for one job. */
--- a/sched-commit.c
+++ b/sched-commit.c
@@ -33,6 +33,21 @@
 		j->dirty_seq = 1;
 }
 
+/*
+ * Up to which number is everything durable?  While a commit is under way,
+ * nothing of it is: an end acknowledged then would be lost with this owner
+ * if the commit is not carried out, and its task would run twice.
+ */
+uint64_t commit_durable(const struct sched *s)
+{
+	const struct job *first = TAILQ_FIRST(&s->dirty);
+	uint64_t durable = first ? first->dirty_seq - 1 : s->dirty_seq;
+
+	if (s->committing && s->flying_from - 1 < durable)
+		durable = s->flying_from - 1;
+	return durable;
+}
+
 /* Begin a commit if something is dirty and none is under way. */
 void commit_tick(struct sched *s)
 {
@@ -54,6 +69,7 @@
 		tx_write(t, TABLE_PROGRESS, bstr_lit(j->id), progress_write(j));
 	}
 	s->committing = true;
+	s->flying_from = TAILQ_FIRST(&s->flying)->flying_seq;
 	s->commit_at = s->now + COMMIT_PACE_MS;
 }
 
--- a/sched-job.c
+++ b/sched-job.c
@@ -42,6 +42,12 @@
 	return r ? r->service : j->service;
 }
 
+/* Has no task of a job begun? */
+bool job_waits(const struct job *j)
+{
+	return j->fate == FATE_QUEUED && !j->starts;
+}
+
 /* Make the tasks of an occurrence. */
 void job_make_occurrence(struct job *j, unsigned k)
 {
--- a/sched-own.c
+++ b/sched-own.c
@@ -15,6 +15,16 @@
 /* Claims of several VMs are spread over so long; the first one wins. */
 #define CLAIM_SPREAD_MS 150
 
+/*
+ * May this VM start tasks now?  An owner that has not proved its ownership
+ * for a while starts nothing whose lease it could not renew.
+ */
+bool own_starts(const struct sched *s)
+{
+	return own_acts(s) && s->now - s->own.proved_at <
+				      UNPROVED_LEASE_MS - LEASE_MS;
+}
+
 /* May this VM give orders now? */
 bool own_acts(const struct sched *s)
 {
@@ -67,6 +77,8 @@
 	s->own.doubtful = false;
 	s->own.heard_at = s->now;
 	s->own.silent = 0;
+	/* The row that named this process is not the newest any more. */
+	s->own.life = 0;
 	own_forget(s);
 }
 
@@ -135,6 +147,17 @@
 		s->own.silent++;
 }
 
+/*
+ * The store serves this VM again.  The owner could not beat either, perhaps:
+ * its silence counts from here.
+ */
+void own_store_back(struct sched *s)
+{
+	s->own.heard_at = s->now;
+	s->own.silent = 0;
+	s->place = true;
+}
+
 /*
  * Is the owner gone?  Silence counts only while the store answers: without
  * the store nobody can beat and nobody can take over, and a takeover just
@@ -148,6 +171,10 @@
 		return false;
 	if (!s->own.holder.bstr_len)
 		return s->now - s->own.heard_at >= spread / 4;
+	/* An earlier life of this VM owned it, and is over. */
+	if (bstr_eq(s->own.holder, s->options.vm) && s->own.life &&
+	    s->own.life != s->options.seed)
+		return true;
 	return s->now - s->own.heard_at >= OWNER_SILENT_MS + spread &&
 	       s->own.silent >= 2;
 }
@@ -171,6 +198,8 @@
 	tx_expect(t, TABLE_OWNER, key, s->own.revision);
 	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
 	rq->number = next.epoch;
+	s->own.claimed_at = s->now;
+	s->own.old_heard_at = s->own.heard_at;
 	s->own.state = OWN_CLAIMING;
 }
 
@@ -183,7 +212,9 @@
 		s->own.revision = revision;
 	s->own.life = s->options.seed;
 	bstr_set(&s->own.holder, s->options.vm);
+	s->own.proved_at = s->own.claimed_at;
 	s->own.owned_at = s->now;
+	s->own.settle_by = s->own.old_heard_at + UNPROVED_LEASE_MS;
 	s->own.beat_at = s->now;
 	s->own.doubtful = false;
 	own_forget(s);
@@ -241,6 +272,7 @@
 	case OUT_DONE:
 		s->own.doubtful = false;
 		s->own.heard_at = s->now;
+		s->own.proved_at = s->own.beat_sent;
 		break;
 	case OUT_CONFLICT:
 		own_lose(s, "replaced");
@@ -277,6 +309,7 @@
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_BEAT), beat_row_write(s));
 	s->own.beating = true;
+	s->own.beat_sent = s->now;
 	s->own.beat_at = s->now + BEAT_MS;
 }
 
--- a/sched-place.c
+++ b/sched-place.c
@@ -11,6 +11,7 @@
 #define MERIT_RACK 1e9	    /* it is near the step's data */
 #define MERIT_NOT_AVOID 1e8 /* the task has not failed there */
 #define MERIT_SIBLINGS 1e6  /* a tight step's other tasks are in its rack */
+#define MERIT_SPREAD 1e7 /* one task less of a lasting step on it */
 #define MERIT_LASTING 1e5   /* one lasting task less on it */
 
 /* A step with tasks that wait. */
@@ -211,7 +212,7 @@
 }
 
 /* How many tasks of a step are on a worker? */
-static unsigned step_on(const struct worker *w, const struct occurrence *o,
+unsigned step_on(const struct worker *w, const struct occurrence *o,
 			unsigned at)
 {
 	const struct task *t;
@@ -285,8 +286,9 @@
 	if (st->tight)
 		merit += MERIT_SIBLINGS * rack_siblings(pool, w->rack, t);
 	if (st->lasts)
-		merit += MERIT_LASTING * (16 - (double)lasting_on(w));
-	return merit;
+		merit += MERIT_LASTING * (16 - (double)lasting_on(w)) +
+			 MERIT_SPREAD * (4 - (double)step_on(w, t->occ, t->step));
+	return merit > 0 ? merit : 0;
 }
 
 /* The best worker for a task, or NULL. */
@@ -402,7 +404,7 @@
 	size_t i;
 
 	s->place = false;
-	if (!own_acts(s))
+	if (!own_starts(s))
 		return;
 	pools_make(s, &p);
 	candidates_make(s, &p);
--- a/sched-row.c
+++ b/sched-row.c
@@ -335,7 +335,7 @@
 	char *route;
 
 	TAILQ_FOREACH(j, &s->order, entry) {
-		if (j->fate != FATE_QUEUED || j->starts)
+		if (!job_waits(j))
 			continue;
 		route = bstr_cstr(j->route);
 		v = json_object_get(counts, route);
--- a/sched-state.h
+++ b/sched-state.h
@@ -15,6 +15,13 @@
 #define BEAT_MS 400
 #define OWNER_SILENT_MS 1800
 #define LEASE_MS 4500
+/*
+ * An owner that can't reach the store may have been replaced.  It lets no
+ * lease end later than this after it last proved its ownership, so that a
+ * successor that can't reach a worker knows when nothing runs there any more.
+ * An outage of the store that is shorter than this, less a beat, ends nothing.
+ */
+#define UNPROVED_LEASE_MS 7500
 /* A hold waits so long for an end, and so renews at least so often. */
 #define HOLD_WAIT_MS 700
 /* Between looks at a worker that has unacknowledged ends, or is silent. */
@@ -32,6 +39,7 @@
 /* Store exchanges, far above the usual 5 ms; a slow store answers in 350. */
 #define STORE_TIMEOUT_MS 700
 #define STORE_AGAIN_MS 120
+#define STORE_FAILURE_APART_MS 40
 #define FEED_WAIT_MS 1500
 #define OWNER_FEED_WAIT_MS 500
 #define FEED_TIMEOUT_MS 700 /* beyond the wait */
@@ -54,8 +62,8 @@
 #define DOUBT_MS 4000
 /* A task that failed or lapsed waits so long, so that it does not spin. */
 #define TASK_PAUSE_MS 50
-/* After a takeover, lists of workers that can't be reached are waited for no
- * longer than the longest lease and the spread of clocks. */
+/* Beyond the last lease that an earlier owner can have given, for the way of
+ * its last beat and of its last order. */
 #define SETTLE_SLACK_MS 300
 
 struct job;
@@ -270,6 +278,11 @@
 	int64_t beat_at;   /* next, if this VM is the owner */
 	bool beating;
 	uint64_t beat_seq;
+	int64_t beat_sent; /* the one under way */
+	int64_t proved_at; /* the latest beat that succeeded was sent then */
+	int64_t claimed_at;
+	int64_t old_heard_at; /* of the owner before, at the claim */
+	int64_t settle_by;    /* no lease of it ends later */
 	int64_t owned_at;
 	bool doubtful; /* read the row before the next order */
 	bool known;    /* the row was read, or found missing */
@@ -336,6 +349,7 @@
 	struct waiting_count *waiting; /* as the owner told */
 	unsigned store_failures;       /* in a row */
 	int64_t store_ok_at;
+	int64_t store_failed_at;
 	bool store_down; /* as logged */
 	bool ready;
 	int64_t stop_by; /* 0: not stopping */
@@ -349,6 +363,7 @@
 	struct job_queue flying;
 	uint64_t dirty_seq;
 	bool committing;
+	uint64_t flying_from; /* the first number in the commit under way */
 	int64_t commit_at;
 	struct retired *retired;
 	struct retired_list retirees;
@@ -416,6 +431,7 @@
 /* sched-own.c */
 void own_row_take(struct sched *s, struct row *r);
 void own_answered(struct sched *s);
+void own_store_back(struct sched *s);
 void own_answer(struct sched *s, struct request *rq, struct answer *a);
 void own_tick(struct sched *s);
 void own_loaded(struct sched *s);
@@ -423,6 +439,7 @@
 void own_doubt(struct sched *s, const char *why);
 void own_release(struct sched *s);
 bool own_acts(const struct sched *s); /* may give orders now */
+bool own_starts(const struct sched *s); /* and start tasks */
 
 /* sched-job.c */
 struct job *sched_job_find(struct sched *s, const char *id);
@@ -435,6 +452,7 @@
 void job_task_done(struct sched *s, struct task *t);
 void job_task_failed(struct sched *s, struct task *t);
 void job_settle(struct sched *s, struct job *j);
+bool job_waits(const struct job *j);
 bool step_ready(const struct occurrence *o, unsigned at);
 struct task *task_find(struct sched *s, bstr name, struct job **job);
 bstr task_name(const struct task *t);
@@ -443,6 +461,7 @@
 
 /* sched-commit.c */
 void commit_tick(struct sched *s);
+uint64_t commit_durable(const struct sched *s);
 void commit_answer(struct sched *s, struct request *rq, struct answer *a);
 void sweep_answer(struct sched *s, struct request *rq, struct answer *a);
 
@@ -479,6 +498,8 @@
 
 /* sched-place.c */
 void place_all(struct sched *s);
+unsigned step_on(const struct worker *w, const struct occurrence *o,
+		 unsigned at);
 
 /* sched-pace.c */
 void pace_worker(struct sched *s, struct worker *w);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -137,26 +137,44 @@
 	machines_free(s);
 }
 
-/* Is a lasting task at work? */
-static bool task_serves(const struct task *t)
+/*
+ * Is a lasting task at work?  One whose worker has been silent may have
+ * ended with it: taking away another of its step could leave too few.
+ */
+static bool task_serves(const struct sched *s, const struct task *t)
 {
 	return t->phase == AT_WORK && !t->stopping && t->percent == 100 &&
-	       !t->worker->taken;
+	       !t->worker->taken &&
+	       s->now - t->worker->answered_at < WORKER_QUIET_MS;
 }
 
-/* May a task be taken away, by the others of its step? */
-static bool task_may_miss(const struct task *t)
+/* Tasks of a lasting step, on other workers, that are not at work. */
+static unsigned others_away(const struct sched *s, const struct task *t)
 {
 	const struct job_step *st = task_step(t);
 	const struct task *o = &t->occ->tasks[t->occ->first[t->step]];
 	unsigned i, away = 0;
 
-	if (!st->lasts || !st->may_miss || !task_serves(t))
-		return true;
 	for (i = 0; i < st->count; i++, o++)
-		if (o != t && !task_serves(o))
+		if (o->worker != t->worker && !task_serves(s, o))
 			away++;
-	return away < st->may_miss;
+	return away;
+}
+
+/* Do planned actions have to spare a task? */
+static bool task_is_spared(const struct sched *s, const struct task *t)
+{
+	const struct job_step *st = task_step(t);
+
+	return st->lasts && st->may_miss && task_serves(s, t);
+}
+
+/* May a task be taken away with all others of its step on its worker? */
+static bool task_may_miss(const struct sched *s, const struct task *t)
+{
+	return !task_is_spared(s, t) ||
+	       others_away(s, t) + step_on(t->worker, t->occ, t->step) <=
+		       task_step(t)->may_miss;
 }
 
 /* May a worker be taken away now, by the lasting tasks on it? */
@@ -164,13 +182,34 @@
 {
 	const struct task *t;
 
-	(void)s;
 	TAILQ_FOREACH(t, &w->tasks, on)
-		if (!task_may_miss(t))
+		if (!task_may_miss(s, t))
 			return false;
 	return true;
 }
 
+/*
+ * A worker that has more tasks of a step than may be missed at once could
+ * never be taken: one of them is moved away first.
+ */
+static void worker_thin(struct sched *s, struct worker *w)
+{
+	struct task *t;
+	unsigned on;
+
+	TAILQ_FOREACH(t, &w->tasks, on) {
+		if (!task_is_spared(s, t) || t->stopping)
+			continue;
+		on = step_on(w, t->occ, t->step);
+		if (on <= task_step(t)->may_miss)
+			continue;
+		if (others_away(s, t) < task_step(t)->may_miss) {
+			task_stop(s, t);
+			return;
+		}
+	}
+}
+
 /* Tasks of a worker that end soon by themselves. */
 static unsigned short_tasks(const struct worker *w)
 {
@@ -239,7 +278,7 @@
 		return 0;
 	TAILQ_FOREACH(t, &w->tasks, on) {
 		cost += (double)task_step(t)->need.cpu;
-		if (!task_may_miss(t))
+		if (!task_may_miss(s, t))
 			cost += 1e9;
 	}
 	return cost;
@@ -287,8 +326,10 @@
 		w->leaving = true;
 	if (w && short_tasks(w) && s->now < wm->marked_at + WAVE_DRAIN_MS)
 		return;
-	if (w && !wave_may_take(s, w))
+	if (w && !wave_may_take(s, w)) {
+		worker_thin(s, w);
 		return;
+	}
 	/* Tasks of the same steps on other machines can't be missed now. */
 	if (w)
 		w->taken = true;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -27,14 +27,25 @@
 	return w->clock + (s->now - w->clock_at);
 }
 
-/* Has the latest lease told to it ended, however slow its clock is? */
-static bool lease_is_over(const struct sched *s, const struct worker *w)
+/*
+ * Had the latest lease told to it ended at a time, however slow its clock is?
+ */
+static bool lease_was_over(const struct worker *w, int64_t at)
 {
-	double elapsed = (double)(s->now - w->clock_at) / CLOCK_SLOW;
+	double elapsed = (double)(at - w->clock_at) / CLOCK_SLOW;
 
 	return (double)w->clock + elapsed > (double)w->lease_end;
 }
 
+/* When the next lease may end, by this VM's clock. */
+static int64_t lease_until(const struct sched *s)
+{
+	int64_t until = s->now + LEASE_MS;
+	int64_t most = s->own.proved_at + UNPROVED_LEASE_MS;
+
+	return until < most ? until : most;
+}
+
 /* May it get new work? */
 bool worker_takes(const struct sched *s, const struct worker *w)
 {
@@ -221,7 +232,7 @@
 	 * and the tasks may start elsewhere the sooner.
 	 */
 	if (w->clock && s->now - w->answered_at < WORKER_QUIET_MS) {
-		o->deadline = worker_clock(s, w) + LEASE_MS;
+		o->deadline = worker_clock(s, w) + lease_until(s) - s->now;
 		if (o->deadline > w->lease_end)
 			w->lease_end = o->deadline;
 	}
@@ -232,22 +243,21 @@
 
 /*
  * Is it over with a silent worker?  What it was told to hold has lapsed, by
- * the slowest clock.  Of a worker that never answered this owner nothing is
- * known: an earlier one may have renewed it up to the longest lease.
+ * the slowest clock, and this VM was still the owner then: a successor would
+ * have renewed the lease, and a task started elsewhere would run twice.  Of a
+ * worker that never answered this owner, an earlier one may have renewed the
+ * lease for as long as it did not know of its end.
  */
 static bool worker_is_over(const struct sched *s, const struct worker *w)
 {
-	int64_t longest = (int64_t)((double)s->options.lease_max_ms *
-				    CLOCK_SLOW) +
-			  SETTLE_SLACK_MS;
-	int64_t since;
+	int64_t settle = s->own.settle_by + SETTLE_SLACK_MS +
+			 (int64_t)(UNPROVED_LEASE_MS * (CLOCK_SLOW - 1));
 
 	if (s->now - w->answered_at < WORKER_QUIET_MS)
 		return false;
 	if (w->fenced && w->clock)
-		return lease_is_over(s, w);
-	since = w->clock_at > s->own.owned_at ? w->clock_at : s->own.owned_at;
-	return s->now - since > longest;
+		return lease_was_over(w, s->own.proved_at);
+	return s->own.proved_at > settle;
 }
 
 /* Look at one worker. */
@@ -312,8 +322,7 @@
 /* Ends up to here are durable: tell the workers with the next hold. */
 void worker_acknowledge(struct sched *s)
 {
-	const struct job *first = TAILQ_FIRST(&s->dirty);
-	uint64_t durable = first ? first->dirty_seq - 1 : s->dirty_seq;
+	uint64_t durable = commit_durable(s);
 	struct worker *w, *next;
 
 	HASH_ITER(hh, s->workers, w, next) {
--- a/sched.c
+++ b/sched.c
@@ -73,6 +73,10 @@
 static void store_judge(struct sched *s, const struct answer *a)
 {
 	if (a->outcome == OUT_REFUSED || a->outcome == OUT_UNKNOWN) {
+		/* What failed together, such as feeds cut at once, is one. */
+		if (s->now - s->store_failed_at < STORE_FAILURE_APART_MS)
+			return;
+		s->store_failed_at = s->now;
 		s->store_failures++;
 		if (s->store_failures == 2 && !s->store_down) {
 			s->store_down = true;
@@ -81,9 +85,11 @@
 		}
 		return;
 	}
-	if (s->store_down)
+	if (s->store_down) {
 		sched_log(s, LOG_STORE_BACK, "away_ms=%lld",
 			  (long long)(s->now - s->store_ok_at));
+		own_store_back(s);
+	}
 	s->store_down = false;
 	s->store_failures = 0;
 	s->store_ok_at = s->now;
