A wave notes in the store which life of a machine it takes

Cause: a successor asked again for machines that were down already; the call succeeds then too, and the new worker's tasks were started a second time. Ruled out: adoption (the run was adopted), ends.

--- a/sched-state.h
+++ b/sched-state.h
@@ -304,15 +304,19 @@
 };
 struct wave_machine {
 	bstr id;
+	bstr worker; /* its life when it was chosen; empty: not chosen yet */
+	bool noted;  /* the store knows that it was chosen */
 	bool done;
-	bool asked;  /* a call is under way */
-	bool marked; /* its worker gets nothing new */
+	bool asked;	  /* a call is under way */
+	bool marked;	  /* its worker gets nothing new */
 	int64_t marked_at;
 	int64_t again_at;
 	int64_t away_until; /* it is down for its maintenance */
 };
 struct wave {
 	uint64_t number;
+	bool wanted; /* the operator's row was read */
+	json_t *notes; /* the row of an owner, by machine, or NULL */
 	struct wave_machine *machines;
 	size_t count;
 	unsigned maximum;
@@ -320,6 +324,7 @@
 	bool completed;
 	bool dirty; /* its rows are to be written */
 	bool writing;
+	bool told; /* the operator can read that it runs */
 	int64_t write_at;
 	UT_hash_handle hh;
 };
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -40,50 +40,87 @@
 	return NULL;
 }
 
+/* Find a wave, or make one of which nothing is known yet. */
+static struct wave *wave_get(struct sched *s, uint64_t number)
+{
+	struct wave *v = wave_find(s, number);
+
+	if (v)
+		return v;
+	v = xcalloc(1, sizeof(*v));
+	v->number = number;
+	HASH_ADD(hh, s->waves, number, sizeof(v->number), v);
+	return v;
+}
+
+/*
+ * Set what an owner noted of the machines.  Its row may be read before the
+ * operator's, or after it.
+ */
+static void wave_merge(struct wave *v)
+{
+	const json_t *note;
+	char *id;
+	size_t i;
+
+	for (i = 0; i < v->count; i++) {
+		id = bstr_cstr(v->machines[i].id);
+		note = json_object_get(v->notes, id);
+		free(id);
+		if (!note)
+			continue;
+		bstr_free(&v->machines[i].worker);
+		v->machines[i].worker =
+			json_bstr(json_object_get(note, "worker"));
+		v->machines[i].noted = true;
+		if (json_is_true(json_object_get(note, "done")))
+			v->machines[i].done = true;
+	}
+}
+
 /* The operator asks for a wave. */
 void wave_row_take(struct sched *s, struct row *r)
 {
 	struct wave_row *row = &r->wave;
-	struct wave *v = wave_find(s, row->number);
+	struct wave *v;
 	size_t i;
 
-	if (v || r->removed)
+	if (r->removed)
 		return;
-	v = xcalloc(1, sizeof(*v));
-	v->number = row->number;
+	v = wave_get(s, row->number);
+	if (v->wanted)
+		return;
+	v->wanted = true;
 	v->maximum = row->maximum;
 	v->finish_at = s->now + row->finish_by_s * 1000;
 	v->count = row->machine_count;
 	v->machines = xcalloc(v->count + 1, sizeof(*v->machines));
 	for (i = 0; i < v->count; i++)
 		v->machines[i].id = bstr_copy(row->machines[i]);
-	v->dirty = true;
-	HASH_ADD(hh, s->waves, number, sizeof(v->number), v);
+	v->dirty = !v->completed;
+	wave_merge(v);
 	sched_log(s, LOG_WAVE_SEEN,
 		  "wave=%" PRIu64 " machines=%zu maximum=%u finish_by_s=%lld",
 		  v->number, v->count, v->maximum, (long long)row->finish_by_s);
 }
 
-/* What an owner wrote of a wave: the machines that were taken down. */
+/* What an owner noted of a wave. */
 void wave_status_take(struct sched *s, struct row *r)
 {
-	json_t *row = json_read(r->value), *id;
-	struct wave *v = wave_find(
-		s, (uint64_t)json_integer_value(json_object_get(row, "wave")));
-	struct wave_machine *m;
-	bstr name;
-	size_t i;
+	json_t *row = json_read(r->value);
+	const json_t *number = json_object_get(row, "wave");
+	struct wave *v;
 
-	json_array_foreach(json_object_get(row, "done"), i, id) {
-		name = json_bstr(id);
-		m = v ? wave_member(v, name) : NULL;
-		if (m)
-			m->done = true;
-		bstr_free(&name);
-	}
-	if (v && json_is_true(json_object_get(row, "completed"))) {
-		v->completed = true;
-		v->dirty = false;
+	if (json_is_integer(number) && s->own.state != OWN_YES) {
+		v = wave_get(s, (uint64_t)json_integer_value(number));
+		json_decref(v->notes);
+		v->notes = json_incref(json_object_get(row, "machines"));
+		wave_merge(v);
+		v->told = true;
+		if (json_is_true(json_object_get(row, "completed"))) {
+			v->completed = true;
+			v->dirty = false;
+		}
 	}
 	json_decref(row);
 }
@@ -129,8 +166,11 @@
 
 	HASH_ITER(hh, s->waves, v, next) {
 		HASH_DEL(s->waves, v);
-		for (i = 0; i < v->count; i++)
+		for (i = 0; i < v->count; i++) {
 			bstr_free(&v->machines[i].id);
+			bstr_free(&v->machines[i].worker);
+		}
+		json_decref(v->notes);
 		free(v->machines);
 		free(v);
 	}
@@ -313,6 +353,39 @@
 	return true;
 }
 
+/*
+ * Is it noted in the store which life of a machine is to be taken?  The call
+ * succeeds also when it was carried out before: a successor that does not
+ * know of it would take the new worker for gone, and start its tasks twice.
+ */
+static bool member_note(struct sched *s, struct wave *v,
+			struct wave_machine *wm)
+{
+	struct worker *w;
+	struct machine *m = member_machine(s, wm->id, &w);
+
+	if (wm->noted)
+		return true;
+	if (!wm->worker.bstr_len) {
+		bstr_set(&wm->worker, m && m->worker.bstr_len
+					      ? m->worker
+					      : bstr_lit("none"));
+		v->dirty = true;
+	}
+	return false;
+}
+
+/* Was a machine that an owner chose taken since?  Then it has a new life. */
+static bool member_was_taken(struct sched *s, const struct wave_machine *wm)
+{
+	struct worker *w;
+	struct machine *m = member_machine(s, wm->id, &w);
+
+	return wm->noted && !wm->done && !wm->asked && m &&
+	       m->state == MACHINE_UP && m->worker.bstr_len &&
+	       !bstr_eq(m->worker, wm->worker);
+}
+
 /* Drive a marked machine on. */
 static void member_tick(struct sched *s, struct wave *v,
 			struct wave_machine *wm)
@@ -330,36 +403,57 @@
 		worker_thin(s, w);
 		return;
 	}
+	if (!member_note(s, v, wm))
+		return;
 	/* Tasks of the same steps on other machines can't be missed now. */
 	if (w)
 		w->taken = true;
 	upkeep_send(s, v, wm);
 }
 
+/* What is to be noted of a wave's machines. */
+static json_t *wave_notes(const struct wave *v)
+{
+	json_t *notes = json_object();
+	const struct wave_machine *wm;
+	char *id;
+	size_t i;
+
+	for (i = 0; i < v->count; i++) {
+		wm = &v->machines[i];
+		if (!wm->worker.bstr_len && !wm->done)
+			continue;
+		id = bstr_cstr(wm->id);
+		json_object_set_new(notes, id,
+				    json_pack("{s:o, s:b}", "worker",
+					      bstr_json(wm->worker), "done",
+					      wm->done));
+		free(id);
+	}
+	return notes;
+}
+
 /* Write how far a wave is, for the operator and for a later owner. */
 static void wave_write(struct sched *s, struct wave *v)
 {
-	json_t *done = json_array();
 	char key[WAVE_NAME_MAX];
 	struct request *rq;
 	struct tx *t;
-	size_t i;
 
-	for (i = 0; i < v->count; i++)
-		if (v->machines[i].done)
-			json_array_append_new(done,
-					      bstr_json(v->machines[i].id));
 	snprintf(key, sizeof(key), "wave/%" PRIu64, v->number);
 	t = sched_tx(s, FOR_WAVE_ROW, s->now + STORE_TIMEOUT_MS, &rq);
 	rq->number = v->number;
 	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
-	tx_write(t, TABLE_STATUS, bstr_lit(key),
-		 bstr_printf("{\"state\":\"%s\"}",
-			     v->completed ? "completed" : "running"));
+	if (!v->told || v->completed)
+		tx_write(t, TABLE_STATUS, bstr_lit(key),
+			 bstr_printf("{\"state\":\"%s\"}",
+				     v->completed ? "completed" : "running"));
+	json_decref(v->notes);
+	v->notes = wave_notes(v);
 	tx_write(t, TABLE_OWNER, bstr_lit(key),
-		 json_write(json_pack("{s:I, s:o, s:b}", "wave",
-				      (json_int_t)v->number, "done", done,
-				      "completed", v->completed)));
+		 json_write(json_pack("{s:I, s:O, s:b}", "wave",
+				      (json_int_t)v->number, "machines",
+				      v->notes, "completed", v->completed)));
 	v->writing = true;
 	v->dirty = false;
 }
@@ -371,11 +465,13 @@
 	bool all = true;
 	size_t i;
 
-	if (v->dirty && !v->writing && s->now >= v->write_at)
+	if (v->wanted && v->dirty && !v->writing && s->now >= v->write_at)
 		wave_write(s, v);
-	if (v->completed || !s->list_whole)
+	if (!v->wanted || v->completed || !s->list_whole)
 		return;
 	for (i = 0; i < v->count; i++) {
+		if (member_was_taken(s, &v->machines[i]))
+			v->machines[i].done = v->dirty = true;
 		if (member_is_away(s, &v->machines[i]) ||
 		    (v->machines[i].marked && !v->machines[i].done))
 			away++;
@@ -410,7 +506,7 @@
 	const struct wave *v;
 
 	for (v = s->waves; v; v = v->hh.next)
-		if (!v->completed)
+		if (v->wanted && !v->completed)
 			return true;
 	return false;
 }
@@ -528,9 +624,12 @@
 		if (!v)
 			break;
 		v->writing = false;
-		if (a->outcome == OUT_CONFLICT)
+		if (a->outcome == OUT_DONE) {
+			v->told = true;
+			wave_merge(v);
+		} else if (a->outcome == OUT_CONFLICT) {
 			own_lose(s, "replaced");
-		else if (a->outcome != OUT_DONE) {
+		} else {
 			v->dirty = true;
 			v->write_at = s->now + STORE_AGAIN_MS;
 		}
