Jobs in 16 parts of the store; every task is in the book before the first list comes

Cause: a slow store writes a part's rows one after another, so one part for all jobs took 4 a second and turned callers away; a successor's lists came in before the occurrences were made, and their ends were lost; thinning a worker stopped two tasks of a step.

--- a/sched-call.c
+++ b/sched-call.c
@@ -76,7 +76,6 @@
 	HASH_DEL(s->calls, c);
 	bstr_free(&c->tenant);
 	bstr_free(&c->row);
-	bstr_free(&c->progress);
 	free(c);
 }
 
@@ -102,12 +101,11 @@
 	rq->call = c->id;
 	tx_expect(t, TABLE_JOBS, key, 0);
 	tx_write(t, TABLE_JOBS, key, bstr_copy(c->row));
-	tx_write(t, TABLE_PROGRESS, key, bstr_copy(c->progress));
 }
 
-/* Write the rows of a new job. */
-static void submit_rows(struct sched *s, struct call *c, struct call_in *in,
-			const struct route *r)
+/* Write the row of a new job. */
+static void submit_row(struct sched *s, struct call *c, struct call_in *in,
+		       const struct route *r)
 {
 	struct job j = {.submitted = s->wall,
 			.tenant = c->tenant,
@@ -118,7 +116,6 @@
 
 	TAILQ_INIT(&j.occs);
 	c->row = job_row_write(&j);
-	c->progress = progress_write(&j);
 }
 
 /* Can any worker ever hold a task of this step?  Unknown: yes. */
@@ -149,20 +146,26 @@
 		return;
 	}
 	c = call_new(s, in, id, t, r->open);
-	submit_rows(s, c, in, r);
+	submit_row(s, c, in, r);
 	submit_send(s, c);
 }
 
-/* Read a job's progress for a caller. */
+/*
+ * Read a job's progress for a caller, or the job itself, which has no
+ * progress before its owner has seen it.
+ */
 static void state_send(struct sched *s, struct call *c, enum purpose purpose)
 {
+	bool job = purpose == FOR_STATE_JOB || purpose == FOR_CANCEL_READ_JOB;
+	bstr key = bstr_lit(c->job);
 	struct ask *ask;
 	struct request *rq = sched_ask(s, purpose, ASK_GET,
 				       call_try_until(s, c), &ask);
 
 	rq->call = c->id;
-	ask->range.table = TABLE_PROGRESS;
-	ask->range.from = bstr_new(c->job);
+	ask->range.table = job ? TABLE_JOBS : TABLE_PROGRESS;
+	ask->range.part = row_part(ask->range.table, key);
+	ask->range.from = bstr_copy(key);
 	ask->range.limit = 1;
 	sched_count(s, COUNT_TABLE_READS, 1);
 }
@@ -321,46 +324,60 @@
 	bstr_free(&key);
 }
 
+/* Tell a caller a job's state, or cancel the job if it is not final. */
+static void state_reply(struct sched *s, struct call *c, enum job_fate fate,
+			bool cancel)
+{
+	struct sched_effect *fx;
+
+	if (cancel && fate <= FATE_RUNNING) {
+		cancel_send(s, c);
+		return;
+	}
+	if (cancel) {
+		reply(s, c->id, 200, fate_name(fate), c->job);
+	} else {
+		fx = sched_effect_add(s, EFFECT_REPLY);
+		fx->reply = (struct reply){.call = c->id,
+					   .status = 200,
+					   .kind = REPLY_STATE,
+					   .text = fate_name(fate)};
+	}
+	call_free(s, c);
+}
+
 /* What the store says of a job that a caller asks for or cancels. */
 static void state_answer(struct sched *s, struct call *c, enum purpose purpose,
 			 const struct answer *a)
 {
+	bool cancel = purpose == FOR_CANCEL_READ ||
+		      purpose == FOR_CANCEL_READ_JOB;
+	bool job = purpose == FOR_STATE_JOB || purpose == FOR_CANCEL_READ_JOB;
 	const struct row *row = state_row(c, a);
-	struct sched_effect *fx;
-	enum job_fate fate;
+	enum job_fate fate = FATE_QUEUED;
+	bstr tenant = BSTR_NONE;
 	int64_t ended;
-	bstr tenant;
+	bool ok = true;
 
-	if (row && !progress_peek(row->value, &tenant, &fate, &ended)) {
+	if (!row && !job) {
+		state_send(s, c, cancel ? FOR_CANCEL_READ_JOB : FOR_STATE_JOB);
+		return;
+	}
+	if (row)
+		ok = job ? job_row_tenant(row->value, &tenant)
+			 : progress_peek(row->value, &tenant, &fate, &ended);
+	if (!ok) {
 		refuse(s, c->id, 500, COUNT_REFUSED_JOB, "row-unreadable",
 		       c->job);
 		call_free(s, c);
-		return;
-	}
-	/* Other organisations' jobs are none of the caller's business. */
-	if (!row || (!c->open && !bstr_eq(tenant, c->tenant))) {
+	} else if (!row || (!c->open && !bstr_eq(tenant, c->tenant))) {
+		/* Other organisations' jobs are none of the caller's. */
 		reply(s, c->id, 410, "no-such-job", c->job);
-		if (row)
-			bstr_free(&tenant);
 		call_free(s, c);
-		return;
+	} else {
+		state_reply(s, c, fate, cancel);
 	}
 	bstr_free(&tenant);
-	if (purpose == FOR_CANCEL_READ && fate <= FATE_RUNNING) {
-		cancel_send(s, c);
-		return;
-	}
-	if (purpose == FOR_CANCEL_READ) {
-		reply(s, c->id, 200, fate_name(fate), c->job);
-		call_free(s, c);
-		return;
-	}
-	fx = sched_effect_add(s, EFFECT_REPLY);
-	fx->reply = (struct reply){.call = c->id,
-				   .status = 200,
-				   .kind = REPLY_STATE,
-				   .text = fate_name(fate)};
-	call_free(s, c);
 }
 
 /* Try an exchange of a call once more, or give up. */
--- a/sched-follow.c
+++ b/sched-follow.c
@@ -7,40 +7,75 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* How many parts of a table are read. */
+static unsigned follow_parts(const struct follow *f)
+{
+	return f->parts ? f->parts : 1;
+}
+
 /* Have a table read whole again. */
 void follow_restart(struct follow *f)
 {
+	unsigned i;
+
 	f->whole = false;
 	f->reading++;
-	f->first = f->revision = 0;
-	bstr_free(&f->from);
+	f->revision = 0;
+	for (i = 0; i < JOB_PARTS; i++) {
+		bstr_free(&f->reads[i].from);
+		f->reads[i].whole = f->reads[i].open = false;
+		f->reads[i].first = 0;
+	}
 }
 
-/* Ask for the next page, or for what has changed. */
-static void follow_ask(struct sched *s, struct follow *f)
+/* Ask for what has changed. */
+static void feed_ask(struct sched *s, struct follow *f)
 {
-	int64_t wait = f->whole ? f->wait_ms + FEED_TIMEOUT_MS
-				: STORE_TIMEOUT_MS;
+	struct request *rq;
 	struct ask *ask;
 
-	sched_ask(s, f->whole ? f->feed : f->get, f->whole ? ASK_FEED : ASK_GET,
-		  s->now + wait, &ask);
+	rq = sched_ask(s, f->feed, ASK_FEED,
+		       s->now + f->wait_ms + FEED_TIMEOUT_MS, &ask);
+	rq->number = f->reading;
 	ask->range.table = f->table;
-	ask->range.limit = PAGE_ROWS;
 	ask->range.after = f->revision;
 	ask->range.wait_ms = f->wait_ms;
-	if (!f->whole)
-		ask->range.from = bstr_copy(f->from);
 	f->open = true;
 	sched_count(s, COUNT_TABLE_READS, 1);
 }
 
+/* Ask for the next page of a part. */
+static void page_ask(struct sched *s, struct follow *f, unsigned i)
+{
+	struct request *rq;
+	struct ask *ask;
+
+	rq = sched_ask(s, f->get, ASK_GET, s->now + STORE_TIMEOUT_MS, &ask);
+	rq->number = f->reading;
+	rq->k = i;
+	ask->range.table = f->table;
+	ask->range.part = f->parts ? i + 1 : 0;
+	ask->range.limit = PAGE_ROWS;
+	ask->range.from = bstr_copy(f->reads[i].from);
+	f->reads[i].open = true;
+	sched_count(s, COUNT_TABLE_READS, 1);
+}
+
 /* Ask where nothing is under way. */
 static void follow_go(struct sched *s, struct follow *f)
 {
-	if (f->wanted && !f->open && s->now >= f->again_at &&
-	    !(f->whole && f->feed == PURPOSE_MAX))
-		follow_ask(s, f);
+	unsigned i;
+
+	if (!f->wanted || s->now < f->again_at)
+		return;
+	if (f->whole) {
+		if (!f->open && f->feed != PURPOSE_MAX)
+			feed_ask(s, f);
+		return;
+	}
+	for (i = 0; i < follow_parts(f); i++)
+		if (!f->reads[i].open && !f->reads[i].whole)
+			page_ask(s, f, i);
 }
 
 /* Ask wherever nothing is under way. */
@@ -93,7 +128,7 @@
 }
 
 /* Note where the next page starts: just after the last key of this one. */
-static void page_next(struct follow *f, const struct answer *a)
+static void page_next(struct part_read *p, const struct answer *a)
 {
 	bstr last = a->rows[a->row_count - 1].key;
 	bstr next = {.bstr_len = last.bstr_len + 1};
@@ -102,16 +137,28 @@
 	memcpy(next.bstr_val, last.bstr_val, last.bstr_len);
 	/* A byte 1 is above "just this key" and below every longer one used. */
 	next.bstr_val[last.bstr_len] = 1;
-	bstr_free(&f->from);
-	f->from = next;
+	bstr_free(&p->from);
+	p->from = next;
 }
 
-/* A table has been read whole. */
+/*
+ * If all parts have been read, go on with the feed, from the earliest first
+ * page: a row that changed between two pages is then seen again.
+ */
 static void follow_whole(struct sched *s, struct follow *f)
 {
+	unsigned i;
+
+	for (i = 0; i < follow_parts(f); i++)
+		if (!f->reads[i].whole)
+			return;
 	f->whole = true;
-	f->revision = f->first;
-	bstr_free(&f->from);
+	f->revision = f->reads[0].first;
+	for (i = 0; i < follow_parts(f); i++) {
+		if (f->reads[i].first < f->revision)
+			f->revision = f->reads[i].first;
+		bstr_free(&f->reads[i].from);
+	}
 	if (f->table == TABLE_WORKERS)
 		worker_sweep(s);
 	if (f->table == TABLE_OWNER)
@@ -119,17 +166,36 @@
 	own_loaded(s);
 }
 
-/*
- * Take a page or a feed's answer.  The feed goes on from the first page's
- * revision: a row that changed between two pages is then seen again.
- */
+/* Take a page. */
+static void page_take(struct sched *s, struct follow *f, struct part_read *p,
+		      const struct answer *a)
+{
+	if (!p->first)
+		p->first = a->revision;
+	if (a->more && a->row_count) {
+		page_next(p, a);
+		return;
+	}
+	p->whole = true;
+	follow_whole(s, f);
+}
+
+/* Take a page or a feed's answer. */
 void follow_answer(struct sched *s, struct request *rq, struct answer *a)
 {
 	struct follow *f = follow_of(s, rq->purpose);
 	bool fed = rq->purpose == f->feed;
 	size_t i;
 
-	f->open = false;
+	if (fed)
+		f->open = false;
+	/* Of a reading that was begun anew meanwhile: that one goes on. */
+	if (rq->number != f->reading || !f->wanted) {
+		follow_go(s, f);
+		return;
+	}
+	if (!fed)
+		f->reads[rq->k].open = false;
 	if (a->outcome == OUT_GONE) {
 		sched_log(s, LOG_HISTORY_GONE, "table=%d revision=%llu",
 			  f->table, (unsigned long long)f->revision);
@@ -141,24 +207,16 @@
 		f->again_at = s->now + STORE_AGAIN_MS;
 		return;
 	}
-	/* A follow that was begun anew meanwhile: this answer is of before. */
-	if (!f->wanted || fed != f->whole) {
-		follow_go(s, f);
-		return;
-	}
-	if (!fed && !f->first)
-		f->first = a->revision;
 	for (i = 0; i < a->row_count; i++)
 		row_dispatch(s, &a->rows[i]);
 	if (f->table == TABLE_OWNER)
 		own_answered(s);
-	if (fed) {
-		if (a->revision > f->revision)
-			f->revision = a->revision;
-	} else if (a->more && a->row_count) {
-		page_next(f, a);
-	} else {
-		follow_whole(s, f);
-	}
+	/* A row may have ended this VM's ownership, and with it the follow. */
+	if (rq->number != f->reading)
+		return;
+	if (fed && a->revision > f->revision)
+		f->revision = a->revision;
+	if (!fed)
+		page_take(s, f, &f->reads[rq->k], a);
 	follow_go(s, f);
 }
--- a/sched-job.c
+++ b/sched-job.c
@@ -379,6 +379,22 @@
 		job_finish(s, j, FATE_FAILED);
 }
 
+/*
+ * Make the occurrences up to one that a worker speaks of: an owner whose wall
+ * clock was ahead of this VM's has begun it.
+ */
+static void job_catch_up(struct sched *s, struct job *j, unsigned k)
+{
+	unsigned times = j->body->repeat_count ? j->body->repeat_count : 1;
+
+	if (j->fate > FATE_RUNNING || k >= times)
+		return;
+	while (j->next_k <= k) {
+		job_make_occurrence(j, j->next_k++);
+		job_touch(s, j);
+	}
+}
+
 /* Find a task by its name on a worker; job is set if that is known. */
 struct task *task_find(struct sched *s, bstr name, struct job **job)
 {
@@ -398,6 +414,7 @@
 	if (number >= (*job)->body->step_count ||
 	    index >= (*job)->body->steps[number].count)
 		return NULL;
+	job_catch_up(s, *job, k);
 	TAILQ_FOREACH(o, &(*job)->occs, entry)
 		if (o->k == k)
 			return &o->tasks[o->first[number] + index];
--- a/sched-own.c
+++ b/sched-own.c
@@ -21,8 +21,8 @@
  */
 bool own_starts(const struct sched *s)
 {
-	return own_acts(s) && s->now - s->own.proved_at <
-				      UNPROVED_LEASE_MS - LEASE_MS;
+	return own_acts(s) &&
+	       s->now - s->own.proved_at < UNPROVED_LEASE_MS - LEASE_MS;
 }
 
 /* May this VM give orders now? */
@@ -240,6 +240,8 @@
 		  (unsigned long long)s->own.epoch, HASH_COUNT(s->jobs),
 		  HASH_COUNT(s->workers),
 		  (long long)(s->now - s->own.owned_at));
+	/* Every task has to be in the book before the first list comes in. */
+	job_tick(s);
 	worker_tick(s);
 }
 
--- a/sched-place.c
+++ b/sched-place.c
@@ -11,7 +11,7 @@
 #define MERIT_RACK 1e9	    /* it is near the step's data */
 #define MERIT_NOT_AVOID 1e8 /* the task has not failed there */
 #define MERIT_SIBLINGS 1e6  /* a tight step's other tasks are in its rack */
-#define MERIT_SPREAD 1e7 /* one task less of a lasting step on it */
+#define MERIT_SPREAD 1e7    /* one task less of a lasting step on it */
 #define MERIT_LASTING 1e5   /* one lasting task less on it */
 
 /* A step with tasks that wait. */
@@ -135,8 +135,7 @@
 }
 
 /* Does a step have a task that waits to be placed now? */
-static bool step_waits(struct sched *s, const struct occurrence *o,
-		       unsigned at)
+static bool step_waits(struct sched *s, const struct occurrence *o, unsigned at)
 {
 	struct task *t = &o->tasks[o->first[at]];
 	bool waits = false;
@@ -213,7 +212,7 @@
 
 /* How many tasks of a step are on a worker? */
 unsigned step_on(const struct worker *w, const struct occurrence *o,
-			unsigned at)
+		 unsigned at)
 {
 	const struct task *t;
 	unsigned n = 0;
@@ -287,7 +286,8 @@
 		merit += MERIT_SIBLINGS * rack_siblings(pool, w->rack, t);
 	if (st->lasts)
 		merit += MERIT_LASTING * (16 - (double)lasting_on(w)) +
-			 MERIT_SPREAD * (4 - (double)step_on(w, t->occ, t->step));
+			 MERIT_SPREAD *
+				 (4 - (double)step_on(w, t->occ, t->step));
 	return merit > 0 ? merit : 0;
 }
 
--- a/sched-row.c
+++ b/sched-row.c
@@ -159,6 +159,17 @@
 	return j;
 }
 
+/* Whose job is it, by its row? */
+bool job_row_tenant(bstr text, bstr *tenant)
+{
+	json_t *row = json_read(text);
+	bool ok = json_is_object(row);
+
+	*tenant = json_bstr(json_object_get(row, "tenant"));
+	json_decref(row);
+	return ok;
+}
+
 /* The tasks of an occurrence that are done, a bit each, in hex. */
 static json_t *done_write(const struct occurrence *o)
 {
--- a/sched-state.h
+++ b/sched-state.h
@@ -207,6 +207,8 @@
 	FOR_SUBMIT,
 	FOR_STATE,
 	FOR_CANCEL_READ,
+	FOR_STATE_JOB, /* no progress yet: is there such a job? */
+	FOR_CANCEL_READ_JOB,
 	FOR_CANCEL,
 	FOR_HOLD,
 	FOR_START,
@@ -229,7 +231,6 @@
 	int64_t came_at;
 	bool uncertain; /* a try may have taken effect */
 	bstr row;	/* a submit's, for another try */
-	bstr progress;
 	UT_hash_handle hh;
 };
 
@@ -249,19 +250,27 @@
 	UT_hash_handle hh;
 };
 
+/* How far the reading of one part of a table is. */
+struct part_read {
+	bool open; /* a request is under way */
+	bool whole;
+	uint64_t first; /* revision of the first page */
+	bstr from;	/* next page */
+};
+
 /* How a table is followed: read whole, then by its feed. */
 struct follow {
 	enum table table;
 	enum purpose get;
 	enum purpose feed;
 	uint32_t wait_ms;
+	unsigned parts; /* 0: the common one; else that many of its own */
 	bool wanted;
 	unsigned reading; /* counts whole readings */
-	bool open;	  /* a request is under way */
+	bool open;	  /* a request to the feed is under way */
 	bool whole;	  /* read whole; the feed goes on at revision */
 	uint64_t revision;
-	uint64_t first; /* revision of the first page */
-	bstr from;	/* next page */
+	struct part_read reads[JOB_PARTS];
 	int64_t again_at;
 };
 
@@ -307,15 +316,15 @@
 	bstr worker; /* its life when it was chosen; empty: not chosen yet */
 	bool noted;  /* the store knows that it was chosen */
 	bool done;
-	bool asked;	  /* a call is under way */
-	bool marked;	  /* its worker gets nothing new */
+	bool asked;  /* a call is under way */
+	bool marked; /* its worker gets nothing new */
 	int64_t marked_at;
 	int64_t again_at;
 	int64_t away_until; /* it is down for its maintenance */
 };
 struct wave {
 	uint64_t number;
-	bool wanted; /* the operator's row was read */
+	bool wanted;   /* the operator's row was read */
 	json_t *notes; /* the row of an owner, by machine, or NULL */
 	struct wave_machine *machines;
 	size_t count;
@@ -398,6 +407,7 @@
 /* sched-tx.c: making transactions */
 struct tx *sched_tx(struct sched *s, enum purpose purpose, int64_t deadline,
 		    struct request **rq);
+unsigned row_part(enum table table, bstr key);
 void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision);
 void tx_write(struct tx *t, enum table table, bstr key, bstr value);
 void tx_remove(struct tx *t, enum table table, bstr key);
@@ -424,6 +434,7 @@
 const char *fate_name(enum job_fate f);
 bstr owner_row_write(const struct ownership *o, bool release);
 bool owner_row_read(bstr row, struct ownership *o);
+bool job_row_tenant(bstr row, bstr *tenant);
 bstr beat_row_write(struct sched *s);
 bool beat_row_read(struct sched *s, bstr row, uint64_t *epoch);
 
@@ -443,7 +454,7 @@
 void own_lose(struct sched *s, const char *why);
 void own_doubt(struct sched *s, const char *why);
 void own_release(struct sched *s);
-bool own_acts(const struct sched *s); /* may give orders now */
+bool own_acts(const struct sched *s);	/* may give orders now */
 bool own_starts(const struct sched *s); /* and start tasks */
 
 /* sched-job.c */
--- a/sched-tx.c
+++ b/sched-tx.c
@@ -16,13 +16,28 @@
 	return &ask->tx;
 }
 
+/* The part of a table that a row is in. */
+unsigned row_part(enum table table, bstr key)
+{
+	char c = key.bstr_len ? key.bstr_val[0] : '0';
+
+	if (table != TABLE_JOBS)
+		return 0;
+	if (c >= '0' && c <= '9')
+		return 1 + (unsigned)(c - '0');
+	return 1 + 10 + ((unsigned)c - 'a') % 6;
+}
+
 /* Demand that a row still has a revision. */
 void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision)
 {
 	t->expect = xrealloc(t->expect, t->expect_count + 1,
 			     sizeof(*t->expect));
 	t->expect[t->expect_count++] = (struct tx_expect){
-		.table = table, .key = bstr_copy(key), .revision = revision};
+		.table = table,
+		.part = row_part(table, key),
+		.key = bstr_copy(key),
+		.revision = revision};
 }
 
 /* Write a row; the value is moved. */
@@ -30,7 +45,10 @@
 {
 	t->writes = xrealloc(t->writes, t->write_count + 1, sizeof(*t->writes));
 	t->writes[t->write_count++] = (struct tx_write){
-		.table = table, .key = bstr_copy(key), .value = value};
+		.table = table,
+		.part = row_part(table, key),
+		.key = bstr_copy(key),
+		.value = value};
 }
 
 /* Remove a row. */
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -70,8 +70,8 @@
 		if (!note)
 			continue;
 		bstr_free(&v->machines[i].worker);
-		v->machines[i].worker =
-			json_bstr(json_object_get(note, "worker"));
+		v->machines[i].worker = json_bstr(
+			json_object_get(note, "worker"));
 		v->machines[i].noted = true;
 		if (json_is_true(json_object_get(note, "done")))
 			v->machines[i].done = true;
@@ -188,32 +188,37 @@
 	       s->now - t->worker->answered_at < WORKER_QUIET_MS;
 }
 
-/* Tasks of a lasting step, on other workers, that are not at work. */
-static unsigned others_away(const struct sched *s, const struct task *t)
+/*
+ * Tasks of a lasting step that are not at work, but for one; those on its
+ * own worker count if here is set.
+ */
+static unsigned others_away(const struct sched *s, const struct task *t,
+			    bool here)
 {
 	const struct job_step *st = task_step(t);
 	const struct task *o = &t->occ->tasks[t->occ->first[t->step]];
 	unsigned i, away = 0;
 
 	for (i = 0; i < st->count; i++, o++)
-		if (o->worker != t->worker && !task_serves(s, o))
+		if (o != t && (here || o->worker != t->worker) &&
+		    !task_serves(s, o))
 			away++;
 	return away;
 }
 
 /* Do planned actions have to spare a task? */
-static bool task_is_spared(const struct sched *s, const struct task *t)
+static bool task_is_spared(const struct task *t)
 {
 	const struct job_step *st = task_step(t);
 
-	return st->lasts && st->may_miss && task_serves(s, t);
+	return st->lasts && st->may_miss && t->phase == AT_WORK && !t->stopping;
 }
 
 /* May a task be taken away with all others of its step on its worker? */
 static bool task_may_miss(const struct sched *s, const struct task *t)
 {
-	return !task_is_spared(s, t) ||
-	       others_away(s, t) + step_on(t->worker, t->occ, t->step) <=
+	return !task_is_spared(t) ||
+	       others_away(s, t, false) + step_on(t->worker, t->occ, t->step) <=
 		       task_step(t)->may_miss;
 }
 
@@ -238,12 +243,12 @@
 	unsigned on;
 
 	TAILQ_FOREACH(t, &w->tasks, on) {
-		if (!task_is_spared(s, t) || t->stopping)
+		if (!task_is_spared(t) || t->stopping)
 			continue;
 		on = step_on(w, t->occ, t->step);
 		if (on <= task_step(t)->may_miss)
 			continue;
-		if (others_away(s, t) < task_step(t)->may_miss) {
+		if (others_away(s, t, true) < task_step(t)->may_miss) {
 			task_stop(s, t);
 			return;
 		}
--- a/sched.c
+++ b/sched.c
@@ -131,6 +131,8 @@
 	case FOR_SUBMIT:
 	case FOR_STATE:
 	case FOR_CANCEL_READ:
+	case FOR_STATE_JOB:
+	case FOR_CANCEL_READ_JOB:
 	case FOR_CANCEL:
 		call_answer(s, rq, a);
 		break;
@@ -294,6 +296,7 @@
 				    FOR_WORKERS_FEED, FEED_WAIT_MS, false);
 	s->follows[3] = follow_make(TABLE_JOBS, FOR_JOBS_GET, FOR_JOBS_FEED,
 				    FEED_WAIT_MS, false);
+	s->follows[3].parts = JOB_PARTS;
 	s->progress = follow_make(TABLE_PROGRESS, FOR_PROGRESS_GET, PURPOSE_MAX,
 				  0, false);
 	TAILQ_INIT(&s->order);
@@ -330,8 +333,8 @@
 		free(w);
 	}
 	for (i = 0; i < NELEMS(s->follows); i++)
-		bstr_free(&s->follows[i].from);
-	bstr_free(&s->progress.from);
+		follow_restart(&s->follows[i]);
+	follow_restart(&s->progress);
 	while (!TAILQ_EMPTY(&out)) {
 		struct sched_effect *fx = TAILQ_FIRST(&out);
 
--- a/scheduler.h
+++ b/scheduler.h
@@ -272,13 +272,20 @@
 	ASK_UPKEEP,
 	ASK_MOVE
 };
+/*
+ * Rows of one part are written one transaction after another, those of
+ * different parts side by side.  0: the part that all tables have.
+ */
+#define JOB_PARTS 16 /* 1 to 16, by the first digit of the id */
 struct tx_expect {
 	enum table table;
+	unsigned part;
 	bstr key;
 	uint64_t revision; /* 0: the row must not exist */
 };
 struct tx_write {
 	enum table table;
+	unsigned part;
 	bstr key;
 	bstr value;
 };
@@ -292,7 +299,8 @@
 };
 struct range {
 	enum table table;
-	bstr from; /* keys; empty: from the start */
+	unsigned part; /* not of feeds: those bring all parts */
+	bstr from;     /* keys; empty: from the start */
 	unsigned limit;
 	uint64_t after; /* a revision; feeds only */
 	uint32_t wait_ms;
