Workers that may hold leases are noted in the store; a wave asks again where a machine has a new life

Cause: rows of workers in a cut data centre lapsed, so a successor did not know of them and started their tasks elsewhere; a machine that crashed after it was noted for a wave counted as taken. Ruled out: the lease bound of an owner that can't prove its ownership.

--- a/sched-own.c
+++ b/sched-own.c
@@ -12,6 +12,7 @@
 
 #define KEY_EPOCH "epoch"
 #define KEY_BEAT "beat"
+#define KEY_WORKERS "workers"
 /* Claims of several VMs are spread over so long; the first one wins. */
 #define CLAIM_SPREAD_MS 150
 
@@ -104,7 +105,7 @@
 		return;
 	s->own.revision = r->revision;
 	s->own.known = true;
-	s->own.heard_at = s->now;
+	s->own.heard_at = s->own.sign_at = s->now;
 	s->own.silent = 0;
 	if (s->own.epoch != epoch || !s->own.holder.bstr_len)
 		sched_log(s, LOG_OWNER_SEEN, "epoch=%llu vm=%.*s revision=%llu",
@@ -130,13 +131,18 @@
 		epoch_row_take(s, r);
 		return;
 	}
+	if (bstr_eq_str(r->key, KEY_WORKERS)) {
+		if (s->own.state != OWN_YES)
+			workers_row_read(s, r->value);
+		return;
+	}
 	if (!bstr_eq_str(r->key, KEY_BEAT)) {
 		wave_status_take(s, r);
 		return;
 	}
 	if (s->own.state == OWN_YES || !beat_row_read(s, r->value, &epoch))
 		return;
-	s->own.heard_at = s->now;
+	s->own.heard_at = s->own.sign_at = s->now;
 	s->own.silent = 0;
 }
 
@@ -199,7 +205,8 @@
 	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
 	rq->number = next.epoch;
 	s->own.claimed_at = s->now;
-	s->own.old_heard_at = s->own.heard_at;
+	s->own.old_heard_at = s->own.sign_at;
+	s->own.old_released = !s->own.holder.bstr_len;
 	s->own.state = OWN_CLAIMING;
 }
 
@@ -214,11 +221,14 @@
 	bstr_set(&s->own.holder, s->options.vm);
 	s->own.proved_at = s->own.claimed_at;
 	s->own.owned_at = s->now;
-	s->own.settle_by = s->own.old_heard_at + UNPROVED_LEASE_MS;
+	s->own.settle_by = s->own.old_heard_at +
+			   (s->own.old_released ? LEASE_MS : UNPROVED_LEASE_MS);
 	s->own.beat_at = s->now;
 	s->own.doubtful = false;
 	own_forget(s);
 	s->follows[2].wanted = s->follows[3].wanted = true;
+	/* What the old owner wrote last may not have come by the feed yet. */
+	follow_restart(&s->follows[1]);
 	follow_tick(s);
 	sched_count(s, COUNT_TAKEOVERS, 1);
 	sched_log(s, LOG_OWNER_GAINED, "epoch=%llu revision=%llu",
@@ -232,8 +242,10 @@
 		return;
 	/* Progress is of jobs that are in the book: read after the jobs. */
 	s->progress.wanted = s->follows[3].whole;
-	if (!s->follows[2].whole || !s->follows[3].whole || !s->progress.whole)
+	if (!s->follows[1].whole || !s->follows[2].whole ||
+	    !s->follows[3].whole || !s->progress.whole)
 		return;
+	workers_inherit(s);
 	s->own.state = OWN_YES;
 	s->place = true;
 	sched_log(s, LOG_OWNER_READY, "epoch=%llu jobs=%u workers=%u ms=%lld",
@@ -275,6 +287,7 @@
 		s->own.doubtful = false;
 		s->own.heard_at = s->now;
 		s->own.proved_at = s->own.beat_sent;
+		workers_noted(s);
 		break;
 	case OUT_CONFLICT:
 		own_lose(s, "replaced");
@@ -310,6 +323,9 @@
 	t = sched_tx(s, FOR_BEAT, s->now + STORE_TIMEOUT_MS, &rq);
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_BEAT), beat_row_write(s));
+	if (workers_note(s))
+		tx_write(t, TABLE_OWNER, bstr_lit(KEY_WORKERS),
+			 workers_row_write(s));
 	s->own.beating = true;
 	s->own.beat_sent = s->now;
 	s->own.beat_at = s->now + BEAT_MS;
--- a/sched-state.h
+++ b/sched-state.h
@@ -169,6 +169,8 @@
 	int64_t clock_at;
 	int64_t lease_end; /* the latest told to it, on its clock */
 	bool fenced;	   /* it has answered to our epoch */
+	bool noting;	   /* the beat under way names it */
+	bool noted;	   /* a successor would know of it */
 	bool looking;	   /* a hold is under way */
 	int64_t look_at;
 	int64_t answered_at;
@@ -290,7 +292,10 @@
 	int64_t beat_sent; /* the one under way */
 	int64_t proved_at; /* the latest beat that succeeded was sent then */
 	int64_t claimed_at;
-	int64_t old_heard_at; /* of the owner before, at the claim */
+	int64_t sign_at;      /* latest beat, or change of owner, seen */
+	int64_t old_heard_at; /* that of the owner before, at the claim */
+	bool old_released;    /* it gave up by plan */
+	json_t *workers;      /* whom an owner may have given leases, or NULL */
 	int64_t settle_by;    /* no lease of it ends later */
 	int64_t owned_at;
 	bool doubtful; /* read the row before the next order */
@@ -317,6 +322,7 @@
 	bool noted;  /* the store knows that it was chosen */
 	bool done;
 	bool asked;  /* a call is under way */
+	bool sure;   /* and it takes the life that was noted */
 	bool marked; /* its worker gets nothing new */
 	int64_t marked_at;
 	int64_t again_at;
@@ -484,6 +490,11 @@
 /* sched-worker.c */
 void worker_row_take(struct sched *s, struct row *r);
 void worker_sweep(struct sched *s); /* after a whole reading */
+bool workers_note(struct sched *s);
+void workers_noted(struct sched *s);
+bstr workers_row_write(const struct sched *s);
+void workers_row_read(struct sched *s, bstr row);
+void workers_inherit(struct sched *s);
 struct worker *worker_find(struct sched *s, bstr id);
 void worker_tick(struct sched *s);
 void worker_answer(struct sched *s, struct request *rq, struct answer *a);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -284,6 +284,8 @@
 static void upkeep_send(struct sched *s, struct wave *v,
 			struct wave_machine *wm)
 {
+	struct worker *w;
+	struct machine *m = member_machine(s, wm->id, &w);
 	struct request *rq;
 	struct ask *ask;
 
@@ -296,6 +298,7 @@
 	ask->order.holder = bstr_copy(s->options.vm);
 	ask->order.epoch = s->own.epoch;
 	wm->asked = true;
+	wm->sure = m && bstr_eq(m->worker, wm->worker);
 	wm->away_until = s->now + CLOUD_TIMEOUT_MS;
 	sched_log(s, LOG_WAVE_MACHINE, "wave=%" PRIu64 " machine=%.*s step=ask",
 		  v->number, BSTR_ARG(wm->id));
@@ -380,17 +383,6 @@
 	return false;
 }
 
-/* Was a machine that an owner chose taken since?  Then it has a new life. */
-static bool member_was_taken(struct sched *s, const struct wave_machine *wm)
-{
-	struct worker *w;
-	struct machine *m = member_machine(s, wm->id, &w);
-
-	return wm->noted && !wm->done && !wm->asked && m &&
-	       m->state == MACHINE_UP && m->worker.bstr_len &&
-	       !bstr_eq(m->worker, wm->worker);
-}
-
 /* Drive a marked machine on. */
 static void member_tick(struct sched *s, struct wave *v,
 			struct wave_machine *wm)
@@ -475,8 +467,6 @@
 	if (!v->wanted || v->completed || !s->list_whole)
 		return;
 	for (i = 0; i < v->count; i++) {
-		if (member_was_taken(s, &v->machines[i]))
-			v->machines[i].done = v->dirty = true;
 		if (member_is_away(s, &v->machines[i]) ||
 		    (v->machines[i].marked && !v->machines[i].done))
 			away++;
@@ -563,7 +553,11 @@
 		s->list_whole = true;
 }
 
-/* A machine has gone down: what ran on it has ended. */
+/*
+ * A machine has gone down: what ran on it has ended.  If it had a new life
+ * since it was noted, the call may have been carried out before, and this
+ * life goes on: its lease tells.
+ */
 static void upkeep_done(struct sched *s, struct wave *v,
 			struct wave_machine *wm)
 {
@@ -573,7 +567,9 @@
 	wm->away_until = s->now + s->options.maintenance_ms + AWAY_SLACK_MS;
 	v->dirty = true;
 	member_machine(s, wm->id, &w);
-	if (w) {
+	if (w && !wm->sure) {
+		w->leaving = w->taken = false;
+	} else if (w) {
 		worker_lost(s, w, "maintenance");
 		w->gone = true;
 		w->listed = false;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -3,6 +3,7 @@
  * lists say runs and has ended.
  */
 #include "sched-state.h"
+#include "json-read.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -50,7 +51,8 @@
 bool worker_takes(const struct sched *s, const struct worker *w)
 {
 	return w->listed && !w->gone && !w->row.draining && !w->leaving &&
-	       w->fenced && s->now - w->answered_at < WORKER_QUIET_MS &&
+	       w->fenced && w->noted &&
+	       s->now - w->answered_at < WORKER_QUIET_MS &&
 	       s->now >= w->unwell_until;
 }
 
@@ -178,6 +180,7 @@
 		w = worker_new(s, r->key);
 		w->answered_at = s->now;
 		w->clock_at = s->now;
+		s->own.beat_at = s->now; /* to note it */
 		sched_log(s, LOG_WORKER_SEEN,
 			  "worker=%.*s service=%.*s address=%.*s",
 			  BSTR_ARG(w->id), BSTR_ARG(r->worker.service),
@@ -201,6 +204,76 @@
 			worker_unlist(s, w);
 }
 
+/*
+ * The workers that may hold leases of this owner are noted in the store
+ * before they get work.  A worker's own row may lapse while it is cut off
+ * and runs on: a successor would not know of it, and would start its tasks
+ * elsewhere.  True: there are some that are not noted yet.
+ */
+bool workers_note(struct sched *s)
+{
+	struct worker *w, *next;
+	bool any = false;
+
+	HASH_ITER(hh, s->workers, w, next) {
+		w->noting = true;
+		any = any || !w->noted;
+	}
+	return any;
+}
+
+/* What was to be noted is. */
+void workers_noted(struct sched *s)
+{
+	struct worker *w, *next;
+
+	HASH_ITER(hh, s->workers, w, next) {
+		if (!w->noting || w->noted)
+			continue;
+		w->noted = true;
+		s->place = true;
+	}
+}
+
+/* The row that notes them. */
+bstr workers_row_write(const struct sched *s)
+{
+	json_t *list = json_array();
+	const struct worker *w;
+
+	for (w = s->workers; w; w = w->hh.next)
+		json_array_append_new(list, bstr_json(w->id));
+	return json_write(list);
+}
+
+/* Read it, as another owner wrote it. */
+void workers_row_read(struct sched *s, bstr row)
+{
+	json_decref(s->own.workers);
+	s->own.workers = json_read(row);
+}
+
+/* Take over the workers that the old owner noted and that have no row. */
+void workers_inherit(struct sched *s)
+{
+	struct worker *w;
+	json_t *v;
+	size_t i;
+	bstr id;
+
+	json_array_foreach(s->own.workers, i, v) {
+		id = json_bstr(v);
+		if (id.bstr_len && !worker_find(s, id)) {
+			w = worker_new(s, id);
+			w->answered_at = w->clock_at = s->now;
+			sched_log(s, LOG_WORKER_SEEN,
+				  "worker=%.*s service=- address=-",
+				  BSTR_ARG(id));
+		}
+		bstr_free(&id);
+	}
+}
+
 /* How long a hold may wait for an end. */
 static uint32_t hold_wait(const struct worker *w)
 {
@@ -280,7 +353,8 @@
 		if (t->stopping && s->now >= t->stop_at)
 			task_stop(s, t);
 	}
-	if (!w->looking && s->now >= w->look_at && own_acts(s))
+	if (!w->looking && s->now >= w->look_at && own_acts(s) &&
+	    w->row.address.bstr_len)
 		worker_hold(s, w);
 }
 
--- a/sched.c
+++ b/sched.c
@@ -343,6 +343,7 @@
 	}
 	fleet_config_free(s->config);
 	bstr_free(&s->own.holder);
+	json_decref(s->own.workers);
 	bstr_free(&s->options.vm);
 	bstr_free(&s->options.zone);
 	free(s);
