--- a/sched-job.c
+++ b/sched-job.c
@@ -168,6 +168,15 @@
 	TAILQ_INSERT_TAIL(&s->retirees, r, entry);
 }
 
+/* Forget a final job. */
+void job_unretire(struct sched *s, struct retired *r)
+{
+	TAILQ_REMOVE(&s->retirees, r, entry);
+	if (s->retired)
+		HASH_DEL(s->retired, r);
+	free(r);
+}
+
 /* Stop all that a final job still has on workers. */
 static void job_stop(struct sched *s, struct job *j)
 {
@@ -372,6 +381,7 @@
 	struct job *j = t->occ->job;
 
 	t->fails++;
+	t->failed_run = t->run;
 	job_touch(s, j);
 	if (task_step(t)->lasts)
 		return;
@@ -443,9 +453,7 @@
 		tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
 		tx_remove(t, TABLE_JOBS, key);
 		bstr_free(&key);
-		TAILQ_REMOVE(&s->retirees, r, entry);
-		HASH_DEL(s->retired, r);
-		free(r);
+		job_unretire(s, r);
 		n++;
 	}
 	s->sweep_at = s->now + 1000;
--- a/sched-own.c
+++ b/sched-own.c
@@ -48,11 +48,8 @@
 
 	while ((j = TAILQ_FIRST(&s->order)))
 		sched_job_free(s, j);
-	while ((r = TAILQ_FIRST(&s->retirees))) {
-		TAILQ_REMOVE(&s->retirees, r, entry);
-		HASH_DEL(s->retired, r);
-		free(r);
-	}
+	while ((r = TAILQ_FIRST(&s->retirees)))
+		job_unretire(s, r);
 	sched_workers_free(s);
 	wave_forget(s);
 	usage_free(s);
--- a/sched-row.c
+++ b/sched-row.c
@@ -189,7 +189,11 @@
 	return j;
 }
 
-/* Progress of an occurrence: done, failures and checkpoints by task. */
+/*
+ * Progress of an occurrence: done, failures and checkpoints by task.  With
+ * the failures goes the latest run that failed: its worker lists that end
+ * until it is acknowledged, and a successor must not count it again.
+ */
 static json_t *occurrence_write(const struct occurrence *o)
 {
 	json_t *fails = json_object(), *saved = json_object();
@@ -203,8 +207,10 @@
 			continue;
 		snprintf(number, sizeof(number), "%u", i);
 		if (t->fails && !task_step(t)->lasts)
-			json_object_set_new(fails, number,
-					    json_integer(t->fails));
+			json_object_set_new(
+				fails, number,
+				json_pack("[i, I]", (int)t->fails,
+					  (json_int_t)t->failed_run));
 		if (t->checkpoint.bstr_len)
 			json_object_set_new(saved, number,
 					    bstr_json(t->checkpoint));
@@ -277,7 +283,10 @@
 		t = &o->tasks[i];
 		snprintf(number, sizeof(number), "%u", i);
 		v = json_object_get(json_object_get(j, "fails"), number);
-		t->fails = (unsigned)json_integer_value(v);
+		t->fails = (unsigned)json_integer_value(json_array_get(v, 0));
+		t->failed_run = (uint64_t)json_integer_value(
+			json_array_get(v, 1));
+		t->run = t->failed_run;
 		v = json_object_get(json_object_get(j, "saved"), number);
 		bstr_free(&t->checkpoint);
 		t->checkpoint = json_bstr(v);
--- a/sched-state.h
+++ b/sched-state.h
@@ -93,6 +93,7 @@
 	int64_t ready_at;
 	int64_t not_before;
 	unsigned fails;
+	uint64_t failed_run; /* the latest of them */
 	unsigned percent;
 	unsigned pace; /* percent it is let work at */
 	int64_t paced_at;
@@ -473,6 +474,7 @@
 void job_tick(struct sched *s);
 void job_task_done(struct sched *s, struct task *t);
 void job_task_failed(struct sched *s, struct task *t);
+void job_unretire(struct sched *s, struct retired *r);
 void job_settle(struct sched *s, struct job *j);
 bool job_waits(const struct job *j);
 bool step_ready(const struct occurrence *o, unsigned at);
