Machines move to pools that can't finish their work soon, and back

Cause: a queue's turn brings twice what its pool holds, while eight machines stand by and other pools idle.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CXX = g++
 WARN = -Wall -Wextra -Werror -Wshadow -Wpointer-arith -Wno-missing-field-initializers
 CPPFLAGS = -D_GNU_SOURCE -I. $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -pthread
+LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -pthread -lm
 FLAGS_release = -O2 -g
 FLAGS_san = -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
 	-fno-sanitize-recover=undefined
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -71,6 +71,7 @@
 		       struct error *e)
 {
 	const json_t *far = member(j, "bounds.far_factor");
+	const json_t *move = member(j, "bounds.move_s");
 
 	o->lease_max_ms = number_get(j, "bounds.lease_max_ms", 1000, 600000,
 				     6000, e);
@@ -82,6 +83,9 @@
 	o->notice_ms = number_get(j, "bounds.notice_ms", 100, 60000, 4500, e);
 	o->maintenance_ms = 1000 * number_get(j, "bounds.maintenance_s", 0,
 					      3600, 2, e);
+	o->move_ms = (int64_t)(1000 * (json_is_number(move)
+					       ? json_number_value(move)
+					       : 1.5));
 	o->far_factor = json_is_number(far) ? json_number_value(far) : 1;
 }
 
--- /dev/null
+++ b/sched-learn.c
@@ -0,0 +1,71 @@
+/*
+ * Learning how long tasks take: declared times are off by a factor of two or
+ * three either way, so what the tasks of a queue took counts for more.
+ */
+#include "sched-state.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/*
+ * How much a declared time counts beside the queue's own, as powers of a
+ * geometric mean.  With times that spread by 0.5 and declarations that are
+ * off by 0.9 (standard deviations of logarithms) the best share is
+ * 0.25 / (0.25 + 0.81).
+ */
+#define DECLARED_SHARE 0.24
+/* Older runs fade, so that the mean follows a change within some hundred. */
+#define COUNT_MAX 300
+
+/* The lesson of a route. */
+static struct lesson *lesson_of(struct sched *s, bstr route)
+{
+	struct lesson *l;
+
+	HASH_FIND_BSTR(s->lessons, route, l);
+	if (l)
+		return l;
+	l = xcalloc(1, sizeof(*l));
+	l->route = bstr_copy(route);
+	HASH_ADD_BSTR(s->lessons, route, l);
+	return l;
+}
+
+/* A run has ended as done: it took from its start until now. */
+void learn_run(struct sched *s, const struct task *t)
+{
+	struct lesson *l = lesson_of(s, t->occ->job->route);
+	double ms = (double)(s->now - t->begun_at);
+
+	/* Lasting work has no time; a resumed run shows only its rest. */
+	if (task_step(t)->lasts || t->checkpoint.bstr_len || ms < 1)
+		return;
+	if (l->count < COUNT_MAX)
+		l->count++;
+	l->log_ms += (log(ms) - l->log_ms) / l->count;
+}
+
+/* How long a task of a step is expected to take. */
+int64_t step_expected_ms(struct sched *s, const struct job *j, unsigned at)
+{
+	const struct job_step *st = &j->body->steps[at];
+	double declared = st->estimated_ms ? st->estimated_ms : 1;
+	struct lesson *l = lesson_of(s, j->route);
+
+	if (l->count < 1)
+		return (int64_t)declared;
+	return (int64_t)exp(DECLARED_SHARE * log(declared) +
+			    (1 - DECLARED_SHARE) * l->log_ms);
+}
+
+/* Free the lessons. */
+void lessons_free(struct sched *s)
+{
+	struct lesson *l, *next;
+
+	HASH_ITER(hh, s->lessons, l, next) {
+		HASH_DEL(s->lessons, l);
+		bstr_free(&l->route);
+		free(l);
+	}
+}
--- /dev/null
+++ b/sched-move.c
@@ -0,0 +1,437 @@
+/*
+ * Moving machines between pools: into a pool whose waiting work it can't get
+ * done soon, from the standby pool first, then from pools that do not need
+ * them; and back to standby, where a machine costs nothing, once it is idle.
+ * A move ends all that runs on a machine, so only empty ones are moved.
+ */
+#include "sched-state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Pools are compared so often; a look at all jobs each time. */
+#define MOVE_EVERY_MS 100
+/*
+ * Work that a pool can't finish within this calls for machines: a move takes
+ * 1.5 s, and what waits longer than about 2 s misses its objective.
+ */
+#define DRAIN_HIGH_MS 900
+/* Below this a pool has more than it needs. */
+#define DRAIN_LOW_MS 250
+/* A machine is idle for so long before it leaves its pool. */
+#define IDLE_MS 2500
+/* Machines that a pool keeps free for the next jobs, in parts of its
+ * workers: a burst begins with no warning. */
+#define KEEP_FREE 0.34
+/* A pool lends at most so many of its own machines to another. */
+#define LENT_MAX 2
+/* A lasting task that waits so long needs another worker. */
+#define STRANDED_MS 300
+/* A line for each pool is logged so often. */
+#define POOL_TOLD_MS 1000
+#define MOVE_TIMEOUT_MS 1500
+#define MOVE_AGAIN_MS 1000
+/* At most so many moves are begun in one look. */
+#define MOVES_AT_ONCE 4
+
+/* What a pool has and has to do. */
+struct balance {
+	const struct service *service;
+	bool routed;	   /* some queue leads to it */
+	unsigned home;	   /* machines that the operator gave it */
+	unsigned stranded; /* lasting tasks that find no worker */
+	unsigned workers;  /* that take work */
+	unsigned coming;   /* machines on their way to it */
+	unsigned empty;	   /* workers without tasks */
+	double cores;	   /* thousandths, of the workers that take work */
+	double lasting;	   /* of them, used by lasting tasks */
+	double work;	   /* waiting and running, in thousandths x ms */
+};
+
+struct balances {
+	struct balance *list;
+	size_t count;
+};
+
+/* The balance of a service; NULL: it is not in the configuration. */
+static struct balance *balance_find(struct balances *b, bstr service)
+{
+	size_t i;
+
+	for (i = 0; i < b->count; i++)
+		if (bstr_eq(b->list[i].service->name, service))
+			return &b->list[i];
+	return NULL;
+}
+
+/* Add up what the workers have. */
+static void balance_workers(struct sched *s, struct balances *b)
+{
+	struct worker *w, *next;
+	struct balance *p;
+	const struct task *t;
+
+	HASH_ITER(hh, s->workers, w, next) {
+		p = balance_find(b, w->row.service);
+		if (!p || !worker_takes(s, w))
+			continue;
+		p->workers++;
+		p->cores += (double)w->row.capacity.cpu;
+		if (TAILQ_EMPTY(&w->tasks))
+			p->empty++;
+		TAILQ_FOREACH(t, &w->tasks, on)
+			if (task_step(t)->lasts && !task_step(t)->fills)
+				p->lasting += (double)task_step(t)->need.cpu;
+	}
+}
+
+/* Work left of an occurrence, in thousandths of a core x ms. */
+static double occurrence_work(struct sched *s, const struct occurrence *o)
+{
+	const struct job_body *b = o->job->body;
+	double work = 0;
+	unsigned i;
+
+	for (i = 0; i < b->step_count; i++)
+		if (!b->steps[i].lasts && !b->steps[i].fills)
+			work += (double)o->left[i] *
+				(double)b->steps[i].need.cpu *
+				(double)step_expected_ms(s, o->job, i);
+	return work;
+}
+
+/* Lasting tasks of an occurrence that have found no worker for a while. */
+static unsigned occurrence_stranded(struct sched *s, const struct occurrence *o)
+{
+	const struct task *t;
+	unsigned i, n = 0;
+
+	for (i = 0; i < o->task_count; i++) {
+		t = &o->tasks[i];
+		if (t->phase == AT_REST && task_step(t)->lasts && t->ready_at &&
+		    s->now - t->ready_at > STRANDED_MS)
+			n++;
+	}
+	return n;
+}
+
+/* Add up what there is to do. */
+static void balance_jobs(struct sched *s, struct balances *b)
+{
+	const struct occurrence *o;
+	struct balance *p;
+	struct job *j;
+
+	TAILQ_FOREACH(j, &s->order, entry) {
+		if (j->fate > FATE_RUNNING)
+			continue;
+		p = balance_find(b, job_service(s, j));
+		if (!p)
+			continue;
+		TAILQ_FOREACH(o, &j->occs, entry) {
+			p->work += occurrence_work(s, o);
+			p->stranded += occurrence_stranded(s, o);
+		}
+	}
+}
+
+/* Count the machines that are on their way. */
+static void balance_machines(struct sched *s, struct balances *b)
+{
+	struct machine *m, *next;
+	struct balance *p;
+
+	HASH_ITER(hh, s->machines, m, next) {
+		if (s->now >= m->moving_until)
+			continue;
+		p = balance_find(b, m->moving_to);
+		if (p)
+			p->coming++;
+	}
+}
+
+/* Cores that one machine brings. */
+static double machine_cores(const struct balances *b)
+{
+	double cores = 0;
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < b->count; i++) {
+		cores += b->list[i].cores;
+		n += b->list[i].workers;
+	}
+	return n ? cores / n : 0;
+}
+
+/* How long a pool needs for its work, with some machines more or less. */
+static double drain_ms(const struct balance *p, double one, int more)
+{
+	double cores = p->cores - p->lasting + one * (p->coming + more);
+
+	if (p->stranded > p->coming)
+		return 1e9;
+	if (p->work <= 0)
+		return 0;
+	return cores > one / 8 ? p->work / cores : 1e9;
+}
+
+/*
+ * Is a machine empty and long enough so to be moved?  One in standby is off:
+ * it has no worker.
+ */
+static bool machine_is_idle(struct sched *s, struct machine *m, int64_t since)
+{
+	struct worker *w = m->worker.bstr_len ? worker_find(s, m->worker)
+					      : NULL;
+	const struct service *pool = service_named(s, m->pool);
+
+	if (m->state != MACHINE_UP || s->now < m->moving_until ||
+	    s->now < m->again_at)
+		return false;
+	if (pool && pool->standby)
+		return true;
+	return w && TAILQ_EMPTY(&w->tasks) && w->listed && !w->row.draining &&
+	       !w->leaving && s->now - w->idle_at >= since;
+}
+
+/* Move a machine. */
+static void machine_move(struct sched *s, struct machine *m,
+			 const struct balance *to, const char *why)
+{
+	struct worker *w = m->worker.bstr_len ? worker_find(s, m->worker)
+					      : NULL;
+	struct request *rq;
+	struct ask *ask;
+
+	rq = sched_ask(s, FOR_MOVE, ASK_MOVE, s->now + MOVE_TIMEOUT_MS, &ask);
+	rq->name = bstr_copy(m->id);
+	ask->order.machine = bstr_copy(m->id);
+	ask->order.pool = bstr_copy(to->service->name);
+	ask->order.holder = bstr_copy(s->options.vm);
+	ask->order.epoch = s->own.epoch;
+	bstr_set(&m->moving_to, to->service->name);
+	m->moving_until = s->now + MOVE_TIMEOUT_MS + s->options.move_ms;
+	if (w)
+		if (w)
+			w->leaving = true;
+	sched_log(s, LOG_MACHINE_MOVED,
+		  "machine=%.*s worker=%.*s from=%.*s to=%.*s why=%s",
+		  BSTR_ARG(m->id), BSTR_ARG(m->worker), BSTR_ARG(m->pool),
+		  BSTR_ARG(to->service->name), why);
+}
+
+/*
+ * May a pool spare one of its empty machines now?  What it has beyond its
+ * home size, yes; of its own a few, while it has little to do itself.
+ */
+static bool pool_spares(const struct balance *p, double one, unsigned lent)
+{
+	if (p->service->standby || !p->routed)
+		return true;
+	if (p->workers + p->coming + lent <= p->home)
+		return false;
+	if (p->workers + p->coming > p->home)
+		return drain_ms(p, one, -1) < DRAIN_HIGH_MS / 2;
+	return p->empty > (unsigned)(KEEP_FREE * p->workers) + 1 &&
+	       drain_ms(p, one, -1) < DRAIN_LOW_MS;
+}
+
+/* A machine for a pool: of standby, else of one that can spare it. */
+static struct machine *machine_choose(struct sched *s, struct balances *b,
+				      const struct balance *to, double one)
+{
+	struct machine *m, *next, *best = NULL;
+	struct balance *from;
+	bool spare = false;
+
+	HASH_ITER(hh, s->machines, m, next) {
+		from = balance_find(b, m->pool);
+		if (!from || from == to || !machine_is_idle(s, m, 0) ||
+		    !pool_spares(from, one, LENT_MAX))
+			continue;
+		if (!best || (from->service->standby && !spare))
+			best = m;
+		spare = spare || from->service->standby;
+	}
+	return best;
+}
+
+/* Bring machines to the pool that needs them most. */
+static unsigned moves_in(struct sched *s, struct balances *b, double one)
+{
+	struct balance *worst, *from;
+	struct machine *m;
+	unsigned n;
+	size_t i;
+
+	for (n = 0; n < MOVES_AT_ONCE; n++) {
+		worst = NULL;
+		for (i = 0; i < b->count; i++)
+			if (b->list[i].routed && !b->list[i].service->standby &&
+			    (!worst || drain_ms(&b->list[i], one, 0) >
+					       drain_ms(worst, one, 0)))
+				worst = &b->list[i];
+		if (!worst || drain_ms(worst, one, 0) < DRAIN_HIGH_MS)
+			return n;
+		m = machine_choose(s, b, worst, one);
+		if (!m)
+			return n;
+		from = balance_find(b, m->pool);
+		from->empty--;
+		from->workers--;
+		from->cores -= one;
+		worst->coming++;
+		machine_move(s, m, worst, "burst");
+	}
+	return n;
+}
+
+/* A pool that has lent machines and not got them back. */
+static struct balance *pool_below_home(struct balances *b)
+{
+	struct balance *p;
+	size_t i;
+
+	for (i = 0; i < b->count; i++) {
+		p = &b->list[i];
+		if (p->routed && !p->service->standby &&
+		    p->workers + p->coming < p->home)
+			return p;
+	}
+	return NULL;
+}
+
+/* Send what is idle home, or to standby. */
+static void moves_out(struct sched *s, struct balances *b, double one)
+{
+	struct machine *m, *next;
+	struct balance *from, *standby = NULL, *to;
+	unsigned n = 0;
+	size_t i;
+
+	for (i = 0; i < b->count; i++)
+		if (b->list[i].service->standby)
+			standby = &b->list[i];
+	if (!standby)
+		return;
+	HASH_ITER(hh, s->machines, m, next) {
+		from = balance_find(b, m->pool);
+		if (n >= MOVES_AT_ONCE || !from || from->service->standby ||
+		    !machine_is_idle(s, m, IDLE_MS) ||
+		    !pool_spares(from, one, 0))
+			continue;
+		to = pool_below_home(b);
+		if (!to)
+			to = standby;
+		from->empty--;
+		from->workers--;
+		from->cores -= one;
+		to->coming++;
+		machine_move(s, m, to, to == standby ? "idle" : "home");
+		n++;
+	}
+}
+
+/* Does a queue lead to a service? */
+static bool service_is_routed(const struct sched *s, bstr name)
+{
+	size_t i;
+
+	for (i = 0; i < s->config->route_count; i++)
+		if (bstr_eq(s->config->routes[i].service, name))
+			return true;
+	return false;
+}
+
+/* How many machines the operator gave a pool. */
+static unsigned home_size(const struct sched *s, bstr pool)
+{
+	char *name = bstr_cstr(pool);
+	json_int_t n = json_integer_value(json_object_get(s->homes, name));
+
+	free(name);
+	return (unsigned)n;
+}
+
+/* Tell how the pools stand, once in a while. */
+static void balances_log(struct sched *s, const struct balances *b, double one)
+{
+	const struct balance *p;
+	size_t i;
+
+	if (s->now < s->told_at)
+		return;
+	s->told_at = s->now + POOL_TOLD_MS;
+	for (i = 0; i < b->count; i++) {
+		p = &b->list[i];
+		if (!p->routed)
+			continue;
+		sched_log(s, LOG_POOL,
+			  "pool=%.*s workers=%u home=%u coming=%u empty=%u "
+			  "cores=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
+			  "stranded=%u",
+			  BSTR_ARG(p->service->name), p->workers, p->home,
+			  p->coming, p->empty, p->cores / 1000,
+			  p->lasting / 1000, p->work / 1000,
+			  drain_ms(p, one, 0), p->stranded);
+	}
+}
+
+/* Look at all pools. */
+void move_tick(struct sched *s)
+{
+	struct balances b = {0};
+	double one;
+	size_t i;
+
+	if (!own_acts(s) || !s->settled || !s->list_whole || !s->config ||
+	    s->now < s->move_at)
+		return;
+	s->move_at = s->now + MOVE_EVERY_MS;
+	b.count = s->config->service_count;
+	b.list = xcalloc(b.count + 1, sizeof(*b.list));
+	for (i = 0; i < b.count; i++) {
+		b.list[i].service = &s->config->services[i];
+		b.list[i].routed = service_is_routed(s,
+						     b.list[i].service->name);
+		b.list[i].home = home_size(s, b.list[i].service->name);
+	}
+	balance_workers(s, &b);
+	balance_jobs(s, &b);
+	balance_machines(s, &b);
+	one = machine_cores(&b);
+	balances_log(s, &b, one);
+	if (!moves_in(s, &b, one))
+		moves_out(s, &b, one);
+	free(b.list);
+}
+
+/* The outcome of a move. */
+void move_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct machine *m;
+	struct worker *w;
+
+	HASH_FIND_BSTR(s->machines, rq->name, m);
+	if (!m || rq->epoch != s->own.epoch)
+		return;
+	w = m->worker.bstr_len ? worker_find(s, m->worker) : NULL;
+	if (a->outcome == OUT_DONE) {
+		m->moving_until = s->now + s->options.move_ms + MOVE_AGAIN_MS;
+		m->state = MACHINE_MOVING;
+		if (w) {
+			worker_lost(s, w, "moved");
+			w->gone = true;
+			w->listed = false;
+		}
+		return;
+	}
+	m->again_at = s->now + MOVE_AGAIN_MS;
+	/* Without an answer it may have been moved, or be moved later. */
+	if (a->outcome == OUT_UNKNOWN)
+		return;
+	m->moving_until = 0;
+	if (w)
+		w->leaving = false;
+}
--- a/sched-order.c
+++ b/sched-order.c
@@ -53,6 +53,7 @@
 		return;
 	TAILQ_REMOVE(&w->tasks, t, on);
 	w->used = size_sub(w->used, task_room(t));
+	w->idle_at = s->now;
 	usage_add(s, t, -1);
 	t->worker = NULL;
 	t->asked = t->stopping = false;
--- a/sched-own.c
+++ b/sched-own.c
@@ -6,6 +6,7 @@
  * replaced without knowing can harm nothing.
  */
 #include "sched-state.h"
+#include "json-read.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +14,7 @@
 #define KEY_EPOCH "epoch"
 #define KEY_BEAT "beat"
 #define KEY_WORKERS "workers"
+#define KEY_HOMES "homes"
 /* Claims of several VMs are spread over so long; the first one wins. */
 #define CLAIM_SPREAD_MS 150
 
@@ -133,6 +135,11 @@
 			workers_row_read(s, r->value);
 		return;
 	}
+	if (bstr_eq_str(r->key, KEY_HOMES)) {
+		if (!s->homes)
+			s->homes = json_read(r->value);
+		return;
+	}
 	if (!bstr_eq_str(r->key, KEY_BEAT)) {
 		wave_status_take(s, r);
 		return;
@@ -291,6 +298,7 @@
 		break;
 	default:
 		s->own.beat_at = s->now + STORE_AGAIN_MS;
+		s->homes_dirty = s->homes != NULL;
 		break;
 	}
 }
@@ -323,6 +331,11 @@
 	if (workers_note(s))
 		tx_write(t, TABLE_OWNER, bstr_lit(KEY_WORKERS),
 			 workers_row_write(s));
+	if (s->homes_dirty) {
+		tx_write(t, TABLE_OWNER, bstr_lit(KEY_HOMES),
+			 json_write(json_incref(s->homes)));
+		s->homes_dirty = false;
+	}
 	s->own.beating = true;
 	s->own.beat_sent = s->now;
 	s->own.beat_at = s->now + BEAT_MS;
--- a/sched-place.c
+++ b/sched-place.c
@@ -101,8 +101,9 @@
 		pool_measure(&p->pools[i]);
 }
 
-/* The longest chain of declared times from a step to the end of its job. */
-static int64_t chain_from(const struct occurrence *o, unsigned at)
+/* The longest chain of expected times from a step to the end of its job. */
+static int64_t chain_from(struct sched *s, const struct occurrence *o,
+			  unsigned at)
 {
 	const struct job_body *b = o->job->body;
 	int64_t longest = 0, rest;
@@ -112,22 +113,22 @@
 		for (k = 0; k < b->steps[i].after_count; k++) {
 			if (b->steps[i].after[k] != at)
 				continue;
-			rest = chain_from(o, (unsigned)i);
+			rest = chain_from(s, o, (unsigned)i);
 			if (rest > longest)
 				longest = rest;
 		}
 	}
-	return longest + b->steps[at].estimated_ms;
+	return longest + step_expected_ms(s, o->job, at);
 }
 
 /* The longest chain of a whole job. */
-static int64_t chain_whole(const struct occurrence *o)
+static int64_t chain_whole(struct sched *s, const struct occurrence *o)
 {
 	int64_t longest = 0, n;
 	unsigned i;
 
 	for (i = 0; i < o->job->body->step_count; i++) {
-		n = chain_from(o, i);
+		n = chain_from(s, o, i);
 		if (n > longest)
 			longest = n;
 	}
@@ -161,7 +162,7 @@
 	const struct job_step *st = &o->job->body->steps[at];
 	const struct route *r = route_named(s, o->job->route);
 	struct candidate *c;
-	int64_t whole = chain_whole(o);
+	int64_t whole = chain_whole(s, o);
 
 	if (p->count == p->room) {
 		p->room = p->room ? p->room * 2 : 64;
@@ -173,7 +174,7 @@
 	c->due = o->job->arrived +
 		 (int64_t)((r ? r->stretch : 1) * (double)whole) +
 		 (r ? r->objective_ms : 0);
-	if (!st->lasts && s->now + chain_from(o, at) > c->due) {
+	if (!st->lasts && s->now + chain_from(s, o, at) > c->due) {
 		c->late = true;
 		c->due = whole;
 	}
--- a/sched-state.h
+++ b/sched-state.h
@@ -184,8 +184,9 @@
 	unsigned doubt;	   /* failures in a row */
 	char doubt_job[JOB_ID_BYTES + 1];
 	int64_t doubt_until;
-	bool leaving; /* its machine is about to be taken */
-	bool taken;   /* the call that takes it is under way */
+	int64_t idle_at; /* since when it has no task */
+	bool leaving;	 /* its machine is about to be taken */
+	bool taken;	 /* the call that takes it is under way */
 	unsigned requests;
 	struct size used;
 	struct task_on tasks;
@@ -220,6 +221,7 @@
 	FOR_ADVICE,
 	FOR_MACHINES,
 	FOR_UPKEEP,
+	FOR_MOVE,
 	FOR_WAVE_ROW,
 	PURPOSE_MAX
 };
@@ -314,7 +316,9 @@
 	bstr pool;
 	bstr worker;
 	enum machine_state state;
-	bool marked;
+	bstr moving_to; /* a pool, until then */
+	int64_t moving_until;
+	int64_t again_at;
 	UT_hash_handle hh;
 };
 struct wave_machine {
@@ -352,6 +356,14 @@
 	UT_hash_handle hh;
 };
 
+/* What was learnt of the tasks of a route, whose declared times are far off. */
+struct lesson {
+	bstr route;
+	double log_ms; /* mean of the logarithm of their times */
+	double count;  /* runs that it rests on, older ones weigh less */
+	UT_hash_handle hh;
+};
+
 struct sched {
 	struct sched_options options;
 	bstr self; /* holder name */
@@ -398,6 +410,11 @@
 	int64_t list_at;
 	bool list_whole;
 	struct wave *waves;
+	int64_t move_at;
+	int64_t told_at;
+	json_t *homes; /* machines of each pool at first, or NULL */
+	bool homes_dirty;
+	struct lesson *lessons;
 };
 
 /* sched.c */
@@ -530,6 +547,15 @@
 unsigned step_on(const struct worker *w, const struct occurrence *o,
 		 unsigned at);
 
+/* sched-move.c */
+void move_tick(struct sched *s);
+void move_answer(struct sched *s, struct request *rq, struct answer *a);
+
+/* sched-learn.c */
+void learn_run(struct sched *s, const struct task *t);
+int64_t step_expected_ms(struct sched *s, const struct job *j, unsigned at);
+void lessons_free(struct sched *s);
+
 /* sched-pace.c */
 void pace_worker(struct sched *s, struct worker *w);
 
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -135,6 +135,7 @@
 		bstr_free(&m->id);
 		bstr_free(&m->pool);
 		bstr_free(&m->worker);
+		bstr_free(&m->moving_to);
 		free(m);
 	}
 	s->list_whole = false;
@@ -495,17 +496,6 @@
 	s->list_at = s->now + LIST_EVERY_MS;
 }
 
-/* Is a wave open? */
-static bool wave_is_open(const struct sched *s)
-{
-	const struct wave *v;
-
-	for (v = s->waves; v; v = v->hh.next)
-		if (v->wanted && !v->completed)
-			return true;
-	return false;
-}
-
 /* Look at the clock. */
 void wave_tick(struct sched *s)
 {
@@ -513,7 +503,7 @@
 
 	if (!own_acts(s) || !s->settled)
 		return;
-	if (wave_is_open(s) && !s->listing && s->now >= s->list_at)
+	if (!s->listing && s->now >= s->list_at)
 		machines_list(s, BSTR_NONE);
 	HASH_ITER(hh, s->waves, v, next)
 		wave_drive(s, v);
@@ -532,7 +522,36 @@
 	}
 	bstr_set(&m->pool, r->pool);
 	bstr_set(&m->worker, r->worker);
-	m->state = r->state;
+	/* A list that was asked for before a move does not show it yet. */
+	if (s->now >= m->moving_until || r->state != MACHINE_UP)
+		m->state = r->state;
+	if (r->state == MACHINE_UP && bstr_eq(r->pool, m->moving_to))
+		m->moving_until = 0;
+}
+
+/*
+ * The list has been read whole.  The sizes that the pools had before anything
+ * was moved are what the operator gave them: the first owner notes them.
+ */
+static void list_is_whole(struct sched *s)
+{
+	struct machine *m, *next;
+	char *pool;
+
+	s->list_whole = true;
+	if (s->homes)
+		return;
+	s->homes = json_object();
+	s->homes_dirty = true;
+	HASH_ITER(hh, s->machines, m, next) {
+		pool = bstr_cstr(m->pool);
+		json_object_set_new(
+			s->homes, pool,
+			json_integer(json_integer_value(
+					     json_object_get(s->homes, pool)) +
+				     1));
+		free(pool);
+	}
 }
 
 /* The list of machines, a page of it. */
@@ -550,7 +569,7 @@
 	if (a->next_page.bstr_len)
 		machines_list(s, a->next_page);
 	else
-		s->list_whole = true;
+		list_is_whole(s);
 }
 
 /*
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -178,7 +178,7 @@
 	}
 	if (!w) {
 		w = worker_new(s, r->key);
-		w->answered_at = s->now;
+		w->answered_at = w->idle_at = s->now;
 		w->clock_at = s->now;
 		s->own.beat_at = s->now; /* to note it */
 		sched_log(s, LOG_WORKER_SEEN,
@@ -431,6 +431,8 @@
 		if (n->how != END_DONE)
 			job_touch(s, t->occ->job);
 	}
+	if (n->how == END_DONE)
+		learn_run(s, t);
 	task_rest(s, t);
 	switch (n->how) {
 	case END_DONE:
--- a/sched.c
+++ b/sched.c
@@ -150,6 +150,9 @@
 	case FOR_WAVE_ROW:
 		wave_answer(s, rq, a);
 		break;
+	case FOR_MOVE:
+		move_answer(s, rq, a);
+		break;
 	case PURPOSE_MAX:
 		break;
 	}
@@ -236,6 +239,7 @@
 	job_tick(s);
 	worker_tick(s);
 	wave_tick(s);
+	move_tick(s);
 	commit_tick(s);
 	ready_tick(s);
 	stop_tick(s);
@@ -320,6 +324,7 @@
 	own_lose(s, "ended");
 	sched_workers_free(s);
 	sched_waves_free(s);
+	lessons_free(s);
 	HASH_ITER(hh, s->calls, c, next_c)
 		call_free(s, c);
 	HASH_ITER(hh, s->requests, rq, next_rq) {
@@ -344,6 +349,7 @@
 	fleet_config_free(s->config);
 	bstr_free(&s->own.holder);
 	json_decref(s->own.workers);
+	json_decref(s->homes);
 	bstr_free(&s->options.vm);
 	bstr_free(&s->options.zone);
 	free(s);
--- a/scheduler.h
+++ b/scheduler.h
@@ -375,6 +375,7 @@
 	int64_t harm_ms;
 	int64_t notice_ms;
 	int64_t maintenance_ms;
+	int64_t move_ms;
 	double far_factor;
 };
 struct sched;
