Waves take machines of busy pools only when there is no time to wait

Cause: a wave took 9 machines at once out of the pools whose queues had their turn, 15 s ahead of its time.

--- a/sched-move.c
+++ b/sched-move.c
@@ -378,6 +378,43 @@
 	}
 }
 
+/* Keep how long each pool needs, for the waves. */
+static void drains_keep(struct sched *s, const struct balances *b, double one)
+{
+	size_t i;
+
+	drains_free(s);
+	s->drains = xcalloc(b->count + 1, sizeof(*s->drains));
+	s->drain_count = b->count;
+	for (i = 0; i < b->count; i++) {
+		s->drains[i].pool = bstr_copy(b->list[i].service->name);
+		s->drains[i].ms = drain_ms(&b->list[i], one, 0);
+	}
+}
+
+/* Forget it. */
+void drains_free(struct sched *s)
+{
+	size_t i;
+
+	for (i = 0; i < s->drain_count; i++)
+		bstr_free(&s->drains[i].pool);
+	free(s->drains);
+	s->drains = NULL;
+	s->drain_count = 0;
+}
+
+/* Has a pool more to do than it can finish soon? */
+bool pool_is_busy(const struct sched *s, bstr pool)
+{
+	size_t i;
+
+	for (i = 0; i < s->drain_count; i++)
+		if (bstr_eq(s->drains[i].pool, pool))
+			return s->drains[i].ms > DRAIN_LOW_MS;
+	return false;
+}
+
 /* Look at all pools. */
 void move_tick(struct sched *s)
 {
@@ -402,6 +439,7 @@
 	balance_machines(s, &b);
 	one = machine_cores(&b);
 	balances_log(s, &b, one);
+	drains_keep(s, &b, one);
 	if (!moves_in(s, &b, one))
 		moves_out(s, &b, one);
 	free(b.list);
--- a/sched-state.h
+++ b/sched-state.h
@@ -356,6 +356,12 @@
 	UT_hash_handle hh;
 };
 
+/* How long a pool needs for its work. */
+struct drain {
+	bstr pool;
+	double ms;
+};
+
 /* What was learnt of the tasks of a route, whose declared times are far off. */
 struct lesson {
 	bstr route;
@@ -414,6 +420,8 @@
 	int64_t told_at;
 	json_t *homes; /* machines of each pool at first, or NULL */
 	bool homes_dirty;
+	struct drain *drains;
+	size_t drain_count;
 	struct lesson *lessons;
 };
 
@@ -549,6 +557,8 @@
 
 /* sched-move.c */
 void move_tick(struct sched *s);
+bool pool_is_busy(const struct sched *s, bstr pool);
+void drains_free(struct sched *s);
 void move_answer(struct sched *s, struct request *rq, struct answer *a);
 
 /* sched-learn.c */
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -18,6 +18,14 @@
 #define CLOUD_AGAIN_MS 500
 /* A machine counts as down this much longer than its maintenance takes. */
 #define AWAY_SLACK_MS 400
+/*
+ * Taking as many machines as may be down at once takes about so long: the
+ * drain, the call, the maintenance and the list that shows its end.  With
+ * more time left than that for each such step, and a reserve for trouble,
+ * machines of busy pools wait for a calmer moment.
+ */
+#define WAVE_STEP_MS 4500
+#define WAVE_RESERVE_MS 4000
 #define WAVE_NAME_MAX 40
 
 /* Find a wave. */
@@ -333,9 +341,33 @@
 	return cost;
 }
 
+/* Is there time to wait for calmer moments? */
+static bool wave_can_wait(const struct sched *s, const struct wave *v)
+{
+	unsigned left = 0;
+	size_t i;
+
+	for (i = 0; i < v->count; i++)
+		if (!v->machines[i].done)
+			left++;
+	left = (left + v->maximum - 1) / v->maximum;
+	return s->now + (int64_t)left * WAVE_STEP_MS + WAVE_RESERVE_MS <
+	       v->finish_at;
+}
+
+/* Is a machine of a pool that has much to do? */
+static bool member_is_busy(struct sched *s, const struct wave_machine *wm)
+{
+	struct worker *w;
+	const struct machine *m = member_machine(s, wm->id, &w);
+
+	return m && pool_is_busy(s, m->pool);
+}
+
 /* Choose the next machine to take down, and give it nothing new. */
 static bool wave_mark(struct sched *s, struct wave *v)
 {
+	bool wait = wave_can_wait(s, v);
 	struct wave_machine *best = NULL, *wm;
 	double least = 0, cost;
 	struct worker *w;
@@ -344,7 +376,7 @@
 	for (i = 0; i < v->count; i++) {
 		wm = &v->machines[i];
 		if (wm->done || wm->marked || wm->asked ||
-		    s->now < wm->again_at)
+		    s->now < wm->again_at || (wait && member_is_busy(s, wm)))
 			continue;
 		cost = member_cost(s, wm);
 		if (!best || cost < least) {
--- a/sched.c
+++ b/sched.c
@@ -325,6 +325,7 @@
 	sched_workers_free(s);
 	sched_waves_free(s);
 	lessons_free(s);
+	drains_free(s);
 	HASH_ITER(hh, s->calls, c, next_c)
 		call_free(s, c);
 	HASH_ITER(hh, s->requests, rq, next_rq) {
