--- a/sched-job.c
+++ b/sched-job.c
@@ -375,13 +375,31 @@
 	return n;
 }
 
-/* A task has ended as failed; it is not placed now. */
-void job_task_failed(struct sched *s, struct task *t)
+/* Was a failed run counted before? */
+static bool failure_is_known(const struct task *t, uint64_t run)
+{
+	unsigned i;
+
+	for (i = 0; i < t->fails && i < FAILED_RUNS_MAX; i++)
+		if (t->failed[i] == run)
+			return true;
+	return false;
+}
+
+/*
+ * A run of a task has ended as failed; the task is not placed now.  Ends of
+ * several workers come in any order, and again after a takeover, so each run
+ * is counted by its number.
+ */
+void job_task_failed(struct sched *s, struct task *t, uint64_t run)
 {
 	struct job *j = t->occ->job;
 
+	if (failure_is_known(t, run))
+		return;
+	if (t->fails < FAILED_RUNS_MAX)
+		t->failed[t->fails] = run;
 	t->fails++;
-	t->failed_run = t->run;
 	job_touch(s, j);
 	if (task_step(t)->lasts)
 		return;
--- a/sched-row.c
+++ b/sched-row.c
@@ -190,10 +190,37 @@
 }
 
 /*
- * Progress of an occurrence: done, failures and checkpoints by task.  With
- * the failures goes the latest run that failed: its worker lists that end
- * until it is acknowledged, and a successor must not count it again.
+ * The runs of a task that failed.  Their workers list these ends until they
+ * are acknowledged, and a successor must not count them again.
  */
+static json_t *fails_write(const struct task *t)
+{
+	json_t *runs = json_array();
+	unsigned i;
+
+	for (i = 0; i < t->fails && i < FAILED_RUNS_MAX; i++)
+		json_array_append_new(runs,
+				      json_integer((json_int_t)t->failed[i]));
+	return runs;
+}
+
+/* Read them. */
+static void fails_read(const json_t *runs, struct task *t)
+{
+	size_t i;
+	json_t *v;
+
+	json_array_foreach(runs, i, v) {
+		if (t->fails == FAILED_RUNS_MAX)
+			return;
+		t->failed[t->fails] = (uint64_t)json_integer_value(v);
+		if (t->failed[t->fails] > t->run)
+			t->run = t->failed[t->fails];
+		t->fails++;
+	}
+}
+
+/* Progress of an occurrence: done, failures and checkpoints by task. */
 static json_t *occurrence_write(const struct occurrence *o)
 {
 	json_t *fails = json_object(), *saved = json_object();
@@ -207,10 +234,7 @@
 			continue;
 		snprintf(number, sizeof(number), "%u", i);
 		if (t->fails && !task_step(t)->lasts)
-			json_object_set_new(
-				fails, number,
-				json_pack("[i, I]", (int)t->fails,
-					  (json_int_t)t->failed_run));
+			json_object_set_new(fails, number, fails_write(t));
 		if (t->checkpoint.bstr_len)
 			json_object_set_new(saved, number,
 					    bstr_json(t->checkpoint));
@@ -283,10 +307,7 @@
 		t = &o->tasks[i];
 		snprintf(number, sizeof(number), "%u", i);
 		v = json_object_get(json_object_get(j, "fails"), number);
-		t->fails = (unsigned)json_integer_value(json_array_get(v, 0));
-		t->failed_run = (uint64_t)json_integer_value(
-			json_array_get(v, 1));
-		t->run = t->failed_run;
+		fails_read(v, t);
 		v = json_object_get(json_object_get(j, "saved"), number);
 		bstr_free(&t->checkpoint);
 		t->checkpoint = json_bstr(v);
--- a/sched-state.h
+++ b/sched-state.h
@@ -76,6 +76,9 @@
 	AT_END	  /* done */
 };
 
+/* More attempts than any configuration allows need no exact count. */
+#define FAILED_RUNS_MAX 8
+
 struct task {
 	TAILQ_ENTRY(task) on; /* among its worker's */
 	struct occurrence *occ;
@@ -93,7 +96,7 @@
 	int64_t ready_at;
 	int64_t not_before;
 	unsigned fails;
-	uint64_t failed_run; /* the latest of them */
+	uint64_t failed[FAILED_RUNS_MAX]; /* the runs that did */
 	unsigned percent;
 	unsigned pace; /* percent it is let work at */
 	int64_t paced_at;
@@ -498,7 +501,7 @@
 void job_touch(struct sched *s, struct job *j);
 void job_tick(struct sched *s);
 void job_task_done(struct sched *s, struct task *t);
-void job_task_failed(struct sched *s, struct task *t);
+void job_task_failed(struct sched *s, struct task *t, uint64_t run);
 void job_unretire(struct sched *s, struct retired *r);
 void job_settle(struct sched *s, struct job *j);
 bool job_waits(const struct job *j);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -444,7 +444,7 @@
 		t->avoid = w->serial;
 		t->not_before = s->now + TASK_PAUSE_MS;
 		worker_doubt(s, w, t);
-		job_task_failed(s, t);
+		job_task_failed(s, t, n->run);
 		return;
 	case END_LAPSED:
 	case END_ALONE:
@@ -483,11 +483,11 @@
 		if (t->worker)
 			task_rest(s, t);
 		job_task_done(s, t);
-	} else if (n->how == END_FAILED && !t->worker && n->run > t->run) {
-		t->run = n->run;
-		job_task_failed(s, t);
-	} else if (n->run > t->run) {
-		t->run = n->run;
+	} else {
+		if (!t->worker && n->run > t->run)
+			t->run = n->run;
+		if (n->how == END_FAILED)
+			job_task_failed(s, t, n->run);
 	}
 	s->place = true;
 }
