--- a/sched-worker.c
+++ b/sched-worker.c
@@ -208,13 +208,16 @@
  * The workers that may hold leases of this owner are noted in the store
  * before they get work.  A worker's own row may lapse while it is cut off
  * and runs on: a successor would not know of it, and would start its tasks
- * elsewhere.  True: there are some that are not noted yet.
+ * elsewhere.  True: there are some that are not noted yet.  Not while the
+ * owner loads: what the one before it noted may not have been read.
  */
 bool workers_note(struct sched *s)
 {
 	struct worker *w, *next;
 	bool any = false;
 
+	if (s->own.state != OWN_YES)
+		return false;
 	HASH_ITER(hh, s->workers, w, next) {
 		w->noting = true;
 		any = any || !w->noted;
