A small world for the scheduler; what the thawed owner does is tested

Cause: an owner that thawed took the answers that waited before it looked at the clock, and started tasks in doubt of its ownership; when the doubt was over it did not look for work again, so the refused tasks never began.

--- a/sched-place.c
+++ b/sched-place.c
@@ -404,9 +404,10 @@
 	struct size need;
 	size_t i;
 
-	s->place = false;
+	/* What can't be placed now is looked at again when it can. */
 	if (!own_starts(s))
 		return;
+	s->place = false;
 	pools_make(s, &p);
 	candidates_make(s, &p);
 	if (p.count)
--- a/sched-state.h
+++ b/sched-state.h
@@ -378,7 +378,7 @@
 	bstr self; /* holder name */
 	int64_t now;
 	int64_t wall;
-	int64_t ticked_at;
+	int64_t seen_at; /* the latest event */
 	struct sched_effects *out;
 	uint64_t last_request;
 	uint32_t last_worker;
--- a/sched.c
+++ b/sched.c
@@ -178,17 +178,18 @@
 
 /*
  * A process that did not run for a while may have lost its ownership: it
- * gives no order before the store has told that it has not.
+ * gives no order before the store has told that it has not.  Answers that
+ * waited come before the next tick, so each event is looked at.
  */
 static void suspension_check(struct sched *s)
 {
-	int64_t gap = s->now - s->ticked_at;
+	int64_t gap = s->now - s->seen_at;
 
-	if (s->ticked_at && gap > SUSPENDED_MS) {
+	if (s->seen_at && gap > SUSPENDED_MS) {
 		sched_log(s, LOG_SUSPENDED, "gap_ms=%lld", (long long)gap);
 		own_doubt(s, "suspended");
 	}
-	s->ticked_at = s->now;
+	s->seen_at = s->now;
 }
 
 /* Say whether this VM wants new connections, when that changes. */
@@ -232,7 +233,6 @@
 /* Look at the clock. */
 static void tick_take(struct sched *s)
 {
-	suspension_check(s);
 	follow_tick(s);
 	own_tick(s);
 	call_tick(s);
@@ -252,6 +252,7 @@
 	s->now = ev->now;
 	s->wall = ev->wall;
 	s->out = out;
+	suspension_check(s);
 	switch (ev->kind) {
 	case EVENT_TICK:
 		tick_take(s);
--- /dev/null
+++ b/tests/support-world.h
@@ -0,0 +1,82 @@
+/*
+ * A small world for the scheduler: several entry VMs, a store, workers and
+ * machines on a simulated clock, with the platform's rules for fences,
+ * leases, ends, revisions and orders that are carried out late.  It checks
+ * after each event what must always hold, from the workers' own truth.
+ */
+#ifndef SUPPORT_WORLD_H
+#define SUPPORT_WORLD_H
+
+#include "scheduler.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define WORLD_VMS 4
+#define WORLD_WORKERS 6
+
+enum world_store_mode {
+	STORE_GOOD,
+	STORE_SILENT,  /* nothing is done and nothing answered */
+	STORE_REFUSES, /* nothing is done, and said so */
+	STORE_LOSES    /* writes are done and not answered */
+};
+
+struct world_job {
+	unsigned tasks;	     /* of the first step */
+	unsigned more_tasks; /* of a second step after it; 0: none */
+	unsigned task_ms;
+	unsigned fails; /* first runs of each task that fail */
+	bool lasts;
+	unsigned apart;
+	unsigned may_miss;
+};
+
+struct world;
+struct world *world_new(uint64_t seed, unsigned vms, unsigned workers);
+void world_free(struct world *w);
+void world_run(struct world *w, int64_t ms);
+
+/* Callers.  A call's status is 0 until it is answered. */
+uint64_t world_submit(struct world *w, unsigned vm, const char *id,
+		      const struct world_job *job);
+uint64_t world_call(struct world *w, unsigned vm, enum call_verb verb,
+		    const char *id);
+int world_status(const struct world *w, uint64_t call);
+const char *world_text(const struct world *w, uint64_t call);
+uint64_t world_waiting(const struct world *w, uint64_t call);
+
+/* Faults. */
+void world_kill(struct world *w, unsigned vm);
+void world_start(struct world *w, unsigned vm);
+void world_stop(struct world *w, unsigned vm); /* planned */
+void world_freeze(struct world *w, unsigned vm, int64_t ms);
+void world_cut_store(struct world *w, unsigned vm, bool cut);
+void world_cut_worker(struct world *w, unsigned vm, unsigned worker, bool cut);
+void world_store(struct world *w, enum world_store_mode mode);
+void world_store_vm(struct world *w, unsigned vm, enum world_store_mode mode);
+void world_compact(struct world *w); /* the feeds' history goes */
+void world_unlist(struct world *w, unsigned worker, bool gone); /* its row */
+void world_crash(struct world *w, unsigned worker); /* new life, same id */
+void world_drain(struct world *w, unsigned worker);
+void world_late(struct world *w, unsigned percent); /* orders done late */
+void world_fail_all(struct world *w, unsigned worker, bool fail);
+void world_limit(struct world *w, int64_t cpu); /* of the organisation */
+void world_wave(struct world *w, unsigned machines, unsigned maximum);
+void world_keys(struct world *w, bool given); /* the organisation's key */
+
+/* What there is to see. */
+int world_owner(const struct world *w);	      /* who acts; -1: nobody */
+unsigned world_starts(const struct world *w); /* that workers carried out */
+unsigned world_starts_of(const struct world *w, unsigned worker);
+unsigned world_taken(const struct world *w); /* machines maintained */
+bool world_wave_is_completed(const struct world *w);
+const char *world_state(struct world *w, const char *id); /* by the store */
+const char *world_broken(const struct world *w); /* NULL: all promises kept */
+struct sched *world_sched(struct world *w, unsigned vm);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/tests/test-sched.c
@@ -0,0 +1,511 @@
+/*
+ * The scheduler in a small world: what callers see of jobs while VMs, the
+ * store, workers and machines fail.  Each failure is a row of a table.
+ */
+#include "support-world.h"
+
+#include <criterion/criterion.h>
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "10000000000000bb"
+#define JOB_C "f0000000000000cc"
+
+static const struct world_job quick = {.tasks = 3, .task_ms = 400};
+static const struct world_job chain = {
+	.tasks = 4, .more_tasks = 3, .task_ms = 500};
+static const struct world_job lasting = {
+	.tasks = 4, .lasts = true, .apart = 1, .may_miss = 1};
+static const struct world_job crowded = {
+	.tasks = 4, .lasts = true, .may_miss = 1};
+static const struct world_job flaky = {.tasks = 2, .task_ms = 300, .fails = 2};
+
+/* A world in which somebody owns the scheduling and workers are known. */
+static struct world *calm(uint64_t seed)
+{
+	struct world *w = world_new(seed, 4, 6);
+
+	world_run(w, 2000);
+	cr_assert_neq(world_owner(w), -1);
+	return w;
+}
+
+/* The VM that owns the scheduling, or another one. */
+static unsigned owner(struct world *w)
+{
+	int n = world_owner(w);
+
+	cr_assert_neq(n, -1, "nobody owns the scheduling");
+	return (unsigned)n;
+}
+static unsigned other(struct world *w)
+{
+	return (owner(w) + 1) % 4;
+}
+
+/* Check that all was kept, and free the world. */
+static void check_free(struct world *w)
+{
+	cr_expect_null(world_broken(w), "%s", world_broken(w));
+	world_free(w);
+}
+
+/* What callers get on a calm day. */
+Test(sched, calm_day)
+{
+	struct world *w = calm(1);
+	uint64_t a = world_submit(w, other(w), JOB_A, &chain), b, c;
+
+	world_run(w, 20);
+	cr_expect_eq(world_status(w, a), 200);
+	a = world_call(w, owner(w), VERB_STATE, JOB_A);
+	b = world_call(w, other(w), VERB_STATE, JOB_B);
+	c = world_submit(w, owner(w), JOB_A, &chain);
+	world_run(w, 60);
+	cr_expect_eq(world_status(w, a), 200);
+	cr_expect_eq(world_status(w, b), 410, "no such job");
+	cr_expect_eq(world_status(w, c), 200, "a repeated submit is one job");
+	world_run(w, 1500);
+	a = world_call(w, other(w), VERB_STATE, JOB_A);
+	world_run(w, 20);
+	cr_expect_str_eq(world_text(w, a), "completed");
+	cr_expect_eq(world_starts(w), 7);
+	check_free(w);
+}
+
+/* A key that was taken away stops working, and gets 401. */
+Test(sched, key_withdrawn)
+{
+	struct world *w = calm(2);
+	uint64_t a;
+
+	world_keys(w, false);
+	world_run(w, 20);
+	a = world_submit(w, other(w), JOB_A, &quick);
+	world_run(w, 20);
+	cr_expect_eq(world_status(w, a), 401);
+	world_keys(w, true);
+	world_run(w, 20);
+	a = world_submit(w, other(w), JOB_A, &quick);
+	world_run(w, 20);
+	cr_expect_eq(world_status(w, a), 200);
+	check_free(w);
+}
+
+/* A cancelled job's tasks end and no more of it begin. */
+Test(sched, cancel)
+{
+	struct world *w = calm(3);
+	uint64_t a;
+	unsigned starts;
+
+	world_submit(w, other(w), JOB_A, &lasting);
+	world_run(w, 200);
+	a = world_call(w, other(w), VERB_CANCEL, JOB_A);
+	world_run(w, 600);
+	cr_expect_eq(world_status(w, a), 200);
+	cr_expect_str_eq(world_state(w, JOB_A), "cancelled");
+	starts = world_starts(w);
+	world_run(w, 3000);
+	cr_expect_eq(world_starts(w), starts);
+	check_free(w);
+}
+
+/* No more runs than the organisation's limit; the rest waits. */
+Test(sched, upper_limit)
+{
+	struct world *w = calm(4);
+	uint64_t a;
+
+	world_limit(w, 4000);
+	world_run(w, 20);
+	world_submit(w, 0, JOB_A, &chain);
+	world_submit(w, 1, JOB_B, &chain);
+	world_run(w, 60);
+	a = world_call(w, owner(w), VERB_STATE, "");
+	world_run(w, 10);
+	cr_expect_eq(world_waiting(w, a), 1, "one job has no task yet");
+	a = world_call(w, other(w), VERB_STATE, "");
+	world_run(w, 500);
+	world_run(w, 6000);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	cr_expect_str_eq(world_state(w, JOB_B), "completed");
+	check_free(w);
+}
+
+/* A task that fails fewer times than its queue allows is done in the end. */
+Test(sched, failing_tasks)
+{
+	static const struct world_job hopeless = {
+		.tasks = 1, .task_ms = 100, .fails = 99};
+	struct world *w = calm(5);
+
+	world_submit(w, 0, JOB_A, &flaky);
+	world_submit(w, 0, JOB_B, &hopeless);
+	world_run(w, 3000);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	cr_expect_str_eq(world_state(w, JOB_B), "failed");
+	cr_expect_eq(world_starts(w), 2 * 3 + 3);
+	check_free(w);
+}
+
+/* What happens to the owner while jobs run. */
+enum owner_fault {
+	OWNER_KILLED,
+	OWNER_STOPPED,
+	OWNER_FROZEN,
+	OWNER_CUT,
+	OWNER_REFUSED,
+	OWNER_ALL_KILLED,
+	OWNER_STORE_DOWN,
+	OWNER_STORE_LOSES,
+	OWNER_HISTORY_GONE,
+	OWNER_SHORT_FREEZE
+};
+static void owner_hurt(struct world *w, enum owner_fault fault)
+{
+	unsigned n = owner(w), i;
+
+	switch (fault) {
+	case OWNER_KILLED:
+		world_kill(w, n);
+		break;
+	case OWNER_STOPPED:
+		world_stop(w, n);
+		break;
+	case OWNER_FROZEN:
+		world_freeze(w, n, 6000);
+		break;
+	case OWNER_SHORT_FREEZE:
+		world_freeze(w, n, 1400);
+		break;
+	case OWNER_CUT:
+		world_cut_store(w, n, true);
+		break;
+	case OWNER_REFUSED:
+		world_store_vm(w, n, STORE_REFUSES);
+		break;
+	case OWNER_ALL_KILLED:
+		for (i = 0; i < 4; i++)
+			world_kill(w, i);
+		world_run(w, 700);
+		for (i = 0; i < 4; i++)
+			world_start(w, i);
+		break;
+	case OWNER_STORE_DOWN:
+		world_store(w, STORE_SILENT);
+		world_run(w, 3000);
+		world_store(w, STORE_GOOD);
+		break;
+	case OWNER_STORE_LOSES:
+		world_store(w, STORE_LOSES);
+		world_run(w, 1500);
+		world_store(w, STORE_GOOD);
+		break;
+	case OWNER_HISTORY_GONE:
+		world_compact(w);
+		break;
+	}
+}
+
+/*
+ * The owner is lost at any moment of a job of two steps and a lasting one.
+ * The caller sees the job completed, and each task runs once: the successor
+ * takes over what runs, and what has ended was acknowledged only after it was
+ * durable.
+ */
+static const struct {
+	const char *name;
+	enum owner_fault fault;
+} owner_faults[] = {
+	{"killed", OWNER_KILLED},
+	{"stopped by plan", OWNER_STOPPED},
+	{"frozen past its lease", OWNER_FROZEN},
+	{"frozen for a moment", OWNER_SHORT_FREEZE},
+	{"cut off from the store", OWNER_CUT},
+	{"refused by the store", OWNER_REFUSED},
+	{"killed with all others", OWNER_ALL_KILLED},
+	{"without a store for 3 s", OWNER_STORE_DOWN},
+	{"without answers to its writes", OWNER_STORE_LOSES},
+	{"without the feeds' history", OWNER_HISTORY_GONE},
+};
+static void owner_lost(const char *name, enum owner_fault fault, int64_t at)
+{
+	struct world *w = calm(100 + (uint64_t)at);
+	uint64_t a;
+
+	world_submit(w, other(w), JOB_B, &lasting);
+	world_run(w, 300);
+	world_submit(w, other(w), JOB_A, &chain);
+	world_run(w, at);
+	owner_hurt(w, fault);
+	world_run(w, 9000);
+	a = world_call(w, owner(w), VERB_STATE, JOB_A);
+	world_run(w, 50);
+	cr_expect_str_eq(world_text(w, a), "completed", "%s at %lld", name,
+			 (long long)at);
+	cr_expect_eq(world_starts(w), 11, "%u starts, %s at %lld",
+		     world_starts(w), name, (long long)at);
+	check_free(w);
+}
+Test(sched, owner_lost)
+{
+	size_t i;
+	int k;
+
+	for (i = 0; i < sizeof(owner_faults) / sizeof(owner_faults[0]); i++)
+		for (k = 0; k < 8; k++)
+			owner_lost(owner_faults[i].name, owner_faults[i].fault,
+				   5 + 167 * k);
+}
+
+/*
+ * The owner is cut off from the store and from one worker, and is replaced;
+ * the successor renews that worker.  The old owner sees a silent worker whose
+ * lease, as it knows it, is over, and must not start its tasks elsewhere.
+ */
+Test(sched, replaced_owner_sees_silent_worker)
+{
+	struct world *w = calm(7);
+	unsigned n, i;
+
+	world_submit(w, other(w), JOB_A, &lasting);
+	world_run(w, 500);
+	n = owner(w);
+	world_cut_store(w, n, true);
+	for (i = 0; i < 3; i++)
+		world_cut_worker(w, n, i, true);
+	world_run(w, 12000);
+	cr_expect_neq(owner(w), n);
+	cr_expect_eq(world_starts(w), 4);
+	check_free(w);
+}
+
+/*
+ * A data centre is cut off with the owner and two workers in it.  The
+ * workers' rows lapse, the successor does not see them, and the old owner
+ * goes on renewing them for a while: their tasks may start elsewhere only
+ * when no lease of the old owner can hold any more.
+ */
+Test(sched, cut_workers_have_no_rows)
+{
+	struct world *w = calm(8);
+	unsigned n, i, k;
+
+	world_submit(w, other(w), JOB_A, &lasting);
+	world_submit(w, other(w), JOB_B, &lasting);
+	world_run(w, 500);
+	n = owner(w);
+	world_cut_store(w, n, true);
+	for (i = 0; i < 6; i++)
+		for (k = 0; k < 4; k++)
+			world_cut_worker(w, k, i, (i < 2) != (k == n));
+	world_unlist(w, 0, true);
+	world_unlist(w, 1, true);
+	world_run(w, 3000);
+	/* A second change of owner, before the first has settled. */
+	world_stop(w, owner(w));
+	world_run(w, 12000);
+	check_free(w);
+}
+
+/* A store that is away for long lets what runs go on or end, never twice. */
+Test(sched, long_outage)
+{
+	struct world *w = calm(9);
+
+	world_submit(w, other(w), JOB_A, &lasting);
+	world_run(w, 500);
+	world_store(w, STORE_REFUSES);
+	world_run(w, 12000);
+	world_store(w, STORE_GOOD);
+	world_run(w, 9000);
+	cr_expect_geq(world_starts(w), 4);
+	check_free(w);
+}
+
+/* While the store is away, callers are refused at once, not held. */
+Test(sched, refused_at_once)
+{
+	struct world *w = calm(10);
+	uint64_t a;
+
+	world_store(w, STORE_REFUSES);
+	world_run(w, 500);
+	a = world_submit(w, other(w), JOB_A, &quick);
+	world_run(w, 1);
+	cr_expect_eq(world_status(w, a), 503);
+	world_store(w, STORE_GOOD);
+	world_run(w, 500);
+	cr_expect_eq(world_starts(w), 0, "refused work has not run");
+	check_free(w);
+}
+
+/*
+ * The answer to storing a job is lost.  The caller is told 200 once a second
+ * try has found the row, and it is one job.
+ */
+Test(sched, lost_answer)
+{
+	struct world *w = calm(11);
+	uint64_t a;
+
+	world_store(w, STORE_LOSES);
+	a = world_submit(w, other(w), JOB_A, &quick);
+	world_run(w, 100);
+	world_store(w, STORE_GOOD);
+	world_run(w, 2500);
+	cr_expect_eq(world_status(w, a), 200);
+	cr_expect_eq(world_starts(w), 3);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	check_free(w);
+}
+
+/* Workers that leave, crash, fall silent or fail all they run. */
+Test(sched, draining_worker_gets_nothing)
+{
+	struct world *w = calm(12);
+	unsigned i, before;
+
+	for (i = 0; i < 5; i++)
+		world_drain(w, i);
+	world_run(w, 50);
+	before = world_starts_of(w, 0);
+	world_submit(w, 0, JOB_A, &chain);
+	world_run(w, 3000);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	cr_expect_eq(world_starts_of(w, 0), before);
+	cr_expect_eq(world_starts_of(w, 5), 7);
+	check_free(w);
+}
+Test(sched, worker_crashes)
+{
+	struct world *w = calm(13);
+	unsigned i;
+
+	world_submit(w, 0, JOB_A, &lasting);
+	world_run(w, 300);
+	for (i = 0; i < 6; i++)
+		world_crash(w, i);
+	world_run(w, 3000);
+	cr_expect_eq(world_starts(w), 8, "%u", world_starts(w));
+	check_free(w);
+}
+Test(sched, worker_is_silent)
+{
+	struct world *w = calm(14);
+	unsigned k;
+
+	world_submit(w, 0, JOB_A, &chain);
+	world_run(w, 100);
+	for (k = 0; k < 4; k++)
+		world_cut_worker(w, k, 0, true);
+	world_run(w, 9000);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	check_free(w);
+}
+Test(sched, worker_fails_all)
+{
+	struct world *w = calm(15);
+
+	world_fail_all(w, 0, true);
+	world_submit(w, 0, JOB_A, &chain);
+	world_submit(w, 0, JOB_B, &chain);
+	world_submit(w, 0, JOB_C, &chain);
+	world_run(w, 6000);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	cr_expect_str_eq(world_state(w, JOB_B), "completed");
+	cr_expect_str_eq(world_state(w, JOB_C), "completed");
+	check_free(w);
+}
+
+/* Orders that get no answer and are carried out seconds later. */
+Test(sched, late_orders)
+{
+	struct world *w = calm(16);
+
+	world_late(w, 30);
+	world_submit(w, 0, JOB_A, &chain);
+	world_submit(w, 0, JOB_B, &lasting);
+	world_run(w, 15000);
+	world_late(w, 0);
+	world_run(w, 5000);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	check_free(w);
+}
+
+/*
+ * Ends by failure of two workers reach a successor in any order and were
+ * partly counted before: a task that failed twice of three times is not
+ * given up, and one that failed three times is not started again.
+ */
+Test(sched, failures_counted_once)
+{
+	int64_t at;
+
+	for (at = 100; at < 1200; at += 50) {
+		struct world *w = calm(17);
+
+		world_submit(w, other(w), JOB_A, &flaky);
+		world_run(w, at);
+		world_store_vm(w, owner(w), STORE_REFUSES);
+		world_run(w, 8000);
+		cr_expect_str_eq(world_state(w, JOB_A), "completed",
+				 "cut at %lld", (long long)at);
+		cr_expect_eq(world_starts(w), 6, "%u starts, cut at %lld",
+			     world_starts(w), (long long)at);
+		check_free(w);
+	}
+}
+
+/* Maintenance waves: every machine once, never too many at once. */
+Test(sched, wave)
+{
+	struct world *w = calm(18);
+
+	world_submit(w, 0, JOB_A, &lasting);
+	world_submit(w, 0, JOB_B, &lasting);
+	world_run(w, 500);
+	world_wave(w, 6, 3);
+	world_run(w, 25000);
+	cr_expect_eq(world_taken(w), 6);
+	cr_expect(world_wave_is_completed(w));
+	check_free(w);
+}
+Test(sched, wave_thins_crowded_workers)
+{
+	struct world *w = world_new(19, 4, 2);
+
+	world_run(w, 2000);
+	world_submit(w, 0, JOB_A, &crowded);
+	world_run(w, 500);
+	world_wave(w, 2, 1);
+	world_run(w, 25000);
+	check_free(w);
+}
+
+/*
+ * The owner is lost in the middle of a wave.  Its successor asks again for
+ * machines that have been taken already, which succeeds: the new workers'
+ * tasks go on and are not started elsewhere.
+ */
+Test(sched, wave_changes_hands)
+{
+	int64_t at;
+
+	for (at = 200; at < 4000; at += 350) {
+		struct world *w = calm(20 + (uint64_t)at);
+
+		world_submit(w, 0, JOB_A, &lasting);
+		world_submit(w, 0, JOB_B, &lasting);
+		world_run(w, 500);
+		world_wave(w, 6, 2);
+		world_run(w, at);
+		world_kill(w, owner(w));
+		world_run(w, 28000);
+		cr_expect_eq(world_taken(w), 6, "killed at %lld",
+			     (long long)at);
+		cr_expect(world_wave_is_completed(w), "killed at %lld",
+			  (long long)at);
+		check_free(w);
+	}
+}
