--- a/sched-place.c
+++ b/sched-place.c
@@ -151,6 +151,8 @@
 			t->ready_at = s->now;
 		if (s->now >= t->not_before)
 			waits = true;
+		else
+			s->pauses = true;
 	}
 	return waits;
 }
@@ -407,9 +409,14 @@
 	/* What can't be placed now is looked at again when it can. */
 	if (!own_starts(s))
 		return;
-	s->place = false;
+	s->place = s->pauses = false;
 	pools_make(s, &p);
 	candidates_make(s, &p);
+	/*
+	 * What waits may wait for a pause to end, or for a worker to be well
+	 * again, which no event tells: it is looked at again with the clock.
+	 */
+	s->waits = p.count > 0 || s->pauses;
 	if (p.count)
 		qsort(p.list, p.count, sizeof(*p.list), candidate_cmp);
 	for (i = 0; i < p.count; i++) {
--- a/sched-state.h
+++ b/sched-state.h
@@ -414,6 +414,8 @@
 	struct usage *usage;
 	bool settled; /* all workers' lists are known, or their leases over */
 	bool place;   /* something changed: look for work to place */
+	bool pauses;  /* some task's pause has not ended */
+	bool waits;   /* some task was left waiting */
 	struct machine *machines;
 	bool listing;
 	int64_t list_at;
--- a/sched.c
+++ b/sched.c
@@ -233,6 +233,7 @@
 /* Look at the clock. */
 static void tick_take(struct sched *s)
 {
+	s->place = s->place || s->waits;
 	follow_tick(s);
 	own_tick(s);
 	call_tick(s);
