--- a/sched-order.c
+++ b/sched-order.c
@@ -29,6 +29,8 @@
 
 	t->worker = w;
 	t->run = run;
+	if (run > t->top_run)
+		t->top_run = run;
 	t->stopping = false;
 	t->pace = 100;
 	t->percent = 0;
--- a/sched-place.c
+++ b/sched-place.c
@@ -317,7 +317,7 @@
 {
 	uint64_t base = (s->own.epoch - 1) * RUNS_PER_EPOCH;
 
-	return (t->run > base ? t->run : base) + 1;
+	return (t->top_run > base ? t->top_run : base) + 1;
 }
 
 /* Place the tasks of a step, one by one. */
--- a/sched-row.c
+++ b/sched-row.c
@@ -214,8 +214,8 @@
 		if (t->fails == FAILED_RUNS_MAX)
 			return;
 		t->failed[t->fails] = (uint64_t)json_integer_value(v);
-		if (t->failed[t->fails] > t->run)
-			t->run = t->failed[t->fails];
+		if (t->failed[t->fails] > t->top_run)
+			t->top_run = t->failed[t->fails];
 		t->fails++;
 	}
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -86,7 +86,8 @@
 	unsigned index; /* within the step */
 	enum run_phase phase;
 	struct worker *worker; /* AT_START, AT_WORK */
-	uint64_t run;	       /* the latest */
+	uint64_t run;	       /* where it is */
+	uint64_t top_run;      /* the highest of all */
 	bool asked;	       /* its start is under way */
 	bool stopping;
 	int64_t stop_at;  /* when to say so again */
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -123,6 +123,8 @@
 	w->seen_seq = 0;
 	w->fenced = false;
 	w->lease_end = 0;
+	w->clock = 0; /* it starts anew as well */
+	w->clock_at = s->now;
 	w->look_at = s->now;
 	w->doubt = 0;
 }
@@ -487,8 +489,8 @@
 			task_rest(s, t);
 		job_task_done(s, t);
 	} else {
-		if (!t->worker && n->run > t->run)
-			t->run = n->run;
+		if (n->run > t->top_run)
+			t->top_run = n->run;
 		if (n->how == END_FAILED)
 			job_task_failed(s, t, n->run);
 	}
@@ -517,8 +519,11 @@
 	struct job *j;
 	struct task *t = task_find(s, r->task, &j);
 
-	if (t && t->phase == AT_REST && j->fate <= FATE_RUNNING &&
-	    r->run > t->run)
+	/*
+	 * A run of an earlier owner, or one whose start had no answer: since
+	 * the task is nowhere else, it is the task's.
+	 */
+	if (t && t->phase == AT_REST && j->fate <= FATE_RUNNING)
 		task_adopt(s, t, w, r->run);
 	if (!t || t->worker != w || t->run != r->run) {
 		if (w->strays_due)
@@ -585,10 +590,14 @@
 
 	if (a->born && a->born != w->born)
 		worker_reborn(s, w, a->born);
+	/*
+	 * A clock that goes back: an answer that a newer one has overtaken,
+	 * or a new life of a worker that does not say when it was born.
+	 */
 	if (a->clock < w->clock) {
-		if (a->sent_at < w->clock_at)
-			return; /* overtaken by a newer answer */
-		worker_reborn(s, w, a->born);
+		if (a->born || a->sent_at < w->clock_at)
+			return;
+		worker_reborn(s, w, 0);
 	}
 	w->clock = a->clock;
 	w->clock_at = s->now;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -9,6 +9,7 @@
 #define LEASE_MAX_MS 6000
 #define STOP_MS 200
 #define MAINTENANCE_MS 2000
+#define NOTICE_MS 4500
 #define RUNS_MAX 64
 #define ENDS_MAX 512
 #define ROWS_MAX 2048
@@ -87,6 +88,7 @@
 	uint64_t order;
 	unsigned vm;
 	unsigned life;
+	unsigned worker_life;	    /* of a late order: it dies with it */
 	struct sched_effect *ask;   /* arrives at its target */
 	struct sched_event *answer; /* arrives at the VM */
 	int64_t give_up_at;	    /* a feed or hold that waits */
@@ -96,6 +98,8 @@
 struct task_note {
 	char name[64];
 	bool done_acked;
+	bool ended_by_order;
+	int64_t seen_at; /* at work */
 	unsigned runs;
 };
 
@@ -132,6 +136,7 @@
 	struct task_note notes[NAMES_MAX];
 	unsigned note_count;
 	unsigned starts;
+	unsigned asker_life; /* of what is being dealt with */
 	unsigned wave_machines;
 	unsigned wave_maximum;
 	bool maintained[WORLD_WORKERS];
@@ -184,6 +189,19 @@
 	return w->now - w->workers[i].born + 1;
 }
 
+/* Is a job's cancel in the store? */
+static bool job_is_cancelled(const struct world *w, const char *name)
+{
+	unsigned i;
+
+	for (i = 0; i < w->row_count; i++)
+		if (w->rows[i].table == TABLE_JOBS &&
+		    !strncmp(w->rows[i].key, name, JOB_ID_BYTES) &&
+		    w->rows[i].key[JOB_ID_BYTES])
+			return true;
+	return false;
+}
+
 /* Find a row, or make one. */
 static struct world_row *row_get(struct world *w, enum table table,
 				 const char *key)
@@ -295,7 +313,7 @@
 	p->at = at;
 	p->order = ++w->order;
 	p->vm = vm;
-	p->life = w->vms[vm].life;
+	p->life = w->asker_life;
 	TAILQ_FOREACH(q, list, entry) {
 		if (q->at > at) {
 			TAILQ_INSERT_BEFORE(q, p, entry);
@@ -323,7 +341,11 @@
 static void answer_send(struct world *w, unsigned vm, struct sched_event *ev,
 			int64_t at)
 {
-	pending_add(w, &w->pending, at, vm)->answer = ev;
+	struct pending *p = pending_add(w, &w->pending, at, vm);
+
+	/* An answer goes to the life that asked; its ids mean no other. */
+	p->answer = ev;
+	p->life = w->asker_life;
 }
 
 /* No answer: the VM's own client gives up at the deadline. */
@@ -413,13 +435,14 @@
 	struct pending *p, *next;
 	struct sched_event *ev;
 	const struct range *r;
-	unsigned i;
+	unsigned i, life = w->asker_life;
 	bool any;
 
 	for (p = TAILQ_FIRST(&w->waiting); p; p = next) {
 		next = TAILQ_NEXT(p, entry);
 		if (p->ask->ask.kind != ASK_FEED)
 			continue;
+		w->asker_life = p->life;
 		r = &p->ask->ask.range;
 		for (any = false, i = 0; i < w->row_count; i++)
 			any = any || (w->rows[i].table == r->table &&
@@ -436,6 +459,7 @@
 		sched_effect_free(p->ask);
 		free(p);
 	}
+	w->asker_life = life;
 }
 
 /* Carry out a transaction; false: a condition does not hold. */
@@ -564,11 +588,13 @@
 	for (i = k->run_count; i-- > 0;) {
 		struct world_run *r = &k->runs[i];
 
+		note_of(w, r->name)->seen_at = w->now;
 		if (worker_now(w, n) > k->lease_end)
 			run_end(k, i, END_LAPSED);
-		else if (r->stop_at && w->now >= r->stop_at)
+		else if (r->stop_at && w->now >= r->stop_at) {
+			note_of(w, r->name)->ended_by_order = true;
 			run_end(k, i, END_STOPPED);
-		else if (r->ends_at && w->now >= r->ends_at)
+		} else if (r->ends_at && w->now >= r->ends_at)
 			run_end(k, i,
 				r->fails || k->fails ? END_FAILED : END_DONE);
 	}
@@ -675,6 +701,7 @@
 	r->vm = vm;
 	r->ends_at = !j || j->lasts ? 0 : w->now + j->task_ms;
 	r->fails = j && note_of(w, name)->runs++ < j->fails;
+	note_of(w, name)->ended_by_order = false;
 	w->starts++;
 	k->starts++;
 	start_check(w, name);
@@ -720,6 +747,7 @@
 		next = TAILQ_NEXT(p, entry);
 		if (p->ask->ask.kind != ASK_HOLD)
 			continue;
+		w->asker_life = p->life;
 		n = (unsigned)(p->ask->ask.order.address.bstr_val[1] - '0');
 		k = &w->workers[n];
 		if (w->now < p->give_up_at &&
@@ -794,6 +822,7 @@
 			vm);
 		p->ask = fx;
 		p->life = UINT32_MAX; /* nobody waits for it */
+		p->worker_life = w->workers[n].life;
 		return;
 	}
 	refusal = order_apply(w, vm, n, &fx->ask);
@@ -822,41 +851,51 @@
 	struct world_worker *k = &w->workers[n];
 	unsigned life = k->life, starts = k->starts;
 	bool listed = k->listed, fails = k->fails;
+	bool draining = k->draining;
 
 	memset(k, 0, sizeof(*k));
 	k->life = life + 1;
 	k->starts = starts;
 	k->listed = listed;
 	k->fails = fails;
+	k->draining = draining;
 	k->born = w->now + down_ms;
 	k->down_until = w->now + down_ms;
 }
 
-/* Lasting tasks that are away because of maintenance, for the budget. */
+/*
+ * Is a task away, for the budget of planned work?  It is if an order ended
+ * it, or if it has not been at work for longer than the notice.
+ */
+static bool task_is_away(struct world *w, const char *name)
+{
+	const struct task_note *note = note_of(w, name);
+
+	return note->ended_by_order || w->now - note->seen_at > NOTICE_MS;
+}
+
+/* Does maintenance of a worker take more of a lasting step than it may? */
 static void maintenance_check(struct world *w, unsigned n)
 {
-	const struct world_worker *k = &w->workers[n];
+	struct world_worker *k = &w->workers[n];
 	const struct world_job *j;
-	unsigned i, on, others, m, r;
+	unsigned i, t, away;
+	char name[64];
 
 	for (i = 0; i < k->run_count; i++) {
 		j = job_of(w, k->runs[i].name);
-		if (!j || !j->may_miss)
+		if (!j || !j->may_miss || job_is_cancelled(w, k->runs[i].name))
 			continue;
-		for (others = 0, m = 0; m < w->worker_count; m++)
-			for (r = 0; r < w->workers[m].run_count; r++)
-				others += m != n &&
-					  !w->workers[m].runs[r].stop_at &&
-					  !strncmp(w->workers[m].runs[r].name,
-						   k->runs[i].name,
-						   JOB_ID_BYTES);
-		for (on = 0, r = 0; r < k->run_count; r++)
-			on += !strncmp(k->runs[r].name, k->runs[i].name,
-				       JOB_ID_BYTES);
-		(void)on;
-		if (j->tasks - others > j->may_miss)
+		for (t = 0, away = 0; t < j->tasks; t++) {
+			snprintf(name, sizeof(name), "%.16s.0.0.%u",
+				 k->runs[i].name, t);
+			away += strcmp(name, k->runs[i].name) != 0 &&
+				task_is_away(w, name);
+		}
+		if (away >= j->may_miss)
 			break_promise(w, "maintenance takes too many",
 				      k->runs[i].name);
+		note_of(w, k->runs[i].name)->ended_by_order = true;
 	}
 }
 
@@ -948,6 +987,7 @@
 	struct pending *p;
 
 	TAILQ_INIT(&out);
+	w->asker_life = w->vms[vm].life;
 	ev->now = w->now;
 	ev->wall = WALL_BASE + w->now;
 	sched_reduce(w->vms[vm].sched, ev, &out);
@@ -975,11 +1015,12 @@
 {
 	struct world_vm *v = &w->vms[p->vm];
 
+	w->asker_life = p->life;
 	if (p->ask && p->life == UINT32_MAX) {
 		unsigned n = (unsigned)(p->ask->ask.order.address.bstr_val[1] -
 					'0');
 
-		if (w->now >= w->workers[n].down_until)
+		if (p->worker_life == w->workers[n].life)
 			order_apply(w, p->vm, n, &p->ask->ask);
 		sched_effect_free(p->ask);
 	} else if (p->ask) {
