Nothing is acknowledged to a worker that may have begun a new life

Cause: a worker that restarts under its id counts its ends from 1 again; a hold that named the old life's last end made it forget new ones unseen, and their tasks were started again (found by the properties: a start after an acknowledged end).

--- a/sched-order.c
+++ b/sched-order.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* A worker's clock is known within the longest exchange and 2% of the time
+ * between two looks; one that is so far back has begun anew. */
+#define CLOCK_BACK_MS 1500
 /* A worker that turned a start away gets no other for so long. */
 #define UNWELL_MS 400
 /* One without room is asked again when an end may have made some. */
@@ -251,6 +254,10 @@
 		own_doubt(s, "fenced");
 	if (rq->purpose != FOR_START)
 		return;
+	/* Its clock began anew: it is another life than the one known. */
+	if (a->outcome == OUT_UNKNOWN || a->refusal == REFUSAL_NOT_SENT ||
+	    (a->clock && a->clock + CLOCK_BACK_MS < worker_clock(s, w)))
+		worker_unsure(s, w);
 	t = start_task(s, rq);
 	if (!t)
 		return;
--- a/sched-state.h
+++ b/sched-state.h
@@ -62,6 +62,13 @@
 #define DOUBT_MS 4000
 /* A task that failed or lapsed waits so long, so that it does not spin. */
 #define TASK_PAUSE_MS 50
+/*
+ * An order without an answer is carried out at most so late.  Its start
+ * deadline bounds that, but the deadline was reckoned by the clock of the
+ * worker's life that was known: a new life under the same id, whose clock
+ * began anew, takes it for one far ahead.
+ */
+#define LATE_ORDER_MS 12500
 /* Beyond the last lease that an earlier owner can have given, for the way of
  * its last beat and of its last order. */
 #define SETTLE_SLACK_MS 300
@@ -185,6 +192,7 @@
 	uint64_t seen;	   /* highest end known here */
 	uint64_t seen_seq; /* dirty_seq then */
 	uint64_t acked;	   /* highest durable end */
+	bool sure;	   /* it is still the life that these are of */
 	unsigned doubt;	   /* failures in a row */
 	char doubt_job[JOB_ID_BYTES + 1];
 	int64_t doubt_until;
@@ -528,6 +536,7 @@
 bstr workers_row_write(const struct sched *s);
 void workers_row_read(struct sched *s, bstr row);
 void workers_inherit(struct sched *s);
+void worker_unsure(struct sched *s, struct worker *w);
 struct worker *worker_find(struct sched *s, bstr id);
 void worker_tick(struct sched *s);
 void worker_answer(struct sched *s, struct request *rq, struct answer *a);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -116,6 +116,12 @@
 /* A worker under the same id has begun a new life: it knows nothing. */
 static void worker_reborn(struct sched *s, struct worker *w, int64_t born)
 {
+	struct task *t;
+
+	/* What it may yet start by an order to its life before. */
+	TAILQ_FOREACH(t, &w->tasks, on)
+		if (t->phase == AT_START)
+			t->not_before = t->begun_at + LATE_ORDER_MS;
 	if (w->born)
 		worker_lost(s, w, "restarted");
 	w->born = born;
@@ -279,10 +285,24 @@
 	}
 }
 
+/*
+ * An exchange with a worker failed: it may have begun a new life under its
+ * id.  That one counts its ends from 1 again, and would forget those up to
+ * the number that its old life had acknowledged, unseen by anybody: its tasks
+ * would be started again.  So nothing is acknowledged before an answer has
+ * told which life it is.
+ */
+void worker_unsure(struct sched *s, struct worker *w)
+{
+	w->sure = false;
+	if (!w->looking)
+		w->look_at = s->now;
+}
+
 /* How long a hold may wait for an end. */
 static uint32_t hold_wait(const struct worker *w)
 {
-	if (!w->fenced || !w->clock || w->acked < w->seen)
+	if (!w->fenced || !w->clock || !w->sure || w->acked < w->seen)
 		return 0;
 	return HOLD_WAIT_MS;
 }
@@ -303,7 +323,7 @@
 	o->worker = bstr_copy(w->id);
 	o->address = bstr_copy(w->row.address);
 	o->epoch = s->own.epoch;
-	o->last_seen = w->acked;
+	o->last_seen = w->sure ? w->acked : 0;
 	o->wait_ms = wait;
 	/*
 	 * Without an answer for a while the lease is not renewed: it ends,
@@ -603,6 +623,7 @@
 	w->clock_at = s->now;
 	w->answered_at = s->now;
 	w->gone = false;
+	w->sure = true;
 	if (!w->fenced) {
 		w->fenced = true;
 		s->place = true;
@@ -635,6 +656,7 @@
 		settle_check(s);
 		return;
 	}
+	w->sure = false;
 	w->look_at = s->now + HOLD_PACE_MS;
 	if (a->refusal == REFUSAL_FENCE) {
 		own_doubt(s, "fenced");
