Shorter leases and a quicker successor

Cause: tasks of a dead or cut-off worker waited 4.5 s for its lease, and an owner's death was noticed after 1.8 s. Weighed: the longest lease of 6 s, which survives longer outages of the store; an owner that can't prove itself now lets leases end after 6 s instead of 7.5.

--- a/sched-move.c
+++ b/sched-move.c
@@ -15,9 +15,9 @@
  * Work that a pool can't finish within this calls for machines: a move takes
  * 1.5 s, and what waits longer than about 2 s misses its objective.
  */
-#define DRAIN_HIGH_MS 900
+#define DRAIN_HIGH_MS 900.0
 /* Below this a pool has more than it needs. */
-#define DRAIN_LOW_MS 250
+#define DRAIN_LOW_MS 250.0
 /* A machine is idle for so long before it leaves its pool. */
 #define IDLE_MS 2500
 /* Machines that a pool keeps free for the next jobs, in parts of its
--- a/sched-state.h
+++ b/sched-state.h
@@ -8,20 +8,21 @@
 
 /*
  * The owner writes a beat so often, and is taken as gone when no beat came
- * for so long although the store answers.  What runs lapses 4.5 s after its
+ * for so long although the store answers.  What runs lapses 3.4 s after its
  * last renewal, which is up to 0.7 s old when the owner dies: the successor
- * has 3.8 s to notice (1.8), to claim, to load and to renew.
+ * has 2.7 s to notice (1.3), to claim, to load and to renew.  A shorter lease
+ * lets the tasks of a dead worker start elsewhere sooner.
  */
 #define BEAT_MS 400
-#define OWNER_SILENT_MS 1800
-#define LEASE_MS 4500
+#define OWNER_SILENT_MS 1300
+#define LEASE_MS 3400
 /*
  * An owner that can't reach the store may have been replaced.  It lets no
  * lease end later than this after it last proved its ownership, so that a
  * successor that can't reach a worker knows when nothing runs there any more.
  * An outage of the store that is shorter than this, less a beat, ends nothing.
  */
-#define UNPROVED_LEASE_MS 7500
+#define UNPROVED_LEASE_MS 6000
 /* A hold waits so long for an end, and so renews at least so often. */
 #define HOLD_WAIT_MS 700
 /* Between looks at a worker that has unacknowledged ends, or is silent. */
