--- a/sched-move.c
+++ b/sched-move.c
@@ -15,11 +15,11 @@
  * Work that a pool can't finish within this calls for machines: a move takes
  * 1.5 s, and what waits longer than about 2 s misses its objective.
  */
-#define DRAIN_HIGH_MS 900.0
+#define DRAIN_HIGH_MS 600.0
 /* Below this a pool has more than it needs. */
 #define DRAIN_LOW_MS 250.0
 /* A machine is idle for so long before it leaves its pool. */
-#define IDLE_MS 2500
+#define IDLE_MS 1200
 /* Machines that a pool keeps free for the next jobs, in parts of its
  * workers: a burst begins with no warning. */
 #define KEEP_FREE 0.34
@@ -32,7 +32,7 @@
 #define MOVE_TIMEOUT_MS 1500
 #define MOVE_AGAIN_MS 1000
 /* At most so many moves are begun in one look. */
-#define MOVES_AT_ONCE 4
+#define MOVES_AT_ONCE 8
 
 /* What a pool has and has to do. */
 struct balance {
