--- a/sched-job.c
+++ b/sched-job.c
@@ -85,6 +85,7 @@
 {
 	unsigned i;
 
+	advice_free(o);
 	for (i = 0; i < o->task_count; i++)
 		bstr_free(&o->tasks[i].checkpoint);
 	free(o->tasks);
--- a/sched-order.c
+++ b/sched-order.c
@@ -110,6 +110,7 @@
 	o->deadline = t->start_by;
 	o->payload = bstr_copy(j->body->payload);
 	o->checkpoint = bstr_copy(t->checkpoint);
+	o->ticket = bstr_copy(advice_ticket(s, t->occ, t->step, w));
 	sched_count(s, COUNT_STARTS, 1);
 	sched_log(s, LOG_TASK_START,
 		  "task=%.*s run=%llu worker=%.*s waited_ms=%lld epoch=%llu",
@@ -229,6 +230,11 @@
 	case REFUSAL_ROOM:
 		w->unwell_until = s->now + ROOM_AGAIN_MS;
 		break;
+	case REFUSAL_TICKET:
+		/* The tickets do not hold any more: ask again. */
+		if (t->occ->advice)
+			t->occ->advice[t->step].valid_until = 0;
+		break;
 	case REFUSAL_INVALID:
 		t->not_before = s->now + UNWELL_MS;
 		break;
--- a/sched-own.c
+++ b/sched-own.c
@@ -57,6 +57,7 @@
 	usage_free(s);
 	s->dirty_seq = 0;
 	s->committing = false;
+	s->advice_calls = 0;
 	s->settled = false;
 	s->follows[2].wanted = s->follows[3].wanted = false;
 	s->progress.wanted = false;
--- a/sched-place.c
+++ b/sched-place.c
@@ -292,6 +292,9 @@
 		return -1;
 	if (s->now < w->doubt_until)
 		return -1;
+	if (advice_is_needed(s, t->occ->job) &&
+	    !advice_ticket(s, t->occ, t->step, w).bstr_len)
+		return -1;
 	merit = (double)room.cpu / (double)(w->row.capacity.cpu + 1) * 1e4;
 	if (merit < 0)
 		merit = 0;
@@ -443,6 +446,10 @@
 			need.cpu = 0;
 		if (!size_fits(need, pool->most))
 			continue;
+		if (advice_is_needed(s, c->job) &&
+		    !advice_ready(s, c->occ, c->step, pool->workers,
+				  pool->count))
+			continue;
 		if (c->job->body->steps[c->step].gang)
 			gang_place(s, pool, c);
 		else
--- a/sched-state.h
+++ b/sched-state.h
@@ -115,13 +115,23 @@
 };
 TAILQ_HEAD(task_on, task);
 
+/* Advice on the placement of a step. */
+struct advice {
+	bool asked;
+	int64_t again_at;
+	int64_t valid_until;
+	struct ticket *tickets;
+	size_t count;
+};
+
 /* One time of a job; a job that is not repeated has one. */
 struct occurrence {
 	TAILQ_ENTRY(occurrence) entry;
 	struct job *job;
 	unsigned k;
-	unsigned *left;	 /* tasks not done, by step */
-	unsigned *first; /* of each step, in tasks */
+	struct advice *advice; /* by step, or NULL */
+	unsigned *left;	       /* tasks not done, by step */
+	unsigned *first;       /* of each step, in tasks */
 	unsigned task_count;
 	unsigned undone;
 	struct task *tasks;
@@ -436,6 +446,7 @@
 	int64_t told_at;
 	json_t *homes; /* machines of each pool at first, or NULL */
 	bool homes_dirty;
+	unsigned advice_calls; /* under way */
 	struct drain *drains;
 	size_t drain_count;
 	struct lesson *lessons;
@@ -579,6 +590,15 @@
 void drains_free(struct sched *s);
 void move_answer(struct sched *s, struct request *rq, struct answer *a);
 
+/* sched-advice.c */
+void advice_free(struct occurrence *o);
+bool advice_is_needed(const struct sched *s, const struct job *j);
+bstr advice_ticket(const struct sched *s, const struct occurrence *o,
+		   unsigned at, const struct worker *w);
+bool advice_ready(struct sched *s, struct occurrence *o, unsigned at,
+		  struct worker **workers, size_t count);
+void advice_answer(struct sched *s, struct request *rq, struct answer *ans);
+
 /* sched-learn.c */
 void learn_run(struct sched *s, const struct task *t);
 int64_t step_expected_ms(struct sched *s, const struct job *j, unsigned at);
--- a/sched.c
+++ b/sched.c
@@ -142,9 +142,11 @@
 	case FOR_START:
 	case FOR_STOP:
 	case FOR_PACE:
-	case FOR_ADVICE:
 		order_answer(s, rq, a);
 		break;
+	case FOR_ADVICE:
+		advice_answer(s, rq, a);
+		break;
 	case FOR_MACHINES:
 	case FOR_UPKEEP:
 	case FOR_WAVE_ROW:
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -124,6 +124,7 @@
 	int64_t limit_before; /* in force until then */
 	int64_t limit_until;
 	bool keyed;
+	bool advised;
 	uint64_t config_version;
 	struct {
 		char id[JOB_ID_BYTES + 1];
@@ -251,6 +252,7 @@
 				      .prefix = bstr_new("/q/"),
 				      .service = bstr_new(SERVICE),
 				      .attempts = 3,
+				      .advised = w->advised,
 				      .stretch = 2,
 				      .objective_ms = 600};
 	c->services = xcalloc(1, sizeof(*c->services));
@@ -696,6 +698,10 @@
 		free(name);
 		return REFUSAL_OLD;
 	}
+	if (w->advised && (n % 2 || !bstr_eq_str(o->ticket, "ticket"))) {
+		free(name);
+		return REFUSAL_TICKET;
+	}
 	if ((int64_t)(k->run_count + 1) * TASK_CPU > CORES) {
 		free(name);
 		return REFUSAL_ROOM;
@@ -925,6 +931,13 @@
 				.state = w->now < w->maintained_until[i]
 						 ? MACHINE_UPKEEP
 						 : MACHINE_UP};
+	} else if (fx->ask.kind == ASK_ADVICE) {
+		a->valid_ms = 1000;
+		a->tickets = xcalloc(w->worker_count, sizeof(*a->tickets));
+		for (i = 0; i < w->worker_count; i += 2) {
+			a->tickets[a->ticket_count].worker = worker_id(w, i);
+			a->tickets[a->ticket_count++].text = bstr_new("ticket");
+		}
 	} else if (fx->ask.kind == ASK_UPKEEP) {
 		name = bstr_cstr(fx->ask.order.machine);
 		n = (unsigned)(name[2] - '0');
@@ -1351,6 +1364,14 @@
 	row_write(w, TABLE_OPERATOR, "config", -1);
 }
 
+/* Write the configuration with a queue that needs advice. */
+void world_advise(struct world *w)
+{
+	w->advised = true;
+	w->config_version++;
+	row_write(w, TABLE_OPERATOR, "config", -1);
+}
+
 /* Write the configuration with the key, or without. */
 void world_keys(struct world *w, bool given)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -65,6 +65,7 @@
 void world_limit(struct world *w, int64_t cpu); /* of the organisation */
 void world_wave(struct world *w, unsigned machines, unsigned maximum);
 void world_keys(struct world *w, bool given); /* the organisation's key */
+void world_advise(struct world *w); /* starts need tickets; even workers */
 
 /* What there is to see. */
 int world_owner(const struct world *w);	      /* who acts; -1: nobody */
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -455,6 +455,23 @@
 	}
 }
 
+/* A queue that needs advice: only workers with a ticket get its tasks. */
+Test(sched, advice)
+{
+	struct world *w = calm(30);
+
+	world_advise(w);
+	world_run(w, 20);
+	world_submit(w, 0, JOB_A, &chain);
+	world_submit(w, 0, JOB_B, &lasting);
+	world_run(w, 3000);
+	cr_expect_str_eq(world_state(w, JOB_A), "completed");
+	cr_expect_eq(world_starts_of(w, 1), 0);
+	cr_expect_eq(world_starts_of(w, 3), 0);
+	cr_expect_eq(world_starts(w), 7 + 3, "one task finds no worker");
+	check_free(w);
+}
+
 /* Maintenance waves: every machine once, never too many at once. */
 Test(sched, wave)
 {
