A job's begin is written before its first start; ceilings bound what a successor does not see

Cause: after a takeover every waiting job of a pool with an unreachable worker waited for the end of all leases, also those that had never begun; and the runs on such workers were not counted against their organisation's limit (found by the properties once queued jobs were started at once). The owner now writes that a job begins before its first start, and starts nothing above a ceiling that its beat has told the store.

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -95,6 +95,7 @@
 	while ((j = TAILQ_FIRST(&s->flying))) {
 		TAILQ_REMOVE(&s->flying, j, dirty);
 		j->flying_seq = 0;
+		job_written(s, j);
 		job_settle(s, j);
 	}
 	worker_acknowledge(s);
--- a/sched-job.c
+++ b/sched-job.c
@@ -45,7 +45,34 @@
 /* Has no task of a job begun? */
 bool job_waits(const struct job *j)
 {
-	return j->fate == FATE_QUEUED && !j->starts;
+	return j->fate <= FATE_RUNNING && !j->starts && !j->ran_before;
+}
+
+/*
+ * May tasks of a job start?  Before the first of them the store has to know.
+ * A successor can then start at once what is queued there, wherever workers
+ * are out of its reach; it would have to wait for the end of all leases
+ * otherwise, 6 s for jobs that have never begun.  Costs one write, which goes
+ * with others, and its few milliseconds, once a job.
+ */
+bool job_begin(struct sched *s, struct job *j)
+{
+	if (j->begun)
+		return true;
+	if (j->fate == FATE_QUEUED) {
+		j->fate = FATE_RUNNING;
+		job_touch(s, j);
+	}
+	return false;
+}
+
+/* A job's progress as it is has been written. */
+void job_written(struct sched *s, struct job *j)
+{
+	if (j->begun || j->dirty_seq || j->fate != FATE_RUNNING)
+		return;
+	j->begun = true;
+	s->place = true;
 }
 
 /* Make the tasks of an occurrence. */
@@ -333,6 +360,8 @@
 	if (j && j->inherited && TAILQ_EMPTY(&j->occs) && !j->next_k &&
 	    j->fate <= FATE_RUNNING)
 		progress_apply(j, r->value);
+	if (j && j->inherited && j->fate == FATE_RUNNING)
+		j->begun = j->ran_before = true;
 }
 
 /* A task has ended as done. */
--- a/sched-limit.c
+++ b/sched-limit.c
@@ -1,11 +1,23 @@
 /*
  * What each organisation has running over the whole fleet, against its upper
  * limit.  A run counts from the moment it is ordered until its end is known.
+ *
+ * A successor that can't reach some workers does not know what runs there.
+ * So the owner starts nothing above a ceiling that its last beat has told the
+ * store, and a successor counts what that ceiling allowed, less what it has
+ * found, until all leases of before have ended.
  */
 #include "sched-state.h"
 
 #include <stdlib.h>
 
+/* The ceiling leaves this much above what runs, so that it need not be
+ * raised for each start: a quarter of it, and an eighth of the limit. */
+#define CEILING_SHARE 4
+#define CEILING_OF_LIMIT 8
+/* And at least so many of the tasks that wait for it to be raised. */
+#define CEILING_TASKS 8
+
 /* The account of an organisation. */
 struct usage *usage_of(struct sched *s, bstr tenant)
 {
@@ -29,25 +41,132 @@
 	u->used = sign > 0 ? size_add(u->used, need) : size_sub(u->used, need);
 }
 
+/* A run of before was found: it is part of what the old ceiling allowed. */
+void usage_found(struct sched *s, const struct task *t)
+{
+	struct usage *u = usage_of(s, t->occ->job->tenant);
+
+	u->found = size_add(u->found, task_step(t)->need);
+}
+
+/*
+ * One resource of a ceiling.  Without a limit there is a ceiling too: one may
+ * be set just before the owner changes.
+ */
+static int64_t ceiling_one(int64_t used, int64_t wanted, int64_t maximum)
+{
+	int64_t c = used + used / CEILING_SHARE + maximum / CEILING_OF_LIMIT;
+
+	if (c < used + CEILING_TASKS * wanted)
+		c = used + CEILING_TASKS * wanted;
+	return !maximum || c < maximum ? c : maximum;
+}
+
+/* The lesser, resource by resource. */
+static struct size size_min(struct size a, struct size b)
+{
+	return (struct size){a.cpu < b.cpu ? a.cpu : b.cpu,
+			     a.memory < b.memory ? a.memory : b.memory,
+			     a.gpus < b.gpus ? a.gpus : b.gpus};
+}
+
+/* The ceilings for a beat to tell.  Until it has, the lower ones hold. */
+json_t *ceilings_write(struct sched *s)
+{
+	const struct tenant *t;
+	json_t *row = json_object();
+	struct usage *u;
+	char *name;
+
+	for (u = s->usage; u; u = u->hh.next) {
+		t = tenant_named(s, u->tenant);
+		if (!t)
+			continue;
+		u->next = (struct size){
+			ceiling_one(u->used.cpu, u->wanted.cpu, t->maximum.cpu),
+			ceiling_one(u->used.memory, u->wanted.memory,
+				    t->maximum.memory),
+			ceiling_one(u->used.gpus, u->wanted.gpus,
+				    t->maximum.gpus)};
+		u->ceiling = size_min(u->ceiling, u->next);
+		u->telling = true;
+		name = bstr_cstr(u->tenant);
+		json_object_set_new(row, name,
+				    json_pack("[I, I, I]",
+					      (json_int_t)u->next.cpu,
+					      (json_int_t)u->next.memory,
+					      (json_int_t)u->next.gpus));
+		free(name);
+	}
+	return row;
+}
+
+/* The store knows the ceilings of the last beat. */
+void ceilings_told(struct sched *s)
+{
+	struct usage *u;
+
+	for (u = s->usage; u; u = u->hh.next) {
+		if (!u->telling)
+			continue;
+		u->telling = false;
+		u->ceiling = u->next;
+		s->place = true;
+	}
+}
+
+/* What an earlier owner may have running that was not found yet. */
+static struct size usage_hidden(const struct sched *s, const struct usage *u)
+{
+	struct size hidden = {0, 0, 0}, zero = {0, 0, 0}, told;
+	const json_t *row;
+	char *name;
+
+	if (s->settled)
+		return hidden;
+	name = bstr_cstr(u->tenant);
+	row = json_object_get(s->own.ceilings, name);
+	free(name);
+	told = (struct size){json_integer_value(json_array_get(row, 0)),
+			     json_integer_value(json_array_get(row, 1)),
+			     json_integer_value(json_array_get(row, 2))};
+	hidden = size_sub(told, u->found);
+	return size_sub(hidden, size_min(hidden, zero));
+}
+
 /* Does a need stay within one limit?  0 is none. */
 static bool below(int64_t used, int64_t need, int64_t maximum)
 {
 	return !maximum || used + need <= maximum;
 }
 
+/* Does it within all three? */
+static bool all_below(struct size used, struct size need, struct size maximum)
+{
+	return below(used.cpu, need.cpu, maximum.cpu) &&
+	       below(used.memory, need.memory, maximum.memory) &&
+	       below(used.gpus, need.gpus, maximum.gpus);
+}
+
 /* May a task of a step begin, by its organisation's limit? */
 bool limit_allows(struct sched *s, const struct job *j,
 		  const struct job_step *st)
 {
 	const struct tenant *t = tenant_named(s, j->tenant);
-	const struct usage *u;
+	struct usage *u;
 
 	if (!t)
 		return true;
 	u = usage_of(s, j->tenant);
-	return below(u->used.cpu, st->need.cpu, t->maximum.cpu) &&
-	       below(u->used.memory, st->need.memory, t->maximum.memory) &&
-	       below(u->used.gpus, st->need.gpus, t->maximum.gpus);
+	if (!all_below(size_add(u->used, usage_hidden(s, u)), st->need,
+		       t->maximum))
+		return false;
+	if (size_fits(size_add(u->used, st->need), u->ceiling))
+		return true;
+	/* Have the next beat raise it. */
+	u->wanted = st->need;
+	s->own.beat_at = s->now;
+	return false;
 }
 
 /* Free the accounts. */
--- a/sched-order.c
+++ b/sched-order.c
@@ -43,10 +43,7 @@
 	w->used = size_add(w->used, task_room(t));
 	usage_add(s, t, 1);
 	j->placed++;
-	if (!j->starts++ && j->fate == FATE_QUEUED) {
-		j->fate = FATE_RUNNING;
-		job_touch(s, j);
-	}
+	j->starts++;
 }
 
 /* A task is nowhere now. */
@@ -123,6 +120,8 @@
 void task_adopt(struct sched *s, struct task *t, struct worker *w, uint64_t run)
 {
 	task_place(s, t, w, run);
+	if (!s->settled)
+		usage_found(s, t);
 	t->phase = AT_WORK;
 	sched_log(s, LOG_TASK_ADOPTED, "task=%s.%u.%u.%u run=%llu worker=%.*s",
 		  t->occ->job->id, t->occ->k, t->step, t->index,
--- a/sched-own.c
+++ b/sched-own.c
@@ -293,6 +293,7 @@
 		s->own.heard_at = s->now;
 		s->own.proved_at = s->own.beat_sent;
 		workers_noted(s);
+		ceilings_told(s);
 		break;
 	case OUT_CONFLICT:
 		own_lose(s, "replaced");
@@ -362,6 +363,10 @@
 			own_claim(s);
 		break;
 	case OWN_LOADING:
+		/* The old owner's beat is still to be read. */
+		if (!s->own.beating && s->now - s->own.owned_at >= BEAT_MS)
+			own_beat(s);
+		break;
 	case OWN_YES:
 		if (!s->own.beating && s->now >= s->own.beat_at)
 			own_beat(s);
--- a/sched-place.c
+++ b/sched-place.c
@@ -189,7 +189,7 @@
  */
 static bool job_is_settled(struct sched *s, struct job *j)
 {
-	if (!j->inherited || j->settled || s->settled)
+	if (!j->inherited || !j->ran_before || j->settled || s->settled)
 		return true;
 	j->settled = pool_is_settled(s, job_service(s, j)) &&
 		     pool_is_settled(s, j->service);
@@ -444,7 +444,9 @@
 		need = c->job->body->steps[c->step].need;
 		if (c->job->body->steps[c->step].fills)
 			need.cpu = 0;
-		if (!size_fits(need, pool->most))
+		if (!size_fits(need, pool->most) ||
+		    !limit_allows(s, c->job, &c->job->body->steps[c->step]) ||
+		    !job_begin(s, c->job))
 			continue;
 		if (advice_is_needed(s, c->job) &&
 		    !advice_ready(s, c->occ, c->step, pool->workers,
--- a/sched-row.c
+++ b/sched-row.c
@@ -384,9 +384,10 @@
 				    json_integer(json_integer_value(v) + 1));
 		free(route);
 	}
-	return json_write(json_pack(
-		"{s:I, s:I, s:o}", "epoch", (json_int_t)s->own.epoch, "seq",
-		(json_int_t)s->own.beat_seq, "waiting", counts));
+	return json_write(json_pack("{s:I, s:I, s:o, s:o}", "epoch",
+				    (json_int_t)s->own.epoch, "seq",
+				    (json_int_t)s->own.beat_seq, "waiting",
+				    counts, "ceilings", ceilings_write(s)));
 }
 
 /* Read a beat: its epoch, and the counts. */
@@ -401,6 +402,8 @@
 		return false;
 	}
 	*epoch = (uint64_t)int_of(row, "epoch");
+	json_decref(s->own.ceilings);
+	s->own.ceilings = json_incref(json_object_get(row, "ceilings"));
 	HASH_ITER(hh, s->waiting, w, next) {
 		HASH_DEL(s->waiting, w);
 		bstr_free(&w->route);
--- a/sched-state.h
+++ b/sched-state.h
@@ -159,6 +159,8 @@
 	int64_t arrived;   /* here */
 	bool inherited;	   /* an earlier owner may have started its tasks */
 	bool settled;	   /* and what it started is known */
+	bool begun;	   /* the store knows that its tasks may run */
+	bool ran_before;   /* an earlier owner had said so */
 	enum job_fate fate;
 	int64_t ended; /* wall clock */
 	unsigned next_k;
@@ -323,6 +325,7 @@
 	int64_t old_heard_at; /* that of the owner before, at the claim */
 	bool old_released;    /* it gave up by plan */
 	json_t *workers;      /* whom an owner may have given leases, or NULL */
+	json_t *ceilings;     /* what it may have had running, or NULL */
 	int64_t settle_by;    /* no lease of it ends later */
 	int64_t owned_at;
 	bool doubtful; /* read the row before the next order */
@@ -376,7 +379,11 @@
 struct usage {
 	bstr tenant;
 	struct size used;
-	double share; /* weighted cpu in use; for the order among tenants */
+	struct size ceiling; /* it starts nothing above; the store knows it */
+	struct size next;    /* as the beat under way tells it */
+	struct size wanted;  /* by a task that the ceiling holds back */
+	bool telling;
+	struct size found; /* of what earlier owners had running */
 	UT_hash_handle hh;
 };
 
@@ -529,6 +536,8 @@
 void job_unretire(struct sched *s, struct retired *r);
 void job_settle(struct sched *s, struct job *j);
 bool job_waits(const struct job *j);
+bool job_begin(struct sched *s, struct job *j);
+void job_written(struct sched *s, struct job *j);
 bool step_ready(const struct occurrence *o, unsigned at);
 struct task *task_find(struct sched *s, bstr name, struct job **job);
 bstr task_name(const struct task *t);
@@ -575,6 +584,9 @@
 /* sched-limit.c */
 struct usage *usage_of(struct sched *s, bstr tenant);
 void usage_add(struct sched *s, const struct task *t, int sign);
+void usage_found(struct sched *s, const struct task *t);
+json_t *ceilings_write(struct sched *s);
+void ceilings_told(struct sched *s);
 bool limit_allows(struct sched *s, const struct job *j,
 		  const struct job_step *st);
 void usage_free(struct sched *s);
--- a/sched.c
+++ b/sched.c
@@ -324,7 +324,7 @@
 	size_t i;
 
 	TAILQ_INIT(&out);
-	s->out = &out;
+	s->out = &out; /* cppcheck-suppress autoVariables */
 	own_lose(s, "ended");
 	sched_workers_free(s);
 	sched_waves_free(s);
@@ -354,6 +354,7 @@
 	fleet_config_free(s->config);
 	bstr_free(&s->own.holder);
 	json_decref(s->own.workers);
+	json_decref(s->own.ceilings);
 	json_decref(s->homes);
 	bstr_free(&s->options.vm);
 	bstr_free(&s->options.zone);
