Metrics with histograms and gauges; 'bamboofront trace' follows an id through logs

Cause: on-call engineers have logs and metrics only, and an id's lines stand in the logs of several VMs with the change of owner that explains them between.

--- a/bamboofront-entryd.c
+++ b/bamboofront-entryd.c
@@ -89,6 +89,12 @@
 	case EFFECT_COUNT:
 		counter_add(fx->count.id, fx->count.n);
 		break;
+	case EFFECT_GAUGE:
+		counter_set(fx->count.id, fx->count.n);
+		break;
+	case EFFECT_OBSERVE:
+		histogram_add(fx->observe.id, fx->observe.ms);
+		break;
 	case EFFECT_END:
 		d->exit = true;
 		break;
--- a/bamboofront.h
+++ b/bamboofront.h
@@ -137,6 +137,16 @@
 bstr counter_text(void); /* Prometheus text exposition format */
 json_t *counter_json(void);
 
+/* histogram.c: every latency histogram of the process (histogram.def). */
+enum histogram_id {
+#define HISTOGRAM(name, family, help) HISTOGRAM_##name,
+#include "histogram.def"
+#undef HISTOGRAM
+	HISTOGRAM_MAX
+};
+void histogram_add(enum histogram_id id, int64_t ms);
+void histograms_print(FILE *f); /* text exposition format */
+
 /* clock.c: the only place where time is read. */
 int64_t clock_now(void);  /* monotonic, ms */
 int64_t clock_wall(void); /* since 1970, ms */
--- a/cmd-parse.c
+++ b/cmd-parse.c
@@ -13,6 +13,7 @@
 	pool_commands,
 	team_commands,
 	config_commands,
+	trace_commands,
 	submit_commands,
 };
 
--- a/cmd.h
+++ b/cmd.h
@@ -104,6 +104,7 @@
 extern const struct command team_commands[];
 extern const struct command config_commands[];
 extern const struct command submit_commands[];
+extern const struct command trace_commands[];
 
 /* cmd-parse.c */
 const struct command *command_find(const char *const *words, size_t *used);
--- a/counter.c
+++ b/counter.c
@@ -64,6 +64,7 @@
 			fprintf(f, "%s %" PRIu64 "\n", c->family,
 				counter_get(i));
 	}
+	histograms_print(f);
 	fclose(f);
 	b = bstr_from(text, size);
 	free(text);
--- a/sched-call.c
+++ b/sched-call.c
@@ -273,6 +273,7 @@
 	switch (a->outcome) {
 	case OUT_DONE:
 		sched_count(s, COUNT_ACCEPTED, 1);
+		sched_observe(s, HISTOGRAM_ACCEPT, s->now - c->came_at);
 		reply(s, c->id, 200, "accepted", c->job);
 		break;
 	case OUT_CONFLICT:
--- a/sched-config.c
+++ b/sched-config.c
@@ -19,7 +19,6 @@
 	r->config = NULL;
 	r->kind = ROW_RAW;
 	s->place = true;
-	sched_count(s, COUNT_CONFIG_REVISION, s->config->version);
 	sched_log(s, LOG_CONFIG_ADOPTED,
 		  "version=%llu revision=%llu routes=%zu organisations=%zu",
 		  (unsigned long long)s->config->version,
--- a/sched-job.c
+++ b/sched-job.c
@@ -232,6 +232,8 @@
 		    1);
 	sched_log(s, LOG_JOB_FINAL, "job=%s state=%s starts=%u ms=%lld", j->id,
 		  fate_name(fate), j->starts, (long long)(s->now - j->arrived));
+	if (!j->inherited)
+		sched_observe(s, HISTOGRAM_JOB, s->now - j->arrived);
 	job_stop(s, j);
 	job_touch(s, j);
 	s->place = true;
--- a/sched-order.c
+++ b/sched-order.c
@@ -43,7 +43,8 @@
 	w->used = size_add(w->used, task_room(t));
 	usage_add(s, t, 1);
 	j->placed++;
-	j->starts++;
+	if (!j->starts++ && !j->inherited)
+		sched_observe(s, HISTOGRAM_FIRST_START, s->now - j->arrived);
 }
 
 /* A task is nowhere now. */
@@ -263,6 +264,7 @@
 	if (a->outcome == OUT_UNKNOWN || a->refusal == REFUSAL_NOT_SENT ||
 	    (a->clock && a->clock + CLOCK_BACK_MS < worker_clock(s, w)))
 		worker_unsure(s, w);
+	sched_observe(s, HISTOGRAM_START_CALL, s->now - a->sent_at);
 	t = start_task(s, rq);
 	if (!t)
 		return;
--- a/sched-own.c
+++ b/sched-own.c
@@ -253,6 +253,7 @@
 	workers_inherit(s);
 	s->own.state = OWN_YES;
 	s->place = true;
+	sched_observe(s, HISTOGRAM_TAKEOVER, s->now - s->own.claimed_at);
 	sched_log(s, LOG_OWNER_READY, "epoch=%llu jobs=%u workers=%u ms=%lld",
 		  (unsigned long long)s->own.epoch, HASH_COUNT(s->jobs),
 		  HASH_COUNT(s->workers),
--- a/sched-state.h
+++ b/sched-state.h
@@ -48,6 +48,8 @@
  * and the round of a loaded processor. */
 #define REPLY_MARGIN_MS 120
 #define RETRY_AFTER_S 1
+/* Gauges are set so often; metrics are fetched every 5 s. */
+#define GAUGES_MS 1000
 /* Ends of many tasks are made durable together; at most so many rows. */
 #define COMMIT_ROWS_MAX 60
 #define COMMIT_PACE_MS 20
@@ -407,6 +409,7 @@
 	int64_t now;
 	int64_t wall;
 	int64_t seen_at; /* the latest event */
+	int64_t gauges_at;
 	struct sched_effects *out;
 	uint64_t last_request;
 	uint32_t last_worker;
@@ -468,6 +471,8 @@
 void sched_log(struct sched *s, uint32_t number, const char *fmt, ...)
 	PRINTF_LIKE(3, 4);
 void sched_count(struct sched *s, enum counter_id id, uint64_t n);
+void sched_gauge(struct sched *s, enum counter_id id, uint64_t n);
+void sched_observe(struct sched *s, enum histogram_id id, int64_t ms);
 bool sched_store_works(const struct sched *s);
 
 /* sched-tx.c: making transactions */
--- a/sched.c
+++ b/sched.c
@@ -60,6 +60,24 @@
 	fx->count.n = n;
 }
 
+/* Set a gauge. */
+void sched_gauge(struct sched *s, enum counter_id id, uint64_t n)
+{
+	struct sched_effect *fx = sched_effect_add(s, EFFECT_GAUGE);
+
+	fx->count.id = id;
+	fx->count.n = n;
+}
+
+/* Add a time to a histogram. */
+void sched_observe(struct sched *s, enum histogram_id id, int64_t ms)
+{
+	struct sched_effect *fx = sched_effect_add(s, EFFECT_OBSERVE);
+
+	fx->observe.id = id;
+	fx->observe.ms = ms;
+}
+
 /*
  * Does the store serve this VM?  After two failures in a row it does not,
  * until a request succeeds; the feeds go on asking.
@@ -101,6 +119,13 @@
 	return p < FOR_HOLD || p == FOR_WAVE_ROW;
 }
 
+/* Does an answer to it wait for something to happen? */
+static bool purpose_is_feed(enum purpose p)
+{
+	return p == FOR_OPERATOR_FEED || p == FOR_OWNER_FEED ||
+	       p == FOR_WORKERS_FEED || p == FOR_JOBS_FEED;
+}
+
 /* Hand an answer to whoever asked. */
 static void answer_dispatch(struct sched *s, struct request *rq,
 			    struct answer *a)
@@ -169,8 +194,11 @@
 	if (!rq)
 		return;
 	HASH_DEL(s->requests, rq);
-	if (purpose_is_store(rq->purpose))
+	if (purpose_is_store(rq->purpose)) {
 		store_judge(s, a);
+		if (!purpose_is_feed(rq->purpose))
+			sched_observe(s, HISTOGRAM_STORE, s->now - a->sent_at);
+	}
 	if (rq->worker)
 		rq->worker->requests--;
 	answer_dispatch(s, rq, a);
@@ -232,6 +260,26 @@
 	own_release(s);
 }
 
+/* Tell what this VM believes, once in a while. */
+static void gauges_tick(struct sched *s)
+{
+	const struct worker *w;
+	uint64_t taking = 0;
+
+	if (s->now < s->gauges_at)
+		return;
+	s->gauges_at = s->now + GAUGES_MS;
+	for (w = s->workers; w; w = w->hh.next)
+		taking += worker_takes(s, w);
+	sched_gauge(s, COUNT_OWNER, s->own.state == OWN_YES);
+	sched_gauge(s, COUNT_JOBS_OPEN, HASH_COUNT(s->jobs));
+	sched_gauge(s, COUNT_WORKERS_KNOWN, HASH_COUNT(s->workers));
+	sched_gauge(s, COUNT_WORKERS_TAKING, taking);
+	sched_gauge(s, COUNT_CONFIG_REVISION,
+		    s->config ? s->config->version : 0);
+	sched_gauge(s, COUNT_STORE_AGE, (uint64_t)(s->now - s->store_ok_at));
+}
+
 /* Look at the clock. */
 static void tick_take(struct sched *s)
 {
@@ -244,6 +292,7 @@
 	wave_tick(s);
 	move_tick(s);
 	commit_tick(s);
+	gauges_tick(s);
 	ready_tick(s);
 	stop_tick(s);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -342,8 +342,10 @@
 	EFFECT_ASK,
 	EFFECT_READY, /* for new connections or not */
 	EFFECT_LOG,
-	EFFECT_COUNT, /* add to a counter, or set a gauge */
-	EFFECT_END    /* the process may end */
+	EFFECT_COUNT,	/* add to a counter */
+	EFFECT_GAUGE,	/* set one */
+	EFFECT_OBSERVE, /* add to a histogram */
+	EFFECT_END	/* the process may end */
 };
 struct sched_effect {
 	TAILQ_ENTRY(sched_effect) entry;
@@ -360,6 +362,10 @@
 			enum counter_id id;
 			uint64_t n;
 		} count;
+		struct {
+			enum histogram_id id;
+			int64_t ms;
+		} observe;
 	};
 };
 TAILQ_HEAD(sched_effects, sched_effect);
--- a/tests/test-client.c
+++ b/tests/test-client.c
@@ -454,3 +454,49 @@
 	free(c.callers);
 	remove(path);
 }
+
+/*
+ * A user complains of a job.  Its lines stand in the logs of three VMs, out
+ * of order; the trace gives them in the order of time, with the change of
+ * owner between them, and without other jobs and other workers.
+ */
+static const char trace_log[] =
+	"ev=3006 name=JOB_SEEN level=info wall_ms=5010 vm=b job=aa queue=q\n"
+	"ev=3004 name=CALL_DONE level=info wall_ms=5000 vm=a job=aa status=200\n"
+	"ev=3004 name=CALL_DONE level=info wall_ms=5001 vm=a job=bb status=200\n"
+	"ev=2015 name=OWNER_LOST level=warning wall_ms=6000 vm=b why=released\n"
+	"ev=4008 name=WORKER_LOST level=notice wall_ms=6100 vm=c worker=w1\n"
+	"ev=4008 name=WORKER_LOST level=notice wall_ms=6100 vm=c worker=w2\n"
+	"ev=3009 name=TASK_START level=info wall_ms=5011 vm=b task=aa.0.0.0 "
+	"worker=w1\n"
+	"a line of something else\n"
+	"ev=3007 name=JOB_FINAL level=info wall_ms=9000 vm=c job=aa\n"
+	"ev=2011 name=OWNER_GAINED level=notice wall_ms=9500 vm=a epoch=3\n";
+
+Test(client, trace)
+{
+	static const char *const order[] = {"CALL_DONE",  "JOB_SEEN",
+					    "TASK_START", "OWNER_LOST",
+					    "worker=w1",  "JOB_FINAL"};
+	char path[] = "/tmp/test-client-XXXXXX", *text, *line, *p;
+	struct cmd_client c = {0};
+	size_t i;
+
+	file_make(path, trace_log);
+	line = xasprintf("trace aa %s", path);
+	cr_expect_eq(run(&c, line, &text), CMD_OK);
+	for (i = 0, p = text; i < NELEMS(order); i++) {
+		p = strstr(p, order[i]);
+		cr_assert(p, "%s in its place: %s", order[i], text);
+	}
+	cr_expect_not(strstr(text, "bb"), "another job");
+	cr_expect_not(strstr(text, "worker=w2"), "another worker");
+	cr_expect_not(strstr(text, "OWNER_GAINED"), "after its end");
+	free(text);
+	free(line);
+	line = xasprintf("trace cc %s", path);
+	cr_expect_eq(run(&c, line, &text), CMD_NOT_FOUND);
+	free(text);
+	free(line);
+	remove(path);
+}
