--- a/bamboofront-entryd.c
+++ b/bamboofront-entryd.c
@@ -93,7 +93,7 @@
 		counter_set(fx->count.id, fx->count.n);
 		break;
 	case EFFECT_OBSERVE:
-		histogram_add(fx->observe.id, fx->observe.ms);
+		histogram_observe(fx->observe.id, fx->observe.ms);
 		break;
 	case EFFECT_END:
 		d->exit = true;
--- a/bamboofront.h
+++ b/bamboofront.h
@@ -144,7 +144,7 @@
 #undef HISTOGRAM
 	HISTOGRAM_MAX
 };
-void histogram_add(enum histogram_id id, int64_t ms);
+void histogram_observe(enum histogram_id id, int64_t ms);
 void histograms_print(FILE *f); /* text exposition format */
 
 /* clock.c: the only place where time is read. */
--- a/histogram.c
+++ b/histogram.c
@@ -26,7 +26,7 @@
 static uint64_t sums[HISTOGRAM_MAX];
 
 /* Count a value, from any thread. */
-void histogram_add(enum histogram_id id, int64_t ms)
+void histogram_observe(enum histogram_id id, int64_t ms)
 {
 	size_t i = 0;
 
