--- a/sched-own.c
+++ b/sched-own.c
@@ -344,6 +344,17 @@
 	s->own.beat_at = s->now + BEAT_MS;
 }
 
+/*
+ * Beat if it is time.  Looked at after each event: a start that a ceiling
+ * holds back waits for the beat that raises it.
+ */
+void own_beat_due(struct sched *s)
+{
+	if (s->own.state == OWN_YES && !s->own.beating &&
+	    s->now >= s->own.beat_at)
+		own_beat(s);
+}
+
 /*
  * A claim without an answer may have been carried out: then the row names
  * this process although it is not the owner yet.
@@ -369,8 +380,7 @@
 			own_beat(s);
 		break;
 	case OWN_YES:
-		if (!s->own.beating && s->now >= s->own.beat_at)
-			own_beat(s);
+		own_beat_due(s);
 		break;
 	case OWN_CLAIMING:
 	case OWN_RELEASING:
--- a/sched-state.h
+++ b/sched-state.h
@@ -521,6 +521,7 @@
 void own_store_back(struct sched *s);
 void own_answer(struct sched *s, struct request *rq, struct answer *a);
 void own_tick(struct sched *s);
+void own_beat_due(struct sched *s);
 void own_loaded(struct sched *s);
 void own_lose(struct sched *s, const char *why);
 void own_doubt(struct sched *s, const char *why);
--- a/sched.c
+++ b/sched.c
@@ -321,6 +321,7 @@
 	}
 	if (s->place)
 		place_all(s);
+	own_beat_due(s);
 	commit_tick(s);
 	s->out = NULL;
 }
