--- a/cmd-parse.c
+++ b/cmd-parse.c
@@ -10,11 +10,8 @@
 #define CMD_NAME_MAX 128
 
 static const struct command *const tables[] = {
-	pool_commands,
-	team_commands,
-	config_commands,
-	trace_commands,
-	submit_commands,
+	pool_commands,	team_commands,	 config_commands,
+	trace_commands, submit_commands,
 };
 
 /* Is a field an option? */
