--- a/bamboofront-entryd.c
+++ b/bamboofront-entryd.c
@@ -46,13 +46,15 @@
 {
 	uint64_t one = 1;
 	int saved = errno;
+	ssize_t n;
 
 	if (number == SIGHUP)
 		signal_reload = 1;
 	else
 		signal_stop = 1;
-	if (write(signal_fd, &one, sizeof(one)) < 0)
-		signal_stop = signal_stop; /* awake already */
+	/* A failed write means that the count is at its top: it is awake. */
+	n = write(signal_fd, &one, sizeof(one));
+	(void)n;
 	errno = saved;
 }
 
--- a/sched-call.c
+++ b/sched-call.c
@@ -10,6 +10,8 @@
 
 /* The rows of a cancel end so. */
 #define CANCEL_SUFFIX "/cancel"
+/* Bytes; the platform's own bound of what a job hands to its workers. */
+#define PAYLOAD_MAX 4000
 
 /* Reply to a caller, and log the decision. */
 static void reply(struct sched *s, uint64_t id, int status, const char *text,
@@ -118,13 +120,13 @@
 	c->row = job_row_write(&j);
 }
 
-/* Can any worker ever hold a task of this step?  Unknown: yes. */
+/* Is a job within the bounds of the callers' interface? */
 static bool body_is_sane(const struct job_body *b, const char **why)
 {
 	*why = "spec-invalid";
 	if (b->repeat_count && b->interval_ms < 0)
 		return false;
-	return b->payload.bstr_len <= 4000;
+	return b->payload.bstr_len <= PAYLOAD_MAX;
 }
 
 /* Take a job. */
--- a/sched-move.c
+++ b/sched-move.c
@@ -213,8 +213,7 @@
 	bstr_set(&m->moving_to, to->service->name);
 	m->moving_until = s->now + MOVE_TIMEOUT_MS + s->options.move_ms;
 	if (w)
-		if (w)
-			w->leaving = true;
+		w->leaving = true;
 	sched_log(s, LOG_MACHINE_MOVED,
 		  "machine=%.*s worker=%.*s from=%.*s to=%.*s why=%s",
 		  BSTR_ARG(m->id), BSTR_ARG(m->worker), BSTR_ARG(m->pool),
