--- a/sched-worker.c
+++ b/sched-worker.c
@@ -350,7 +350,7 @@
 	o->worker = bstr_copy(w->id);
 	o->address = bstr_copy(w->row.address);
 	o->epoch = s->own.epoch;
-	o->last_seen = w->sure ? w->acked : 0;
+	o->ack_to = w->sure ? w->acked : 0;
 	o->wait_ms = wait;
 	/*
 	 * Without an answer for a while the lease is not renewed: it ends,
--- a/scheduler.h
+++ b/scheduler.h
@@ -312,7 +312,7 @@
 	uint64_t run;
 	uint64_t epoch;
 	int64_t deadline; /* on the worker's clock; 0: none */
-	uint64_t last_seen;
+	uint64_t ack_to;
 	uint32_t wait_ms;
 	unsigned percent;
 	bstr payload;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -745,7 +745,7 @@
 {
 	struct sched_event *ev = answer_make(fx, OUT_DONE, w->now);
 
-	lists_give(w, n, fx->ask.order.last_seen, &ev->answer);
+	lists_give(w, n, fx->ask.order.ack_to, &ev->answer);
 	answer_send(w, vm, ev, w->now + WAY_MS);
 }
 
@@ -764,7 +764,7 @@
 		n = (unsigned)(p->ask->ask.order.address.bstr_val[1] - '0');
 		k = &w->workers[n];
 		if (w->now < p->give_up_at &&
-		    k->last_end <= p->ask->ask.order.last_seen)
+		    k->last_end <= p->ask->ask.order.ack_to)
 			continue;
 		if (!w->vms[p->vm].cut_worker[n] && w->now >= k->down_until)
 			hold_answer(w, p->vm, n, p->ask);
@@ -798,7 +798,7 @@
 			k->lease_end = worker_now(w, n) + LEASE_MAX_MS;
 		else if (o->deadline > k->lease_end)
 			k->lease_end = o->deadline;
-		ends_ack(w, k, o->last_seen);
+		ends_ack(w, k, o->ack_to);
 		return REFUSAL_NONE;
 	case ASK_START:
 		return start_take(w, vm, n, o);
@@ -840,7 +840,7 @@
 	}
 	refusal = order_apply(w, vm, n, &fx->ask);
 	if (refusal == REFUSAL_NONE && fx->ask.kind == ASK_HOLD && o->wait_ms &&
-	    w->workers[n].last_end <= o->last_seen) {
+	    w->workers[n].last_end <= o->ack_to) {
 		p = pending_add(w, &w->waiting, w->now, vm);
 		p->ask = fx;
 		p->give_up_at = w->now + o->wait_ms;
