A wave's machine that was busy is noted anew before the next call

A machine that a burst moved was due for its upkeep: the call was refused as busy and its worker became another. A later owner went by the worker noted first, took the success for one of before, counted the tasks that it had ended as at work for 4.8 s and took a second machine of the same step. Ruled out: a silent worker, a late order.

A refused call now removes the note, unless an earlier call may have been carried out; and where that can't be told, the worker's tasks count as away until it answers. wave_after_busy was red before.

--- a/sched-move.c
+++ b/sched-move.c
@@ -23,8 +23,8 @@
 /* Machines that a pool keeps free for the next jobs, in parts of its
  * workers: a burst begins with no warning. */
 #define KEEP_FREE 0.34
-/* A pool lends at most so many of its own machines to another. */
-#define LENT_MAX 2
+/* A pool lends at most this share of its own machines to others. */
+#define LENT_SHARE 0.5
 /* A lasting task that waits so long needs another worker. */
 #define STRANDED_MS 300
 /* A line for each pool is logged so often. */
@@ -224,11 +224,11 @@
  * May a pool spare one of its empty machines now?  What it has beyond its
  * home size, yes; of its own a few, while it has little to do itself.
  */
-static bool pool_spares(const struct balance *p, double one, unsigned lent)
+static bool pool_spares(const struct balance *p, double one, double lent)
 {
 	if (p->service->standby || !p->routed)
 		return true;
-	if (p->workers + p->coming + lent <= p->home)
+	if (p->workers + p->coming + lent * p->home <= p->home)
 		return false;
 	if (p->workers + p->coming > p->home)
 		return drain_ms(p, one, -1) < DRAIN_HIGH_MS / 2;
@@ -247,7 +247,7 @@
 	HASH_ITER(hh, s->machines, m, next) {
 		from = balance_find(b, m->pool);
 		if (!from || from == to || !machine_is_idle(s, m, 0) ||
-		    !pool_spares(from, one, LENT_MAX))
+		    !pool_spares(from, one, LENT_SHARE))
 			continue;
 		if (!best || (from->service->standby && !spare))
 			best = m;
--- a/sched-state.h
+++ b/sched-state.h
@@ -357,6 +357,7 @@
 	bool done;
 	bool asked;  /* a call is under way */
 	bool sure;   /* and it takes the life that was noted */
+	bool maybe;  /* an earlier call may have been carried out */
 	bool marked; /* its worker gets nothing new */
 	int64_t marked_at;
 	int64_t again_at;
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -63,9 +63,9 @@
 
 /*
  * Set what an owner noted of the machines.  Its row may be read before the
- * operator's, or after it.
+ * operator's, or after it.  Another owner may have called for what it noted.
  */
-static void wave_merge(struct wave *v)
+static void wave_merge(struct wave *v, bool theirs)
 {
 	const json_t *note;
 	char *id;
@@ -81,6 +81,7 @@
 		v->machines[i].worker = json_bstr(
 			json_object_get(note, "worker"));
 		v->machines[i].noted = true;
+		v->machines[i].maybe = theirs || v->machines[i].maybe;
 		if (json_is_true(json_object_get(note, "done")))
 			v->machines[i].done = true;
 	}
@@ -106,7 +107,7 @@
 	for (i = 0; i < v->count; i++)
 		v->machines[i].id = bstr_copy(row->machines[i]);
 	v->dirty = !v->completed;
-	wave_merge(v);
+	wave_merge(v, true);
 	sched_log(s, LOG_WAVE_SEEN,
 		  "wave=%" PRIu64 " machines=%zu maximum=%u finish_by_s=%lld",
 		  v->number, v->count, v->maximum, (long long)row->finish_by_s);
@@ -123,7 +124,7 @@
 		v = wave_get(s, (uint64_t)json_integer_value(number));
 		json_decref(v->notes);
 		v->notes = json_incref(json_object_get(row, "machines"));
-		wave_merge(v);
+		wave_merge(v, true);
 		v->told = true;
 		if (json_is_true(json_object_get(row, "completed"))) {
 			v->completed = true;
@@ -619,7 +620,12 @@
 	v->dirty = true;
 	member_machine(s, wm->id, &w);
 	if (w && !wm->sure) {
+		/*
+		 * Until it answers again its tasks count as away: with them
+		 * taken for at work, others of their steps were taken too.
+		 */
 		w->leaving = w->taken = false;
+		w->answered_at = s->now - WORKER_QUIET_MS;
 	} else if (w) {
 		worker_lost(s, w, "maintenance");
 		w->gone = true;
@@ -630,6 +636,20 @@
 		  BSTR_ARG(wm->id));
 }
 
+/*
+ * Nothing was done to a machine.  Its worker may be another one by the next
+ * call, after a move; a note of this one would make a success look like one
+ * of before, and the tasks that it ended like tasks at work.
+ */
+static void member_unnote(struct wave *v, struct wave_machine *wm)
+{
+	if (!wm->noted)
+		return;
+	wm->noted = false;
+	bstr_free(&wm->worker);
+	v->dirty = true;
+}
+
 /* The outcome of taking a machine down. */
 static void upkeep_answer(struct sched *s, struct request *rq, struct answer *a)
 {
@@ -652,6 +672,10 @@
 		  "reason=%d",
 		  v->number, BSTR_ARG(wm->id), a->outcome, a->refusal);
 	wm->again_at = s->now + CLOUD_AGAIN_MS;
+	if (a->outcome == OUT_UNKNOWN)
+		wm->maybe = true;
+	else if (!wm->maybe)
+		member_unnote(v, wm);
 	if (a->refusal == REFUSAL_INVALID || a->refusal == REFUSAL_WAVE) {
 		/* There is no such machine any more, or it is not due. */
 		wm->done = true;
@@ -678,7 +702,7 @@
 		v->writing = false;
 		if (a->outcome == OUT_DONE) {
 			v->told = true;
-			wave_merge(v);
+			wave_merge(v, false);
 		} else if (a->outcome == OUT_CONFLICT) {
 			own_lose(s, "replaced");
 		} else {
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -144,6 +144,8 @@
 	unsigned asker_life; /* of what is being dealt with */
 	unsigned wave_machines;
 	unsigned wave_maximum;
+	unsigned taken_times[WORLD_WORKERS];
+	bool busy; /* machines can't be maintained now */
 	bool maintained[WORLD_WORKERS];
 	int64_t maintained_until[WORLD_WORKERS];
 	char broken[256];
@@ -183,10 +185,10 @@
 	return NULL;
 }
 
-/* The id of a worker's life; it keeps its id but for a maintenance. */
+/* The id of a worker; it changes when its machine is taken. */
 static bstr worker_id(const struct world *w, unsigned i)
 {
-	return bstr_printf("i-%u-%u", i, w->maintained[i] ? 1U : 0U);
+	return bstr_printf("i-%u-%u", i, w->taken_times[i]);
 }
 
 /* A worker's own clock. */
@@ -913,14 +915,33 @@
 	}
 }
 
+/* A machine's worker ends, and another one starts there. */
+static void machine_restart(struct world *w, unsigned n, int64_t down_ms)
+{
+	bstr id = worker_id(w, n);
+	char *name = bstr_cstr(id);
+
+	row_get(w, TABLE_WORKERS, name)->removed = true;
+	row_get(w, TABLE_WORKERS, name)->revision = ++w->revision;
+	free(name);
+	bstr_free(&id);
+	worker_restart(w, n, down_ms);
+	w->taken_times[n]++;
+	id = worker_id(w, n);
+	name = bstr_cstr(id);
+	row_write(w, TABLE_WORKERS, name, (int)n);
+	free(name);
+	bstr_free(&id);
+	feeds_wake(w);
+}
+
 /* An ask about a machine has arrived. */
 static void machine_take(struct world *w, unsigned vm, struct sched_effect *fx)
 {
 	struct sched_event *ev = answer_make(fx, OUT_DONE, w->now);
 	struct answer *a = &ev->answer;
 	unsigned i, n, down = 0;
-	char *name, key[16];
-	bstr id;
+	char *name;
 
 	if (fx->ask.kind == ASK_MACHINES) {
 		a->machines = xcalloc(w->worker_count, sizeof(*a->machines));
@@ -945,23 +966,16 @@
 		free(name);
 		for (i = 0; i < w->worker_count; i++)
 			down += w->now < w->maintained_until[i];
-		if (!w->maintained[n]) {
+		if (w->busy) {
+			a->outcome = OUT_REFUSED;
+			a->refusal = REFUSAL_BUSY;
+		} else if (!w->maintained[n]) {
 			if (down >= w->wave_maximum)
 				break_promise(w, "too many machines down", "");
 			maintenance_check(w, n);
-			id = worker_id(w, n);
-			name = bstr_cstr(id);
-			row_get(w, TABLE_WORKERS, name)->removed = true;
-			row_get(w, TABLE_WORKERS, name)->revision =
-				++w->revision;
-			free(name);
-			bstr_free(&id);
-			worker_restart(w, n, MAINTENANCE_MS);
 			w->maintained[n] = true;
 			w->maintained_until[n] = w->now + MAINTENANCE_MS;
-			snprintf(key, sizeof(key), "i-%u-1", n);
-			row_write(w, TABLE_WORKERS, key, (int)n);
-			feeds_wake(w);
+			machine_restart(w, n, MAINTENANCE_MS);
 		}
 	}
 	answer_send(w, vm, ev, w->now + WAY_MS);
@@ -1345,6 +1359,18 @@
 	bstr_free(&id);
 }
 
+/* A machine is moved away and back by another's hand: a new worker. */
+void world_replace(struct world *w, unsigned worker)
+{
+	machine_restart(w, worker, 300);
+}
+
+/* Let machines be too busy for maintenance, or not. */
+void world_busy(struct world *w, bool busy)
+{
+	w->busy = busy;
+}
+
 /* A worker ends and starts again under its id, knowing nothing. */
 void world_crash(struct world *w, unsigned worker)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -60,6 +60,8 @@
 void world_compact(struct world *w); /* the feeds' history goes */
 void world_unlist(struct world *w, unsigned worker, bool gone); /* its row */
 void world_crash(struct world *w, unsigned worker); /* new life, same id */
+void world_replace(struct world *w, unsigned worker); /* new id */
+void world_busy(struct world *w, bool busy);	    /* no maintenance now */
 void world_drain(struct world *w, unsigned worker);
 void world_late(struct world *w, unsigned percent); /* orders done late */
 void world_fail_all(struct world *w, unsigned worker, bool fail);
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -524,6 +524,41 @@
 	check_free(w);
 }
 
+/*
+ * The users of a lasting job see two of its tasks gone where one may be.  A
+ * machine is due, but busy: the call for it is refused.  Its worker is
+ * replaced, the owner dies, and its successor's call succeeds.  If that goes by
+ * the worker that was noted first it takes the new one for spared, counts its
+ * tasks as at work until their leases end, and takes a second machine.
+ */
+Test(sched, wave_after_busy)
+{
+	struct world *w;
+	unsigned seed, i;
+
+	for (seed = 60; seed < 66; seed++) {
+		w = calm(seed);
+		world_submit(w, 0, JOB_A, &lasting);
+		world_submit(w, 0, JOB_B, &lasting);
+		world_run(w, 500);
+		world_busy(w, true);
+		world_wave(w, 6, 5);
+		world_run(w, 2000);
+		for (i = 0; i < 6; i++) {
+			world_replace(w, i);
+			world_run(w, 1500);
+		}
+		world_submit(w, 0, JOB_C, &lasting);
+		world_run(w, 5000);
+		world_kill(w, owner(w));
+		world_busy(w, false);
+		world_run(w, 25000);
+		cr_expect_eq(world_taken(w), 6, "seed %u", seed);
+		cr_expect(world_wave_is_completed(w), "seed %u", seed);
+		check_free(w);
+	}
+}
+
 /*
  * The owner is lost in the middle of a wave.  Its successor asks again for
  * machines that have been taken already, which succeeds: the new workers'
