A release before the owner had settled is not taken for one that knew

The owner was cut off with its data centre and went on renewing workers there for 6 s; its successor was stopped by plan 0.2 s after it took over; the third owner reckoned with the end of the leases by the release (3.4 s) and started 20 lasting tasks 0.2 s too soon. Ruled out: a worker's slow clock, late orders.

--- a/sched-own.c
+++ b/sched-own.c
@@ -235,7 +235,12 @@
 	rq->number = next.epoch;
 	s->own.claimed_at = s->now;
 	s->own.old_heard_at = s->own.sign_at;
-	s->own.old_released = !s->own.holder.bstr_len;
+	/*
+	 * One that gave up before it was settled had found no trace of leases
+	 * that an owner before it may go on renewing out of our reach: they
+	 * count as if nobody had given up, or their tasks would run twice.
+	 */
+	s->own.old_released = !s->own.holder.bstr_len && s->own.settled;
 	s->own.state = OWN_CLAIMING;
 }
 
@@ -415,7 +420,7 @@
 /* Give the ownership up for another VM to take at once. */
 void own_release(struct sched *s)
 {
-	struct ownership none = {.epoch = s->own.epoch};
+	struct ownership none = {.epoch = s->own.epoch, .settled = s->settled};
 	struct request *rq;
 	struct tx *t;
 
--- a/sched-row.c
+++ b/sched-row.c
@@ -345,10 +345,10 @@
 /* The row that says who owns the scheduling; released: nobody. */
 bstr owner_row_write(const struct ownership *o, bool release)
 {
-	return json_write(json_pack("{s:I, s:o, s:I}", "epoch",
-				    (json_int_t)o->epoch, "vm",
-				    bstr_json(release ? BSTR_NONE : o->holder),
-				    "life", (json_int_t)o->life));
+	return json_write(
+		json_pack("{s:I, s:o, s:I, s:b}", "epoch", (json_int_t)o->epoch,
+			  "vm", bstr_json(release ? BSTR_NONE : o->holder),
+			  "life", (json_int_t)o->life, "settled", o->settled));
 }
 
 /* Read it. */
@@ -362,6 +362,7 @@
 		o->life = (uint64_t)int_of(row, "life");
 		bstr_free(&o->holder);
 		o->holder = json_bstr(json_object_get(row, "vm"));
+		o->settled = json_is_true(json_object_get(row, "settled"));
 	}
 	json_decref(row);
 	return ok;
--- a/sched-state.h
+++ b/sched-state.h
@@ -325,7 +325,8 @@
 	int64_t claimed_at;
 	int64_t sign_at;      /* latest beat, or change of owner, seen */
 	int64_t old_heard_at; /* that of the owner before, at the claim */
-	bool old_released;    /* it gave up by plan */
+	bool settled;	      /* who gave up knew all that was running */
+	bool old_released;    /* it gave up by plan, and so */
 	json_t *workers;      /* whom an owner may have given leases, or NULL */
 	json_t *ceilings;     /* what it may have had running, or NULL */
 	int64_t settle_by;    /* no lease of it ends later */
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -304,6 +304,38 @@
 	check_free(w);
 }
 
+/*
+ * Users of lasting jobs get each answer twice.  A data centre is cut off with
+ * the owner and three workers in it; the owner goes on renewing them.  Its
+ * successor is stopped by plan before it knows what runs there, and the third
+ * owner must not take that for a release by one who knew.
+ */
+Test(sched, released_before_settled)
+{
+	struct world *w;
+	unsigned n, next, i, k, row;
+
+	for (row = 0; row < 14; row++) {
+		w = calm(200 + row);
+		world_submit(w, other(w), JOB_A, &lasting);
+		world_submit(w, other(w), JOB_B, &lasting);
+		world_run(w, 500);
+		n = owner(w);
+		world_cut_store(w, n, true);
+		for (i = 0; i < 6; i++)
+			for (k = 0; k < 4; k++)
+				world_cut_worker(w, k, i, (k == n) != (i < 3));
+		for (i = 0; i < 3; i++)
+			world_unlist(w, i, true);
+		world_run(w, 1300 + 70 * row);
+		next = owner(w);
+		if (next != n)
+			world_stop(w, next);
+		world_run(w, 12000);
+		check_free(w);
+	}
+}
+
 /*
  * A data centre is cut off with the owner and two workers in it.  The
  * workers' rows lapse, the successor does not see them, and the old owner
