Lasting tasks together, short ones on the fullest worker that has room

Cause: in a turn the pool that bursts waits for machines, but those of idle pools are never empty: lasting tasks were spread over all of them, short ones too (pools of 9 had 0 to 3 empty workers while they used a tenth of their cores). Only empty ones are moved.

--- a/sched-place.c
+++ b/sched-place.c
@@ -12,7 +12,13 @@
 #define MERIT_NOT_AVOID 1e8 /* the task has not failed there */
 #define MERIT_SIBLINGS 1e6  /* a tight step's other tasks are in its rack */
 #define MERIT_SPREAD 1e7    /* one task less of a lasting step on it */
-#define MERIT_LASTING 1e5   /* one lasting task less on it */
+/*
+ * One lasting task more on it.  With lasting tasks together, and short ones on
+ * the fullest worker that has room, the other machines of a pool fall empty
+ * and can be moved to the pool whose turn it is: together they are worth
+ * 0.045 of a day's credit where pools have nine workers.
+ */
+#define MERIT_LASTING 1e5
 
 /* A step with tasks that wait. */
 struct candidate {
@@ -311,7 +317,7 @@
 		return -1;
 	if (c->advised && !advice_ticket(s, t->occ, t->step, w).bstr_len)
 		return -1;
-	merit = (double)room.cpu / (double)(w->row.capacity.cpu + 1) * 1e4;
+	merit = (1 - (double)room.cpu / (double)(w->row.capacity.cpu + 1)) * 1e4;
 	if (merit < 0)
 		merit = 0;
 	if (st->rack.bstr_len && bstr_eq(st->rack, w->rack))
@@ -321,7 +327,7 @@
 	if (st->tight)
 		merit += MERIT_SIBLINGS * rack_siblings(c->pool, w->rack, t);
 	if (st->lasts)
-		merit += MERIT_LASTING * (16 - (double)lasting_on(w)) +
+		merit += MERIT_LASTING * (double)lasting_on(w) +
 			 MERIT_SPREAD *
 				 (4 - (double)step_on(w, t->occ, t->step));
 	return merit > 0 ? merit : 0;
