--- a/sched-move.c
+++ b/sched-move.c
@@ -15,14 +15,14 @@
  * Work that a pool can't finish within this calls for machines: a move takes
  * 1.5 s, and what waits longer than about 2 s misses its objective.
  */
-#define DRAIN_HIGH_MS 600.0
+#define DRAIN_HIGH_MS 400.0
 /* Below this a pool has more than it needs. */
 #define DRAIN_LOW_MS 250.0
 /* A machine is idle for so long before it leaves its pool. */
 #define IDLE_MS 1200
 /* Machines that a pool keeps free for the next jobs, in parts of its
  * workers: a burst begins with no warning. */
-#define KEEP_FREE 0.34
+#define KEEP_FREE 0.5
 /* A pool lends at most this share of its own machines to others. */
 #define LENT_SHARE 0.5
 /* A lasting task that waits so long needs another worker. */
