--- a/sched-move.c
+++ b/sched-move.c
@@ -18,8 +18,12 @@
 #define DRAIN_HIGH_MS 400.0
 /* Below this a pool has more than it needs. */
 #define DRAIN_LOW_MS 250.0
-/* A machine is idle for so long before it leaves its pool. */
-#define IDLE_MS 1200
+/*
+ * A machine is idle for so long before it leaves its pool, about the length
+ * of a queue's turn: it goes to the queue whose turn is next, without a way
+ * through standby.
+ */
+#define IDLE_MS 2500
 /* Machines that a pool keeps free for the next jobs, in parts of its
  * workers: a burst begins with no warning. */
 #define KEEP_FREE 0.5
