Machines move before all workers are known; a doubtful owner moves none

Only machines whose worker has answered and is empty are moved, so nothing unknown is lost by it; waves still wait.

Earlier moves make it likelier that two owners order about a machine, where nobody checks epochs: an owner whose proof is nearly as old as the silence after which it is replaced now gives no such orders. replaced_owner_leaves_machines was red without that.

--- a/sched-move.c
+++ b/sched-move.c
@@ -195,8 +195,8 @@
 		return false;
 	if (pool && pool->standby)
 		return true;
-	return w && TAILQ_EMPTY(&w->tasks) && w->listed && !w->row.draining &&
-	       !w->leaving && s->now - w->idle_at >= since;
+	return w && w->fenced && TAILQ_EMPTY(&w->tasks) && w->listed &&
+	       !w->row.draining && !w->leaving && s->now - w->idle_at >= since;
 }
 
 /* Move a machine. */
@@ -425,7 +425,7 @@
 	double one;
 	size_t i;
 
-	if (!own_acts(s) || !s->settled || !s->list_whole || !s->config ||
+	if (!own_alone(s) || !s->list_whole || !s->config ||
 	    s->now < s->move_at)
 		return;
 	s->move_at = s->now + MOVE_EVERY_MS;
--- a/sched-own.c
+++ b/sched-own.c
@@ -15,6 +15,8 @@
 #define KEY_BEAT "beat"
 #define KEY_WORKERS "workers"
 #define KEY_HOMES "homes"
+/* An order about a machine takes no longer to arrive, but by a fault. */
+#define OWN_ALONE_MARGIN_MS 300
 /* Claims of several VMs are spread over so long; the first one wins. */
 #define CLAIM_SPREAD_MS 150
 /*
@@ -36,6 +38,18 @@
 	       s->now - s->own.proved_at < UNPROVED_LEASE_MS - LEASE_MS;
 }
 
+/*
+ * Is this VM surely the only owner?  A successor claims when it has missed
+ * beats for OWNER_SILENT_MS.  Workers refuse an owner that was replaced, but
+ * nobody may check that for machines, so none is moved or taken down by an
+ * owner whose latest proof is nearly as old.
+ */
+bool own_alone(const struct sched *s)
+{
+	return own_acts(s) && s->now - s->own.proved_at <
+				      OWNER_SILENT_MS - OWN_ALONE_MARGIN_MS;
+}
+
 /* May this VM give orders now? */
 bool own_acts(const struct sched *s)
 {
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -534,10 +534,13 @@
 {
 	struct wave *v, *next;
 
-	if (!own_acts(s) || !s->settled)
+	if (!own_acts(s))
 		return;
 	if (!s->listing && s->now >= s->list_at)
 		machines_list(s, BSTR_NONE);
+	/* What runs where has to be known, lest too much of a job is taken. */
+	if (!s->settled || !own_alone(s))
+		return;
 	HASH_ITER(hh, s->waves, v, next)
 		wave_drive(s, v);
 }
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -145,7 +145,9 @@
 	unsigned wave_machines;
 	unsigned wave_maximum;
 	unsigned taken_times[WORLD_WORKERS];
+	uint64_t machine_epoch[WORLD_WORKERS]; /* the highest of an order */
 	bool busy; /* machines can't be maintained now */
+	bool machines_silent;
 	bool maintained[WORLD_WORKERS];
 	int64_t maintained_until[WORLD_WORKERS];
 	char broken[256];
@@ -964,6 +966,15 @@
 		name = bstr_cstr(fx->ask.order.machine);
 		n = (unsigned)(name[2] - '0');
 		free(name);
+		if (fx->ask.order.epoch < w->machine_epoch[n])
+			break_promise(w, "a machine has two owners", "");
+		w->machine_epoch[n] = fx->ask.order.epoch;
+		if (w->machines_silent) {
+			sched_event_free(ev);
+			answer_none(w, vm, fx);
+			sched_effect_free(fx);
+			return;
+		}
 		for (i = 0; i < w->worker_count; i++)
 			down += w->now < w->maintained_until[i];
 		if (w->busy) {
@@ -1365,6 +1376,12 @@
 	machine_restart(w, worker, 300);
 }
 
+/* Let orders about machines have no effect and no answer. */
+void world_silence_machines(struct world *w, bool silent)
+{
+	w->machines_silent = silent;
+}
+
 /* Let machines be too busy for maintenance, or not. */
 void world_busy(struct world *w, bool busy)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -50,7 +50,7 @@
 /* Faults. */
 void world_kill(struct world *w, unsigned vm);
 void world_start(struct world *w, unsigned vm);
-void world_stop(struct world *w, unsigned vm); /* planned */
+void world_stop(struct world *w, unsigned vm);		  /* planned */
 void world_cores(struct world *w, unsigned vm, double n); /* once started */
 void world_freeze(struct world *w, unsigned vm, int64_t ms);
 void world_cut_store(struct world *w, unsigned vm, bool cut);
@@ -59,9 +59,10 @@
 void world_store_vm(struct world *w, unsigned vm, enum world_store_mode mode);
 void world_compact(struct world *w); /* the feeds' history goes */
 void world_unlist(struct world *w, unsigned worker, bool gone); /* its row */
-void world_crash(struct world *w, unsigned worker); /* new life, same id */
+void world_crash(struct world *w, unsigned worker);   /* new life, same id */
 void world_replace(struct world *w, unsigned worker); /* new id */
-void world_busy(struct world *w, bool busy);	    /* no maintenance now */
+void world_busy(struct world *w, bool busy);	      /* no maintenance now */
+void world_silence_machines(struct world *w, bool silent);
 void world_drain(struct world *w, unsigned worker);
 void world_late(struct world *w, unsigned percent); /* orders done late */
 void world_fail_all(struct world *w, unsigned worker, bool fail);
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -591,6 +591,35 @@
 	}
 }
 
+/*
+ * Machines are told by two VMs at a time what to do: the owner is cut off
+ * from the store, and from the workers that would refuse it, in the middle of
+ * a wave, and goes on while its successor takes over.  The list of machines
+ * checks no epochs, so the owner has to stop by itself.
+ */
+Test(sched, replaced_owner_leaves_machines)
+{
+	struct world *w;
+	unsigned n, i, row;
+
+	for (row = 0; row < 12; row++) {
+		w = calm(300 + row);
+		world_submit(w, 0, JOB_A, &lasting);
+		world_run(w, 500);
+		world_silence_machines(w, true);
+		world_wave(w, 6, 6);
+		world_run(w, 1700 + 90 * row);
+		n = owner(w);
+		world_cut_store(w, n, true);
+		for (i = 0; i < 6; i++)
+			world_cut_worker(w, n, i, true);
+		world_run(w, 15000);
+		world_silence_machines(w, false);
+		world_run(w, 15000);
+		check_free(w);
+	}
+}
+
 /*
  * The owner is lost in the middle of a wave.  Its successor asks again for
  * machines that have been taken already, which succeeds: the new workers'
