A late commit no longer sets progress back

A commit of progress had no answer and was sent again with what had ended meanwhile; that one succeeded, ends were acknowledged and jobs shown as completed; then the first was carried out and set the rows back. The next owner started the tasks again. Ruled out: acknowledging before the commit, the takeover's reading (the rows it read were old ones).

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -6,6 +6,15 @@
  */
 #include "sched-state.h"
 
+/*
+ * A row that each commit rewrites under the condition of its revision.  A
+ * commit without an answer may be carried out seconds later: after a newer one
+ * it would set the progress of its jobs back, and tasks whose ends were
+ * acknowledged on the newer one's word would run again.  Its condition does
+ * not hold any more then.  It is no job's id.
+ */
+#define KEY_COMMIT "commit"
+
 /* Put what was in a failed commit back at the front, in its order. */
 static void commit_undo(struct sched *s)
 {
@@ -61,6 +70,8 @@
 		return;
 	t = sched_tx(s, FOR_COMMIT, s->now + STORE_TIMEOUT_MS, &rq);
 	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	tx_expect(t, TABLE_PROGRESS, bstr_lit(KEY_COMMIT), s->commit_revision);
+	tx_write(t, TABLE_PROGRESS, bstr_lit(KEY_COMMIT), bstr_new("{}"));
 	for (n = 0; n < COMMIT_ROWS_MAX && (j = TAILQ_FIRST(&s->dirty)); n++) {
 		TAILQ_REMOVE(&s->dirty, j, dirty);
 		TAILQ_INSERT_TAIL(&s->flying, j, dirty);
@@ -73,6 +84,45 @@
 	s->commit_at = s->now + COMMIT_PACE_MS;
 }
 
+/* The row that commits rewrite, as it was read. */
+bool commit_row_take(struct sched *s, const struct row *r)
+{
+	if (!bstr_eq_str(r->key, KEY_COMMIT))
+		return false;
+	if (r->revision > s->commit_revision)
+		s->commit_revision = r->revision;
+	return true;
+}
+
+/*
+ * A condition of a commit did not hold.  If this VM is still the owner, an
+ * earlier commit without an answer has been carried out after all: the
+ * answer shows the row's revision, and what was in both is sent again.
+ */
+static bool commit_is_overtaken(struct sched *s, const struct answer *a)
+{
+	uint64_t before = s->commit_revision;
+	bool owner = false;
+	size_t i;
+
+	for (i = 0; i < a->row_count; i++) {
+		if (a->rows[i].table == TABLE_PROGRESS)
+			commit_row_take(s, &a->rows[i]);
+		else if (a->rows[i].table == TABLE_OWNER)
+			owner = a->rows[i].revision == s->own.revision;
+	}
+	return owner && s->commit_revision > before;
+}
+
+/* Have all that was in a failed commit written again. */
+static void commit_again(struct sched *s, int64_t at)
+{
+	commit_undo(s);
+	commit_taint(s);
+	s->commit_at = at;
+	sched_count(s, COUNT_RETRY_PLATFORM_UNKNOWN, 1);
+}
+
 /* The outcome of a commit. */
 void commit_answer(struct sched *s, struct request *rq, struct answer *a)
 {
@@ -82,16 +132,18 @@
 		return;
 	s->committing = false;
 	if (a->outcome == OUT_CONFLICT) {
-		own_lose(s, "replaced");
+		if (commit_is_overtaken(s, a))
+			commit_again(s, s->now);
+		else
+			own_lose(s, "replaced");
 		return;
 	}
 	if (a->outcome != OUT_DONE) {
-		commit_undo(s);
-		commit_taint(s);
-		s->commit_at = s->now + STORE_AGAIN_MS;
-		sched_count(s, COUNT_RETRY_PLATFORM_UNKNOWN, 1);
+		commit_again(s, s->now + STORE_AGAIN_MS);
 		return;
 	}
+	if (a->revision > s->commit_revision)
+		s->commit_revision = a->revision;
 	while ((j = TAILQ_FIRST(&s->flying))) {
 		TAILQ_REMOVE(&s->flying, j, dirty);
 		j->flying_seq = 0;
--- a/sched-job.c
+++ b/sched-job.c
@@ -344,7 +344,8 @@
 	int64_t ended;
 	bstr tenant;
 
-	if (r->removed || r->kind == ROW_BAD || r->key.bstr_len != JOB_ID_BYTES)
+	if (r->removed || commit_row_take(s, r) || r->kind == ROW_BAD ||
+	    r->key.bstr_len != JOB_ID_BYTES)
 		return;
 	memcpy(id, r->key.bstr_val, JOB_ID_BYTES);
 	if (!progress_peek(r->value, &tenant, &fate, &ended)) {
--- a/sched-state.h
+++ b/sched-state.h
@@ -440,6 +440,7 @@
 	bool committing;
 	uint64_t flying_from; /* the first number in the commit under way */
 	int64_t commit_at;
+	uint64_t commit_revision; /* of the row that commits rewrite */
 	struct retired *retired;
 	struct retired_list retirees;
 	int64_t sweep_at;
@@ -554,6 +555,7 @@
 bstr job_service(const struct sched *s, const struct job *j);
 
 /* sched-commit.c */
+bool commit_row_take(struct sched *s, const struct row *r);
 void commit_tick(struct sched *s);
 uint64_t commit_durable(const struct sched *s);
 void commit_answer(struct sched *s, struct request *rq, struct answer *a);
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -93,6 +93,7 @@
 	unsigned worker_life;	    /* of a late order: it dies with it */
 	struct sched_effect *ask;   /* arrives at its target */
 	struct sched_event *answer; /* arrives at the VM */
+	bool late;		    /* a write that nobody waits for */
 	int64_t give_up_at;	    /* a feed or hold that waits */
 };
 TAILQ_HEAD(pending_list, pending);
@@ -508,6 +509,23 @@
 	return true;
 }
 
+/* The rows that a refused transaction had expected, as they are. */
+static void rows_expected(struct world *w, const struct tx *t, struct answer *a)
+{
+	const struct world_row *r;
+	char *key;
+	size_t i;
+
+	a->rows = xcalloc(t->expect_count + 1, sizeof(*a->rows));
+	for (i = 0; i < t->expect_count; i++) {
+		key = bstr_cstr(t->expect[i].key);
+		r = row_get(w, t->expect[i].table, key);
+		free(key);
+		if (!r->removed && r->revision)
+			row_give(w, r, &a->rows[a->row_count++]);
+	}
+}
+
 /* How the store treats a VM now. */
 static enum world_store_mode store_mode(const struct world *w, unsigned vm)
 {
@@ -549,12 +567,23 @@
 		sched_effect_free(fx);
 		return;
 	}
+	if (mode == STORE_LATE) {
+		answer_none(w, vm, fx);
+		p = pending_add(w, &w->pending,
+				w->now + 500 + random_next(&w->random) % 3000,
+				vm);
+		p->ask = fx;
+		p->late = true;
+		return;
+	}
 	ok = tx_apply(w, &fx->ask.tx);
 	if (mode == STORE_LOSES) {
 		answer_none(w, vm, fx);
 	} else {
 		ev = answer_make(fx, ok ? OUT_DONE : OUT_CONFLICT, w->now);
 		ev->answer.revision = w->revision;
+		if (!ok)
+			rows_expected(w, &fx->ask.tx, &ev->answer);
 		answer_send(w, vm, ev, w->now + WAY_MS);
 	}
 	sched_effect_free(fx);
@@ -1071,7 +1100,11 @@
 	struct world_vm *v = &w->vms[p->vm];
 
 	w->asker_life = p->life;
-	if (p->ask && p->life == UINT32_MAX) {
+	if (p->late) {
+		tx_apply(w, &p->ask->ask.tx);
+		sched_effect_free(p->ask);
+		feeds_wake(w);
+	} else if (p->ask && p->life == UINT32_MAX) {
 		unsigned n = (unsigned)(p->ask->ask.order.address.bstr_val[1] -
 					'0');
 
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -20,7 +20,8 @@
 	STORE_GOOD,
 	STORE_SILENT,  /* nothing is done and nothing answered */
 	STORE_REFUSES, /* nothing is done, and said so */
-	STORE_LOSES    /* writes are done and not answered */
+	STORE_LOSES,   /* writes are done and not answered */
+	STORE_LATE     /* writes are done seconds later and not answered */
 };
 
 struct world_job {
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -388,6 +388,41 @@
 	check_free(w);
 }
 
+/*
+ * Callers get the same answer twice: a write without an answer is carried out
+ * seconds later, after a newer one, and sets a job's progress back.  The ends
+ * of its tasks were acknowledged on the newer one's word, and the next owner
+ * starts them again.
+ */
+Test(sched, late_writes)
+{
+	struct world *w;
+	unsigned row, k;
+	char id[17];
+
+	for (row = 0; row < 10; row++) {
+		w = calm(400 + row);
+		world_store(w, STORE_LATE);
+		for (k = 0; k < 3; k++) {
+			snprintf(id, sizeof(id), "%016x", 0xa0 + k);
+			world_store(w, STORE_GOOD);
+			world_submit(w, other(w), id, &chain);
+			world_run(w, 300 + 40 * row);
+			world_store_vm(w, owner(w), STORE_LATE);
+			world_run(w, 500 + 30 * row);
+			world_store_vm(w, owner(w), STORE_GOOD);
+		}
+		world_run(w, 900 + 100 * row);
+		world_kill(w, owner(w));
+		world_run(w, 14000);
+		for (k = 0; k < 3; k++) {
+			snprintf(id, sizeof(id), "%016x", 0xa0 + k);
+			cr_expect_str_eq(world_state(w, id), "completed");
+		}
+		check_free(w);
+	}
+}
+
 /* A store that is away for long lets what runs go on or end, never twice. */
 Test(sched, long_outage)
 {
