After a takeover jobs without a trace of a run count as waiting

An owner writes that a job may run before its first start; in an overload many find no room then, and the successor took them all for begun.

--- a/sched-job.c
+++ b/sched-job.c
@@ -42,10 +42,29 @@
 	return r ? r->service : j->service;
 }
 
-/* Has no task of a job begun? */
+/* Is there a trace of a run of a job under an earlier owner? */
+static bool job_has_run(const struct job *j)
+{
+	const struct occurrence *o;
+	unsigned i;
+
+	TAILQ_FOREACH(o, &j->occs, entry)
+		for (i = 0; i < o->task_count; i++)
+			if (o->tasks[i].phase != AT_REST || o->tasks[i].top_run)
+				return true;
+	return j->body->repeat_count && j->next_k;
+}
+
+/*
+ * Has no task of a job begun?  An owner writes that a job may run before its
+ * first start, and finds no room then, perhaps: to its successor only a trace
+ * of a run shows that it did, or all that waits at a takeover would seem to
+ * run.
+ */
 bool job_waits(const struct job *j)
 {
-	return j->fate <= FATE_RUNNING && !j->starts && !j->ran_before;
+	return j->fate <= FATE_RUNNING && !j->starts &&
+	       !(j->ran_before && job_has_run(j));
 }
 
 /*
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -423,6 +423,35 @@
 	}
 }
 
+/*
+ * An operator sees one job waiting where many do.  Jobs that may run, by the
+ * store, have found no room when their owner dies: its successor counts them
+ * as waiting still, for it finds no trace of a run of them.
+ */
+Test(sched, waiting_after_takeover)
+{
+	static const struct world_job slow = {.tasks = 3, .task_ms = 20000};
+	struct world *w = calm(60);
+	uint64_t a;
+	unsigned k;
+	char id[17];
+
+	world_limit(w, 6000);
+	world_run(w, 20);
+	for (k = 0; k < 6; k++) {
+		snprintf(id, sizeof(id), "%016x", 0xb0 + k);
+		world_submit(w, 0, id, &slow);
+	}
+	world_run(w, 500);
+	world_kill(w, owner(w));
+	world_run(w, 4000);
+	a = world_call(w, owner(w), VERB_STATE, "");
+	world_run(w, 10);
+	cr_expect_eq(world_waiting(w, a), 5, "%llu wait",
+		     (unsigned long long)world_waiting(w, a));
+	check_free(w);
+}
+
 /* A store that is away for long lets what runs go on or end, never twice. */
 Test(sched, long_outage)
 {
