Sight: a waiting count tells where it is from and how old it is

Callers were told that no job waits where fifty did. Logs and metrics could not tell the hypotheses apart: an answer to a count left no line, a beat none, and nothing had the age of a count or of the owner's book. Now COUNT_TOLD and OWNER_BEAT do, and a gauge has the age.

The age is reckoned by the store's steady clock, which each of its answers tells: the owner's beat says up to when its book has all accepted jobs. What is answered is unchanged. The counts moved from sched-call.c and sched-row.c into a file of their own.

--- a/sched-call.c
+++ b/sched-call.c
@@ -34,8 +34,8 @@
 }
 
 /* Refuse, and count why. */
-static void refuse(struct sched *s, uint64_t id, int status,
-		   enum counter_id reason, const char *text, const char *job)
+void call_refuse(struct sched *s, uint64_t id, int status,
+		 enum counter_id reason, const char *text, const char *job)
 {
 	sched_count(s, reason, 1);
 	reply(s, id, status, text, job);
@@ -137,14 +137,15 @@
 	const char *why;
 
 	if (!in->body) {
-		refuse(s, in->id, 400, COUNT_REFUSED_SPEC,
-		       in->body_error ? "spec-unreadable" : "spec-missing", id);
+		call_refuse(s, in->id, 400, COUNT_REFUSED_SPEC,
+			    in->body_error ? "spec-unreadable" : "spec-missing",
+			    id);
 		sched_log(s, LOG_BAD_INPUT, "job=%s error=\"%s\"", id,
 			  in->body_error ? in->body_error : "");
 		return;
 	}
 	if (!body_is_sane(in->body, &why)) {
-		refuse(s, in->id, 400, COUNT_REFUSED_SPEC, why, id);
+		call_refuse(s, in->id, 400, COUNT_REFUSED_SPEC, why, id);
 		return;
 	}
 	c = call_new(s, in, id, t, r->open);
@@ -172,40 +173,6 @@
 	sched_count(s, COUNT_TABLE_READS, 1);
 }
 
-/* How many jobs of a queue wait: the owner's own book, or its last beat. */
-static uint64_t count_waiting(struct sched *s, bstr route)
-{
-	struct waiting_count *w;
-	const struct job *j;
-	uint64_t n = 0;
-
-	if (s->own.state != OWN_YES) {
-		HASH_FIND_BSTR(s->waiting, route, w);
-		return w ? w->count : 0;
-	}
-	TAILQ_FOREACH(j, &s->order, entry)
-		if (job_waits(j) && bstr_eq(j->route, route))
-			n++;
-	return n;
-}
-
-/* Answer how many jobs of a queue wait. */
-static void count_take(struct sched *s, const struct call_in *in,
-		       const struct route *r)
-{
-	struct sched_effect *fx;
-
-	if (!s->own.known) {
-		refuse(s, in->id, 503, COUNT_REFUSED_NO_OWNER, "no-owner", "-");
-		return;
-	}
-	fx = sched_effect_add(s, EFFECT_REPLY);
-	fx->reply = (struct reply){.call = in->id,
-				   .status = 200,
-				   .kind = REPLY_WAITING,
-				   .waiting = count_waiting(s, r->name)};
-}
-
 /* Take a request for one job. */
 static void job_call_take(struct sched *s, struct call_in *in, const char *id,
 			  const struct route *r, const struct tenant *t)
@@ -215,8 +182,8 @@
 	 * before, so nothing of this request has been sent to it.
 	 */
 	if (!sched_store_works(s)) {
-		refuse(s, in->id, 503, COUNT_REFUSED_PLATFORM,
-		       "store-unavailable", id);
+		call_refuse(s, in->id, 503, COUNT_REFUSED_PLATFORM,
+			    "store-unavailable", id);
 		return;
 	}
 	if (in->kind == VERB_SUBMIT)
@@ -236,13 +203,14 @@
 	bstr rest;
 
 	if (!s->config) {
-		refuse(s, in->id, 503, COUNT_REFUSED_NO_CONFIG, "no-config",
-		       id);
+		call_refuse(s, in->id, 503, COUNT_REFUSED_NO_CONFIG,
+			    "no-config", id);
 		return;
 	}
 	r = route_find(s, in->host, in->path);
 	if (!r) {
-		refuse(s, in->id, 404, COUNT_REFUSED_POOL, "no-such-queue", id);
+		call_refuse(s, in->id, 404, COUNT_REFUSED_POOL, "no-such-queue",
+			    id);
 		return;
 	}
 	rest = bstr_ref(in->path.bstr_val + r->prefix.bstr_len,
@@ -251,7 +219,7 @@
 	if (!t && !r->open) {
 		if (job_id_read(rest, id))
 			id[JOB_ID_BYTES] = '\0';
-		refuse(s, in->id, 401, COUNT_REFUSED_KEY, "key", id);
+		call_refuse(s, in->id, 401, COUNT_REFUSED_KEY, "key", id);
 		return;
 	}
 	if (!rest.bstr_len && in->kind == VERB_STATE) {
@@ -259,11 +227,12 @@
 		return;
 	}
 	if (!job_id_read(rest, id)) {
-		refuse(s, in->id, 404, COUNT_REFUSED_JOB, "no-such-path", "-");
+		call_refuse(s, in->id, 404, COUNT_REFUSED_JOB, "no-such-path",
+			    "-");
 		return;
 	}
 	if (in->kind == VERB_OTHER) {
-		refuse(s, in->id, 405, COUNT_REFUSED_SPEC, "method", id);
+		call_refuse(s, in->id, 405, COUNT_REFUSED_SPEC, "method", id);
 		return;
 	}
 	job_call_take(s, in, id, r, t);
@@ -286,8 +255,8 @@
 		/* Nothing was done by this try, but by an earlier one? */
 		if (c->uncertain)
 			break;
-		refuse(s, c->id, 503, COUNT_REFUSED_PLATFORM, "store-refused",
-		       c->job);
+		call_refuse(s, c->id, 503, COUNT_REFUSED_PLATFORM,
+			    "store-refused", c->job);
 		call_free(s, c);
 		return;
 	case OUT_UNKNOWN:
@@ -303,7 +272,8 @@
 		submit_send(s, c);
 		return;
 	}
-	refuse(s, c->id, 504, COUNT_REFUSED_DEADLINE, "store-unknown", c->job);
+	call_refuse(s, c->id, 504, COUNT_REFUSED_DEADLINE, "store-unknown",
+		    c->job);
 	call_free(s, c);
 }
 
@@ -370,8 +340,8 @@
 		ok = job ? job_row_tenant(row->value, &tenant)
 			 : progress_peek(row->value, &tenant, &fate, &ended);
 	if (!ok) {
-		refuse(s, c->id, 500, COUNT_REFUSED_JOB, "row-unreadable",
-		       c->job);
+		call_refuse(s, c->id, 500, COUNT_REFUSED_JOB, "row-unreadable",
+			    c->job);
 		call_free(s, c);
 	} else if (!row || (!c->open && !bstr_eq(tenant, c->tenant))) {
 		/* Other organisations' jobs are none of the caller's. */
@@ -387,8 +357,9 @@
 static void call_again(struct sched *s, struct call *c, enum purpose purpose)
 {
 	if (s->now + STORE_AGAIN_MS >= c->deadline || !sched_store_works(s)) {
-		refuse(s, c->id, purpose == FOR_CANCEL ? 504 : 503,
-		       COUNT_REFUSED_PLATFORM, "store-unavailable", c->job);
+		call_refuse(s, c->id, purpose == FOR_CANCEL ? 504 : 503,
+			    COUNT_REFUSED_PLATFORM, "store-unavailable",
+			    c->job);
 		call_free(s, c);
 		return;
 	}
@@ -431,8 +402,8 @@
 	HASH_ITER(hh, s->calls, c, next) {
 		if (s->now < c->deadline + REPLY_MARGIN_MS)
 			continue;
-		refuse(s, c->id, 504, COUNT_REFUSED_DEADLINE, "deadline",
-		       c->job);
+		call_refuse(s, c->id, 504, COUNT_REFUSED_DEADLINE, "deadline",
+			    c->job);
 		call_free(s, c);
 	}
 }
--- a/sched-follow.c
+++ b/sched-follow.c
@@ -33,6 +33,7 @@
 		bstr_free(&f->reads[i].from);
 		f->reads[i].whole = f->reads[i].open = false;
 		f->reads[i].first = 0;
+		f->reads[i].first_at = 0;
 	}
 }
 
@@ -162,9 +163,12 @@
 			return;
 	f->whole = true;
 	f->revision = f->reads[0].first;
+	f->told_at = f->reads[0].first_at;
 	for (i = 0; i < follow_parts(f); i++) {
 		if (f->reads[i].first < f->revision)
 			f->revision = f->reads[i].first;
+		if (f->reads[i].first_at < f->told_at)
+			f->told_at = f->reads[i].first_at;
 		bstr_free(&f->reads[i].from);
 	}
 	if (f->table == TABLE_WORKERS)
@@ -180,8 +184,10 @@
 static void page_take(struct sched *s, struct follow *f, struct part_read *p,
 		      const struct answer *a)
 {
-	if (!p->first)
+	if (!p->first) {
 		p->first = a->revision;
+		p->first_at = a->store_clock;
+	}
 	if (a->more && a->row_count) {
 		page_next(p, a);
 		return;
@@ -226,6 +232,8 @@
 		return;
 	if (fed && a->revision > f->revision)
 		f->revision = a->revision;
+	if (fed)
+		f->told_at = a->store_clock;
 	if (fed && f->table == TABLE_WORKERS)
 		f->again_at = s->now + WORKERS_FEED_APART_MS;
 	if (!fed)
--- a/sched-own.c
+++ b/sched-own.c
@@ -86,6 +86,7 @@
 	follow_restart(&s->follows[2]);
 	follow_restart(&s->follows[3]);
 	follow_restart(&s->progress);
+	s->follows[3].told_at = 0;
 }
 
 /* This VM is not the owner any more. */
@@ -382,6 +383,11 @@
 			 json_write(json_incref(s->homes)));
 		s->homes_dirty = false;
 	}
+	sched_log(s, LOG_OWNER_BEAT,
+		  "epoch=%llu seq=%llu read=%d jobs=%u age_ms=%lld",
+		  (unsigned long long)s->own.epoch,
+		  (unsigned long long)s->own.beat_seq, s->own.state == OWN_YES,
+		  HASH_COUNT(s->jobs), (long long)counts_age(s));
 	s->own.beating = true;
 	s->own.beat_sent = s->now;
 	s->own.beat_at = s->now + BEAT_MS;
--- a/sched-row.c
+++ b/sched-row.c
@@ -357,32 +357,17 @@
 /* The owner's beat, with the waiting jobs of each queue. */
 bstr beat_row_write(struct sched *s)
 {
-	json_t *counts = json_object();
-	const struct job *j;
-	json_t *v;
-	char *route;
-
-	TAILQ_FOREACH(j, &s->order, entry) {
-		if (!job_waits(j))
-			continue;
-		route = bstr_cstr(j->route);
-		v = json_object_get(counts, route);
-		json_object_set_new(counts, route,
-				    json_integer(json_integer_value(v) + 1));
-		free(route);
-	}
-	return json_write(json_pack("{s:I, s:I, s:o, s:o}", "epoch",
-				    (json_int_t)s->own.epoch, "seq",
-				    (json_int_t)s->own.beat_seq, "waiting",
-				    counts, "ceilings", ceilings_write(s)));
+	return json_write(json_pack(
+		"{s:I, s:I, s:I, s:o, s:o}", "epoch", (json_int_t)s->own.epoch,
+		"seq", (json_int_t)s->own.beat_seq, "told_at",
+		(json_int_t)book_told_at(s), "waiting", counts_write(s),
+		"ceilings", ceilings_write(s)));
 }
 
 /* Read a beat: its epoch, and the counts. */
 bool beat_row_read(struct sched *s, bstr text, uint64_t *epoch)
 {
-	json_t *row = json_read(text), *v;
-	struct waiting_count *w, *next;
-	const char *route;
+	json_t *row = json_read(text);
 
 	if (!json_is_integer(json_object_get(row, "epoch"))) {
 		json_decref(row);
@@ -391,18 +376,7 @@
 	*epoch = (uint64_t)int_of(row, "epoch");
 	json_decref(s->own.ceilings);
 	s->own.ceilings = json_incref(json_object_get(row, "ceilings"));
-	HASH_ITER(hh, s->waiting, w, next) {
-		HASH_DEL(s->waiting, w);
-		bstr_free(&w->route);
-		free(w);
-	}
-	json_object_foreach(json_object_get(row, "waiting"), route, v) {
-		w = xcalloc(1, sizeof(*w));
-		w->route = bstr_new(route);
-		w->count = (uint64_t)json_integer_value(v);
-		HASH_ADD_KEYPTR(hh, s->waiting, w->route.bstr_val,
-				w->route.bstr_len, w);
-	}
+	counts_read(s, json_object_get(row, "waiting"), int_of(row, "told_at"));
 	json_decref(row);
 	return true;
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -287,8 +287,9 @@
 struct part_read {
 	bool open; /* a request is under way */
 	bool whole;
-	uint64_t first; /* revision of the first page */
-	bstr from;	/* next page */
+	uint64_t first;	  /* revision of the first page */
+	int64_t first_at; /* by the store's clock */
+	bstr from;	  /* next page */
 };
 
 /* How a table is followed: read whole, then by its feed. */
@@ -303,6 +304,7 @@
 	bool open;	  /* a request to the feed is under way */
 	bool whole;	  /* read whole; the feed goes on at revision */
 	uint64_t revision;
+	int64_t told_at; /* all until then is known, by the store's clock */
 	struct part_read reads[JOB_PARTS];
 	int64_t again_at;
 };
@@ -422,6 +424,10 @@
 	struct follow follows[4];
 	struct ownership own;
 	struct waiting_count *waiting; /* as the owner told */
+	int64_t waiting_told_at;       /* of the jobs until then, by the store's
+					* clock; 0: not known */
+	bool store_timed;	       /* the store has told its clock */
+	int64_t store_ahead;	       /* that clock, less this VM's */
 	unsigned store_failures;       /* in a row */
 	int64_t store_ok_at;
 	int64_t store_failed_at;
@@ -512,7 +518,19 @@
 bstr beat_row_write(struct sched *s);
 bool beat_row_read(struct sched *s, bstr row, uint64_t *epoch);
 
+/* sched-count.c */
+json_t *counts_write(const struct sched *s);
+void counts_read(struct sched *s, const json_t *counts, int64_t told_at);
+void counts_free(struct sched *s);
+int64_t counts_age(const struct sched *s);
+int64_t book_told_at(const struct sched *s);
+void count_take(struct sched *s, const struct call_in *in,
+		const struct route *r);
+void store_clock_take(struct sched *s, const struct answer *a);
+
 /* sched-call.c */
+void call_refuse(struct sched *s, uint64_t id, int status,
+		 enum counter_id reason, const char *text, const char *job);
 void call_take(struct sched *s, struct call_in *in);
 void call_answer(struct sched *s, struct request *rq, struct answer *a);
 void call_tick(struct sched *s);
--- a/sched.c
+++ b/sched.c
@@ -195,6 +195,7 @@
 		return;
 	HASH_DEL(s->requests, rq);
 	if (purpose_is_store(rq->purpose)) {
+		store_clock_take(s, a);
 		store_judge(s, a);
 		if (!purpose_is_feed(rq->purpose))
 			sched_observe(s, HISTOGRAM_STORE, s->now - a->sent_at);
@@ -260,6 +261,12 @@
 	own_release(s);
 }
 
+/* A gauge's value for an age; one that is not known is as old as can be. */
+static uint64_t gauge_of(int64_t age)
+{
+	return age < 0 ? UINT32_MAX : (uint64_t)age;
+}
+
 /* Tell what this VM believes, once in a while. */
 static void gauges_tick(struct sched *s)
 {
@@ -278,6 +285,7 @@
 	sched_gauge(s, COUNT_CONFIG_REVISION,
 		    s->config ? s->config->version : 0);
 	sched_gauge(s, COUNT_STORE_AGE, (uint64_t)(s->now - s->store_ok_at));
+	sched_gauge(s, COUNT_COUNTS_AGE, gauge_of(counts_age(s)));
 }
 
 /* Look at the clock. */
@@ -374,7 +382,6 @@
 {
 	struct request *rq, *next_rq;
 	struct call *c, *next_c;
-	struct waiting_count *w, *next_w;
 	struct sched_effects out;
 	size_t i;
 
@@ -392,11 +399,7 @@
 		bstr_free(&rq->name);
 		free(rq);
 	}
-	HASH_ITER(hh, s->waiting, w, next_w) {
-		HASH_DEL(s->waiting, w);
-		bstr_free(&w->route);
-		free(w);
-	}
+	counts_free(s);
 	for (i = 0; i < NELEMS(s->follows); i++)
 		follow_restart(&s->follows[i]);
 	follow_restart(&s->progress);
--- a/scheduler.h
+++ b/scheduler.h
@@ -211,8 +211,9 @@
 	struct row *rows;
 	size_t row_count;
 	bool more;
-	int64_t clock; /* the worker's */
-	int64_t born;  /* 0: not said */
+	int64_t clock;	     /* the worker's */
+	int64_t store_clock; /* the store's steady one; 0: not said */
+	int64_t born;	     /* 0: not said */
 	struct running *running;
 	size_t running_count;
 	struct ended *ended;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -3,8 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WALL_BASE 1700000000000 /* wall clock at time 0 */
-#define WAY_MS 2		/* one way between any two */
+#define WALL_BASE 1700000000000	 /* wall clock at time 0 */
+#define WAY_MS 2		 /* one way between any two */
+#define STORE_CLOCK_BASE 5000000 /* ms; the store's clock at time 0 */
 #define TICK_MS 40
 #define LEASE_MAX_MS 6000
 #define STOP_MS 200
@@ -346,6 +347,9 @@
 	ev->answer.request = fx->ask.request;
 	ev->answer.outcome = outcome;
 	ev->answer.sent_at = sent_at;
+	if (outcome != OUT_UNKNOWN && outcome != OUT_REFUSED &&
+	    fx->ask.kind <= ASK_FEED)
+		ev->answer.store_clock = STORE_CLOCK_BASE + sent_at;
 	return ev;
 }
 
