World: slow and stalled stores, small pages, lost starts; counts are judged

A VM's answer to how many jobs wait is held against what the workers have begun and the store holds: of the jobs of more than 5 s at least half.

--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -22,6 +22,14 @@
 #define SERVICE "pool"
 #define TENANT "org"
 #define KEY "key"
+/*
+ * What callers may rely on: of the jobs that were accepted longer ago than
+ * this and have not begun, at least one in so many is said to wait.
+ */
+#define WAITING_KNOWN_MS 5000
+#define WAITING_SHARE 2
+/* The world's own questions for counts have calls from here on. */
+#define COUNT_CALLS (1ULL << 32)
 
 struct world_row {
 	enum table table;
@@ -76,6 +84,8 @@
 	unsigned life;
 	bool cut_store;
 	enum world_store_mode store;
+	int64_t slow_ms;
+	bool stalled[TABLE_MAX]; /* reads of it get no answer */
 	bool cut_worker[WORLD_WORKERS];
 	int64_t frozen_until;
 	int64_t tick_at;
@@ -121,7 +131,11 @@
 	uint64_t revision;
 	uint64_t floor; /* feeds from before are gone */
 	enum world_store_mode store;
+	int64_t slow_ms;
+	unsigned page_rows; /* 0: as many as are asked for */
 	unsigned late_percent;
+	unsigned vanish_percent;
+	enum refusal refusal; /* of all starts */
 	int64_t limit;
 	int64_t limit_before; /* in force until then */
 	int64_t limit_until;
@@ -131,6 +145,9 @@
 	struct {
 		char id[JOB_ID_BYTES + 1];
 		struct world_job job;
+		int64_t stored_at; /* 0: its row is not in the store */
+		bool over;	   /* cancelled or final, by the store */
+		bool begun;	   /* a worker has begun a task of it */
 	} jobs[CALLS_MAX];
 	unsigned job_count;
 	struct {
@@ -139,6 +156,11 @@
 		uint64_t waiting;
 	} calls[CALLS_MAX];
 	uint64_t call_count;
+	int64_t count_every_ms; /* all VMs are asked so often; 0: not */
+	int64_t count_at;
+	uint64_t count_calls;
+	unsigned counts_told;
+	unsigned counts_refused;
 	struct task_note notes[NAMES_MAX];
 	unsigned note_count;
 	unsigned starts;
@@ -177,15 +199,23 @@
 	return &w->notes[i];
 }
 
-/* The declaration of a task's job. */
-static const struct world_job *job_of(const struct world *w, const char *name)
+/* The number of a task's or a row's job; -1: nobody submitted it. */
+static int job_number(const struct world *w, const char *name)
 {
 	unsigned i;
 
 	for (i = 0; i < w->job_count; i++)
 		if (!strncmp(w->jobs[i].id, name, JOB_ID_BYTES))
-			return &w->jobs[i].job;
-	return NULL;
+			return (int)i;
+	return -1;
+}
+
+/* The declaration of a task's job. */
+static const struct world_job *job_of(const struct world *w, const char *name)
+{
+	int n = job_number(w, name);
+
+	return n < 0 ? NULL : &w->jobs[n].job;
 }
 
 /* The id of a worker; it changes when its machine is taken. */
@@ -367,6 +397,20 @@
 		    fx->ask.deadline > w->now ? fx->ask.deadline : w->now);
 }
 
+/* The store answers; an answer after the deadline finds nobody. */
+static void store_answer(struct world *w, unsigned vm, struct sched_effect *fx,
+			 struct sched_event *ev)
+{
+	int64_t slow = w->slow_ms + w->vms[vm].slow_ms;
+
+	if (slow && w->now + WAY_MS + slow > fx->ask.deadline) {
+		sched_event_free(ev);
+		answer_none(w, vm, fx);
+		return;
+	}
+	answer_send(w, vm, ev, w->now + WAY_MS + slow);
+}
+
 /* Give rows of a table that are newer than a revision, oldest first. */
 static void rows_newer(const struct world *w, enum table table, uint64_t after,
 		       struct answer *a)
@@ -416,11 +460,13 @@
 	char *from = bstr_cstr(range->from);
 	const struct world_row *r, *best;
 	const char *last = NULL;
-	unsigned i;
+	unsigned i, limit = range->limit;
 
+	if (w->page_rows && w->page_rows < limit)
+		limit = w->page_rows;
 	a->revision = w->revision;
 	a->rows = xcalloc(w->row_count + 1, sizeof(*a->rows));
-	while (a->row_count < range->limit) {
+	while (a->row_count < limit) {
 		best = NULL;
 		for (i = 0; i < w->row_count; i++) {
 			r = &w->rows[i];
@@ -437,7 +483,7 @@
 		row_give(w, best, &a->rows[a->row_count++]);
 		last = best->key;
 	}
-	a->more = a->row_count == range->limit;
+	a->more = a->row_count == limit;
 	free(from);
 }
 
@@ -466,7 +512,7 @@
 		ev->answer.revision = w->revision;
 		if (r->after < w->floor)
 			ev->answer.outcome = OUT_GONE;
-		answer_send(w, p->vm, ev, w->now + WAY_MS);
+		store_answer(w, p->vm, p->ask, ev);
 		TAILQ_REMOVE(&w->waiting, p, entry);
 		sched_effect_free(p->ask);
 		free(p);
@@ -474,6 +520,29 @@
 	w->asker_life = life;
 }
 
+/* Note for the jobs of the world what a row says of them. */
+static void job_row_note(struct world *w, const struct tx_write *row,
+			 const char *key)
+{
+	static const char *const last[] = {"completed", "failed", "cancelled"};
+	int n = job_number(w, key);
+	char want[32];
+	size_t i;
+
+	if (n < 0)
+		return;
+	if (row->table == TABLE_JOBS && key[JOB_ID_BYTES])
+		w->jobs[n].over = true;
+	else if (row->table == TABLE_JOBS && !w->jobs[n].stored_at)
+		w->jobs[n].stored_at = w->now;
+	for (i = 0; row->table == TABLE_PROGRESS && i < NELEMS(last); i++) {
+		snprintf(want, sizeof(want), "\"state\":\"%s\"", last[i]);
+		if (memmem(row->value.bstr_val, row->value.bstr_len, want,
+			   strlen(want)))
+			w->jobs[n].over = true;
+	}
+}
+
 /* Carry out a transaction; false: a condition does not hold. */
 static bool tx_apply(struct world *w, const struct tx *t)
 {
@@ -497,6 +566,7 @@
 		bstr_set(&r->value, t->writes[i].value);
 		r->revision = w->revision;
 		r->removed = false;
+		job_row_note(w, &t->writes[i], key);
 		free(key);
 	}
 	for (i = 0; i < t->remove_count; i++) {
@@ -542,14 +612,15 @@
 	struct pending *p;
 	bool ok;
 
-	if (mode == STORE_SILENT) {
+	if (mode == STORE_SILENT || (fx->ask.kind != ASK_TX &&
+				     w->vms[vm].stalled[fx->ask.range.table])) {
 		answer_none(w, vm, fx);
 		sched_effect_free(fx);
 		return;
 	}
 	if (mode == STORE_REFUSES) {
 		ev = answer_make(fx, OUT_REFUSED, w->now);
-		answer_send(w, vm, ev, w->now + WAY_MS);
+		store_answer(w, vm, fx, ev);
 		sched_effect_free(fx);
 		return;
 	}
@@ -563,7 +634,7 @@
 	if (fx->ask.kind == ASK_GET) {
 		ev = answer_make(fx, OUT_DONE, w->now);
 		range_read(w, &fx->ask.range, &ev->answer);
-		answer_send(w, vm, ev, w->now + WAY_MS);
+		store_answer(w, vm, fx, ev);
 		sched_effect_free(fx);
 		return;
 	}
@@ -584,7 +655,7 @@
 		ev->answer.revision = w->revision;
 		if (!ok)
 			rows_expected(w, &fx->ask.tx, &ev->answer);
-		answer_send(w, vm, ev, w->now + WAY_MS);
+		store_answer(w, vm, fx, ev);
 	}
 	sched_effect_free(fx);
 	feeds_wake(w);
@@ -736,9 +807,9 @@
 		free(name);
 		return REFUSAL_TICKET;
 	}
-	if ((int64_t)(k->run_count + 1) * TASK_CPU > CORES) {
+	if (w->refusal || (int64_t)(k->run_count + 1) * TASK_CPU > CORES) {
 		free(name);
-		return REFUSAL_ROOM;
+		return w->refusal ? w->refusal : REFUSAL_ROOM;
 	}
 	j = job_of(w, name);
 	r = &k->runs[k->run_count++];
@@ -749,6 +820,8 @@
 	r->ends_at = !j || j->lasts ? 0 : w->now + j->task_ms;
 	r->fails = j && note_of(w, name)->runs++ < j->fails;
 	note_of(w, name)->ended_by_order = false;
+	if (j)
+		w->jobs[job_number(w, name)].begun = true;
 	w->starts++;
 	k->starts++;
 	start_check(w, name);
@@ -844,6 +917,13 @@
 	}
 }
 
+/* Is an order a start that is lost on its way? */
+static bool start_vanishes(struct world *w, const struct sched_effect *fx)
+{
+	return w->vanish_percent && fx->ask.kind == ASK_START &&
+	       random_next(&w->random) % 100 < w->vanish_percent;
+}
+
 /* An ask has arrived at a worker. */
 static void worker_take(struct world *w, unsigned vm, struct sched_effect *fx)
 {
@@ -853,7 +933,8 @@
 	enum refusal refusal;
 	struct pending *p;
 
-	if (w->vms[vm].cut_worker[n] || w->now < w->workers[n].down_until) {
+	if (w->vms[vm].cut_worker[n] || w->now < w->workers[n].down_until ||
+	    start_vanishes(w, fx)) {
 		answer_none(w, vm, fx);
 		sched_effect_free(fx);
 		return;
@@ -1043,9 +1124,37 @@
 	}
 }
 
-/* Note a reply. */
-static void reply_take(struct world *w, const struct reply *r)
+/*
+ * A VM tells how many jobs wait.  The world knows better: which were accepted
+ * long enough ago, and which of them no worker has begun.  A VM that can't
+ * tell may refuse, but not tell less.
+ */
+static void count_check(struct world *w, unsigned vm, const struct reply *r)
 {
+	unsigned i, wait = 0;
+	char text[64];
+
+	for (i = 0; i < w->job_count; i++)
+		wait += w->jobs[i].stored_at && !w->jobs[i].over &&
+			!w->jobs[i].begun &&
+			w->now - w->jobs[i].stored_at > WAITING_KNOWN_MS;
+	if (r->waiting * WAITING_SHARE >= wait)
+		return;
+	snprintf(text, sizeof(text), "%s vm%u says %llu of %u",
+		 world_owner(w) == (int)vm ? "the owner" : "other", vm,
+		 (unsigned long long)r->waiting, wait);
+	break_promise(w, "fewer are said to wait than do", text);
+}
+
+/* Note a reply. */
+static void reply_take(struct world *w, unsigned vm, const struct reply *r)
+{
+	if (r->kind == REPLY_WAITING && r->status == 200)
+		count_check(w, vm, r);
+	if (r->call >= COUNT_CALLS && r->status == 200)
+		w->counts_told++;
+	else if (r->call >= COUNT_CALLS)
+		w->counts_refused++;
 	if (r->call >= CALLS_MAX)
 		return;
 	w->calls[r->call].status = r->status;
@@ -1074,7 +1183,7 @@
 			continue;
 		}
 		if (fx->kind == EFFECT_REPLY)
-			reply_take(w, &fx->reply);
+			reply_take(w, vm, &fx->reply);
 		if (fx->kind == EFFECT_END)
 			w->vms[vm].ended = true;
 		if (fx->kind == EFFECT_LOG && getenv("WORLD_LOG"))
@@ -1126,6 +1235,37 @@
 	free(p);
 }
 
+/* An event of a caller's request. */
+static struct sched_event *call_event(const struct world *w, uint64_t call,
+				      enum call_verb verb, const char *id,
+				      struct job_body *body)
+{
+	struct sched_event *ev = xcalloc(1, sizeof(*ev));
+
+	ev->kind = EVENT_CALL;
+	ev->call = (struct call_in){.id = call,
+				    .kind = verb,
+				    .host = bstr_new("h"),
+				    .path = bstr_printf("/q/%s", id),
+				    .key = bstr_new(KEY),
+				    .body = body,
+				    .deadline = w->now + 3000};
+	return ev;
+}
+
+/* Ask every VM that runs how many jobs wait. */
+static void counts_ask(struct world *w)
+{
+	unsigned i;
+
+	w->count_at = w->now + w->count_every_ms;
+	for (i = 0; i < w->vm_count; i++)
+		if (w->vms[i].sched && w->now >= w->vms[i].frozen_until)
+			vm_step(w, i,
+				call_event(w, COUNT_CALLS + w->count_calls++,
+					   VERB_STATE, "", NULL));
+}
+
 /* Let a millisecond pass. */
 static void world_step(struct world *w)
 {
@@ -1155,6 +1295,8 @@
 		ev->kind = EVENT_TICK;
 		vm_step(w, i, ev);
 	}
+	if (w->count_every_ms && w->now >= w->count_at)
+		counts_ask(w);
 }
 
 /* Let time pass. */
@@ -1250,19 +1392,12 @@
 static uint64_t call_make(struct world *w, unsigned vm, enum call_verb verb,
 			  const char *id, struct job_body *body)
 {
-	struct sched_event *ev = xcalloc(1, sizeof(*ev));
+	struct sched_event *ev;
 	uint64_t call = ++w->call_count;
 
 	if (call >= CALLS_MAX)
 		abort();
-	ev->kind = EVENT_CALL;
-	ev->call = (struct call_in){.id = call,
-				    .kind = verb,
-				    .host = bstr_new("h"),
-				    .path = bstr_printf("/q/%s", id),
-				    .key = bstr_new(KEY),
-				    .body = body,
-				    .deadline = w->now + 3000};
+	ev = call_event(w, call, verb, id, body);
 	if (w->vms[vm].sched && w->now >= w->vms[vm].frozen_until)
 		vm_step(w, vm, ev);
 	else
@@ -1305,6 +1440,23 @@
 	return call_make(w, vm, verb, id, NULL);
 }
 
+/* Ask all VMs so often how many jobs wait, from now on; 0: no more. */
+void world_ask_counts(struct world *w, int64_t every_ms)
+{
+	w->count_every_ms = every_ms;
+	w->count_at = w->now;
+}
+
+/* Answers to these questions that told a number, and that refused to. */
+unsigned world_counts_told(const struct world *w)
+{
+	return w->counts_told;
+}
+unsigned world_counts_refused(const struct world *w)
+{
+	return w->counts_refused;
+}
+
 /* The status of a call; 0: no answer yet. */
 int world_status(const struct world *w, uint64_t call)
 {
@@ -1383,6 +1535,30 @@
 	w->vms[vm].store = mode;
 }
 
+/* Each answer of the store to anybody takes so much longer. */
+void world_store_slow(struct world *w, int64_t ms)
+{
+	w->slow_ms = ms;
+}
+
+/* Each answer of the store to one VM takes so much longer. */
+void world_store_slow_vm(struct world *w, unsigned vm, int64_t ms)
+{
+	w->vms[vm].slow_ms = ms;
+}
+
+/* Leave a VM's reads of a table without answers, or answer them again. */
+void world_stall(struct world *w, unsigned vm, enum table table, bool stalled)
+{
+	w->vms[vm].stalled[table] = stalled;
+}
+
+/* Give no more rows at a time than so many; 0: as many as are asked for. */
+void world_pages(struct world *w, unsigned rows)
+{
+	w->page_rows = rows;
+}
+
 /* Forget the history of changes. */
 void world_compact(struct world *w)
 {
@@ -1440,6 +1616,18 @@
 	w->late_percent = percent;
 }
 
+/* A share of the starts gets no answer and is never carried out. */
+void world_vanish(struct world *w, unsigned percent)
+{
+	w->vanish_percent = percent;
+}
+
+/* All workers turn every start away, or take them again. */
+void world_refuse_starts(struct world *w, enum refusal why)
+{
+	w->refusal = why;
+}
+
 /* A worker fails all that it runs. */
 void world_fail_all(struct world *w, unsigned worker, bool fail)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -48,6 +48,14 @@
 const char *world_text(const struct world *w, uint64_t call);
 uint64_t world_waiting(const struct world *w, uint64_t call);
 
+/*
+ * The world asks all VMs how many jobs of the queue wait.  Whoever asks, an
+ * answer that tells less than half of what waits is a broken promise.
+ */
+void world_ask_counts(struct world *w, int64_t every_ms); /* 0: no more */
+unsigned world_counts_told(const struct world *w);
+unsigned world_counts_refused(const struct world *w);
+
 /* Faults. */
 void world_kill(struct world *w, unsigned vm);
 void world_start(struct world *w, unsigned vm);
@@ -58,14 +66,20 @@
 void world_cut_worker(struct world *w, unsigned vm, unsigned worker, bool cut);
 void world_store(struct world *w, enum world_store_mode mode);
 void world_store_vm(struct world *w, unsigned vm, enum world_store_mode mode);
-void world_compact(struct world *w); /* the feeds' history goes */
+void world_store_slow(struct world *w, int64_t ms); /* each answer */
+void world_store_slow_vm(struct world *w, unsigned vm, int64_t ms);
+void world_stall(struct world *w, unsigned vm, enum table table, bool stalled);
+void world_pages(struct world *w, unsigned rows); /* at most; 0: as asked */
+void world_compact(struct world *w);		  /* the feeds' history goes */
 void world_unlist(struct world *w, unsigned worker, bool gone); /* its row */
 void world_crash(struct world *w, unsigned worker);   /* new life, same id */
 void world_replace(struct world *w, unsigned worker); /* new id */
 void world_busy(struct world *w, bool busy);	      /* no maintenance now */
 void world_silence_machines(struct world *w, bool silent);
 void world_drain(struct world *w, unsigned worker);
-void world_late(struct world *w, unsigned percent); /* orders done late */
+void world_late(struct world *w, unsigned percent);   /* orders done late */
+void world_vanish(struct world *w, unsigned percent); /* starts are lost */
+void world_refuse_starts(struct world *w, enum refusal why); /* all workers */
 void world_fail_all(struct world *w, unsigned worker, bool fail);
 void world_limit(struct world *w, int64_t cpu); /* of the organisation */
 void world_wave(struct world *w, unsigned machines, unsigned maximum);
