--- /dev/null
+++ b/tests/test-waiting.c
@@ -0,0 +1,376 @@
+/*
+ * How many jobs of a queue wait, as callers are told it by every VM while
+ * owners, the store and workers fail.  The world asks all VMs all through and
+ * knows what waits, see support-world.h: who can't tell may refuse, but not
+ * tell too little.
+ */
+#include "support-world.h"
+
+#include <criterion/criterion.h>
+
+#define VMS 4
+#define JOBS 50
+#define FILLER "0fffffffffffffff"
+#define ASK_MS 50
+/* Two tasks' worth: so few jobs run at a time. */
+#define LOW_LIMIT 4000
+
+static const struct world_job one = {.tasks = 1, .task_ms = 2000};
+/* All that the pool holds. */
+static const struct world_job filler = {.tasks = 48, .lasts = true};
+
+enum fill {
+	EMPTY,	 /* the pool has room */
+	LIMITED, /* the organisation's upper limit lets little run */
+	FILLED	 /* lasting tasks take the whole pool */
+};
+
+/* A world with an owner, in which new jobs have to wait, or not. */
+static struct world *calm(uint64_t seed, enum fill fill)
+{
+	struct world *w = world_new(seed, VMS, WORLD_WORKERS);
+
+	world_run(w, 2000);
+	cr_assert_neq(world_owner(w), -1);
+	if (fill == LIMITED)
+		world_limit(w, LOW_LIMIT);
+	if (fill == FILLED)
+		world_submit(w, (unsigned)world_owner(w), FILLER, &filler);
+	world_run(w, 3000);
+	return w;
+}
+
+/* The id of a job; they lie in all parts of the table. */
+static const char *job_id(unsigned i)
+{
+	static char id[17];
+
+	snprintf(id, sizeof(id), "%x%015x", i % 16, i);
+	return id;
+}
+
+/* Hand all jobs in, through every VM but one. */
+static void submit_all(struct world *w, unsigned but)
+{
+	uint64_t calls[JOBS];
+	unsigned i, vm = 0;
+
+	for (i = 0; i < JOBS; i++) {
+		vm = (vm + 1) % VMS;
+		if (vm == but)
+			vm = (vm + 1) % VMS;
+		calls[i] = world_submit(w, vm, job_id(i), &one);
+	}
+	world_run(w, 10);
+	for (i = 0; i < JOBS; i++)
+		cr_assert_eq(world_status(w, calls[i]), 200);
+}
+
+/*
+ * When all is calm again, every VM tells the number whenever it is asked, and
+ * all jobs are done.
+ */
+static void check_calm(struct world *w, const char *row)
+{
+	unsigned told, refused, i, done = 0;
+
+	world_refuse_starts(w, REFUSAL_NONE);
+	world_vanish(w, 0);
+	world_store(w, STORE_GOOD);
+	world_store_slow(w, 0);
+	world_pages(w, 0);
+	for (i = 0; i < VMS; i++) {
+		world_cut_store(w, i, false);
+		world_store_vm(w, i, STORE_GOOD);
+		world_store_slow_vm(w, i, 0);
+		world_stall(w, i, TABLE_JOBS, false);
+		world_start(w, i);
+	}
+	world_run(w, 6000);
+	told = world_counts_told(w);
+	refused = world_counts_refused(w);
+	world_run(w, 1000);
+	cr_expect_eq(world_counts_refused(w), refused, "%s: refused in calm",
+		     row);
+	cr_expect_geq(world_counts_told(w), told + VMS * (1000 / ASK_MS - 1),
+		      "%s: not told in calm", row);
+	world_limit(w, 0);
+	world_call(w, 0, VERB_CANCEL, FILLER);
+	world_run(w, 20000);
+	for (i = 0; i < JOBS; i++)
+		done += !strcmp(world_state(w, job_id(i)), "completed");
+	cr_expect_eq(done, JOBS, "%s: %u jobs are done", row, done);
+	cr_log_info("%s: %u told, %u refused", row, world_counts_told(w),
+		    world_counts_refused(w));
+	cr_expect_null(world_broken(w), "%s: %s", row, world_broken(w));
+	world_free(w);
+}
+
+/*
+ * Fifty jobs have waited for six seconds as the owner is lost.  Its successor
+ * reads the store, which answers slowly and a few rows at a time, for longer
+ * than it leaves between two beats.  Callers that ask any VM meanwhile are not
+ * told of the few jobs that it has read so far as if they were all.
+ */
+Test(waiting, successor_reads_slowly)
+{
+	static const struct {
+		const char *name;
+		enum fill fill;
+		int64_t slow_ms;
+		unsigned page_rows;
+		bool stops, freezes, returns;
+	} rows[] = {
+		{"killed, read fast", LIMITED, 0, 0},
+		{"killed, one row a page", LIMITED, 300, 1},
+		{"killed, two rows a page", FILLED, 250, 2},
+		{"killed, slow, large pages", FILLED, 500, 0},
+		{"killed, very slow", LIMITED, 600, 1},
+		{"killed and started again", FILLED, 300, 1, .returns = true},
+		{"stopped by plan", LIMITED, 300, 1, .stops = true},
+		{"stands still", FILLED, 300, 1, .freezes = true},
+	};
+	struct world *w;
+	unsigned i, lost;
+
+	for (i = 0; i < NELEMS(rows); i++) {
+		w = calm(700 + i, rows[i].fill);
+		lost = (unsigned)world_owner(w);
+		submit_all(w, VMS);
+		world_ask_counts(w, ASK_MS);
+		world_run(w, 6000);
+		world_store_slow(w, rows[i].slow_ms);
+		world_pages(w, rows[i].page_rows);
+		world_run(w, 1000);
+		cr_expect_null(world_broken(w), "%s, before: %s", rows[i].name,
+			       world_broken(w));
+		if (rows[i].stops)
+			world_stop(w, lost);
+		else if (rows[i].freezes)
+			world_freeze(w, lost, 6000);
+		else
+			world_kill(w, lost);
+		if (rows[i].returns)
+			world_start(w, lost);
+		world_run(w, 9000);
+		check_calm(w, rows[i].name);
+	}
+}
+
+/*
+ * Fifty jobs are accepted, and nobody beats any more before the next beat
+ * would have told of them: the owner is lost, and nobody may follow for ten
+ * seconds.  What was told before them is old by then, and callers are not
+ * told it.
+ */
+Test(waiting, nobody_follows)
+{
+	static const struct {
+		const char *name;
+		enum fill fill;
+		bool killed;
+		enum world_store_mode all;
+		bool cut;
+	} rows[] = {
+		{"killed, the others cut off", FILLED, true, STORE_GOOD, true},
+		{"killed, the store refuses", FILLED, true, STORE_REFUSES},
+		{"killed, the store is silent", LIMITED, true, STORE_SILENT},
+		{"alive, all cut off", FILLED, false, STORE_GOOD, true},
+		{"alive, the store refuses", LIMITED, false, STORE_REFUSES},
+		{"alive, the store loses answers", FILLED, false, STORE_LOSES},
+	};
+	struct world *w;
+	unsigned i, vm, lost;
+
+	for (i = 0; i < NELEMS(rows); i++) {
+		w = calm(720 + i, rows[i].fill);
+		lost = (unsigned)world_owner(w);
+		world_ask_counts(w, ASK_MS);
+		submit_all(w, lost);
+		if (rows[i].killed)
+			world_kill(w, lost);
+		world_store(w, rows[i].all);
+		for (vm = 0; vm < VMS; vm++)
+			world_cut_store(w, vm, rows[i].cut);
+		world_run(w, 10000);
+		check_calm(w, rows[i].name);
+	}
+}
+
+/*
+ * One VM alone does not hear of what is beaten for ten seconds, the owner or
+ * another; fifty jobs are accepted through the others meanwhile and wait.
+ * Callers that ask it are not told the number from before, neither while it is
+ * cut off, nor the moment it runs or hears again.
+ */
+Test(waiting, one_does_not_hear)
+{
+	static const struct {
+		const char *name;
+		enum world_store_mode mode;
+		bool cut, freezes, stalled, owns;
+	} rows[] = {
+		{"cut off", STORE_GOOD, .cut = true},
+		{"refused", STORE_REFUSES},
+		{"silent", STORE_SILENT},
+		{"stands still", STORE_GOOD, .freezes = true},
+		{"the owner's rows stall", STORE_GOOD, .stalled = true},
+		{"the owner cut off", STORE_GOOD, .cut = true, .owns = true},
+		{"the owner refused", STORE_REFUSES, .owns = true},
+		{"the owner stands still", STORE_GOOD, .freezes = true,
+		 .owns = true},
+	};
+	struct world *w;
+	unsigned i, vm;
+
+	for (i = 0; i < NELEMS(rows); i++) {
+		w = calm(740 + i, FILLED);
+		vm = ((unsigned)world_owner(w) + !rows[i].owns) % VMS;
+		world_ask_counts(w, ASK_MS);
+		world_cut_store(w, vm, rows[i].cut);
+		world_store_vm(w, vm, rows[i].mode);
+		world_stall(w, vm, TABLE_OWNER, rows[i].stalled);
+		if (rows[i].freezes)
+			world_freeze(w, vm, 12500);
+		/* What it asked for before may still come. */
+		world_run(w, 2500);
+		submit_all(w, vm);
+		world_run(w, 10000);
+		world_stall(w, vm, TABLE_OWNER, false);
+		check_calm(w, rows[i].name);
+	}
+}
+
+/*
+ * Fifty jobs are accepted and ordered to start, and all workers turn every
+ * start away, or never get one.  No task has begun, so all of them wait, and
+ * with an owner that lives and is heard every VM can tell; a successor, which
+ * sees only that starts were ordered, tells the same or nothing.
+ */
+Test(waiting, no_start_is_taken)
+{
+	static const struct {
+		const char *name;
+		enum refusal why;
+		unsigned vanish;
+		bool killed;
+	} rows[] = {
+		{"unwell", REFUSAL_UNWELL},
+		{"no room", REFUSAL_ROOM},
+		{"busy", REFUSAL_BUSY},
+		{"invalid", REFUSAL_INVALID},
+		{"lost on the way", REFUSAL_NONE, 100},
+		{"unwell, the owner killed", REFUSAL_UNWELL, 0, true},
+		{"lost on the way, the owner killed", REFUSAL_NONE, 100, true},
+	};
+	struct world *w;
+	unsigned i, starts;
+
+	for (i = 0; i < NELEMS(rows); i++) {
+		w = calm(760 + i, EMPTY);
+		world_ask_counts(w, ASK_MS);
+		world_refuse_starts(w, rows[i].why);
+		world_vanish(w, rows[i].vanish);
+		starts = world_starts(w);
+		submit_all(w, VMS);
+		world_run(w, 6000);
+		if (rows[i].killed)
+			world_kill(w, (unsigned)world_owner(w));
+		else
+			cr_expect_eq(world_counts_refused(w), 0, "%s: refused",
+				     rows[i].name);
+		world_run(w, 9000);
+		cr_expect_eq(world_starts(w), starts);
+		check_calm(w, rows[i].name);
+	}
+}
+
+/*
+ * The owner beats in time and reads the jobs' table late or not at all, while
+ * fifty jobs are accepted through the other VMs.  It does not know of them,
+ * and nobody tells its number as if it did.
+ */
+Test(waiting, owner_reads_no_jobs)
+{
+	static const struct {
+		const char *name;
+		enum fill fill;
+		bool stalled;
+		int64_t slow_ms;
+		unsigned page_rows;
+		int64_t gone_every_ms;
+	} rows[] = {
+		{"reads get no answer", FILLED, true},
+		{"reads get no answer, an upper limit", LIMITED, true},
+		{"slow for the owner", FILLED, false, 500},
+		{"at the edge of the timeout", FILLED, false, 690},
+		{"history gone again and again", FILLED, false, 0, 0, 100},
+		{"history gone, slow, small pages", FILLED, false, 350, 1, 300},
+	};
+	struct world *w;
+	unsigned i, lame;
+	int64_t t, apart;
+
+	for (i = 0; i < NELEMS(rows); i++) {
+		w = calm(780 + i, rows[i].fill);
+		lame = (unsigned)world_owner(w);
+		world_ask_counts(w, ASK_MS);
+		world_stall(w, lame, TABLE_JOBS, rows[i].stalled);
+		world_store_slow_vm(w, lame, rows[i].slow_ms);
+		world_pages(w, rows[i].page_rows);
+		apart = rows[i].gone_every_ms ? rows[i].gone_every_ms : 1000;
+		world_run(w, 1000);
+		if (rows[i].gone_every_ms)
+			world_compact(w);
+		submit_all(w, lame);
+		for (t = 0; t < 10000; t += apart) {
+			if (rows[i].gone_every_ms)
+				world_compact(w);
+			world_run(w, apart);
+		}
+		check_calm(w, rows[i].name);
+	}
+}
+
+/*
+ * All VMs lose power while fifty jobs wait, and start together.  Callers ask
+ * from the first moment on: the beat that the VMs find in the store is of
+ * before the loss, or of a successor that still reads.
+ */
+Test(waiting, all_lose_power)
+{
+	static const struct {
+		const char *name;
+		enum fill fill;
+		int64_t waited_ms; /* before the loss */
+		int64_t off_ms;
+		int64_t slow_ms;
+		unsigned page_rows;
+	} rows[] = {
+		{"had waited, short", FILLED, 6000, 100, 0, 0},
+		{"had waited, short, slow store", LIMITED, 6000, 100, 300, 1},
+		{"had waited, long, slow store", FILLED, 6000, 8000, 300, 1},
+		{"just accepted, short", FILLED, 0, 100, 0, 0},
+		{"just accepted, long", FILLED, 0, 6000, 0, 0},
+		{"just accepted, long, limit", LIMITED, 0, 6000, 0, 0},
+		{"just accepted, long, slow store", FILLED, 0, 6000, 300, 1},
+	};
+	struct world *w;
+	unsigned i, vm;
+
+	for (i = 0; i < NELEMS(rows); i++) {
+		w = calm(800 + i, rows[i].fill);
+		submit_all(w, VMS);
+		world_run(w, rows[i].waited_ms);
+		for (vm = 0; vm < VMS; vm++)
+			world_kill(w, vm);
+		world_run(w, rows[i].off_ms);
+		world_store_slow(w, rows[i].slow_ms);
+		world_pages(w, rows[i].page_rows);
+		for (vm = 0; vm < VMS; vm++)
+			world_start(w, vm);
+		world_ask_counts(w, ASK_MS);
+		world_run(w, 9000);
+		check_calm(w, rows[i].name);
+	}
+}
