Only a worker's word makes a job one that has begun

Callers were told that none or two jobs wait where fifty did, while workers turned every start away or never got one. A job counted as begun from its first order on (its count of starts), and after a takeover also by an order that had left a run's number behind.

Ruled out: a takeover (none near), the age of the count (under 0.1 s at an owner that beats).

Now a job has begun when a worker says so: it takes the start, lists the run, or lists its end; after a takeover also when the progress that was read shows an end, a failed run or a checkpoint. A start that is under way or without an answer is not counted as begun until a list tells.

--- a/sched-job.c
+++ b/sched-job.c
@@ -42,29 +42,31 @@
 	return r ? r->service : j->service;
 }
 
-/* Is there a trace of a run of a job under an earlier owner? */
-static bool job_has_run(const struct job *j)
+/* Does a job's progress, as it was read, show that a task of it has begun? */
+static bool progress_has_run(const struct job *j)
 {
 	const struct occurrence *o;
-	unsigned i;
+	unsigned i, open = 0;
 
-	TAILQ_FOREACH(o, &j->occs, entry)
+	TAILQ_FOREACH(o, &j->occs, entry) {
+		open++;
 		for (i = 0; i < o->task_count; i++)
-			if (o->tasks[i].phase != AT_REST || o->tasks[i].top_run)
+			if (o->tasks[i].phase == AT_END || o->tasks[i].fails ||
+			    o->tasks[i].checkpoint.bstr_len)
 				return true;
-	return j->body->repeat_count && j->next_k;
+	}
+	return j->next_k > open;
 }
 
 /*
- * Has no task of a job begun?  An owner writes that a job may run before its
- * first start, and finds no room then, perhaps: to its successor only a trace
- * of a run shows that it did, or all that waits at a takeover would seem to
- * run.
+ * Has no task of a job begun?  Only a worker's word counts: an owner orders
+ * starts that workers turn away or never get, and writes that a job may run
+ * before its first start.  Counted as begun, all that waits in an overload or
+ * at a takeover would seem to run, and callers would be told that none waits.
  */
 bool job_waits(const struct job *j)
 {
-	return j->fate <= FATE_RUNNING && !j->starts &&
-	       !(j->ran_before && job_has_run(j));
+	return j->fate <= FATE_RUNNING && !j->ran;
 }
 
 /*
@@ -380,8 +382,10 @@
 		return;
 	}
 	if (j && j->inherited && TAILQ_EMPTY(&j->occs) && !j->next_k &&
-	    j->fate <= FATE_RUNNING)
+	    j->fate <= FATE_RUNNING) {
 		progress_apply(j, r->value);
+		j->ran = progress_has_run(j);
+	}
 	if (j && j->inherited && j->fate == FATE_RUNNING)
 		j->begun = j->ran_before = true;
 }
--- a/sched-order.c
+++ b/sched-order.c
@@ -124,6 +124,7 @@
 	if (!s->settled)
 		usage_found(s, t);
 	t->phase = AT_WORK;
+	t->occ->job->ran = true;
 	sched_log(s, LOG_TASK_ADOPTED, "task=%s.%u.%u.%u run=%llu worker=%.*s",
 		  t->occ->job->id, t->occ->k, t->step, t->index,
 		  (unsigned long long)run, BSTR_ARG(w->id));
@@ -271,6 +272,7 @@
 	t->asked = false;
 	switch (a->outcome) {
 	case OUT_DONE:
+		t->occ->job->ran = true;
 		if (t->phase == AT_START) {
 			t->phase = AT_WORK;
 			t->acked = a->clock;
--- a/sched-state.h
+++ b/sched-state.h
@@ -163,6 +163,7 @@
 	bool settled;	   /* and what it started is known */
 	bool begun;	   /* the store knows that its tasks may run */
 	bool ran_before;   /* an earlier owner had said so */
+	bool ran;	   /* a worker has begun one of its tasks */
 	enum job_fate fate;
 	int64_t ended; /* wall clock */
 	unsigned next_k;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -525,6 +525,7 @@
 			  BSTR_ARG(w->id), words[n->how], t != NULL);
 	if (!t || t->phase == AT_END)
 		return;
+	j->ran = true;
 	if (t->worker == w && t->run == n->run) {
 		end_apply(s, w, t, n);
 	} else if (n->how == END_DONE) {
@@ -585,6 +586,7 @@
 			run_stop(s, w, r->task, r->run);
 		return;
 	}
+	j->ran = true;
 	if (t->phase == AT_START)
 		t->phase = AT_WORK;
 	t->percent = r->percent;
--- a/tests/test-waiting.c
+++ b/tests/test-waiting.c
@@ -245,7 +245,9 @@
  * Fifty jobs are accepted and ordered to start, and all workers turn every
  * start away, or never get one.  No task has begun, so all of them wait, and
  * with an owner that lives and is heard every VM can tell; a successor, which
- * sees only that starts were ordered, tells the same or nothing.
+ * sees only that starts were ordered, tells the same or nothing.  The owner
+ * said 0 to 2: a job counted as begun from its first order on, whatever the
+ * worker said.  No owner had changed, and each job's starts had been refused.
  */
 Test(waiting, no_start_is_taken)
 {
