An owner that still reads the jobs tells no count

Callers of every VM were told that none waits, or a few, where fifty did, just after the owner had changed. The successor beats each 400 ms while it reads the jobs, and each beat told the count of what it had read so far; with a slow store, or thousands of jobs, reading takes longer than a beat.

Ruled out: jobs taken for begun (the wrong answers came before OWNER_READY, and the count rose with the pages that were read: 0, 16, ... of 50); a lost beat.

Now a beat says up to when the owner's book has all accepted jobs. While it reads, and until the feed has gone on from the pages, which may lag, it says that it does not know, and so do the others: 503 in place of a number.

--- a/sched-count.c
+++ b/sched-count.c
@@ -82,10 +82,14 @@
 	}
 }
 
-/* Up to when the owner's book has all jobs that were accepted. */
+/*
+ * Up to when does the owner's book have all jobs that were accepted?  One that
+ * still reads them does not know: what it has read so far would be told as
+ * all there is, and callers would hear that none waits.
+ */
 int64_t book_told_at(const struct sched *s)
 {
-	return s->follows[3].told_at;
+	return s->own.state == OWN_YES ? s->follows[3].told_at : 0;
 }
 
 /* What this VM knows of a queue: the owner's book, or its last beat. */
@@ -122,23 +126,22 @@
 						    : s->waiting_told_at);
 }
 
-/* Answer how many jobs of a queue wait. */
+/* Answer how many jobs of a queue wait, if that is known. */
 void count_take(struct sched *s, const struct call_in *in,
 		const struct route *r)
 {
 	struct known_count k = count_known(s, r->name);
+	int64_t age = count_age(s, k.told_at);
 	struct sched_effect *fx;
 
 	sched_log(s, LOG_COUNT_TOLD,
-		  "queue=%.*s waiting=%llu known=%d source=%s epoch=%llu "
-		  "age_ms=%lld",
+		  "queue=%.*s waiting=%llu source=%s epoch=%llu age_ms=%lld",
 		  BSTR_ARG(r->name), (unsigned long long)k.waiting,
-		  s->own.known, k.own ? "book" : "beat",
-		  (unsigned long long)s->own.epoch,
-		  (long long)count_age(s, k.told_at));
-	if (!s->own.known) {
-		call_refuse(s, in->id, 503, COUNT_REFUSED_NO_OWNER, "no-owner",
-			    "-");
+		  k.own ? "book" : "beat", (unsigned long long)s->own.epoch,
+		  (long long)age);
+	if (age < 0) {
+		call_refuse(s, in->id, 503, COUNT_REFUSED_NOT_FRESH,
+			    "count-not-known", "-");
 		return;
 	}
 	fx = sched_effect_add(s, EFFECT_REPLY);
--- a/sched-follow.c
+++ b/sched-follow.c
@@ -26,14 +26,13 @@
 {
 	unsigned i;
 
-	f->whole = false;
+	f->whole = f->fed = false;
 	f->reading++;
 	f->revision = 0;
 	for (i = 0; i < JOB_PARTS; i++) {
 		bstr_free(&f->reads[i].from);
 		f->reads[i].whole = f->reads[i].open = false;
 		f->reads[i].first = 0;
-		f->reads[i].first_at = 0;
 	}
 }
 
@@ -43,12 +42,15 @@
 	struct request *rq;
 	struct ask *ask;
 
+	/* Just after a whole reading it tells at once what came meanwhile. */
+	uint32_t wait_ms = f->fed ? f->wait_ms : 0;
+
 	rq = sched_ask(s, f->feed, ASK_FEED,
-		       s->now + f->wait_ms + FEED_TIMEOUT_MS, &ask);
+		       s->now + wait_ms + FEED_TIMEOUT_MS, &ask);
 	rq->number = f->reading;
 	ask->range.table = f->table;
 	ask->range.after = f->revision;
-	ask->range.wait_ms = f->wait_ms;
+	ask->range.wait_ms = wait_ms;
 	f->open = true;
 	sched_count(s, COUNT_TABLE_READS, 1);
 }
@@ -163,12 +165,9 @@
 			return;
 	f->whole = true;
 	f->revision = f->reads[0].first;
-	f->told_at = f->reads[0].first_at;
 	for (i = 0; i < follow_parts(f); i++) {
 		if (f->reads[i].first < f->revision)
 			f->revision = f->reads[i].first;
-		if (f->reads[i].first_at < f->told_at)
-			f->told_at = f->reads[i].first_at;
 		bstr_free(&f->reads[i].from);
 	}
 	if (f->table == TABLE_WORKERS)
@@ -184,10 +183,8 @@
 static void page_take(struct sched *s, struct follow *f, struct part_read *p,
 		      const struct answer *a)
 {
-	if (!p->first) {
+	if (!p->first)
 		p->first = a->revision;
-		p->first_at = a->store_clock;
-	}
 	if (a->more && a->row_count) {
 		page_next(p, a);
 		return;
@@ -196,6 +193,19 @@
 	follow_whole(s, f);
 }
 
+/* Note how far the feed is. */
+static void feed_take(struct sched *s, struct follow *f, const struct answer *a)
+{
+	f->fed = true;
+	if (a->revision > f->revision)
+		f->revision = a->revision;
+	/* One that is as long as a page may be cut off: more follows. */
+	if (a->row_count < PAGE_ROWS)
+		f->told_at = a->store_clock;
+	if (f->table == TABLE_WORKERS)
+		f->again_at = s->now + WORKERS_FEED_APART_MS;
+}
+
 /* Take a page or a feed's answer. */
 void follow_answer(struct sched *s, struct request *rq, struct answer *a)
 {
@@ -230,12 +240,8 @@
 	/* A row may have ended this VM's ownership, and with it the follow. */
 	if (rq->number != f->reading)
 		return;
-	if (fed && a->revision > f->revision)
-		f->revision = a->revision;
 	if (fed)
-		f->told_at = a->store_clock;
-	if (fed && f->table == TABLE_WORKERS)
-		f->again_at = s->now + WORKERS_FEED_APART_MS;
+		feed_take(s, f, a);
 	if (!fed)
 		page_take(s, f, &f->reads[rq->k], a);
 	follow_go(s, f);
--- a/sched-state.h
+++ b/sched-state.h
@@ -289,7 +289,6 @@
 	bool open; /* a request is under way */
 	bool whole;
 	uint64_t first;	  /* revision of the first page */
-	int64_t first_at; /* by the store's clock */
 	bstr from;	  /* next page */
 };
 
@@ -305,7 +304,9 @@
 	bool open;	  /* a request to the feed is under way */
 	bool whole;	  /* read whole; the feed goes on at revision */
 	uint64_t revision;
-	int64_t told_at; /* all until then is known, by the store's clock */
+	bool fed;	 /* the feed has answered since */
+	int64_t told_at; /* all until then is known, by the store's clock;
+			  * 0: the feed has not told yet */
 	struct part_read reads[JOB_PARTS];
 	int64_t again_at;
 };
--- a/tests/test-waiting.c
+++ b/tests/test-waiting.c
@@ -110,7 +110,9 @@
  * Fifty jobs have waited for six seconds as the owner is lost.  Its successor
  * reads the store, which answers slowly and a few rows at a time, for longer
  * than it leaves between two beats.  Callers that ask any VM meanwhile are not
- * told of the few jobs that it has read so far as if they were all.
+ * told of the few jobs that it has read so far as if they were all.  They were:
+ * its beats told the count of a book that was being read, 0 at first, to all
+ * VMs.  Each wrong answer came between OWNER_GAINED and OWNER_READY.
  */
 Test(waiting, successor_reads_slowly)
 {
