A waiting count that is older than two seconds is refused

Callers were told that none waits, for as long as they asked, where fifty jobs had been accepted and waited: by all VMs while nobody owned the scheduling; by one that did not hear the owner's beats, or had stood still; by an owner that was replaced, which gave the count from before it owned; by all while the owner's feed of jobs stalled; by all after a loss of power. The count had no age: the last one was given, whatever had happened since.

Ruled out: an owner that reads (told apart by OWNER_BEAT read=1 or no beat at all), starts that no worker took. COUNT_TOLD showed ages of 5.0 to 12.3 s, or none, at the wrong answers.

Now what is older than the callers' interface allows (2 s), or of unknown age, is answered 503 with a time to come back. The age is that of the owner's latest word from the feed of the jobs, by the store's clock, not of the beat. The VM's idea of that clock is bounded on both sides by each answer, so an answer that waited while the VM stood still sets nothing back. The owner asks the feed each 0.5 s in place of 1.5 s, so that a calm count is at most 1 s old: 1.3 calls a second more, of one VM.

--- a/sched-count.c
+++ b/sched-count.c
@@ -9,6 +9,9 @@
 
 #include <stdlib.h>
 
+/* A count may be so old, by the callers' interface. */
+#define COUNT_AGE_MAX_MS 2000
+
 /* What a VM knows of a queue's waiting jobs. */
 struct known_count {
 	uint64_t waiting;
@@ -22,13 +25,23 @@
 	return s->store_timed ? s->now + s->store_ahead : 0;
 }
 
-/* Take the store's clock from an answer of it. */
+/*
+ * Take the store's clock from an answer of it.  It showed this at some moment
+ * between sending and now.  An answer that waited here while the VM stood
+ * still must not set the clock back: old counts would seem new.
+ */
 void store_clock_take(struct sched *s, const struct answer *a)
 {
+	int64_t least = a->store_clock - s->now;
+	int64_t most = a->store_clock - a->sent_at;
+
 	if (!a->store_clock)
 		return;
+	if (!s->store_timed || s->store_ahead > most)
+		s->store_ahead = most;
+	if (s->store_ahead < least)
+		s->store_ahead = least;
 	s->store_timed = true;
-	s->store_ahead = a->store_clock - s->now;
 }
 
 /* The waiting jobs by queue, for a beat. */
@@ -126,7 +139,12 @@
 						    : s->waiting_told_at);
 }
 
-/* Answer how many jobs of a queue wait, if that is known. */
+/*
+ * Answer how many jobs of a queue wait.  While nobody owns the scheduling, and
+ * where beats or the feed of the jobs do not come, what is known grows old and
+ * jobs are accepted elsewhere: a caller would be told that none waits while
+ * many do.  Such a VM says that it can't tell; others can, or soon will.
+ */
 void count_take(struct sched *s, const struct call_in *in,
 		const struct route *r)
 {
@@ -139,9 +157,9 @@
 		  BSTR_ARG(r->name), (unsigned long long)k.waiting,
 		  k.own ? "book" : "beat", (unsigned long long)s->own.epoch,
 		  (long long)age);
-	if (age < 0) {
+	if (age < 0 || age > COUNT_AGE_MAX_MS) {
 		call_refuse(s, in->id, 503, COUNT_REFUSED_NOT_FRESH,
-			    "count-not-known", "-");
+			    "count-not-fresh", "-");
 		return;
 	}
 	fx = sched_effect_add(s, EFFECT_REPLY);
--- a/sched-follow.c
+++ b/sched-follow.c
@@ -45,8 +45,8 @@
 	/* Just after a whole reading it tells at once what came meanwhile. */
 	uint32_t wait_ms = f->fed ? f->wait_ms : 0;
 
-	rq = sched_ask(s, f->feed, ASK_FEED,
-		       s->now + wait_ms + FEED_TIMEOUT_MS, &ask);
+	rq = sched_ask(s, f->feed, ASK_FEED, s->now + wait_ms + FEED_TIMEOUT_MS,
+		       &ask);
 	rq->number = f->reading;
 	ask->range.table = f->table;
 	ask->range.after = f->revision;
--- a/sched-state.h
+++ b/sched-state.h
@@ -43,6 +43,9 @@
 #define STORE_FAILURE_APART_MS 40
 #define FEED_WAIT_MS 1500
 #define OWNER_FEED_WAIT_MS 500
+/* The owner's book of jobs is as old as the feed's latest answer, and counts
+ * of what waits are worth nothing when they are old. */
+#define JOBS_FEED_WAIT_MS 500
 #define FEED_TIMEOUT_MS 700 /* beyond the wait */
 /* Answers must leave this VM before the caller's deadline: two ways of 3 ms,
  * and the round of a loaded processor. */
@@ -288,8 +291,8 @@
 struct part_read {
 	bool open; /* a request is under way */
 	bool whole;
-	uint64_t first;	  /* revision of the first page */
-	bstr from;	  /* next page */
+	uint64_t first; /* revision of the first page */
+	bstr from;	/* next page */
 };
 
 /* How a table is followed: read whole, then by its feed. */
--- a/sched.c
+++ b/sched.c
@@ -366,7 +366,7 @@
 	s->follows[2] = follow_make(TABLE_WORKERS, FOR_WORKERS_GET,
 				    FOR_WORKERS_FEED, FEED_WAIT_MS, false);
 	s->follows[3] = follow_make(TABLE_JOBS, FOR_JOBS_GET, FOR_JOBS_FEED,
-				    FEED_WAIT_MS, false);
+				    JOBS_FEED_WAIT_MS, false);
 	s->follows[3].parts = JOB_PARTS;
 	s->progress = follow_make(TABLE_PROGRESS, FOR_PROGRESS_GET, PURPOSE_MAX,
 				  0, false);
--- a/tests/test-waiting.c
+++ b/tests/test-waiting.c
@@ -112,7 +112,7 @@
  * than it leaves between two beats.  Callers that ask any VM meanwhile are not
  * told of the few jobs that it has read so far as if they were all.  They were:
  * its beats told the count of a book that was being read, 0 at first, to all
- * VMs.  Each wrong answer came between OWNER_GAINED and OWNER_READY.
+ * VMs.  The first wrong answers came between OWNER_GAINED and OWNER_READY.
  */
 Test(waiting, successor_reads_slowly)
 {
@@ -163,7 +163,8 @@
  * Fifty jobs are accepted, and nobody beats any more before the next beat
  * would have told of them: the owner is lost, and nobody may follow for ten
  * seconds.  What was told before them is old by then, and callers are not
- * told it.
+ * told it.  They were, without end: a count had no age.  COUNT_TOLD showed
+ * source=beat and an age of 5 s and more at each wrong answer.
  */
 Test(waiting, nobody_follows)
 {
@@ -203,7 +204,9 @@
  * One VM alone does not hear of what is beaten for ten seconds, the owner or
  * another; fifty jobs are accepted through the others meanwhile and wait.
  * Callers that ask it are not told the number from before, neither while it is
- * cut off, nor the moment it runs or hears again.
+ * cut off, nor the moment it runs or hears again.  A VM that stood still reads
+ * answers from before first: its idea of the store's clock must not go back by
+ * them, or the old count would seem new.
  */
 Test(waiting, one_does_not_hear)
 {
@@ -292,7 +295,8 @@
 /*
  * The owner beats in time and reads the jobs' table late or not at all, while
  * fifty jobs are accepted through the other VMs.  It does not know of them,
- * and nobody tells its number as if it did.
+ * and nobody tells its number as if it did.  All did: a beat's age is not that
+ * of the book it was counted in, which OWNER_BEAT showed to be 5 s and more.
  */
 Test(waiting, owner_reads_no_jobs)
 {
@@ -339,7 +343,8 @@
 /*
  * All VMs lose power while fifty jobs wait, and start together.  Callers ask
  * from the first moment on: the beat that the VMs find in the store is of
- * before the loss, or of a successor that still reads.
+ * before the loss, or of a successor that still reads.  They told the first,
+ * however long they had been off; now they reckon its age by the store's clock.
  */
 Test(waiting, all_lose_power)
 {
