--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -6,6 +6,7 @@
  */
 #include "support-world.h"
 
+#include <cctype>
 #include <cstdlib>
 #include <cstring>
 #include <rapidcheck.h>
@@ -35,13 +36,21 @@
 	OP_LIMIT,
 	OP_WAVE,
 	OP_HEAL,
+	OP_ASK, /* from here on all VMs are asked how many jobs wait */
+	OP_SLOW,
+	OP_PAGES,
+	OP_STALL,
+	OP_REFUSE,
+	OP_VANISH,
+	OP_LONG, /* as RUN, and five times as long */
 	OPS
 };
 static const char *const names[OPS] = {
 	"RUN",	    "QUICK",   "CHAIN",	 "LASTING",   "RETRY",	    "CANCEL",
 	"KILL",	    "STOP",    "FREEZE", "CUT_STORE", "CUT_WORKER", "STORE",
 	"STORE_VM", "COMPACT", "UNLIST", "CRASH",     "LATE",	    "FAILS",
-	"LIMIT",    "WAVE",    "HEAL"};
+	"LIMIT",    "WAVE",    "HEAL",	 "ASK",	      "SLOW",	    "PAGES",
+	"STALL",    "REFUSE",  "VANISH", "LONG"};
 
 struct step_of {
 	op what;
@@ -82,11 +91,18 @@
 	unsigned i, k;
 
 	world_store(p.w, STORE_GOOD);
+	world_store_slow(p.w, 0);
+	world_pages(p.w, 0);
+	world_refuse_starts(p.w, REFUSAL_NONE);
+	world_vanish(p.w, 0);
 	world_late(p.w, 0);
 	world_limit(p.w, 0);
 	for (i = 0; i < 4; i++) {
 		world_cut_store(p.w, i, false);
 		world_store_vm(p.w, i, STORE_GOOD);
+		world_store_slow_vm(p.w, i, 0);
+		world_stall(p.w, i, TABLE_JOBS, false);
+		world_stall(p.w, i, TABLE_OWNER, false);
 		world_start(p.w, i);
 		for (k = 0; k < WORLD_WORKERS; k++)
 			world_cut_worker(p.w, i, k, false);
@@ -109,6 +125,10 @@
 	p.jobs.push_back(h);
 }
 
+/* What workers answer to all starts. */
+static const refusal refusals[] = {REFUSAL_NONE, REFUSAL_UNWELL, REFUSAL_ROOM,
+				   REFUSAL_BUSY};
+
 static void act(play &p, const step_of &s)
 {
 	unsigned vm = s.a % 4, worker = s.b % WORLD_WORKERS, i;
@@ -194,6 +214,31 @@
 	case OP_HEAL:
 		heal(p);
 		break;
+	case OP_ASK:
+		world_ask_counts(p.w, 20 + s.a);
+		break;
+	case OP_SLOW:
+		if (s.a % 2)
+			world_store_slow(p.w, s.b * 3);
+		else
+			world_store_slow_vm(p.w, s.a / 2 % 4, s.b * 3);
+		break;
+	case OP_PAGES:
+		world_pages(p.w, s.b % 4);
+		break;
+	case OP_STALL:
+		world_stall(p.w, vm, s.b % 2 ? TABLE_JOBS : TABLE_OWNER,
+			    s.b % 3);
+		break;
+	case OP_REFUSE:
+		world_refuse_starts(p.w, refusals[s.b % 4]);
+		break;
+	case OP_VANISH:
+		world_vanish(p.w, s.b % 3 ? s.b % 101 : 0);
+		break;
+	case OP_LONG:
+		world_run(p.w, 1 + s.a * 20);
+		break;
 	case OPS:
 		break;
 	}
@@ -255,6 +300,7 @@
 struct mix {
 	const char *name;
 	std::vector<op> faults;
+	bool asks; /* all VMs are asked all through how many jobs wait */
 };
 static const std::vector<mix> mixes = {
 	{"undisturbed, with retries and cancels", {OP_RETRY, OP_CANCEL}},
@@ -268,6 +314,20 @@
 	 {OP_KILL, OP_STOP, OP_FREEZE, OP_CUT_STORE, OP_CUT_WORKER, OP_STORE,
 	  OP_STORE_VM, OP_COMPACT, OP_UNLIST, OP_CRASH, OP_LATE, OP_LIMIT,
 	  OP_WAVE, OP_CANCEL, OP_RETRY, OP_HEAL}},
+	{"limits, VMs killed and stopped, and all are asked",
+	 {OP_LIMIT, OP_KILL, OP_STOP, OP_FREEZE, OP_CANCEL, OP_LONG},
+	 true},
+	{"the store slow, starts turned away, and all are asked",
+	 {OP_SLOW, OP_PAGES, OP_STALL, OP_REFUSE, OP_VANISH, OP_LIMIT, OP_KILL,
+	  OP_HEAL, OP_LONG},
+	 true},
+	{"all of it together, and all are asked",
+	 {OP_KILL,  OP_STOP,  OP_FREEZE,   OP_CUT_STORE, OP_CUT_WORKER,
+	  OP_STORE, OP_LATE,  OP_STORE_VM, OP_COMPACT,	 OP_UNLIST,
+	  OP_CRASH, OP_LIMIT, OP_WAVE,	   OP_CANCEL,	 OP_RETRY,
+	  OP_SLOW,  OP_PAGES, OP_STALL,	   OP_REFUSE,	 OP_VANISH,
+	  OP_HEAL,  OP_LONG},
+	 true},
 };
 
 static rc::Gen<step_of> any_step(const mix &m)
@@ -288,6 +348,19 @@
 			    });
 }
 
+/* Name what fails as the known red tests are named: mix::its_words. */
+static void print_failed(const char *kind, const char *name)
+{
+	std::string words;
+
+	for (; *name; name++)
+		if (isalnum(*name))
+			words += (char)tolower(*name);
+		else if (!words.empty() && words.back() != '_')
+			words += '_';
+	printf("[FAIL] %s::%s\n", kind, words.c_str());
+}
+
 /* Run a sequence that stands as text. */
 static std::string replay(const char *s)
 {
@@ -354,6 +427,94 @@
 	 "{WAVE 152 105} {RETRY 102 92} {RUN 68 142} {RUN 83 43} {RUN 144 20} "
 	 "{RUN 92 47} {LIMIT 11 4} {LIMIT 94 43} {QUICK 8 125} {RUN 104 111} "
 	 "{LASTING 89 11} {KILL 39 34} {RETRY 128 97} {RUN 82 8}"},
+	{"a VM told the count of a beat from before all were lost",
+	 "seed 380132: {ASK 30 0} {QUICK 39 37} {RETRY 28 16} "
+	 "{RETRY 16 11} {LONG 24 31} {RUN 38 85} {RETRY 135 85} "
+	 "{FREEZE 105 71} {LONG 94 43} {CHAIN 105 29} {STOP 101 122} "
+	 "{RUN 80 144} {RUN 119 95} {STOP 57 83} {STOP 67 34} "
+	 "{RUN 108 69} {CHAIN 143 136} {CHAIN 25 82} {LONG 31 39} "
+	 "{LIMIT 64 85} {LASTING 99 91} {KILL 46 138} {KILL 62 106} "
+	 "{RUN 145 92} {RUN 14 89} {FREEZE 135 15} {RETRY 28 112} "
+	 "{FREEZE 24 62} {LASTING 136 118} {STOP 68 21} {CHAIN 65 31} "
+	 "{KILL 36 12} {QUICK 69 67} {CHAIN 25 113} {LIMIT 136 37} "
+	 "{FREEZE 114 102} {STOP 62 65} {CANCEL 65 64} {RUN 117 44} "
+	 "{LONG 72 25} {CHAIN 13 152} {RUN 12 124} {CHAIN 55 117} "
+	 "{CANCEL 43 134} {RUN 80 144} {RUN 139 36} {KILL 146 10} "
+	 "{LIMIT 29 15} {RUN 121 80} {LONG 76 92} {LASTING 145 135} "
+	 "{QUICK 109 21} {RUN 123 115} {QUICK 31 138} {KILL 125 140} "
+	 "{RUN 129 98} {KILL 124 113} {RUN 20 142} {CHAIN 74 151} "
+	 "{CHAIN 89 94} {CANCEL 150 65}"},
+	{"a VM told a count from before all had stopped",
+	 "seed 19: {ASK 30 0} {KILL 129 21} {CANCEL 95 40} "
+	 "{LASTING 47 102} {STOP 65 66} {LONG 23 28} {RUN 27 13} "
+	 "{RETRY 81 66} {KILL 74 126} {KILL 15 113} {LONG 22 20} "
+	 "{RUN 77 76} {STOP 131 125} {CANCEL 149 100} {CHAIN 138 141} "
+	 "{STOP 60 136} {FREEZE 49 43} {RUN 0 97} {FREEZE 145 105} "
+	 "{LASTING 56 80} {LONG 30 122} {STOP 86 94} {LASTING 89 55} "
+	 "{STOP 84 3} {QUICK 64 14} {RUN 89 61} {CANCEL 11 81} "
+	 "{LIMIT 121 30} {RUN 65 63} {RUN 98 114} {LASTING 50 143} "
+	 "{KILL 66 28} {RUN 80 96} {CHAIN 77 129} {LONG 122 49} "
+	 "{RUN 76 80} {RUN 133 35} {RUN 70 110} {RUN 77 102} "
+	 "{RUN 146 31} {STOP 2 9} {KILL 6 128} {FREEZE 143 80} "
+	 "{FREEZE 86 64} {RUN 79 20} {CHAIN 0 80} {LONG 148 62} "
+	 "{RUN 128 116} {STOP 34 113} {RUN 26 83} {FREEZE 65 58} "
+	 "{STOP 32 119}"},
+	{"an owner told a count while its reads of the jobs stalled",
+	 "seed 84491: {ASK 30 0} {HEAL 81 77} {KILL 123 22} "
+	 "{VANISH 61 99} {RUN 102 130} {LONG 47 130} {KILL 70 136} "
+	 "{RUN 131 7} {RUN 124 73} {VANISH 105 96} {SLOW 49 111} "
+	 "{LIMIT 74 89} {RUN 144 12} {RETRY 82 106} {RUN 43 115} "
+	 "{SLOW 149 52} {RUN 120 121} {LIMIT 92 92} {STALL 12 65} "
+	 "{RETRY 89 129} {LONG 57 109} {REFUSE 44 28} {QUICK 44 19} "
+	 "{CHAIN 102 119} {SLOW 64 110} {RUN 9 129} {STALL 108 78} "
+	 "{RUN 87 87} {RUN 1 30} {LASTING 152 46} {RUN 108 45} "
+	 "{KILL 149 61} {RUN 118 32} {RUN 108 151} {LONG 30 104} "
+	 "{RUN 93 107} {LASTING 18 0} {PAGES 33 145} {RUN 115 1} "
+	 "{RUN 141 68} {CHAIN 115 57}"},
+	{"a VM told a count while its reads of the ownership stalled",
+	 "seed 15: {ASK 30 0} {LASTING 99 4} {RUN 79 11} "
+	 "{LONG 63 142} {SLOW 39 12} {COMPACT 45 68} "
+	 "{CUT_WORKER 108 122} {CUT_WORKER 64 134} {CANCEL 3 106} "
+	 "{CRASH 80 0} {STALL 41 127} {STOP 93 1} {LASTING 85 1} "
+	 "{RUN 41 26} {CHAIN 63 137} {RUN 20 132} {WAVE 39 36} "
+	 "{STALL 19 34} {RETRY 131 95} {CUT_WORKER 123 51} "
+	 "{RUN 138 90} {RUN 113 44} {RUN 87 5} {RUN 89 61} "
+	 "{STOP 80 115} {RUN 126 81} {RUN 92 81} {RUN 22 151} "
+	 "{STOP 147 64} {CUT_WORKER 121 116} {STALL 147 73} "
+	 "{RUN 128 73} {RUN 47 7} {CHAIN 47 152} {CUT_WORKER 85 28} "
+	 "{LONG 98 131} {CUT_STORE 60 2} {FREEZE 55 46} "
+	 "{LASTING 103 148} {VANISH 8 7} {CHAIN 91 109} "
+	 "{CHAIN 122 45} {HEAL 53 76} {UNLIST 99 133} {CHAIN 17 19} "
+	 "{CANCEL 87 38} {FREEZE 69 78} {RUN 108 37} {RUN 0 52} "
+	 "{COMPACT 9 34} {SLOW 21 101} {REFUSE 26 89} {RUN 149 73} "
+	 "{WAVE 98 122} {STOP 47 11} {CRASH 28 18} {LIMIT 37 135} "
+	 "{RETRY 145 101} {SLOW 14 97}"},
+	{"an owner took jobs for begun whose starts were lost",
+	 "seed 20: {ASK 30 0} {LIMIT 131 46} {RUN 58 17} {RUN 106 64} "
+	 "{CHAIN 6 59} {LASTING 105 61} {VANISH 117 107} "
+	 "{STALL 105 69} {QUICK 142 41} {VANISH 4 44} {STALL 35 49} "
+	 "{QUICK 26 80} {LIMIT 111 66} {SLOW 81 2} {CHAIN 32 142} "
+	 "{STALL 82 123} {REFUSE 113 31} {KILL 16 7} {LASTING 57 79} "
+	 "{VANISH 136 1} {LASTING 14 116} {QUICK 152 44} "
+	 "{LASTING 120 118} {KILL 96 55} {RUN 82 38} {LIMIT 137 43} "
+	 "{VANISH 27 130} {VANISH 32 91} {LONG 116 79} {STALL 8 80} "
+	 "{SLOW 35 54} {REFUSE 138 48} {LASTING 55 61} {LIMIT 100 23} "
+	 "{LASTING 55 60} {SLOW 122 1} {RUN 153 51} {RUN 139 138} "
+	 "{RUN 73 122} {RUN 93 53} {PAGES 69 47} {HEAL 117 23} "
+	 "{RETRY 104 5} {SLOW 129 40} {RUN 61 94} {RUN 49 12} "
+	 "{HEAL 119 95}"},
+	{"a successor left a cancelled job's runs out of the limit",
+	 "seed 200073: {ASK 30 0} {CANCEL 41 89} {LIMIT 116 29} "
+	 "{CHAIN 138 14} {RUN 105 63} {FREEZE 79 90} {CHAIN 9 84} "
+	 "{RUN 115 15} {LONG 70 55} {CANCEL 19 58} {FREEZE 27 150} "
+	 "{RUN 109 143} {STOP 121 13} {LASTING 73 56} {CHAIN 9 75} "
+	 "{STOP 136 27} {RETRY 140 124} {CHAIN 102 123} "
+	 "{LASTING 76 81} {QUICK 85 25} {CANCEL 22 65} {RETRY 9 56} "
+	 "{RUN 13 15} {RUN 48 85} {STOP 48 28} {RUN 85 77} "
+	 "{LIMIT 94 6} {CHAIN 143 72} {STOP 91 67} {RUN 152 44} "
+	 "{LONG 33 21} {RETRY 38 18} {QUICK 72 138} {LASTING 119 51} "
+	 "{LASTING 140 19} {CHAIN 11 76} {CHAIN 118 106} {STOP 83 58} "
+	 "{LONG 128 15}"},
 };
 
 int main(int argc, char **argv)
@@ -371,20 +532,27 @@
 		bool ok = rc::check(m.name, [&] {
 			const auto seed = *rc::gen::inRange<uint64_t>(1,
 								      1 << 20);
-			const auto v = *rc::gen::resize(
+			auto v = *rc::gen::resize(
 				60, rc::gen::container<steps>(any_step(m)));
+
+			if (m.asks)
+				v.insert(v.begin(), {OP_ASK, 30, 0});
 			const auto broken = run(seed, v);
 
 			if (!broken.empty())
 				RC_FAIL(broken + "\n" + text(seed, v));
 		});
+		if (!ok)
+			print_failed("mix", m.name);
 		(ok ? passed : failed)++;
 	}
 	for (const auto &k : kept) {
 		const auto broken = replay(k.sequence);
 
-		if (!broken.empty())
+		if (!broken.empty()) {
 			printf("%s: %s\n", k.broken, broken.c_str());
+			print_failed("kept", k.broken);
+		}
 		(broken.empty() ? passed : failed)++;
 	}
 	printf("%d passed, %d failed\n", passed, failed);
