Small world: pages of a table that come late

A successor's reading of the store takes as long as the store likes; in the small world it took a few milliseconds, so nothing could happen in between. world_slow delays the pages of a table.

--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -121,6 +121,7 @@
 	uint64_t revision;
 	uint64_t floor; /* feeds from before are gone */
 	enum world_store_mode store;
+	int64_t slow[TABLE_MAX]; /* answers to readings take so much longer */
 	unsigned late_percent;
 	int64_t limit;
 	int64_t limit_before; /* in force until then */
@@ -563,7 +564,8 @@
 	if (fx->ask.kind == ASK_GET) {
 		ev = answer_make(fx, OUT_DONE, w->now);
 		range_read(w, &fx->ask.range, &ev->answer);
-		answer_send(w, vm, ev, w->now + WAY_MS);
+		answer_send(w, vm, ev,
+			    w->now + WAY_MS + w->slow[fx->ask.range.table]);
 		sched_effect_free(fx);
 		return;
 	}
@@ -1383,6 +1385,12 @@
 	w->vms[vm].store = mode;
 }
 
+/* Let the pages of a table come later than they were read; feeds don't. */
+void world_slow(struct world *w, enum table table, int64_t ms)
+{
+	w->slow[table] = ms;
+}
+
 /* Forget the history of changes. */
 void world_compact(struct world *w)
 {
