Small world: a pool whose machines stand by, and moves

Moves of machines had no test: the small world has a second pool whose machines have no workers, and carries moves out. What an owner noted of the pools' sizes can be seen.

--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -20,6 +20,7 @@
 #define TASK_CPU 2000
 #define QUEUE "q"
 #define SERVICE "pool"
+#define STANDBY "spare"
 #define TENANT "org"
 #define KEY "key"
 
@@ -128,6 +129,7 @@
 	int64_t limit_until;
 	bool keyed;
 	bool advised;
+	bool standby; /* there is a pool whose machines stand by */
 	uint64_t config_version;
 	struct {
 		char id[JOB_ID_BYTES + 1];
@@ -150,6 +152,8 @@
 	uint64_t machine_epoch[WORLD_WORKERS]; /* the highest of an order */
 	bool busy; /* machines can't be maintained now */
 	bool machines_silent;
+	bool spare[WORLD_WORKERS]; /* machines that stand by, without workers */
+	unsigned moves;
 	bool maintained[WORLD_WORKERS];
 	int64_t maintained_until[WORLD_WORKERS];
 	char broken[256];
@@ -262,10 +266,13 @@
 				      .advised = w->advised,
 				      .stretch = 2,
 				      .objective_ms = 600};
-	c->services = xcalloc(1, sizeof(*c->services));
+	c->services = xcalloc(2, sizeof(*c->services));
 	c->service_count = 1;
 	c->services[0] = (struct service){.name = bstr_new(SERVICE),
 					  .guards = true};
+	if (w->standby)
+		c->services[c->service_count++] = (struct service){
+			.name = bstr_new(STANDBY), .standby = true};
 	c->tenants = xcalloc(1, sizeof(*c->tenants));
 	c->tenant_count = 1;
 	c->tenants[0] = (struct tenant){.name = bstr_new(TENANT),
@@ -981,8 +988,10 @@
 		for (i = 0; i < w->worker_count; i++)
 			a->machines[a->machine_count++] = (struct machine_row){
 				.machine = bstr_printf("m-%u", i),
-				.pool = bstr_new(SERVICE),
-				.worker = worker_id(w, i),
+				.pool = bstr_new(w->spare[i] ? STANDBY
+							     : SERVICE),
+				.worker = w->spare[i] ? BSTR_NONE
+						      : worker_id(w, i),
 				.state = w->now < w->maintained_until[i]
 						 ? MACHINE_UPKEEP
 						 : MACHINE_UP};
@@ -993,6 +1002,15 @@
 			a->tickets[a->ticket_count].worker = worker_id(w, i);
 			a->tickets[a->ticket_count++].text = bstr_new("ticket");
 		}
+	} else if (fx->ask.kind == ASK_MOVE) {
+		name = bstr_cstr(fx->ask.order.machine);
+		n = (unsigned)(name[2] - '0');
+		free(name);
+		w->moves++;
+		w->spare[n] = bstr_eq_str(fx->ask.order.pool, STANDBY);
+		machine_restart(w, n, 300);
+		if (w->spare[n])
+			world_unlist(w, n, true);
 	} else if (fx->ask.kind == ASK_UPKEEP) {
 		name = bstr_cstr(fx->ask.order.machine);
 		n = (unsigned)(name[2] - '0');
@@ -1482,6 +1500,20 @@
 	row_write(w, TABLE_OPERATOR, "config", -1);
 }
 
+/* Let the last machines stand by in a pool of their own. */
+void world_standby(struct world *w, unsigned machines)
+{
+	unsigned i;
+
+	w->standby = true;
+	w->config_version++;
+	row_write(w, TABLE_OPERATOR, "config", -1);
+	for (i = w->worker_count - machines; i < w->worker_count; i++) {
+		w->spare[i] = true;
+		world_unlist(w, i, true);
+	}
+}
+
 /* Write the configuration with the key, or without. */
 void world_keys(struct world *w, bool given)
 {
@@ -1541,6 +1573,24 @@
 	return n;
 }
 
+/* Moves of machines between pools. */
+unsigned world_moves(const struct world *w)
+{
+	return w->moves;
+}
+
+/* How many machines the operator gave the pool, as an owner noted it. */
+unsigned world_home(struct world *w)
+{
+	const struct world_row *r = row_get(w, TABLE_OWNER, "homes");
+	const char *at = NULL;
+
+	if (!r->removed)
+		at = memmem(r->value.bstr_val, r->value.bstr_len,
+			    "\"" SERVICE "\":", sizeof(SERVICE) + 2);
+	return at ? (unsigned)(at[sizeof(SERVICE) + 2] - '0') : 0;
+}
+
 /* Does the store say that the wave is completed? */
 bool world_wave_is_completed(const struct world *w)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -70,6 +70,7 @@
 void world_fail_all(struct world *w, unsigned worker, bool fail);
 void world_limit(struct world *w, int64_t cpu); /* of the organisation */
 void world_wave(struct world *w, unsigned machines, unsigned maximum);
+void world_standby(struct world *w, unsigned machines); /* before it runs */
 void world_keys(struct world *w, bool given); /* the organisation's key */
 void world_advise(struct world *w); /* starts need tickets; even workers */
 
@@ -78,6 +79,8 @@
 unsigned world_starts(const struct world *w); /* that workers carried out */
 unsigned world_starts_of(const struct world *w, unsigned worker);
 unsigned world_taken(const struct world *w); /* machines maintained */
+unsigned world_moves(const struct world *w); /* of machines */
+unsigned world_home(struct world *w); /* size of the pool, as noted; 0: not */
 bool world_wave_is_completed(const struct world *w);
 const char *world_state(struct world *w, const char *id); /* by the store */
 const char *world_broken(const struct world *w); /* NULL: all promises kept */
