--- /dev/null
+++ b/tests/test-takeover.c
@@ -0,0 +1,393 @@
+/*
+ * A new owner of the scheduling and the facts it takes over: none is used,
+ * published or written over before it was read, or when it is old.
+ */
+#include "support-world.h"
+
+#include <criterion/criterion.h>
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "10000000000000bb"
+
+static const struct world_job quick = {.tasks = 3, .task_ms = 400};
+static const struct world_job pair = {.tasks = 2, .lasts = true, .apart = 1};
+static const struct world_job four = {.tasks = 4, .lasts = true, .apart = 1};
+
+/* A world in which somebody owns the scheduling and workers are known. */
+static struct world *calm(uint64_t seed)
+{
+	struct world *w = world_new(seed, 4, 6);
+
+	world_run(w, 2000);
+	cr_assert_neq(world_owner(w), -1);
+	return w;
+}
+
+/* The VM that owns the scheduling, or another one. */
+static unsigned owner(struct world *w)
+{
+	int n = world_owner(w);
+
+	cr_assert_neq(n, -1, "nobody owns the scheduling");
+	return (unsigned)n;
+}
+static unsigned other(struct world *w)
+{
+	return (owner(w) + 1) % 4;
+}
+
+/* Check that all was kept, and free the world. */
+static void check_free(struct world *w, const char *name, unsigned row)
+{
+	cr_expect_null(world_broken(w), "%s, row %u: %s", name, row,
+		       world_broken(w));
+	world_free(w);
+}
+
+/* Cut a VM off from the store, and from all others the workers in use. */
+static void cut_with_its_workers(struct world *w, unsigned n)
+{
+	unsigned i, k;
+
+	world_cut_store(w, n, true);
+	for (i = 0; i < 6; i++)
+		for (k = 0; k < 4; k++)
+			world_cut_worker(w, k, i,
+					 (k == n) !=
+						 (world_starts_of(w, i) > 0));
+}
+
+/*
+ * An organisation runs twice what its limit allows.  A data centre is cut off
+ * with the owner and two workers that run all the organisation may have.  The
+ * successor, or the one after it, has to go by the ceilings that the owner cut
+ * off has told: a beat written before they were read, or before all leases of
+ * before have ended, must not leave them out.
+ */
+static const struct {
+	const char *name;
+	enum table slow; /* pages of it come late at the takeover */
+	int64_t slow_ms;
+	int64_t next_ms; /* the successor dies so long after it; 0: not */
+} ceiling_rows[] = {
+	{"progress is read late", TABLE_PROGRESS, 650, 0},
+	{"jobs are read late", TABLE_JOBS, 650, 0},
+	{"the beat is read late", TABLE_OWNER, 650, 0},
+	{"the successor dies while it reads", TABLE_PROGRESS, 690, 500},
+	{"the successor dies before it has read the beat", TABLE_OWNER, 690,
+	 500},
+	{"the successor dies as it begins", TABLE_JOBS, 0, 60},
+	{"the successor dies before it has settled", TABLE_JOBS, 0, 500},
+};
+static void ceilings_at_takeover(unsigned row)
+{
+	struct world *w = calm(500 + row);
+	unsigned n, next, k;
+
+	world_limit(w, 4000);
+	world_run(w, 2500);
+	world_submit(w, other(w), JOB_A, &pair);
+	world_run(w, 900);
+	cr_assert_eq(world_starts(w), 2);
+	world_slow(w, ceiling_rows[row].slow, ceiling_rows[row].slow_ms);
+	n = owner(w);
+	cut_with_its_workers(w, n);
+	for (k = 0; k < 300 && owner(w) == n; k++)
+		world_run(w, 10);
+	next = owner(w);
+	cr_assert_neq(next, n);
+	if (ceiling_rows[row].next_ms) {
+		world_run(w, ceiling_rows[row].next_ms);
+		world_slow(w, ceiling_rows[row].slow, 0);
+		world_kill(w, next);
+	}
+	for (k = 0; k == n || k == next; k++)
+		;
+	world_submit(w, k, JOB_B, &quick);
+	world_run(w, 12000);
+	check_free(w, ceiling_rows[row].name, row);
+}
+Test(takeover, ceilings_are_kept)
+{
+	unsigned i;
+
+	for (i = 0; i < NELEMS(ceiling_rows); i++)
+		ceilings_at_takeover(i);
+}
+
+/*
+ * Nothing that callers submit begins any more.  While a successor reads, the
+ * history of the jobs' feed goes, so that they are read anew; the page of
+ * progress that was under way comes meanwhile.  It has to be asked for again,
+ * or the successor reads for ever, and beats so that nobody replaces it.
+ */
+Test(takeover, history_gone_while_reading)
+{
+	struct world *w;
+	unsigned n, k, row;
+	uint64_t a;
+
+	for (row = 0; row < 6; row++) {
+		w = calm(520 + row);
+		n = owner(w);
+		world_slow(w, TABLE_PROGRESS, 350);
+		world_slow(w, TABLE_WORKERS, 300);
+		world_kill(w, n);
+		for (k = 0; k < 300 && world_owner(w) == -1; k++)
+			world_run(w, 10);
+		world_run(w, 20 + 20 * row);
+		world_slow(w, TABLE_JOBS, 400);
+		world_unlist(w, 5, false); /* a change of after it asked */
+		world_compact(w);
+		a = world_submit(w, other(w), JOB_A, &quick);
+		world_run(w, 1500);
+		world_slow(w, TABLE_JOBS, 0);
+		world_run(w, 6000);
+		cr_expect_eq(world_status(w, a), 200);
+		cr_expect_str_eq(world_state(w, JOB_A), "completed", "row %u",
+				 row);
+		check_free(w, "history", row);
+	}
+}
+
+/*
+ * A job of long ago runs a second time.  Its rows are to be removed, and the
+ * store refuses that, or gives no answer; then the history of the feeds goes
+ * and all jobs are read again, this one too.  It is final as long as its row
+ * may be there.
+ */
+Test(takeover, removal_fails)
+{
+	static const enum world_store_mode modes[] = {STORE_REFUSES,
+						      STORE_SILENT};
+	struct world *w;
+	unsigned i;
+
+	for (i = 0; i < NELEMS(modes); i++) {
+		w = calm(540 + i);
+		world_submit(w, other(w), JOB_A, &quick);
+		world_run(w, 99500);
+		cr_assert_str_eq(world_state(w, JOB_A), "completed");
+		/* Its removal falls into an outage too short to end leases. */
+		world_store(w, modes[i]);
+		world_run(w, 4000);
+		world_store(w, STORE_GOOD);
+		world_run(w, 800);
+		world_compact(w);
+		world_run(w, 6000);
+		cr_expect_eq(world_starts(w), 3, "%u starts, row %u",
+			     world_starts(w), i);
+		cr_expect_str_eq(world_state(w, JOB_A), "", "it goes, row %u",
+				 i);
+		check_free(w, "removal", i);
+	}
+}
+
+/*
+ * A job of long ago runs a second time.  The history of the feeds goes, all
+ * jobs are read again, and this one's rows are removed between the reading of
+ * its page and the page's arrival: the page must not make it a new job.
+ */
+Test(takeover, removed_after_its_page)
+{
+	struct world *w;
+	unsigned row;
+
+	for (row = 0; row < 4; row++) {
+		w = calm(550 + row);
+		world_submit(w, other(w), JOB_A, &quick);
+		world_run(w, 99800 + 250 * row);
+		world_slow(w, TABLE_JOBS, 650);
+		world_unlist(w, 5, false); /* a change of after the last */
+		world_compact(w);
+		world_submit(w, other(w), JOB_B, &quick);
+		world_run(w, 2500);
+		world_slow(w, TABLE_JOBS, 0);
+		world_run(w, 4000);
+		cr_expect_eq(world_starts(w), 6, "%u starts, row %u",
+			     world_starts(w), row);
+		cr_expect_str_eq(world_state(w, JOB_A), "", "it goes, row %u",
+				 row);
+		check_free(w, "page", row);
+	}
+}
+
+/*
+ * The users of a lasting job get each answer twice.  A beat without an answer
+ * is carried out seconds later and sets the row of noted workers back: a
+ * worker that was noted since is not in it.  That one is cut off with its row
+ * lapsed when the owner dies, and the successor must know of it.
+ */
+Test(takeover, late_beat)
+{
+	static const struct world_job five = {
+		.tasks = 5, .lasts = true, .apart = 1};
+	struct world *w;
+	unsigned row, n, k;
+
+	for (row = 0; row < 10; row++) {
+		w = world_new(560 + row, 4, 6);
+		world_unlist(w, 1, true);
+		world_unlist(w, 5, true);
+		world_run(w, 2000);
+		n = owner(w);
+		world_store_vm(w, n, STORE_LATE);
+		world_unlist(w, 5, false);
+		world_run(w, 60);
+		world_store_vm(w, n, STORE_GOOD);
+		world_run(w, 900);
+		world_unlist(w, 1, false);
+		world_run(w, 500);
+		/* The owner can't use one, which its successor can. */
+		world_cut_worker(w, n, 0, true);
+		world_run(w, 1500);
+		world_submit(w, other(w), JOB_A, &five);
+		world_run(w, 700);
+		cr_assert_eq(owner(w), n);
+		cr_assert_eq(world_starts_of(w, 1), 1, "row %u", row);
+		world_unlist(w, 1, true);
+		for (k = 0; k < 4; k++)
+			world_cut_worker(w, k, 1, k != n);
+		world_run(w, 200);
+		world_kill(w, n);
+		world_run(w, 9000);
+		check_free(w, "late beat", row);
+	}
+}
+
+/*
+ * The operator sees a wave run on that was completed, and the users of a
+ * lasting job get each answer twice.  A note of the wave without an answer is
+ * carried out seconds later: the machine that was done since is not in it.
+ * All VMs start anew, the next owner calls for that machine again, which
+ * succeeds, and takes the life that serves there now for ended.
+ */
+Test(takeover, late_wave_note)
+{
+	static const struct world_job five = {
+		.tasks = 5, .lasts = true, .apart = 1};
+	static const struct world_job many = {.tasks = 43, .lasts = true};
+	struct world *w;
+	unsigned row, n, k;
+
+	for (row = 0; row < 8; row++) {
+		w = calm(600 + row);
+		world_submit(w, other(w), JOB_A, &five);
+		world_run(w, 500);
+		n = owner(w);
+		world_store_vm(w, n, STORE_LATE);
+		world_wave(w, 1, 1);
+		world_run(w, 60);
+		world_store_vm(w, n, STORE_GOOD);
+		world_run(w, 3200);
+		cr_assert_eq(world_taken(w), 1, "row %u", row);
+		/* All workers are full, that of the machine too. */
+		world_submit(w, other(w), JOB_B, &many);
+		world_run(w, 500);
+		cr_assert_eq(owner(w), n);
+		cr_expect(world_wave_is_completed(w), "row %u", row);
+		world_call(w, other(w), VERB_CANCEL, JOB_A);
+		world_run(w, 50);
+		/* Who follows knows better than the row: all start anew. */
+		for (k = 0; k < 4; k++)
+			world_kill(w, k);
+		for (k = 0; k < 4; k++)
+			world_start(w, k);
+		world_run(w, 16000);
+		cr_expect(world_wave_is_completed(w), "row %u", row);
+		check_free(w, "late note", row);
+	}
+}
+
+/*
+ * The users of a lasting job get each answer twice.  A claim without an answer
+ * is carried out seconds later.  Meanwhile the owner is at work again, and
+ * then cut off with workers that it goes on renewing: their leases count from
+ * its last beat, not from the one that was seen before the claim was sent.
+ */
+Test(takeover, late_claim)
+{
+	struct world *w;
+	unsigned row, n, k;
+
+	for (row = 0; row < 24; row++) {
+		w = calm(640 + row);
+		world_submit(w, other(w), JOB_A, &four);
+		world_run(w, 500);
+		n = owner(w);
+		for (k = 0; k < 4; k++)
+			if (k != n)
+				world_store_vm(w, k, STORE_LATE);
+		world_freeze(w, n, 1900);
+		world_run(w, 2000 + 100 * row);
+		cut_with_its_workers(w, n);
+		for (k = 0; k < 4000 && owner(w) == n; k++)
+			world_run(w, 1);
+		for (k = 0; k < 4; k++)
+			world_store_vm(w, k, STORE_GOOD);
+		world_run(w, 12000);
+		cr_expect_neq(owner(w), n, "row %u", row);
+		check_free(w, "late claim", row);
+	}
+}
+
+/*
+ * An organisation runs more than its limit, and a job is given up after one
+ * failure where three are allowed: all VMs start anew and read the
+ * configuration last.  The owner has to wait for it.
+ */
+Test(takeover, configuration_is_read_late)
+{
+	static const struct world_job flaky = {
+		.tasks = 1, .task_ms = 300, .fails = 2};
+	struct world *w;
+	unsigned row, k;
+
+	for (row = 0; row < 4; row++) {
+		w = calm(680 + row);
+		world_limit(w, 4000);
+		world_run(w, 2500);
+		world_submit(w, 0, JOB_A, row % 2 ? &flaky : &four);
+		world_run(w, 40);
+		for (k = 0; k < 4; k++)
+			world_kill(w, k);
+		world_slow(w, TABLE_OPERATOR, row / 2 ? 600 : 2000);
+		for (k = 0; k < 4; k++)
+			world_start(w, k);
+		world_run(w, 9000);
+		if (row % 2)
+			cr_expect_str_eq(world_state(w, JOB_A), "completed",
+					 "row %u", row);
+		check_free(w, "configuration", row);
+	}
+}
+
+/*
+ * A pool never gives back what it was lent.  How many machines the operator
+ * gave each pool is known from the first list, before anything was moved: an
+ * owner that moves one before the store knows these sizes, and dies, leaves its
+ * successor a list that shows others.
+ */
+Test(takeover, moves_wait_for_the_sizes)
+{
+	static const struct world_job wide = {.tasks = 90, .task_ms = 3000};
+	struct world *w;
+	unsigned row, n;
+
+	for (row = 0; row < 4; row++) {
+		w = world_new(700 + row, 4, 6);
+		world_standby(w, 3);
+		world_run(w, 60);
+		world_submit(w, other(w), JOB_A, &wide);
+		world_run(w, 26 + row);
+		n = owner(w);
+		world_store_vm(w, n, STORE_REFUSES);
+		world_run(w, 600);
+		world_kill(w, n);
+		world_run(w, 9000);
+		cr_expect_eq(world_home(w), 3, "%u, row %u", world_home(w),
+			     row);
+		cr_expect_gt(world_moves(w), 0, "row %u", row);
+		check_free(w, "sizes", row);
+	}
+}
