Scheduler: a dropped page may be asked for again

Cause: the history of the jobs' feed goes while a successor reads, so progress is not wanted until the jobs are read anew; its page that comes meanwhile was dropped and still counted as under way. The successor asked for it never again, beat on, and began no job. Ruled out: a lost answer (the client always gives one by the deadline). Change: an answer of the present reading ends its request, wanted or not. Before: history_gone_while_reading red in 6 of 6 rows.

--- a/sched-follow.c
+++ b/sched-follow.c
@@ -199,13 +199,17 @@
 
 	if (fed)
 		f->open = false;
+	/*
+	 * Also of a table that is not wanted now: this answer is dropped, and
+	 * an owner that wants it again has to ask, or it would read for ever.
+	 */
+	if (!fed && rq->number == f->reading)
+		f->reads[rq->k].open = false;
 	/* Of a reading that was begun anew meanwhile: that one goes on. */
 	if (rq->number != f->reading || !f->wanted) {
 		follow_go(s, f);
 		return;
 	}
-	if (!fed)
-		f->reads[rq->k].open = false;
 	if (a->outcome == OUT_GONE) {
 		sched_log(s, LOG_HISTORY_GONE, "table=%d revision=%llu",
 			  f->table, (unsigned long long)f->revision);
