Scheduler: a VM without a configuration doesn't claim

Cause: loading waited for the owner's rows, workers, jobs and progress, not for the configuration. VMs that start anew claim at once; an owner without it held no limit and gave jobs up after their first failure. Ruled out: an old configuration at the claim (versions only go upwards; an operator's change is in force within seconds by the feed). Change: claiming waits until it was read. Nothing else can make a VM the owner, and it never goes back to none.

--- a/sched-own.c
+++ b/sched-own.c
@@ -216,7 +216,11 @@
 {
 	int64_t spread = claim_delay(s);
 
-	if (!s->own.known || !sched_store_works(s) || s->stop_by)
+	/*
+	 * Without a configuration no limit would hold and a task's first
+	 * failure would be its last.  Others claim, or this VM once it has it.
+	 */
+	if (!s->own.known || !s->config || !sched_store_works(s) || s->stop_by)
 		return false;
 	if (!s->own.holder.bstr_len)
 		return s->now - s->own.heard_at >= spread;
