Scheduler: a final job is known until its rows are gone

Cause: a job was forgotten when the removal of its rows was sent. If that failed, or while a page that was read before it was on its way, a whole reading of the jobs (after the feed's history went) took the job for a new one, and ran it again. Ruled out: the feed; it brings a row only when it changes. Change: it is forgotten on the store's word, and not while the jobs are read whole. One removal is under way at a time. An answer of an earlier ownership says nothing about this one.

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -153,10 +153,27 @@
 	worker_acknowledge(s);
 }
 
-/* The outcome of removing rows: a conflict tells of a new owner. */
+/*
+ * The outcome of removing rows: a conflict tells of a new owner.  While the
+ * jobs are read whole again, a page may be on its way that was read before the
+ * rows went; the jobs stay known then, and their rows are removed once more.
+ */
 void sweep_answer(struct sched *s, struct request *rq, struct answer *a)
 {
-	(void)rq;
-	if (a->outcome == OUT_CONFLICT)
+	struct retired *r, *next;
+
+	if (rq->epoch != s->own.epoch || s->own.state != OWN_YES)
+		return;
+	if (a->outcome == OUT_CONFLICT) {
 		own_lose(s, "replaced");
+		return;
+	}
+	for (r = TAILQ_FIRST(&s->retirees); r; r = next) {
+		next = TAILQ_NEXT(r, entry);
+		if (!r->removing)
+			break;
+		r->removing = false;
+		if (a->outcome == OUT_DONE && s->follows[3].whole)
+			job_unretire(s, r);
+	}
 }
--- a/sched-job.c
+++ b/sched-job.c
@@ -501,7 +501,11 @@
 	return NULL;
 }
 
-/* Remove the rows of jobs that nobody may ask for any more. */
+/*
+ * Remove the rows of jobs that nobody may ask for any more.  They are known
+ * as final until their rows are gone: a row that is read again would be taken
+ * for a new job, and run a second time.
+ */
 static void job_sweep(struct sched *s)
 {
 	struct retired *r;
@@ -510,8 +514,10 @@
 	unsigned n = 0;
 	bstr key;
 
-	while (n < COMMIT_ROWS_MAX / 2 && (r = TAILQ_FIRST(&s->retirees)) &&
-	       s->wall - r->ended > s->options.keep_ms) {
+	TAILQ_FOREACH(r, &s->retirees, entry) {
+		if (n++ == COMMIT_ROWS_MAX / 2 || r->removing ||
+		    s->wall - r->ended <= s->options.keep_ms)
+			break;
 		if (!t) {
 			t = sched_tx(s, FOR_SWEEP, s->now + STORE_TIMEOUT_MS,
 				     &rq);
@@ -523,8 +529,7 @@
 		tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
 		tx_remove(t, TABLE_JOBS, key);
 		bstr_free(&key);
-		job_unretire(s, r);
-		n++;
+		r->removing = true;
 	}
 	s->sweep_at = s->now + 1000;
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -180,6 +180,7 @@
 	TAILQ_ENTRY(retired) entry;
 	char id[JOB_ID_BYTES + 1];
 	int64_t ended; /* wall clock */
+	bool removing; /* the removal of its rows is under way */
 	UT_hash_handle hh;
 };
 TAILQ_HEAD(retired_list, retired);
