Scheduler: a successor keeps the ceilings that it takes over

Cause: an owner that loads has no accounts, and its beat wrote an empty set over the ceilings of the owner before, which it then read back itself if it had not begun; and until all leases of before had ended, its beats told its own ceilings only, so that a second successor knew nothing of what ran out of reach. Then an organisation ran above its upper limit. Ruled out: a beat of the old owner after the claim (it demands the row of the epoch). Change: no beat before the old one was read (the owner's rows come in one page); while it loads, an owner tells the ceilings that it has read; until it is settled it adds to its own what it has not found of them.

--- a/sched-limit.c
+++ b/sched-limit.c
@@ -70,14 +70,55 @@
 			     a.gpus < b.gpus ? a.gpus : b.gpus};
 }
 
-/* The ceilings for a beat to tell.  Until it has, the lower ones hold. */
+/* What an earlier owner may have running that was not found yet. */
+static struct size usage_hidden(const struct sched *s, const struct usage *u)
+{
+	struct size hidden = {0, 0, 0}, zero = {0, 0, 0}, told;
+	const json_t *row;
+	char *name;
+
+	if (s->settled)
+		return hidden;
+	name = bstr_cstr(u->tenant);
+	row = json_object_get(s->own.ceilings, name);
+	free(name);
+	told = (struct size){json_integer_value(json_array_get(row, 0)),
+			     json_integer_value(json_array_get(row, 1)),
+			     json_integer_value(json_array_get(row, 2))};
+	hidden = size_sub(told, u->found);
+	return size_sub(hidden, size_min(hidden, zero));
+}
+
+/* Have accounts of all organisations whose ceilings were taken over. */
+static void ceilings_inherit(struct sched *s)
+{
+	const char *name;
+	json_t *v;
+
+	if (!s->settled)
+		json_object_foreach(s->own.ceilings, name, v)
+			usage_of(s, bstr_lit(name));
+}
+
+/*
+ * The ceilings for a beat to tell.  Until it has, the lower ones hold.  What
+ * earlier owners may have running out of reach is added until all is known:
+ * this owner may be lost by then, and the next one reads its beat only.  An
+ * owner that still loads has started nothing, and tells what it has read.
+ */
 json_t *ceilings_write(struct sched *s)
 {
 	const struct tenant *t;
-	json_t *row = json_object();
+	json_t *row;
 	struct usage *u;
+	struct size told;
 	char *name;
 
+	if (s->own.state == OWN_LOADING)
+		return s->own.ceilings ? json_incref(s->own.ceilings)
+				       : json_object();
+	row = json_object();
+	ceilings_inherit(s);
 	for (u = s->usage; u; u = u->hh.next) {
 		t = tenant_named(s, u->tenant);
 		if (!t)
@@ -90,12 +131,12 @@
 				    t->maximum.gpus)};
 		u->ceiling = size_min(u->ceiling, u->next);
 		u->telling = true;
+		told = size_add(u->next, usage_hidden(s, u));
 		name = bstr_cstr(u->tenant);
 		json_object_set_new(row, name,
-				    json_pack("[I, I, I]",
-					      (json_int_t)u->next.cpu,
-					      (json_int_t)u->next.memory,
-					      (json_int_t)u->next.gpus));
+				    json_pack("[I, I, I]", (json_int_t)told.cpu,
+					      (json_int_t)told.memory,
+					      (json_int_t)told.gpus));
 		free(name);
 	}
 	return row;
@@ -115,25 +156,6 @@
 	}
 }
 
-/* What an earlier owner may have running that was not found yet. */
-static struct size usage_hidden(const struct sched *s, const struct usage *u)
-{
-	struct size hidden = {0, 0, 0}, zero = {0, 0, 0}, told;
-	const json_t *row;
-	char *name;
-
-	if (s->settled)
-		return hidden;
-	name = bstr_cstr(u->tenant);
-	row = json_object_get(s->own.ceilings, name);
-	free(name);
-	told = (struct size){json_integer_value(json_array_get(row, 0)),
-			     json_integer_value(json_array_get(row, 1)),
-			     json_integer_value(json_array_get(row, 2))};
-	hidden = size_sub(told, u->found);
-	return size_sub(hidden, size_min(hidden, zero));
-}
-
 /* Does a need stay within one limit?  0 is none. */
 static bool below(int64_t used, int64_t need, int64_t maximum)
 {
--- a/sched-own.c
+++ b/sched-own.c
@@ -422,8 +422,12 @@
 			own_claim(s);
 		break;
 	case OWN_LOADING:
-		/* The old owner's beat is still to be read. */
-		if (!s->own.beating && s->now - s->own.owned_at >= BEAT_MS)
+		/*
+		 * The old owner's beat is still to be read: a beat before that
+		 * would write over its ceilings, and the limits be broken.
+		 */
+		if (!s->own.beating && s->follows[1].whole &&
+		    s->now - s->own.owned_at >= BEAT_MS)
 			own_beat(s);
 		break;
 	case OWN_YES:
