Scheduler: a late beat does not undo a newer one

Cause: a beat without an answer may be carried out seconds later; it demanded only that the owner is the same. It set the row of noted workers back, which is written again only when a worker is new, so for good: a worker noted since, cut off with its row lapsed, was unknown to the successor, and its tasks ran twice. Ceilings and the pools' sizes were set back too, until the next beat. Ruled out: the commits of progress, which have such a condition (test late_writes). Change: each beat demands the revision of the last one known, as commits do; one function tells for both that an earlier one was carried out after all. A beat's answer counts for its own ownership only: with several, an old answer proved a time that it did not stand for. The answer of another ownership has no test.

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -94,26 +94,6 @@
 	return true;
 }
 
-/*
- * A condition of a commit did not hold.  If this VM is still the owner, an
- * earlier commit without an answer has been carried out after all: the
- * answer shows the row's revision, and what was in both is sent again.
- */
-static bool commit_is_overtaken(struct sched *s, const struct answer *a)
-{
-	uint64_t before = s->commit_revision;
-	bool owner = false;
-	size_t i;
-
-	for (i = 0; i < a->row_count; i++) {
-		if (a->rows[i].table == TABLE_PROGRESS)
-			commit_row_take(s, &a->rows[i]);
-		else if (a->rows[i].table == TABLE_OWNER)
-			owner = a->rows[i].revision == s->own.revision;
-	}
-	return owner && s->commit_revision > before;
-}
-
 /* Have all that was in a failed commit written again. */
 static void commit_again(struct sched *s, int64_t at)
 {
@@ -132,7 +112,8 @@
 		return;
 	s->committing = false;
 	if (a->outcome == OUT_CONFLICT) {
-		if (commit_is_overtaken(s, a))
+		if (tx_overtaken(s, a, TABLE_PROGRESS, bstr_lit(KEY_COMMIT),
+				 &s->commit_revision))
 			commit_again(s, s->now);
 		else
 			own_lose(s, "replaced");
--- a/sched-own.c
+++ b/sched-own.c
@@ -167,6 +167,8 @@
 		wave_status_take(s, r);
 		return;
 	}
+	if (r->revision > s->own.beat_revision)
+		s->own.beat_revision = r->revision;
 	if (s->own.state == OWN_YES || !beat_row_read(s, r->value, &epoch))
 		return;
 	s->own.heard_at = s->own.sign_at = s->now;
@@ -276,6 +278,7 @@
 	s->own.settle_by = s->own.old_heard_at +
 			   (s->own.old_released ? LEASE_MS : UNPROVED_LEASE_MS);
 	s->own.beat_at = s->now;
+	s->own.beating = false;
 	s->own.doubtful = false;
 	own_forget(s);
 	s->follows[2].wanted = s->follows[3].wanted = true;
@@ -330,8 +333,11 @@
 }
 
 /* The outcome of a beat. */
-static void beat_answer(struct sched *s, struct answer *a)
+static void beat_answer(struct sched *s, struct request *rq, struct answer *a)
 {
+	/* One of an earlier ownership proves nothing, nor disproves. */
+	if (rq->number != s->own.epoch)
+		return;
 	s->own.beating = false;
 	if (s->own.state != OWN_YES && s->own.state != OWN_LOADING)
 		return;
@@ -340,11 +346,19 @@
 		s->own.doubtful = false;
 		s->own.heard_at = s->now;
 		s->own.proved_at = s->own.beat_sent;
+		if (a->revision > s->own.beat_revision)
+			s->own.beat_revision = a->revision;
 		workers_noted(s);
 		ceilings_told(s);
 		break;
 	case OUT_CONFLICT:
-		own_lose(s, "replaced");
+		if (!tx_overtaken(s, a, TABLE_OWNER, bstr_lit(KEY_BEAT),
+				  &s->own.beat_revision)) {
+			own_lose(s, "replaced");
+			break;
+		}
+		s->own.beat_at = s->now;
+		s->homes_dirty = s->homes != NULL;
 		break;
 	default:
 		s->own.beat_at = s->now + STORE_AGAIN_MS;
@@ -361,14 +375,19 @@
 		claim_answer(s, rq, a);
 		break;
 	case FOR_BEAT:
-		beat_answer(s, a);
+		beat_answer(s, rq, a);
 		break;
 	default: /* a release: whatever came of it, this VM is done */
 		break;
 	}
 }
 
-/* Write the beat. */
+/*
+ * Write the beat, if no other was written since the last one known: one
+ * without an answer, carried out seconds later, would set back which workers
+ * are noted, for good, and the tasks of one noted since would run twice after
+ * a takeover.
+ */
 static void own_beat(struct sched *s)
 {
 	struct request *rq;
@@ -376,7 +395,9 @@
 
 	s->own.beat_seq++;
 	t = sched_tx(s, FOR_BEAT, s->now + STORE_TIMEOUT_MS, &rq);
+	rq->number = s->own.epoch;
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_BEAT), s->own.beat_revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_BEAT), beat_row_write(s));
 	if (workers_note(s))
 		tx_write(t, TABLE_OWNER, bstr_lit(KEY_WORKERS),
--- a/sched-state.h
+++ b/sched-state.h
@@ -321,7 +321,8 @@
 	int64_t beat_at;   /* next, if this VM is the owner */
 	bool beating;
 	uint64_t beat_seq;
-	int64_t beat_sent; /* the one under way */
+	uint64_t beat_revision; /* of the beat's row */
+	int64_t beat_sent;	/* the one under way */
 	int64_t proved_at; /* the latest beat that succeeded was sent then */
 	int64_t claimed_at;
 	int64_t sign_at;      /* latest beat, or change of owner, seen */
@@ -484,6 +485,8 @@
 		    struct request **rq);
 unsigned row_part(enum table table, bstr key);
 void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision);
+bool tx_overtaken(const struct sched *s, const struct answer *a,
+		  enum table table, bstr key, uint64_t *revision);
 void tx_write(struct tx *t, enum table table, bstr key, bstr value);
 void tx_remove(struct tx *t, enum table table, bstr key);
 
--- a/sched-tx.c
+++ b/sched-tx.c
@@ -40,6 +40,30 @@
 		.revision = revision};
 }
 
+/*
+ * A condition did not hold.  If it was only that of a row which nobody but the
+ * owner writes, and this VM still is the owner, then an earlier transaction
+ * without an answer has been carried out after all: the answer tells the
+ * revision of the row, and what was to be written is written again.
+ */
+bool tx_overtaken(const struct sched *s, const struct answer *a,
+		  enum table table, bstr key, uint64_t *revision)
+{
+	uint64_t before = *revision;
+	bool owner = false;
+	size_t i;
+
+	for (i = 0; i < a->row_count; i++) {
+		if (a->rows[i].table == TABLE_OWNER &&
+		    bstr_eq_str(a->rows[i].key, "epoch"))
+			owner = a->rows[i].revision == s->own.revision;
+		if (a->rows[i].table == table && bstr_eq(a->rows[i].key, key) &&
+		    a->rows[i].revision > *revision)
+			*revision = a->rows[i].revision;
+	}
+	return owner && *revision > before;
+}
+
 /* Write a row; the value is moved. */
 void tx_write(struct tx *t, enum table table, bstr key, bstr value)
 {
