A successor counts and stops the runs of jobs that were final before it owned

An organisation ran more than its upper limit: a job was cancelled, the owner was lost before its runs had stopped, and the successor, which had read the job as final and forgotten it, started others beside these runs. It stopped them as strays, whose size it did not know.

Ruled out: the ceilings (told and read back); the sequence breaks with questions for counts and without.

Now a job that was final when it was read stays in the book until all workers have answered or their leases are over. A run of it that comes to light is adopted, counts, and is stopped.

--- a/sched-job.c
+++ b/sched-job.c
@@ -260,11 +260,21 @@
 	s->place = true;
 }
 
+/*
+ * May runs of a job that an earlier owner started still come to light?  Of a
+ * final one they are to be stopped, and count for their organisation until
+ * they have ended: others started beside them would be above its upper limit.
+ */
+static bool job_may_show_up(const struct sched *s, const struct job *j)
+{
+	return j->inherited && !s->settled;
+}
+
 /* A final job whose state is durable and that runs nowhere is forgotten. */
 void job_settle(struct sched *s, struct job *j)
 {
 	if (j->fate <= FATE_RUNNING || j->dirty_seq || j->flying_seq ||
-	    j->placed)
+	    j->placed || job_may_show_up(s, j))
 		return;
 	job_retire(s, j->id, j->ended);
 	sched_job_free(s, j);
@@ -377,8 +387,10 @@
 	j = sched_job_find(s, id);
 	if (fate > FATE_RUNNING) {
 		job_retire(s, id, ended);
-		if (j && j->inherited)
-			sched_job_free(s, j);
+		if (j && j->inherited) {
+			j->fate = fate;
+			j->ended = ended;
+		}
 		return;
 	}
 	if (j && j->inherited && TAILQ_EMPTY(&j->occs) && !j->next_k &&
@@ -465,17 +477,20 @@
 
 /*
  * Make the occurrences up to one that a worker speaks of: an owner whose wall
- * clock was ahead of this VM's has begun it.
+ * clock was ahead of this VM's has begun it, or the job was final when it was
+ * read and has none.
  */
 static void job_catch_up(struct sched *s, struct job *j, unsigned k)
 {
 	unsigned times = j->body->repeat_count ? j->body->repeat_count : 1;
+	bool final = j->fate > FATE_RUNNING;
 
-	if (j->fate > FATE_RUNNING || k >= times)
+	if ((final && !job_may_show_up(s, j)) || k >= times)
 		return;
 	while (j->next_k <= k) {
 		job_make_occurrence(j, j->next_k++);
-		job_touch(s, j);
+		if (!final)
+			job_touch(s, j);
 	}
 }
 
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -579,8 +579,11 @@
 	 * A run of an earlier owner, or one whose start had no answer: since
 	 * the task is nowhere else, it is the task's.
 	 */
-	if (t && t->phase == AT_REST && j->fate <= FATE_RUNNING)
+	if (t && t->phase == AT_REST) {
 		task_adopt(s, t, w, r->run);
+		if (j->fate > FATE_RUNNING)
+			task_stop(s, t);
+	}
 	if (!t || t->worker != w || t->run != r->run) {
 		if (w->strays_due)
 			run_stop(s, w, r->task, r->run);
