Scheduler: a claim demands that the owner has not beaten since

Cause: a claim demanded only the row of the epoch, which beats don't change. Without an answer it may be carried out seconds later, with the owner at work again; the claimant reckoned that owner's leases from the beat seen before it sent the claim, up to 3.5 s too early, and started tasks beside their first runs at workers that only the old owner reached. Ruled out: the allowance for leases after a release (released_before_settled is green with and without this). Change: a claim demands also the revision of the last beat that was seen.

--- a/sched-own.c
+++ b/sched-own.c
@@ -234,7 +234,11 @@
 	       s->own.silent >= 2;
 }
 
-/* Try to become the owner. */
+/*
+ * Try to become the owner, if the one before has not beaten since the beat
+ * that was seen last: its leases are reckoned from that one, and a claim may
+ * be carried out seconds later, when it is at work again.
+ */
 static void own_claim(struct sched *s)
 {
 	struct ownership next = {.epoch = s->own.epoch + 1,
@@ -251,6 +255,7 @@
 		  (unsigned long long)s->own.revision);
 	t = sched_tx(s, FOR_CLAIM, s->now + STORE_TIMEOUT_MS, &rq);
 	tx_expect(t, TABLE_OWNER, key, s->own.revision);
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_BEAT), s->own.beat_revision);
 	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
 	rq->number = next.epoch;
 	s->own.claimed_at = s->now;
