Scheduler: a late note of a wave does not undo a newer one

Cause: a note without an answer, carried out seconds later, set the wave's rows back. A completed wave was shown as running for good, and a VM that started anew called once more for machines that were done; the call succeeds, their workers were taken for ended, and their tasks ran twice. Ruled out: a successor that has followed the rows; it remembers what was done (it left the operator's row wrong all the same). Change: a note demands the revision of the last one known, as commits and beats do, and its answer counts for its own ownership only.

--- a/sched-state.h
+++ b/sched-state.h
@@ -368,8 +368,9 @@
 };
 struct wave {
 	uint64_t number;
-	bool wanted;   /* the operator's row was read */
-	json_t *notes; /* the row of an owner, by machine, or NULL */
+	bool wanted;	   /* the operator's row was read */
+	json_t *notes;	   /* the row of an owner, by machine, or NULL */
+	uint64_t revision; /* of that row; 0: there is none */
 	struct wave_machine *machines;
 	size_t count;
 	unsigned maximum;
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -122,6 +122,8 @@
 
 	if (json_is_integer(number) && s->own.state != OWN_YES) {
 		v = wave_get(s, (uint64_t)json_integer_value(number));
+		if (r->revision > v->revision)
+			v->revision = r->revision;
 		json_decref(v->notes);
 		v->notes = json_incref(json_object_get(row, "machines"));
 		wave_merge(v, true);
@@ -442,6 +444,12 @@
 	upkeep_send(s, v, wm);
 }
 
+/* The key of a wave's rows. */
+static void wave_key(const struct wave *v, char key[WAVE_NAME_MAX])
+{
+	snprintf(key, WAVE_NAME_MAX, "wave/%" PRIu64, v->number);
+}
+
 /* What is to be noted of a wave's machines. */
 static json_t *wave_notes(const struct wave *v)
 {
@@ -464,17 +472,23 @@
 	return notes;
 }
 
-/* Write how far a wave is, for the operator and for a later owner. */
+/*
+ * Write how far a wave is, for the operator and for a later owner, if no other
+ * note was written since the last one known: one without an answer, carried
+ * out seconds later, would make a completed wave run on, and machines that
+ * were done since be called for again.
+ */
 static void wave_write(struct sched *s, struct wave *v)
 {
 	char key[WAVE_NAME_MAX];
 	struct request *rq;
 	struct tx *t;
 
-	snprintf(key, sizeof(key), "wave/%" PRIu64, v->number);
+	wave_key(v, key);
 	t = sched_tx(s, FOR_WAVE_ROW, s->now + STORE_TIMEOUT_MS, &rq);
 	rq->number = v->number;
 	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	tx_expect(t, TABLE_OWNER, bstr_lit(key), v->revision);
 	if (!v->told || v->completed)
 		tx_write(t, TABLE_STATUS, bstr_lit(key),
 			 bstr_printf("{\"state\":\"%s\"}",
@@ -686,11 +700,37 @@
 	}
 }
 
+/* The outcome of a note. */
+static void note_answer(struct sched *s, struct request *rq, struct answer *a)
+{
+	struct wave *v = wave_find(s, rq->number);
+	char key[WAVE_NAME_MAX];
+
+	if (!v || rq->epoch != s->own.epoch)
+		return;
+	v->writing = false;
+	if (a->outcome == OUT_DONE) {
+		v->told = true;
+		if (a->revision > v->revision)
+			v->revision = a->revision;
+		wave_merge(v, false);
+		return;
+	}
+	wave_key(v, key);
+	if (a->outcome == OUT_CONFLICT &&
+	    !tx_overtaken(s, a, TABLE_OWNER, bstr_lit(key), &v->revision)) {
+		own_lose(s, "replaced");
+		return;
+	}
+	v->dirty = true;
+	v->write_at = s->now;
+	if (a->outcome != OUT_CONFLICT)
+		v->write_at += STORE_AGAIN_MS;
+}
+
 /* An answer about waves or machines. */
 void wave_answer(struct sched *s, struct request *rq, struct answer *a)
 {
-	struct wave *v;
-
 	switch (rq->purpose) {
 	case FOR_MACHINES:
 		list_answer(s, a);
@@ -699,19 +739,7 @@
 		upkeep_answer(s, rq, a);
 		break;
 	default:
-		v = wave_find(s, rq->number);
-		if (!v)
-			break;
-		v->writing = false;
-		if (a->outcome == OUT_DONE) {
-			v->told = true;
-			wave_merge(v, false);
-		} else if (a->outcome == OUT_CONFLICT) {
-			own_lose(s, "replaced");
-		} else {
-			v->dirty = true;
-			v->write_at = s->now + STORE_AGAIN_MS;
-		}
+		note_answer(s, rq, a);
 		break;
 	}
 }
