Scheduler: no machine is moved before the pools' sizes are in the store

Cause: the sizes that the operator gave the pools are taken from the first list, before anything was moved, but the store learnt them with the next beat, and moves did not wait for that. An owner that died in between left a list with moved machines, and what a pool was lent counted as its own for good. A VM kept sizes that it had never told, too, and a list that came after the ownership was lost counted as a new one. Ruled out: sizes overwritten before they are read (they are read with the owner's rows, before the first list is asked for). Change: moves wait for the store's word; the sizes are forgotten with the ownership and read again; a list counts for the ownership that asked for it. Before: moves_wait_for_the_sizes red in 4 of 4 rows (6 noted in place of 3). After: green; test-sched 28 of 28, prop-sched 10 of 10. A late list has no test.

--- a/sched-move.c
+++ b/sched-move.c
@@ -419,14 +419,18 @@
 	return false;
 }
 
-/* Look at all pools. */
+/*
+ * Look at all pools.  Nothing is moved before the store knows the sizes that
+ * they had at first: a later list shows others, and what a pool was lent would
+ * count as its own for ever.
+ */
 void move_tick(struct sched *s)
 {
 	struct balances b = {0};
 	double one;
 	size_t i;
 
-	if (!own_alone(s) || !s->list_whole || !s->config ||
+	if (!own_alone(s) || !s->list_whole || !s->homes_told || !s->config ||
 	    s->now < s->move_at)
 		return;
 	s->move_at = s->now + MOVE_EVERY_MS;
--- a/sched-own.c
+++ b/sched-own.c
@@ -64,6 +64,14 @@
 	       s->own.life == s->options.seed;
 }
 
+/* Forget the pools' sizes: another owner may be the first to note them. */
+static void homes_forget(struct sched *s)
+{
+	json_decref(s->homes);
+	s->homes = NULL;
+	s->homes_dirty = s->homes_telling = s->homes_told = false;
+}
+
 /* Forget all that only the owner knows. */
 static void own_forget(struct sched *s)
 {
@@ -77,6 +85,7 @@
 	sched_workers_free(s);
 	wave_forget(s);
 	usage_free(s);
+	homes_forget(s);
 	s->dirty_seq = 0;
 	s->committing = false;
 	s->advice_calls = 0;
@@ -159,8 +168,10 @@
 		return;
 	}
 	if (bstr_eq_str(r->key, KEY_HOMES)) {
-		if (!s->homes)
+		if (!s->homes) {
 			s->homes = json_read(r->value);
+			s->homes_told = s->homes != NULL;
+		}
 		return;
 	}
 	if (!bstr_eq_str(r->key, KEY_BEAT)) {
@@ -355,6 +366,7 @@
 			s->own.beat_revision = a->revision;
 		workers_noted(s);
 		ceilings_told(s);
+		s->homes_told = s->homes_told || s->homes_telling;
 		break;
 	case OUT_CONFLICT:
 		if (!tx_overtaken(s, a, TABLE_OWNER, bstr_lit(KEY_BEAT),
@@ -363,11 +375,11 @@
 			break;
 		}
 		s->own.beat_at = s->now;
-		s->homes_dirty = s->homes != NULL;
+		s->homes_dirty = s->homes_dirty || s->homes_telling;
 		break;
 	default:
 		s->own.beat_at = s->now + STORE_AGAIN_MS;
-		s->homes_dirty = s->homes != NULL;
+		s->homes_dirty = s->homes_dirty || s->homes_telling;
 		break;
 	}
 }
@@ -407,11 +419,11 @@
 	if (workers_note(s))
 		tx_write(t, TABLE_OWNER, bstr_lit(KEY_WORKERS),
 			 workers_row_write(s));
-	if (s->homes_dirty) {
+	if (s->homes_dirty)
 		tx_write(t, TABLE_OWNER, bstr_lit(KEY_HOMES),
 			 json_write(json_incref(s->homes)));
-		s->homes_dirty = false;
-	}
+	s->homes_telling = s->homes_dirty;
+	s->homes_dirty = false;
 	s->own.beating = true;
 	s->own.beat_sent = s->now;
 	s->own.beat_at = s->now + BEAT_MS;
--- a/sched-state.h
+++ b/sched-state.h
@@ -462,6 +462,8 @@
 	int64_t told_at;
 	json_t *homes; /* machines of each pool at first, or NULL */
 	bool homes_dirty;
+	bool homes_telling;    /* the beat under way has them */
+	bool homes_told;       /* the store has them */
 	unsigned advice_calls; /* under way */
 	struct drain *drains;
 	size_t drain_count;
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -534,10 +534,12 @@
 /* Ask for the list of machines, from a page on. */
 static void machines_list(struct sched *s, bstr page)
 {
+	struct request *rq;
 	struct ask *ask;
 
-	sched_ask(s, FOR_MACHINES, ASK_MACHINES, s->now + CLOUD_TIMEOUT_MS,
-		  &ask);
+	rq = sched_ask(s, FOR_MACHINES, ASK_MACHINES, s->now + CLOUD_TIMEOUT_MS,
+		       &ask);
+	rq->number = s->own.epoch;
 	ask->order.page = bstr_copy(page);
 	s->listing = true;
 	s->list_at = s->now + LIST_EVERY_MS;
@@ -604,11 +606,13 @@
 	}
 }
 
-/* The list of machines, a page of it. */
-static void list_answer(struct sched *s, struct answer *a)
+/* The list of machines, a page of it; one asked for before is too old. */
+static void list_answer(struct sched *s, struct request *rq, struct answer *a)
 {
 	size_t i;
 
+	if (rq->number != s->own.epoch || s->own.state != OWN_YES)
+		return;
 	s->listing = false;
 	if (a->outcome != OUT_DONE) {
 		s->list_at = s->now + CLOUD_AGAIN_MS;
@@ -733,7 +737,7 @@
 {
 	switch (rq->purpose) {
 	case FOR_MACHINES:
-		list_answer(s, a);
+		list_answer(s, rq, a);
 		break;
 	case FOR_UPKEEP:
 		upkeep_answer(s, rq, a);
