--- a/sched-own.c
+++ b/sched-own.c
@@ -64,6 +64,14 @@
 	       s->own.life == s->options.seed;
 }
 
+/* Forget the pools' sizes: another owner may be the first to note them. */
+static void homes_forget(struct sched *s)
+{
+	json_decref(s->homes);
+	s->homes = NULL;
+	s->homes_dirty = s->homes_telling = s->homes_told = false;
+}
+
 /* Forget all that only the owner knows. */
 static void own_forget(struct sched *s)
 {
@@ -77,6 +85,7 @@
 	sched_workers_free(s);
 	wave_forget(s);
 	usage_free(s);
+	homes_forget(s);
 	s->dirty_seq = 0;
 	s->committing = false;
 	s->advice_calls = 0;
@@ -160,8 +169,10 @@
 		return;
 	}
 	if (bstr_eq_str(r->key, KEY_HOMES)) {
-		if (!s->homes)
+		if (!s->homes) {
 			s->homes = json_read(r->value);
+			s->homes_told = s->homes != NULL;
+		}
 		return;
 	}
 	if (!bstr_eq_str(r->key, KEY_BEAT)) {
@@ -235,7 +246,11 @@
 	       s->own.silent >= 2;
 }
 
-/* Try to become the owner. */
+/*
+ * Try to become the owner, if the one before has not beaten since the beat
+ * that was seen last: its leases are reckoned from that one, and a claim may
+ * be carried out seconds later, when it is at work again.
+ */
 static void own_claim(struct sched *s)
 {
 	struct ownership next = {.epoch = s->own.epoch + 1,
@@ -252,6 +267,7 @@
 		  (unsigned long long)s->own.revision);
 	t = sched_tx(s, FOR_CLAIM, s->now + STORE_TIMEOUT_MS, &rq);
 	tx_expect(t, TABLE_OWNER, key, s->own.revision);
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_BEAT), s->own.beat_revision);
 	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
 	rq->number = next.epoch;
 	s->own.claimed_at = s->now;
@@ -351,6 +367,7 @@
 			s->own.beat_revision = a->revision;
 		workers_noted(s);
 		ceilings_told(s);
+		s->homes_told = s->homes_told || s->homes_telling;
 		break;
 	case OUT_CONFLICT:
 		if (!tx_overtaken(s, a, TABLE_OWNER, bstr_lit(KEY_BEAT),
@@ -359,11 +376,11 @@
 			break;
 		}
 		s->own.beat_at = s->now;
-		s->homes_dirty = s->homes != NULL;
+		s->homes_dirty = s->homes_dirty || s->homes_telling;
 		break;
 	default:
 		s->own.beat_at = s->now + STORE_AGAIN_MS;
-		s->homes_dirty = s->homes != NULL;
+		s->homes_dirty = s->homes_dirty || s->homes_telling;
 		break;
 	}
 }
@@ -403,11 +420,11 @@
 	if (workers_note(s))
 		tx_write(t, TABLE_OWNER, bstr_lit(KEY_WORKERS),
 			 workers_row_write(s));
-	if (s->homes_dirty) {
+	if (s->homes_dirty)
 		tx_write(t, TABLE_OWNER, bstr_lit(KEY_HOMES),
 			 json_write(json_incref(s->homes)));
-		s->homes_dirty = false;
-	}
+	s->homes_telling = s->homes_dirty;
+	s->homes_dirty = false;
 	sched_log(s, LOG_OWNER_BEAT,
 		  "epoch=%llu seq=%llu read=%d jobs=%u age_ms=%lld",
 		  (unsigned long long)s->own.epoch,
--- a/sched-state.h
+++ b/sched-state.h
@@ -375,8 +375,9 @@
 };
 struct wave {
 	uint64_t number;
-	bool wanted;   /* the operator's row was read */
-	json_t *notes; /* the row of an owner, by machine, or NULL */
+	bool wanted;	   /* the operator's row was read */
+	json_t *notes;	   /* the row of an owner, by machine, or NULL */
+	uint64_t revision; /* of that row; 0: there is none */
 	struct wave_machine *machines;
 	size_t count;
 	unsigned maximum;
@@ -472,6 +473,8 @@
 	int64_t told_at;
 	json_t *homes; /* machines of each pool at first, or NULL */
 	bool homes_dirty;
+	bool homes_telling;    /* the beat under way has them */
+	bool homes_told;       /* the store has them */
 	unsigned advice_calls; /* under way */
 	struct drain *drains;
 	size_t drain_count;
