Tests of waiting: a VM that stood still reads a beat that lay in the store

The other VMs are cut off and the owner is gone: the VM that wakes has not seen its last beat yet, so it is new to it and old.

--- a/tests/test-waiting.c
+++ b/tests/test-waiting.c
@@ -49,16 +49,19 @@
 	return id;
 }
 
-/* Hand all jobs in, through every VM but one. */
+/* A set of VMs, as a bit each. */
+#define VM(n) (1U << (n))
+
+/* Hand all jobs in, through every VM but a few. */
 static void submit_all(struct world *w, unsigned but)
 {
 	uint64_t calls[JOBS];
 	unsigned i, vm = 0;
 
 	for (i = 0; i < JOBS; i++) {
-		vm = (vm + 1) % VMS;
-		if (vm == but)
+		do
 			vm = (vm + 1) % VMS;
+		while (but & VM(vm));
 		calls[i] = world_submit(w, vm, job_id(i), &one);
 	}
 	world_run(w, 10);
@@ -136,7 +139,7 @@
 	for (i = 0; i < NELEMS(rows); i++) {
 		w = calm(700 + i, rows[i].fill);
 		lost = (unsigned)world_owner(w);
-		submit_all(w, VMS);
+		submit_all(w, 0);
 		world_ask_counts(w, ASK_MS);
 		world_run(w, 6000);
 		world_store_slow(w, rows[i].slow_ms);
@@ -161,7 +164,7 @@
  * Fifty jobs are accepted, and nobody beats any more before the next beat
  * would have told of them: the owner is lost, and nobody may follow for ten
  * seconds.  What was told before them is old by then, and callers are not
- * told it.
+ * told it; nor by a VM that stood still and reads the last beat only then.
  */
 Test(waiting, nobody_follows)
 {
@@ -171,6 +174,7 @@
 		bool killed;
 		enum world_store_mode all;
 		bool cut;
+		bool sleeps; /* one stands still, and is not cut off */
 	} rows[] = {
 		{"killed, the others cut off", FILLED, true, STORE_GOOD, true},
 		{"killed, the store refuses", FILLED, true, STORE_REFUSES},
@@ -178,20 +182,29 @@
 		{"alive, all cut off", FILLED, false, STORE_GOOD, true},
 		{"alive, the store refuses", LIMITED, false, STORE_REFUSES},
 		{"alive, the store loses answers", FILLED, false, STORE_LOSES},
+		{"killed, one stood still", FILLED, true, STORE_GOOD, true,
+		 true},
 	};
 	struct world *w;
-	unsigned i, vm, lost;
+	unsigned i, vm, lost, asleep;
 
 	for (i = 0; i < NELEMS(rows); i++) {
 		w = calm(720 + i, rows[i].fill);
 		lost = (unsigned)world_owner(w);
+		asleep = (lost + 1) % VMS;
 		world_ask_counts(w, ASK_MS);
-		submit_all(w, lost);
+		if (rows[i].sleeps) {
+			world_freeze(w, asleep, 8000);
+			world_run(w, 2500);
+		}
+		submit_all(w, VM(lost) | VM(asleep));
 		if (rows[i].killed)
 			world_kill(w, lost);
 		world_store(w, rows[i].all);
 		for (vm = 0; vm < VMS; vm++)
-			world_cut_store(w, vm, rows[i].cut);
+			world_cut_store(w, vm,
+					rows[i].cut && !(rows[i].sleeps &&
+							 vm == asleep));
 		world_run(w, 10000);
 		check_calm(w, rows[i].name);
 	}
@@ -234,7 +247,7 @@
 			world_freeze(w, vm, 12500);
 		/* What it asked for before may still come. */
 		world_run(w, 2500);
-		submit_all(w, vm);
+		submit_all(w, VM(vm));
 		world_run(w, 10000);
 		world_stall(w, vm, TABLE_OWNER, false);
 		check_calm(w, rows[i].name);
@@ -272,7 +285,7 @@
 		world_refuse_starts(w, rows[i].why);
 		world_vanish(w, rows[i].vanish);
 		starts = world_starts(w);
-		submit_all(w, VMS);
+		submit_all(w, 0);
 		world_run(w, 6000);
 		if (rows[i].killed)
 			world_kill(w, (unsigned)world_owner(w));
@@ -322,7 +335,7 @@
 		world_run(w, 1000);
 		if (rows[i].gone_every_ms)
 			world_compact(w);
-		submit_all(w, lame);
+		submit_all(w, VM(lame));
 		for (t = 0; t < 10000; t += apart) {
 			if (rows[i].gone_every_ms)
 				world_compact(w);
@@ -360,7 +373,7 @@
 
 	for (i = 0; i < NELEMS(rows); i++) {
 		w = calm(800 + i, rows[i].fill);
-		submit_all(w, VMS);
+		submit_all(w, 0);
 		world_run(w, rows[i].waited_ms);
 		for (vm = 0; vm < VMS; vm++)
 			world_kill(w, vm);
