One piece ends a line of the log, structured or not

What read badly: putting the text behind a line's head, cutting it to what fits, cleaning it and ending it stood twice, six lines each, once for the structured log and once for standard error; the length of a line was a bare number in both.

--- a/log.c
+++ b/log.c
@@ -21,6 +21,8 @@
 #define LOG_WAITING_MAX (128 * 1024)
 /* A pipe takes a write of so much whole or not at all, without blocking. */
 #define LOG_WRITE_MAX 4096
+/* A line has fewer bytes; a longer text is cut. */
+#define LOG_LINE_MAX 1024
 
 static const char *log_program = "bamboofront";
 static enum log_level log_most = LEVEL_INFO;
@@ -75,6 +77,24 @@
 			*p = '?';
 }
 
+/*
+ * Put the text behind the n bytes of a line's head, cut to what fits, and
+ * end the line; how long it is then.
+ */
+static size_t line_finish(char line[LOG_LINE_MAX], int n, const char *fmt,
+			  va_list ap)
+{
+	int m = vsnprintf(line + n, LOG_LINE_MAX - (size_t)n - 1, fmt, ap);
+
+	if (m < 0)
+		m = 0;
+	if (m > LOG_LINE_MAX - 2 - n)
+		m = LOG_LINE_MAX - 2 - n;
+	line_clean(line, line + n + m);
+	line[n + m] = '\n';
+	return (size_t)(n + m + 1);
+}
+
 /*
  * Write structured lines to a descriptor from now on: key=value in a fixed
  * order, collected in memory and written by log_flush, which never blocks.
@@ -115,23 +135,18 @@
 static void stream_write(const struct log_entry *entry, const char *fmt,
 			 va_list ap)
 {
-	char line[1024];
+	char line[LOG_LINE_MAX];
 	int64_t wall = clock_wall();
-	int n, m;
+	size_t len;
+	int n;
 
 	n = snprintf(line, sizeof(line),
 		     "ev=%u name=%s level=%s wall_ms=%lld mono_ms=%lld vm=%s ",
 		     entry->number, entry->name, level_word(entry->level),
 		     (long long)wall, (long long)clock_now(), log_stream.vm);
-	m = vsnprintf(line + n, sizeof(line) - (size_t)n - 1, fmt, ap);
-	if (m < 0)
-		m = 0;
-	if ((size_t)(n + m) > sizeof(line) - 2)
-		m = (int)sizeof(line) - 2 - n;
-	line_clean(line, line + n + m);
-	line[n + m] = '\n';
+	len = line_finish(line, n, fmt, ap);
 	pthread_mutex_lock(&log_stream.lock);
-	stream_put(line, (size_t)(n + m + 1), entry->level);
+	stream_put(line, len, entry->level);
 	pthread_mutex_unlock(&log_stream.lock);
 }
 
@@ -199,10 +214,11 @@
 static void log_write(const struct log_entry *entry, const char *fmt,
 		      va_list ap)
 {
-	char line[1024], stamp[32];
+	char line[LOG_LINE_MAX], stamp[32];
 	struct timespec ts;
 	struct tm tm;
-	int n, m;
+	size_t len;
+	int n;
 
 	if (log_stream.on) {
 		stream_write(entry, fmt, ap);
@@ -215,14 +231,8 @@
 		     "<%d>%s.%03ldZ %s[%d]: %u %s: ", 24 + (int)entry->level,
 		     stamp, ts.tv_nsec / 1000000, log_program, (int)getpid(),
 		     entry->number, entry->name);
-	m = vsnprintf(line + n, sizeof(line) - (size_t)n - 1, fmt, ap);
-	if (m < 0)
-		m = 0;
-	if ((size_t)(n + m) > sizeof(line) - 2)
-		m = (int)sizeof(line) - 2 - n;
-	line_clean(line, line + n + m);
-	line[n + m] = '\n';
-	if (write(STDERR_FILENO, line, (size_t)(n + m + 1)) < 0)
+	len = line_finish(line, n, fmt, ap);
+	if (write(STDERR_FILENO, line, len) < 0)
 		return; /* nobody reads standard error: nothing to be done */
 }
 
