The callers' edge in four files, one subject each

What read badly: edge-caller.c had 1,008 lines and four subjects: listening, a connection's life, reading requests and writing replies. What changed: edge-caller.c listens, starts and stops (302 lines), edge-caller-conn.c has the slots, deadlines and the watcher (240), edge-caller-request.c a request from its head to its end (273), edge-caller-reply.c the replies and refusals (135); edge-caller.h (126) has what they share and is included by no other file. Functions were moved as they are; shared ones got a prefix.

--- /dev/null
+++ b/edge-caller-request.c
@@ -0,0 +1,273 @@
+#include "edge-caller.h"
+
+#include <ck_pr.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CALLER_DRAIN_MAX 8388608 /* bytes read to get a refusal across */
+
+/* Give a submission its idempotency key, and keep it for the answer. */
+static void key_make(struct caller_call *c)
+{
+	bstr *key = &c->request.body.caller_body_u.spec.key;
+	unsigned char random[16];
+
+	if (c->route != ROUTE_SUBMIT)
+		return;
+	if (!key->bstr_len) {
+		randombytes_buf(random, sizeof(random));
+		*key = hex_encode(random, sizeof(random));
+	}
+	c->key = bstr_copy(*key);
+}
+
+/*
+ * Hand a call to the reducer and suspend its connection.  All under the
+ * connection's lock, so that an answer that comes at once finds the
+ * connection suspended.
+ */
+static enum MHD_Result call_send(struct edge_caller *edge,
+				 struct MHD_Connection *mhd, struct conn *cn,
+				 struct request *rq)
+{
+	event *ev = event_new(EV_CALL);
+	ev_call *call = &ev->body.event_body_u.call;
+	enum conn_state state = CONN_PENDING;
+
+	key_make(&rq->call);
+	call->request = rq->call.request;
+	memset(&rq->call.request, 0, sizeof(rq->call.request));
+	rq->call.request.body.kind = CALL_CANCEL_LABEL;
+	pthread_mutex_lock(&cn->lock);
+	cn->generation++;
+	call->call = caller_conn_call(edge, cn);
+	if (cn->left)
+		state = CONN_GONE;
+	else if (ck_pr_load_int(&edge->stopping))
+		state = CONN_STOPPED;
+	else if (!mailbox_put(edge->inbox, ev))
+		state = CONN_IDLE;
+	if (state == CONN_PENDING) {
+		cn->state = state;
+		cn->deadline = clock_now() + rq->call.answer_ms +
+			       edge->timing.margin_ms;
+		MHD_suspend_connection(mhd);
+	}
+	pthread_mutex_unlock(&cn->lock);
+	if (state == CONN_PENDING) {
+		rq->sent = true;
+		return MHD_YES;
+	}
+	event_free(ev);
+	if (state == CONN_GONE)
+		return MHD_NO; /* nobody is there to be answered */
+	return caller_reply_unavailable(edge, mhd, rq, state);
+}
+
+/* Go on with a call whose connection was resumed. */
+static enum MHD_Result call_end(struct edge_caller *edge,
+				struct MHD_Connection *mhd, struct conn *cn,
+				struct request *rq)
+{
+	enum conn_state state;
+	struct caller_reply r;
+	effect *fx;
+
+	pthread_mutex_lock(&cn->lock);
+	state = cn->state;
+	fx = cn->answer;
+	cn->answer = NULL;
+	if (state != CONN_PENDING)
+		cn->state = CONN_IDLE;
+	pthread_mutex_unlock(&cn->lock);
+	if (state == CONN_ANSWERED) {
+		caller_encode_answer(&rq->call, &fx->effect_u.answer.answer,
+				     &r);
+		effect_free(fx);
+		return caller_reply_send(mhd, rq, &r, NULL, false);
+	}
+	if (state == CONN_LATE || state == CONN_STOPPED)
+		return caller_reply_unavailable(edge, mhd, rq, state);
+	return MHD_NO;
+}
+
+/* Collect a header field or an argument; one more than fits is counted. */
+static enum MHD_Result field_collect(void *cls, enum MHD_ValueKind kind,
+				     const char *name, size_t name_len,
+				     const char *value, size_t value_len)
+{
+	struct caller_head *h = cls;
+	bool header = kind == MHD_HEADER_KIND;
+	size_t *n = header ? &h->header_count : &h->query_count;
+	struct caller_field *f = header ? h->headers : h->queries;
+
+	if (*n < CALLER_FIELDS_MAX)
+		f[*n] = (struct caller_field){bstr_ref(name, name_len),
+					      bstr_ref(value, value_len)};
+	++*n;
+	return *n > CALLER_FIELDS_MAX ? MHD_NO : MHD_YES;
+}
+
+/* Was the client told to wait for a word before it sends the body? */
+static bool client_holds(struct MHD_Connection *mhd)
+{
+	const char *s = MHD_lookup_connection_value(mhd, MHD_HEADER_KIND,
+						    "Expect");
+
+	return s && !strcasecmp(s, "100-continue");
+}
+
+/*
+ * The head of a request is there.  A refusal is sent after the body was
+ * read, and thrown away: a socket that is closed with bytes unread resets
+ * the connection, and the client may never see why.  A client that holds its
+ * body back, or a body that is out of all measure, is answered at once; so is
+ * a header that leaves in doubt where the body ends (400).
+ */
+static enum MHD_Result request_begin(struct edge_caller *edge,
+				     struct MHD_Connection *mhd,
+				     struct conn *cn, const char *path,
+				     const char *method, void **con_cls)
+{
+	struct request *rq = xcalloc(1, sizeof(*rq));
+	struct caller_head h;
+	const char *length;
+
+	*con_cls = rq;
+	pthread_mutex_lock(&edge->lock);
+	edge->busy++;
+	pthread_mutex_unlock(&edge->lock);
+	h.method = bstr_lit(method);
+	h.path = bstr_lit(path);
+	h.header_count = h.query_count = 0;
+	MHD_get_connection_values_n(mhd, MHD_HEADER_KIND, field_collect, &h);
+	MHD_get_connection_values_n(mhd, MHD_GET_ARGUMENT_KIND, field_collect,
+				    &h);
+	if (!caller_decode_head(&h, &edge->bounds, &rq->call)) {
+		length = MHD_lookup_connection_value(mhd, MHD_HEADER_KIND,
+						     "Content-Length");
+		if (rq->call.problem.http == 400 || client_holds(mhd) ||
+		    (length && strtoull(length, NULL, 10) > CALLER_DRAIN_MAX))
+			return caller_reply_problem(edge, mhd, rq, true);
+	}
+	if (!cn || cn->over) {
+		caller_refuse(&rq->call.problem, 503, "connections",
+			      COUNT_REFUSED_CONNECTIONS,
+			      "all connections are in use");
+		rq->call.problem.retry_after_ms = 1000;
+	}
+	if (!cn)
+		return caller_reply_problem(edge, mhd, rq, true);
+	caller_conn_expect(cn, edge->timing.idle_ms);
+	return MHD_YES;
+}
+
+/* Some of the body is there. */
+static enum MHD_Result request_upload(struct edge_caller *edge,
+				      struct request *rq, const char *data,
+				      size_t len)
+{
+	size_t whole = rq->body.bstr_len + len;
+
+	if (rq->call.problem.http || whole > edge->bounds.max_body) {
+		caller_refuse(&rq->call.problem, 413, "body-too-large",
+			      COUNT_REFUSED_BODY_TOO_LARGE,
+			      "a body has at most %u bytes",
+			      edge->bounds.max_body);
+		rq->drained += len;
+		if (rq->drained <= CALLER_DRAIN_MAX)
+			return MHD_YES;
+		caller_refusal_note(edge, &rq->call.problem);
+		return MHD_NO;
+	}
+	if (whole > rq->room) {
+		rq->room = whole < 512 ? 512 : whole * 2;
+		rq->body.bstr_val = xrealloc(rq->body.bstr_val, rq->room, 1);
+	}
+	memcpy(rq->body.bstr_val + rq->body.bstr_len, data, len);
+	rq->body.bstr_len = (u_int)whole;
+	return MHD_YES;
+}
+
+/* The request is whole. */
+static enum MHD_Result request_end(struct edge_caller *edge,
+				   struct MHD_Connection *mhd, struct conn *cn,
+				   struct request *rq)
+{
+	bool ok = !rq->call.problem.http &&
+		  caller_decode_body(rq->body, &edge->bounds, &rq->call);
+
+	bstr_free(&rq->body);
+	rq->room = 0;
+	pthread_mutex_lock(&cn->lock);
+	cn->served = true;
+	cn->deadline = clock_now() + edge->timing.idle_ms;
+	pthread_mutex_unlock(&cn->lock);
+	if (!ok)
+		return caller_reply_problem(edge, mhd, rq, cn->over);
+	if (rq->call.route >= ROUTE_HEALTH)
+		return caller_reply_local(edge, mhd, rq);
+	return call_send(edge, mhd, cn, rq);
+}
+
+/* MHD has something of a request: its head, some of its body, its end. */
+enum MHD_Result edge_caller_handle(void *cls, struct MHD_Connection *mhd,
+				   const char *path, const char *method,
+				   const char *version, const char *data,
+				   size_t *len, void **con_cls)
+{
+	struct edge_caller *edge = cls;
+	struct request *rq = *con_cls;
+	struct conn *cn = MHD_get_connection_info(
+				  mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+				  ->socket_context;
+	enum MHD_Result ok;
+
+	(void)version;
+	if (!rq)
+		return request_begin(edge, mhd, cn, path, method, con_cls);
+	if (*len) {
+		ok = request_upload(edge, rq, data, *len);
+		*len = 0;
+		return ok;
+	}
+	return rq->sent ? call_end(edge, mhd, cn, rq)
+			: request_end(edge, mhd, cn, rq);
+}
+
+/*
+ * MHD is done with a request.  A call that is still pending then (MHD gave
+ * the connection up by itself) has nobody waiting any more.
+ */
+void edge_caller_completed(void *cls, struct MHD_Connection *mhd,
+			   void **con_cls, enum MHD_RequestTerminationCode code)
+{
+	struct edge_caller *edge = cls;
+	struct request *rq = *con_cls;
+	struct conn *cn = MHD_get_connection_info(
+				  mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+				  ->socket_context;
+
+	(void)code;
+	if (!rq)
+		return;
+	if (cn) {
+		pthread_mutex_lock(&cn->lock);
+		if (cn->state == CONN_PENDING)
+			caller_conn_gone(edge, cn);
+		cn->state = CONN_IDLE;
+		effect_free(cn->answer);
+		cn->answer = NULL;
+		cn->deadline = clock_now() + edge->timing.idle_ms;
+		pthread_mutex_unlock(&cn->lock);
+	}
+	caller_call_free(&rq->call);
+	bstr_free(&rq->body);
+	free(rq);
+	*con_cls = NULL;
+	pthread_mutex_lock(&edge->lock);
+	if (!--edge->busy)
+		pthread_cond_signal(&edge->quiet);
+	pthread_mutex_unlock(&edge->lock);
+}
