A job at its home: who waits, and a shard's coming and going, in files of their own

Letting a waiter go was spelled out six times, here and in reduce-call.c; the refusal of an unconfirmed claim, the setting of a job's cell, the test whether an answer is due two or three times.

--- a/reduce-call.c
+++ b/reduce-call.c
@@ -525,8 +525,7 @@
 			wn = TAILQ_NEXT(w, entry);
 			if (w->vm.bstr_len || w->call != call)
 				continue;
-			TAILQ_REMOVE(&j->waiters, w, entry);
-			free(w);
+			waiter_free(j, w);
 		}
 	}
 }
@@ -612,9 +611,7 @@
 				      "this VM stops; the work was accepted "
 				      "and may run: ask for it by its id",
 				      RETRY_AFTER_MS);
-			TAILQ_REMOVE(&j->waiters, w, entry);
-			bstr_free(&w->vm);
-			free(w);
+			waiter_free(j, w);
 		}
 	}
 }
--- a/reduce-job.c
+++ b/reduce-job.c
@@ -1,8 +1,6 @@
 #include "reduce.h"
 
-#include <ctype.h>
 #include <stdlib.h>
-#include <string.h>
 
 /* A claim that is not durable by then is given up, if it can be. */
 #define CLAIM_MS 1500
@@ -10,8 +8,6 @@
 #define CHECK_AGAIN_MS 500
 #define PARKED_MS 200
 #define CLAIMS_MAX 20000
-/* A last answer may be so late at its deadline, while it is written. */
-#define SETTLE_MS 1000
 
 /* Which shard is a job's home? */
 uint32_t job_shard(bstr id)
@@ -68,6 +64,13 @@
 	return j;
 }
 
+/* Note the cell that the job is for. */
+void job_set_cell(struct job *j, const cell_id *cell)
+{
+	xdr_free(XDR_PROC(xdr_cell_id), (char *)&j->cell);
+	xdr_copy(XDR_PROC(xdr_cell_id), &j->cell, cell, sizeof(*cell));
+}
+
 /* The cell no longer counts the job as sent to it. */
 static void job_uncount(struct job *j)
 {
@@ -76,22 +79,11 @@
 	j->counted = NULL;
 }
 
-static void job_drop_waiters(struct job *j)
-{
-	struct waiter *w;
-
-	while ((w = TAILQ_FIRST(&j->waiters))) {
-		TAILQ_REMOVE(&j->waiters, w, entry);
-		bstr_free(&w->vm);
-		free(w);
-	}
-}
-
 /* Forget a job. */
 void job_free(struct state *st, struct job *j)
 {
 	job_uncount(j);
-	job_drop_waiters(j);
+	waiters_free(j);
 	HASH_DEL(st->jobs, j);
 	if (j->phase == PHASE_FINAL) {
 		TAILQ_REMOVE(&st->finished, j, entry);
@@ -110,20 +102,8 @@
 	free(j);
 }
 
-/* The HTTP status that goes with a job's state. */
-static uint32_t job_http(const job_view *v, bool submit)
-{
-	if (v->state == JOB_QUEUED || v->state == JOB_RUNNING)
-		return submit ? 202 : 200;
-	if (v->state != JOB_NOT_RUN || !submit)
-		return 200;
-	if (bstr_eq_str(v->reason, "deadline"))
-		return 504;
-	return bstr_eq_str(v->reason, "cancelled") ? 200 : 503;
-}
-
 /* Is the answer the last one? */
-static bool job_over(const struct job *j)
+bool job_over(const struct job *j)
 {
 	return j->phase == PHASE_ENDING || j->phase == PHASE_FINAL;
 }
@@ -141,82 +121,6 @@
 		(!j->shard || j->view.state != JOB_NOT_RUN));
 }
 
-/* Refuse a waiter, for want of the platform's word. */
-static void waiter_refuse(struct state *st, struct job *j, struct waiter *w,
-			  const char *detail, uint32_t retry)
-{
-	answer_refuse(st, w->vm, w->call, 503, COUNT_REFUSED_PLATFORM, detail,
-		      retry);
-	TAILQ_REMOVE(&j->waiters, w, entry);
-	bstr_free(&w->vm);
-	free(w);
-}
-
-/* Answer one waiter with the job as it is. */
-static void job_answer(struct state *st, struct job *j, struct waiter *w)
-{
-	caller_answer a = {.http = job_http(&j->view, w->submit)};
-
-	if (job_over(j) && !job_settled(j)) {
-		waiter_refuse(st, j, w,
-			      "the platform has not confirmed the job's end; "
-			      "ask again",
-			      RETRY_AFTER_MS);
-		return;
-	}
-	/* Accepted is what is durable: a claim that is not may be lost. */
-	if (j->shard && !j->record_segment && !job_over(j)) {
-		waiter_refuse(st, j, w,
-			      "the platform has not confirmed the claim: the "
-			      "work may run; ask again with the same key",
-			      RETRY_AFTER_MS * 3);
-		return;
-	}
-	a.jobs.jobs_len = 1;
-	a.jobs.jobs_val = &j->view;
-	if (a.http >= 400) {
-		a.reason = j->view.reason;
-		a.detail = j->view.detail;
-	}
-	a.retry_after_ms = j->view.retry_after_ms;
-	answer_send(st, w->vm, w->call, &a);
-	TAILQ_REMOVE(&j->waiters, w, entry);
-	bstr_free(&w->vm);
-	free(w);
-}
-
-/* Answer now if the answer is there, else when it is, or at a deadline. */
-void job_wait(struct state *st, struct job *j, bstr vm, uint64_t call,
-	      int64_t deadline, bool until_final, bool submit)
-{
-	struct waiter *w = xcalloc(1, sizeof(*w));
-
-	w->vm = bstr_copy(vm);
-	w->call = call;
-	w->deadline = deadline;
-	w->until_final = until_final;
-	w->submit = submit;
-	TAILQ_INSERT_TAIL(&j->waiters, w, entry);
-	if (job_settled(j) ||
-	    (!until_final && !job_over(j) && j->phase != PHASE_CLAIMING))
-		job_answer(st, j, w);
-}
-
-/* Answer those whose moment has come. */
-static void job_answer_due(struct state *st, struct job *j)
-{
-	struct waiter *w, *next;
-	int64_t late = job_over(j) ? SETTLE_MS : 0;
-
-	for (w = TAILQ_FIRST(&j->waiters); w; w = next) {
-		next = TAILQ_NEXT(w, entry);
-		if (job_settled(j) || st->now >= w->deadline + late ||
-		    (!w->until_final && !job_over(j) &&
-		     j->phase != PHASE_CLAIMING))
-			job_answer(st, j, w);
-	}
-}
-
 /* Count a final answer by its state. */
 static void job_count(struct state *st, const struct job *j)
 {
@@ -307,6 +211,13 @@
 	job_finish(st, j);
 }
 
+/* End a job that was cancelled and never started. */
+static void job_end_cancelled(struct state *st, struct job *j)
+{
+	job_end(st, j, JOB_NOT_RUN, "cancelled",
+		"cancelled before it was started", 0);
+}
+
 /* Slots of the active VMs of a cell. */
 static unsigned cell_slots(struct state *st, const cell_id *id)
 {
@@ -417,8 +328,7 @@
 		j->check_at = st->now + PARKED_MS;
 		return;
 	}
-	xdr_free(XDR_PROC(xdr_cell_id), (char *)&j->cell);
-	xdr_copy(XDR_PROC(xdr_cell_id), &j->cell, &u->id, sizeof(u->id));
+	job_set_cell(j, &u->id);
 	if (!j->shard) {
 		job_dispatch(st, j);
 		return;
@@ -493,8 +403,7 @@
 	if (j->phase != PHASE_CLAIMING)
 		return;
 	if (j->cancelled) {
-		job_end(st, j, JOB_NOT_RUN, "cancelled",
-			"cancelled before it was started", 0);
+		job_end_cancelled(st, j);
 		return;
 	}
 	/* No cell was in reach then, so there is none to be asked after it. */
@@ -539,10 +448,7 @@
 	}
 	j->check_at = st->now + CHECK_AGAIN_MS;
 	while ((w = TAILQ_FIRST(&j->waiters)))
-		waiter_refuse(st, j, w,
-			      "the platform has not confirmed the claim: the "
-			      "work may run; ask again with the same key",
-			      RETRY_AFTER_MS * 3);
+		waiter_refuse_claim(st, j, w);
 }
 
 /* Send a query or a cancellation, numbered so that its answer is known. */
@@ -565,8 +471,7 @@
 		return;
 	j->cancelled = true;
 	if (j->phase == PHASE_PARKED) {
-		job_end(st, j, JOB_NOT_RUN, "cancelled",
-			"cancelled before it was started", 0);
+		job_end_cancelled(st, j);
 		return;
 	}
 	if (j->phase != PHASE_SENT)
@@ -605,8 +510,7 @@
 	}
 	job_uncount(j);
 	if (j->cancelled) {
-		job_end(st, j, JOB_NOT_RUN, "cancelled",
-			"cancelled before it was started", 0);
+		job_end_cancelled(st, j);
 		return;
 	}
 	if (st->now >= j->deadline) {
@@ -734,108 +638,6 @@
 			j->check_at = st->now + CHECK_AGAIN_MS;
 }
 
-/* Take up a record of the journal. */
-void job_replay(struct state *st, struct shard *s, const record *rec)
-{
-	const record_claim *c = &rec->record_u.claim;
-	const record_move *m = &rec->record_u.move;
-	const job_view *v = &rec->record_u.final;
-	job_spec bare = {0};
-	struct job *j = NULL;
-
-	switch (rec->kind) {
-	case RECORD_CLAIM:
-		j = job_find(st, c->job);
-		if (j && job_over(j))
-			return;
-		if (!j)
-			j = job_new(st, c->job, &c->spec, s);
-		bstr_set(&j->digest, c->digest);
-		xdr_free(XDR_PROC(xdr_cell_id), (char *)&j->cell);
-		xdr_copy(XDR_PROC(xdr_cell_id), &j->cell, &c->cell,
-			 sizeof(c->cell));
-		j->attempt = c->attempt;
-		j->ran = j->attempt > 1; /* as far as the journal tells */
-		break;
-	case RECORD_MOVE:
-		j = job_find(st, m->job);
-		if (!j || job_over(j))
-			return;
-		xdr_free(XDR_PROC(xdr_cell_id), (char *)&j->cell);
-		xdr_copy(XDR_PROC(xdr_cell_id), &j->cell, &m->cell,
-			 sizeof(m->cell));
-		j->attempt = m->attempt;
-		j->ran = j->attempt > 1;
-		break;
-	case RECORD_FINAL:
-		j = job_find(st, v->job);
-		if (!j) {
-			bare.team = v->team;
-			bare.pool = v->pool;
-			bare.label = v->label;
-			j = job_new(st, v->job, &bare, s);
-		}
-		if (job_over(j))
-			return;
-		xdr_free(XDR_PROC(xdr_job_view), (char *)&j->view);
-		xdr_copy(XDR_PROC(xdr_job_view), &j->view, v, sizeof(*v));
-		j->phase = PHASE_ENDING;
-		job_final_durable(st, j);
-		break;
-	}
-	if (j && rec->kind != RECORD_MOVE)
-		j->record_segment = s->next_segment - 1;
-}
-
-/*
- * The shard is ours: look after what it has open.  Its cell is asked, not
- * told: the last owner may have sent it there already.
- */
-void jobs_resume(struct state *st, struct shard *s)
-{
-	struct job *j;
-
-	TAILQ_FOREACH(j, &st->active, entry) {
-		if (j->shard != s)
-			continue;
-		j->sent_at = st->now;
-		j->check_at = st->now;
-		j->phase = j->cell.pool.bstr_len ? PHASE_SENT : PHASE_PARKED;
-	}
-}
-
-/*
- * The shard is no longer ours; its work goes on under its new owner.  Who
- * waits for a claimed job is led there; whose claim was not yet durable has
- * to ask again.
- */
-void jobs_drop(struct state *st, struct shard *s)
-{
-	struct job *j, *next;
-	struct waiter *w;
-
-	HASH_ITER(hh, st->jobs, j, next) {
-		if (j->shard != s)
-			continue;
-		while (st->out && (w = TAILQ_FIRST(&j->waiters))) {
-			if (j->phase != PHASE_CLAIMING)
-				call_follow(st, j, w);
-			else
-				answer_refuse(
-					st, w->vm, w->call, 503,
-					COUNT_REFUSED_NO_OWNER,
-					"the deciding VM changed: the work "
-					"may have been accepted; ask again "
-					"with the same key",
-					RETRY_AFTER_MS);
-			TAILQ_REMOVE(&j->waiters, w, entry);
-			bstr_free(&w->vm);
-			free(w);
-		}
-		job_free(st, j);
-	}
-}
-
 /*
  * This process was paused, or its clock has jumped: when a dispatch is dead
  * must be measured anew, or one still on its way would be taken for dead and
--- a/reduce.h
+++ b/reduce.h
@@ -746,22 +746,33 @@
 		    struct shard *shard);
 void job_submit(struct state *st, struct shard *shard, bstr id,
 		const job_spec *spec, bstr digest, bstr vm, uint64_t call);
-void job_wait(struct state *st, struct job *j, bstr vm, uint64_t call,
-	      int64_t deadline, bool until_final, bool submit);
 void job_cancel(struct state *st, struct job *j);
+bool job_over(const struct job *j);
 bool job_settled(const struct job *j);
 void job_claimed(struct state *st, struct job *j);
 void job_final_durable(struct state *st, struct job *j);
 void job_update(struct state *st, bstr from, const pm_update *m);
 void job_unowned(struct state *st, const pm_unowned *m);
-void job_replay(struct state *st, struct shard *s, const record *rec);
-void jobs_resume(struct state *st, struct shard *s);
-void jobs_drop(struct state *st, struct shard *s);
 void jobs_peer_lost(struct state *st, bstr vm);
 void jobs_paused(struct state *st);
 void jobs_tick(struct state *st);
+void job_set_cell(struct job *j, const cell_id *cell);
 void job_free(struct state *st, struct job *j);
-void view_init(job_view *v, const struct job *j);
+
+/* reduce-wait.c: who waits for a job, and what they are told. */
+void job_wait(struct state *st, struct job *j, bstr vm, uint64_t call,
+	      int64_t deadline, bool until_final, bool submit);
+void job_answer_due(struct state *st, struct job *j);
+void waiter_refuse(struct state *st, struct job *j, struct waiter *w,
+		   const char *detail, uint32_t retry);
+void waiter_refuse_claim(struct state *st, struct job *j, struct waiter *w);
+void waiter_free(struct job *j, struct waiter *w);
+void waiters_free(struct job *j);
+
+/* reduce-home.c: a shard's jobs as it comes and goes. */
+void job_replay(struct state *st, struct shard *s, const record *rec);
+void jobs_resume(struct state *st, struct shard *s);
+void jobs_drop(struct state *st, struct shard *s);
 
 /* reduce-cell.c: a job at its cell. */
 void cell_start(struct state *st, struct unit *u);
