One table in memory for both virtual fleets

What read badly: support-fleet.c and support-sim.c each had a table with transactions, and an object store: the same rows, checks, replay of a known transaction, scan and answers, a hundred lines twice. A mend of one would not have reached the other. What each fleet looks at in a write, it is told before the write.

--- a/tests/support-fleet.c
+++ b/tests/support-fleet.c
@@ -1,11 +1,11 @@
 #include "support-fleet.h"
+#include "support-table.h"
 
 #include "../config.h"
 #include "../rows.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
 #define PLATFORM_MS 1000 /* the edges' timeouts */
 #define WORKER_MS 2000
@@ -45,17 +45,6 @@
 	effect *fx;
 	struct exchange *x;
 };
-struct row {
-	char *key;
-	uint64_t version;
-	bstr value;
-	UT_hash_handle hh;
-};
-struct txn {
-	char *id;
-	ev_platform answer;
-	UT_hash_handle hh;
-};
 struct entry {
 	struct state *st;
 	char name[24];
@@ -121,13 +110,12 @@
 };
 struct fleet {
 	int64_t now, calm_since, fault_began;
-	uint64_t random, seq, version, events;
+	uint64_t random, seq, events;
 	struct queued *heap;
 	size_t heap_count, heap_room;
 	struct entry entries[FLEET_ENTRIES];
 	struct fake_worker workers[FLEET_WORKERS];
-	struct row *rows, *objects;
-	struct txn *txns;
+	struct fake_table table;
 	struct exchange *exchanges;
 	unsigned faults, platform_mode, late;
 	bool dc_cut, dc_platform_cut[2];
@@ -293,36 +281,6 @@
 	return name.bstr_val[1] - '0';
 }
 
-/* The table. */
-static struct row *row_get(struct row *rows, bstr key)
-{
-	struct row *r;
-
-	HASH_FIND(hh, rows, key.bstr_val, key.bstr_len, r);
-	return r;
-}
-
-static void row_put(struct row **rows, bstr key, uint64_t version, bstr value)
-{
-	struct row *r = row_get(*rows, key);
-
-	if (!r) {
-		r = xcalloc(1, sizeof(*r));
-		r->key = bstr_cstr(key);
-		HASH_ADD_KEYPTR(hh, *rows, r->key, key.bstr_len, r);
-	}
-	r->version = version;
-	bstr_set(&r->value, value);
-}
-
-static void row_drop(struct row **rows, struct row *r)
-{
-	HASH_DEL(*rows, r);
-	free(r->key);
-	bstr_free(&r->value);
-	free(r);
-}
-
 /* How many places two documents differ in. */
 static size_t doc_changes(const json_t *from, const json_t *to)
 {
@@ -364,7 +322,7 @@
 	uint64_t revision = (uint64_t)json_integer_value(
 		json_object_get(head, "revision"));
 	bstr name = json_bstr(json_object_get(head, "object"));
-	struct row *o = row_get(f->objects, name);
+	struct fake_row *o = fake_row_get(f->table.objects, name);
 	json_t *doc = o ? json_loadb(o->value.bstr_val, o->value.bstr_len, 0,
 				     NULL)
 			: NULL;
@@ -430,13 +388,18 @@
  * again, only has its reason changed.
  */
 static void check_pool(struct fleet *f, bstr key, bstr value,
-		       const struct row *old)
+		       const struct fake_row *old)
 {
 	bstr name = bstr_ref(key.bstr_val + 5, key.bstr_len - 5);
 	unsigned pool = name_index(name, pool_names, POOLS), taken = 0;
 	pool_row row = {0}, was = {0};
 	u_int i;
 
+	if (pool == POOLS) {
+		BREAK(f, "budget: a row of %.*s, which is no pool",
+		      BSTR_ARG(name));
+		return;
+	}
 	if (!xdr_decode(XDR_PROC(xdr_pool_row), value, &row, sizeof(row)))
 		return;
 	if (old)
@@ -461,90 +424,19 @@
 	return key.bstr_len > n && !memcmp(key.bstr_val, prefix, n);
 }
 
-static void answer_row(ev_platform *p, bstr key, const struct row *r)
+/* Look at a write before it is done. */
+static void write_check(void *arg, const fx_commit *c, const table_write *w,
+			const struct fake_row *old)
 {
-	table_row *t;
+	struct fleet *f = arg;
 
-	p->rows.rows_val = xrealloc(p->rows.rows_val, p->rows.rows_len + 1,
-				    sizeof(*t));
-	t = &p->rows.rows_val[p->rows.rows_len++];
-	t->key = bstr_copy(key);
-	t->revision = r ? r->version : 0;
-	t->value = r ? bstr_copy(r->value) : BSTR_NONE;
-}
-
-static void table_apply(struct fleet *f, const fx_commit *c, ev_platform *p)
-{
-	u_int i;
-
-	for (i = 0; i < c->writes.writes_len; i++) {
-		const table_write *w = &c->writes.writes_val[i];
-		struct row *r = row_get(f->rows, w->key);
-
-		TRACE(f, "write %.*s by %.*s", BSTR_ARG(w->key),
-		      BSTR_ARG(c->txid));
-		if (key_begins(w->key, "pool/"))
-			check_pool(f, w->key, w->value, r);
-		if (key_begins(w->key, "vm/") && !w->remove)
-			check_vm(f, w->value);
-		if (name_is(w->key, "config/head"))
-			check_head(f, w->value);
-		if (w->remove && r)
-			row_drop(&f->rows, r);
-		if (!w->remove)
-			row_put(&f->rows, w->key, ++f->version, w->value);
-		answer_row(p, w->key, row_get(f->rows, w->key));
-	}
-}
-
-static void table_transact(struct fleet *f, const fx_commit *c, ev_platform *p)
-{
-	struct txn *t;
-	u_int i;
-
-	HASH_FIND(hh, f->txns, c->txid.bstr_val, c->txid.bstr_len, t);
-	if (t) {
-		xdr_free(XDR_PROC(xdr_ev_platform), (char *)p);
-		xdr_copy(XDR_PROC(xdr_ev_platform), p, &t->answer, sizeof(*p));
-		return;
-	}
-	for (i = 0; i < c->checks.checks_len; i++) {
-		const table_check *k = &c->checks.checks_val[i];
-		struct row *r = row_get(f->rows, k->key);
-
-		if ((r ? r->version : 0) == k->revision)
-			continue;
-		p->outcome = PLATFORM_CONFLICT;
-		answer_row(p, k->key, r);
-	}
-	if (p->outcome)
-		return;
-	table_apply(f, c, p);
-	t = xcalloc(1, sizeof(*t));
-	t->id = bstr_cstr(c->txid);
-	xdr_copy(XDR_PROC(xdr_ev_platform), &t->answer, p, sizeof(*p));
-	HASH_ADD_KEYPTR(hh, f->txns, t->id, c->txid.bstr_len, t);
-}
-
-static int row_order(const void *a, const void *b)
-{
-	return bstr_cmp(((const table_row *)a)->key,
-			((const table_row *)b)->key);
-}
-
-static void table_list(struct fleet *f, bstr prefix, ev_platform *p)
-{
-	struct row *r, *next;
-	char *s = bstr_cstr(prefix);
-
-	HASH_ITER(hh, f->rows, r, next) {
-		if (key_begins(bstr_lit(r->key), s))
-			answer_row(p, bstr_lit(r->key), r);
-	}
-	free(s);
-	if (p->rows.rows_len)
-		qsort(p->rows.rows_val, p->rows.rows_len, sizeof(table_row),
-		      row_order);
+	TRACE(f, "write %.*s by %.*s", BSTR_ARG(w->key), BSTR_ARG(c->txid));
+	if (key_begins(w->key, "pool/"))
+		check_pool(f, w->key, w->value, old);
+	if (key_begins(w->key, "vm/") && !w->remove)
+		check_vm(f, w->value);
+	if (name_is(w->key, "config/head"))
+		check_head(f, w->value);
 }
 
 static void vms_list(struct fleet *f, ev_platform *p)
@@ -562,37 +454,10 @@
 /* Do what a request asks of the platform. */
 static void platform_do(struct fleet *f, const effect *fx, ev_platform *p)
 {
-	const fx_object *o = &fx->effect_u.object;
-	struct row *r;
-	u_int i;
-
-	switch (fx->kind) {
-	case FX_COMMIT:
-		table_transact(f, &fx->effect_u.commit, p);
-		break;
-	case FX_READ:
-		for (i = 0; i < fx->effect_u.read.keys.keys_len; i++)
-			answer_row(p, fx->effect_u.read.keys.keys_val[i],
-				   row_get(f->rows,
-					   fx->effect_u.read.keys.keys_val[i]));
-		break;
-	case FX_SCAN:
-		table_list(f, fx->effect_u.scan.prefix, p);
-		break;
-	case FX_OBJECT_PUT:
-		row_put(&f->objects, o->name, 1, o->body);
-		break;
-	case FX_OBJECT_GET:
-		r = row_get(f->objects, o->name);
-		if (r)
-			p->body = bstr_copy(r->value);
-		else
-			p->outcome = PLATFORM_NOT_FOUND;
-		break;
-	default:
+	if (fx->kind == FX_COMMIT)
+		fake_table_commit(&f->table, &fx->effect_u.commit, p);
+	else if (!fake_table_ask(&f->table, fx, p))
 		vms_list(f, p);
-		break;
-	}
 }
 
 enum {
@@ -2077,14 +1942,14 @@
 					      "keys", keys));
 	}
 	text = config_text(doc);
-	row_put(&f->objects, bstr_lit("config-1"), 1, text);
+	fake_object_set(&f->table, bstr_lit("config-1"), text);
 	bstr_free(&text);
 	json_decref(doc);
 	head = json_pack("{s:i,s:s,s:[]}", "revision", 1, "object", "config-1",
 			 "history");
 	text = config_text(head);
 	check_head(f, text);
-	row_put(&f->rows, bstr_lit("config/head"), ++f->version, text);
+	fake_row_set(&f->table, bstr_lit("config/head"), text);
 	bstr_free(&text);
 	json_decref(head);
 }
@@ -2108,12 +1973,12 @@
 		row.address = bstr_lit("w");
 		key = bstr_printf("vm/%s", w->name);
 		value = xdr_encode(XDR_PROC(xdr_vm_row), &row);
-		row_put(&f->rows, key, ++f->version, value);
+		fake_row_set(&f->table, key, value);
 		bstr_free(&key);
 		bstr_free(&value);
 	}
 	value = xdr_encode(XDR_PROC(xdr_vms_head), &head);
-	row_put(&f->rows, bstr_lit("vms/head"), ++f->version, value);
+	fake_row_set(&f->table, bstr_lit("vms/head"), value);
 	bstr_free(&value);
 }
 
@@ -2123,6 +1988,8 @@
 	unsigned i;
 
 	f->random = seed;
+	f->table.before = write_check;
+	f->table.arg = f;
 	fleet_configure(f);
 	fleet_populate(f);
 	for (i = 0; i < FLEET_ENTRIES; i++)
@@ -2134,8 +2001,6 @@
 void fleet_free(struct fleet *f)
 {
 	struct exchange *x;
-	struct row *r, *rn;
-	struct txn *t, *tn;
 	struct queued q;
 	unsigned i, k;
 
@@ -2156,16 +2021,7 @@
 		effect_free(x->fx);
 		free(x);
 	}
-	HASH_ITER(hh, f->rows, r, rn)
-		row_drop(&f->rows, r);
-	HASH_ITER(hh, f->objects, r, rn)
-		row_drop(&f->objects, r);
-	HASH_ITER(hh, f->txns, t, tn) {
-		HASH_DEL(f->txns, t);
-		free(t->id);
-		xdr_free(XDR_PROC(xdr_ev_platform), (char *)&t->answer);
-		free(t);
-	}
+	fake_table_free(&f->table);
 	for (i = 0; i < FLEET_TEAMS; i++)
 		for (k = 0; k < FLEET_KEYS; k++)
 			bstr_free(&f->digests[i][k]);
--- a/tests/support-sim.c
+++ b/tests/support-sim.c
@@ -1,8 +1,8 @@
 #include "support-sim.h"
+#include "support-table.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
 #define HOP_MS 1
 #define SILENCE_MS 1000 /* an exchange without an answer ends then */
@@ -25,17 +25,6 @@
 	event *ev;
 	effect *fx;
 };
-struct sim_row {
-	char *key;
-	uint64_t version;
-	bstr value;
-	UT_hash_handle hh;
-};
-struct sim_txn {
-	char *id;
-	ev_platform answer;
-	UT_hash_handle hh;
-};
 struct sim_task {
 	struct sim_task *next;
 	char id[96];
@@ -53,9 +42,8 @@
 struct sim_fabric {
 	struct item *heap;
 	size_t count, room;
-	uint64_t seq, version, random, ids;
-	struct sim_row *rows, *objects;
-	struct sim_txn *txns;
+	uint64_t seq, random, ids;
+	struct fake_table table;
 	bstr digests[SIM_TEAMS];
 	uint64_t *calls; /* the job of a call, by its number */
 	size_t call_count;
@@ -128,53 +116,17 @@
 	return n < count ? n : count;
 }
 
-/* The table. */
-static struct sim_row *row_get(struct sim_row *rows, bstr key)
-{
-	struct sim_row *r;
-
-	HASH_FIND(hh, rows, key.bstr_val, key.bstr_len, r);
-	return r;
-}
-
-static void row_put(struct sim_row **rows, bstr key, uint64_t version,
-		    bstr value)
-{
-	struct sim_row *r = row_get(*rows, key);
-
-	if (!r) {
-		r = xcalloc(1, sizeof(*r));
-		r->key = bstr_cstr(key);
-		HASH_ADD_KEYPTR(hh, *rows, r->key, key.bstr_len, r);
-	}
-	r->version = version;
-	bstr_set(&r->value, value);
-}
-
-static void row_drop(struct sim_row **rows, struct sim_row *r)
-{
-	HASH_DEL(*rows, r);
-	free(r->key);
-	bstr_free(&r->value);
-	free(r);
-}
-
-static void answer_row(ev_platform *p, bstr key, const struct sim_row *r)
-{
-	u_int n = p->rows.rows_len++;
-
-	p->rows.rows_val = xrealloc(p->rows.rows_val, n + 1, sizeof(table_row));
-	p->rows.rows_val[n] = (table_row){bstr_copy(key), r ? r->version : 0,
-					  r ? bstr_copy(r->value) : BSTR_NONE};
-}
-
 /* Follow a VM's row. */
-static void vm_follow(struct sim *s, const table_write *t)
+static void vm_follow(void *arg, const fx_commit *c, const table_write *t,
+		      const struct fake_row *old)
 {
+	struct sim *s = arg;
 	struct sim_worker *w;
 	vm_row row;
 
-	if (t->remove ||
+	(void)c, (void)old;
+	if (t->key.bstr_len <= 3 || memcmp(t->key.bstr_val, "vm/", 3) != 0 ||
+	    t->remove ||
 	    !xdr_decode(XDR_PROC(xdr_vm_row), t->value, &row, sizeof(row)))
 		return;
 	w = sim_worker_find(s, row.vm);
@@ -185,71 +137,15 @@
 	xdr_free(XDR_PROC(xdr_vm_row), (char *)&row);
 }
 
-static void table_write_one(struct sim *s, const table_write *t, ev_platform *p)
-{
-	struct sim_fabric *f = s->fabric;
-	struct sim_row *r = row_get(f->rows, t->key);
-
-	if (t->remove && r)
-		row_drop(&f->rows, r);
-	if (!t->remove)
-		row_put(&f->rows, t->key, ++f->version, t->value);
-	if (t->key.bstr_len > 3 && !memcmp(t->key.bstr_val, "vm/", 3))
-		vm_follow(s, t);
-	answer_row(p, t->key, row_get(f->rows, t->key));
-}
-
 static void table_commit(struct sim *s, const fx_commit *c, ev_platform *p)
 {
-	struct sim_fabric *f = s->fabric;
-	struct sim_txn *t;
 	u_int i;
 
-	HASH_FIND(hh, f->txns, c->txid.bstr_val, c->txid.bstr_len, t);
-	if (t) {
-		xdr_copy(XDR_PROC(xdr_ev_platform), p, &t->answer, sizeof(*p));
-		p->req = c->req;
-		return;
-	}
-	for (i = 0; i < c->checks.checks_len; i++) {
-		const table_check *k = &c->checks.checks_val[i];
-		struct sim_row *r = row_get(f->rows, k->key);
-
-		if ((r ? r->version : 0) == k->revision)
-			continue;
-		p->outcome = PLATFORM_CONFLICT;
-		answer_row(p, k->key, r);
-	}
-	if (p->outcome)
+	if (!fake_table_commit(&s->fabric->table, c, p))
 		return;
-	for (i = 0; i < c->writes.writes_len; i++)
-		table_write_one(s, &c->writes.writes_val[i], p);
 	/* A transaction is whole before anybody looks. */
 	for (i = 0; s->hooks.written && i < c->writes.writes_len; i++)
 		s->hooks.written(s, &c->writes.writes_val[i]);
-	t = xcalloc(1, sizeof(*t));
-	t->id = bstr_cstr(c->txid);
-	xdr_copy(XDR_PROC(xdr_ev_platform), &t->answer, p, sizeof(*p));
-	HASH_ADD_KEYPTR(hh, f->txns, t->id, c->txid.bstr_len, t);
-}
-
-static int row_order(const void *a, const void *b)
-{
-	return bstr_cmp(((const table_row *)a)->key,
-			((const table_row *)b)->key);
-}
-
-static void table_list(struct sim *s, bstr prefix, ev_platform *p)
-{
-	struct sim_row *r, *next;
-
-	HASH_ITER(hh, s->fabric->rows, r, next) {
-		if (!strncmp(r->key, prefix.bstr_val, prefix.bstr_len))
-			answer_row(p, bstr_lit(r->key), r);
-	}
-	if (p->rows.rows_len)
-		qsort(p->rows.rows_val, p->rows.rows_len, sizeof(table_row),
-		      row_order);
 }
 
 /* Reboot a worker, if its boot id is the one that is meant to end. */
@@ -278,42 +174,15 @@
 	bstr_free(&boot);
 }
 
-/* Do what a request asks of the platform. */
+/* Do what a request asks; an empty list of VMs says nothing about any. */
 static void platform_do(struct sim *s, const effect *fx, ev_platform *p)
 {
-	const fx_object *o = &fx->effect_u.object;
-	struct sim_row *r;
-	u_int i;
-
-	switch (fx->kind) {
-	case FX_COMMIT:
+	if (fx->kind == FX_COMMIT)
 		table_commit(s, &fx->effect_u.commit, p);
-		break;
-	case FX_READ:
-		for (i = 0; i < fx->effect_u.read.keys.keys_len; i++)
-			answer_row(p, fx->effect_u.read.keys.keys_val[i],
-				   row_get(s->fabric->rows,
-					   fx->effect_u.read.keys.keys_val[i]));
-		break;
-	case FX_SCAN:
-		table_list(s, fx->effect_u.scan.prefix, p);
-		break;
-	case FX_OBJECT_PUT:
-		row_put(&s->fabric->objects, o->name, 1, o->body);
-		break;
-	case FX_OBJECT_GET:
-		r = row_get(s->fabric->objects, o->name);
-		if (r)
-			p->body = bstr_copy(r->value);
-		else
-			p->outcome = PLATFORM_NOT_FOUND;
-		break;
-	case FX_REBOOT:
+	else if (fx->kind == FX_REBOOT)
 		platform_reboot(s, &fx->effect_u.reboot, p);
-		break;
-	default: /* an empty list says nothing about any VM */
-		break;
-	}
+	else
+		fake_table_ask(&s->fabric->table, fx, p);
 }
 
 static void platform_take(struct sim *s, struct item *it)
@@ -933,7 +802,7 @@
 bool sim_row(struct sim *s, const char *key, xdrproc_t proc, void *out,
 	     size_t size)
 {
-	struct sim_row *r = row_get(s->fabric->rows, bstr_lit(key));
+	struct fake_row *r = fake_row_get(s->fabric->table.rows, bstr_lit(key));
 
 	return r && xdr_decode(proc, r->value, out, size);
 }
@@ -998,12 +867,12 @@
 	for (i = 0; i < s->team_count; i++)
 		doc_team(s, doc, i);
 	text = config_text(doc);
-	row_put(&f->objects, bstr_lit("config-1"), 1, text);
+	fake_object_set(&f->table, bstr_lit("config-1"), text);
 	bstr_free(&text);
 	head = json_pack("{s:i,s:s,s:[]}", "revision", 1, "object", "config-1",
 			 "history");
 	text = config_text(head);
-	row_put(&f->rows, bstr_lit("config/head"), ++f->version, text);
+	fake_row_set(&f->table, bstr_lit("config/head"), text);
 	bstr_free(&text);
 	json_decref(head);
 	json_decref(doc);
@@ -1034,7 +903,7 @@
 	row.address = bstr_lit("w");
 	key = bstr_printf("vm/%s", w->name);
 	value = xdr_encode(XDR_PROC(xdr_vm_row), &row);
-	row_put(&s->fabric->rows, key, ++s->fabric->version, value);
+	fake_row_set(&s->fabric->table, key, value);
 	bstr_free(&key);
 	bstr_free(&value);
 }
@@ -1052,8 +921,7 @@
 		for (k = 0; k < s->plan.pools[i].workers; k++)
 			worker_add(s, i, k);
 	value = xdr_encode(XDR_PROC(xdr_vms_head), &head);
-	row_put(&s->fabric->rows, bstr_lit("vms/head"), ++s->fabric->version,
-		value);
+	fake_row_set(&s->fabric->table, bstr_lit("vms/head"), value);
 	bstr_free(&value);
 }
 
@@ -1064,6 +932,8 @@
 
 	s->plan = *plan;
 	s->fabric = xcalloc(1, sizeof(*s->fabric));
+	s->fabric->table.before = vm_follow;
+	s->fabric->table.arg = s;
 	s->fabric->random = plan->seed;
 	while (s->pool_count < SIM_POOLS && plan->pools[s->pool_count].workers)
 		s->pool_count++;
@@ -1077,18 +947,9 @@
 	return s;
 }
 
-static void rows_free(struct sim_row **rows)
-{
-	struct sim_row *r, *next;
-
-	HASH_ITER(hh, *rows, r, next)
-		row_drop(rows, r);
-}
-
 void sim_free(struct sim *s)
 {
 	struct sim_fabric *f = s->fabric;
-	struct sim_txn *t, *next;
 	struct item it;
 	unsigned i;
 
@@ -1101,14 +962,7 @@
 	}
 	for (i = 0; i < s->plan.entries; i++)
 		state_free(s->entries[i]);
-	rows_free(&f->rows);
-	rows_free(&f->objects);
-	HASH_ITER(hh, f->txns, t, next) {
-		HASH_DEL(f->txns, t);
-		free(t->id);
-		xdr_free(XDR_PROC(xdr_ev_platform), (char *)&t->answer);
-		free(t);
-	}
+	fake_table_free(&f->table);
 	for (i = 0; i < s->team_count; i++)
 		bstr_free(&f->digests[i]);
 	xdr_free(XDR_PROC(xdr_op_reply), (char *)&s->reply);
--- /dev/null
+++ b/tests/support-table.c
@@ -0,0 +1,199 @@
+#include "support-table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct fake_txn {
+	char *id;
+	ev_platform answer;
+	UT_hash_handle hh;
+};
+
+/* Find a row, or an object. */
+struct fake_row *fake_row_get(struct fake_row *rows, bstr key)
+{
+	struct fake_row *r;
+
+	HASH_FIND(hh, rows, key.bstr_val, key.bstr_len, r);
+	return r;
+}
+
+static void row_put(struct fake_row **rows, bstr key, uint64_t version,
+		    bstr value)
+{
+	struct fake_row *r = fake_row_get(*rows, key);
+
+	if (!r) {
+		r = xcalloc(1, sizeof(*r));
+		r->key = bstr_cstr(key);
+		HASH_ADD_KEYPTR(hh, *rows, r->key, key.bstr_len, r);
+	}
+	r->version = version;
+	bstr_set(&r->value, value);
+}
+
+static void row_drop(struct fake_row **rows, struct fake_row *r)
+{
+	HASH_DEL(*rows, r);
+	free(r->key);
+	bstr_free(&r->value);
+	free(r);
+}
+
+/* Write a row outside of any transaction. */
+void fake_row_set(struct fake_table *t, bstr key, bstr value)
+{
+	row_put(&t->rows, key, ++t->version, value);
+}
+
+/* Store an object. */
+void fake_object_set(struct fake_table *t, bstr name, bstr body)
+{
+	row_put(&t->objects, name, 1, body);
+}
+
+/* Put a row, or that there is none, into an answer. */
+static void answer_row(ev_platform *p, bstr key, const struct fake_row *r)
+{
+	u_int n = p->rows.rows_len++;
+
+	p->rows.rows_val = xrealloc(p->rows.rows_val, n + 1, sizeof(table_row));
+	p->rows.rows_val[n] = (table_row){bstr_copy(key), r ? r->version : 0,
+					  r ? bstr_copy(r->value) : BSTR_NONE};
+}
+
+/* Do the checks hold?  The answer names the rows of those that don't. */
+static bool checks_hold(struct fake_table *t, const fx_commit *c,
+			ev_platform *p)
+{
+	bool hold = true;
+	u_int i;
+
+	for (i = 0; i < c->checks.checks_len; i++) {
+		const table_check *k = &c->checks.checks_val[i];
+		struct fake_row *r = fake_row_get(t->rows, k->key);
+
+		if ((r ? r->version : 0) == k->revision)
+			continue;
+		hold = false;
+		p->outcome = PLATFORM_CONFLICT;
+		answer_row(p, k->key, r);
+	}
+	return hold;
+}
+
+/* Do one write of a transaction. */
+static void write_one(struct fake_table *t, const fx_commit *c,
+		      const table_write *w, ev_platform *p)
+{
+	struct fake_row *r = fake_row_get(t->rows, w->key);
+
+	if (t->before)
+		t->before(t->arg, c, w, r);
+	if (w->remove && r)
+		row_drop(&t->rows, r);
+	if (!w->remove)
+		fake_row_set(t, w->key, w->value);
+	answer_row(p, w->key, fake_row_get(t->rows, w->key));
+}
+
+/* A transaction, unless its id was applied before: then its answer of then. */
+bool fake_table_commit(struct fake_table *t, const fx_commit *c, ev_platform *p)
+{
+	struct fake_txn *done;
+	u_int i;
+
+	HASH_FIND(hh, t->txns, c->txid.bstr_val, c->txid.bstr_len, done);
+	if (done) {
+		xdr_free(XDR_PROC(xdr_ev_platform), (char *)p);
+		xdr_copy(XDR_PROC(xdr_ev_platform), p, &done->answer,
+			 sizeof(*p));
+		p->req = c->req;
+		return false;
+	}
+	if (!checks_hold(t, c, p))
+		return false;
+	for (i = 0; i < c->writes.writes_len; i++)
+		write_one(t, c, &c->writes.writes_val[i], p);
+	done = xcalloc(1, sizeof(*done));
+	done->id = bstr_cstr(c->txid);
+	xdr_copy(XDR_PROC(xdr_ev_platform), &done->answer, p, sizeof(*p));
+	HASH_ADD_KEYPTR(hh, t->txns, done->id, c->txid.bstr_len, done);
+	return true;
+}
+
+static int row_order(const void *a, const void *b)
+{
+	return bstr_cmp(((const table_row *)a)->key,
+			((const table_row *)b)->key);
+}
+
+/* The rows whose keys begin so, in the order of their keys. */
+static void table_list(struct fake_table *t, bstr prefix, ev_platform *p)
+{
+	struct fake_row *r, *next;
+
+	HASH_ITER(hh, t->rows, r, next) {
+		if (!strncmp(r->key, prefix.bstr_val, prefix.bstr_len))
+			answer_row(p, bstr_lit(r->key), r);
+	}
+	if (p->rows.rows_len)
+		qsort(p->rows.rows_val, p->rows.rows_len, sizeof(table_row),
+		      row_order);
+}
+
+/* A read, a scan, or an object. */
+bool fake_table_ask(struct fake_table *t, const effect *fx, ev_platform *p)
+{
+	const fx_object *o = &fx->effect_u.object;
+	const fx_read *read = &fx->effect_u.read;
+	struct fake_row *r;
+	u_int i;
+
+	switch (fx->kind) {
+	case FX_READ:
+		for (i = 0; i < read->keys.keys_len; i++)
+			answer_row(
+				p, read->keys.keys_val[i],
+				fake_row_get(t->rows, read->keys.keys_val[i]));
+		return true;
+	case FX_SCAN:
+		table_list(t, fx->effect_u.scan.prefix, p);
+		return true;
+	case FX_OBJECT_PUT:
+		fake_object_set(t, o->name, o->body);
+		return true;
+	case FX_OBJECT_GET:
+		r = fake_row_get(t->objects, o->name);
+		if (r)
+			p->body = bstr_copy(r->value);
+		else
+			p->outcome = PLATFORM_NOT_FOUND;
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void rows_free(struct fake_row **rows)
+{
+	struct fake_row *r, *next;
+
+	HASH_ITER(hh, *rows, r, next)
+		row_drop(rows, r);
+}
+
+/* Free what a table holds. */
+void fake_table_free(struct fake_table *t)
+{
+	struct fake_txn *done, *next;
+
+	rows_free(&t->rows);
+	rows_free(&t->objects);
+	HASH_ITER(hh, t->txns, done, next) {
+		HASH_DEL(t->txns, done);
+		free(done->id);
+		xdr_free(XDR_PROC(xdr_ev_platform), (char *)&done->answer);
+		free(done);
+	}
+}
