The name of a numbered request is made and read in one place

What read badly: edits of VMs' rows and changes of waves name their requests to the platform by a number; three places printed it and two read it back, the same lines each. What changed: request_name and request_number in reduce-table.c (16 lines); reduce-pool.c and reduce-wave.c are 4 lines shorter together.

--- a/reduce-pool.c
+++ b/reduce-pool.c
@@ -72,7 +72,7 @@
 	keys[0] = bstr_printf(VM_PREFIX "%.*s", BSTR_ARG(e->vm));
 	keys[1] = bstr_lit(VMS_KEY);
 	keys[2] = bstr_printf("pool/%.*s", BSTR_ARG(e->pool));
-	name = bstr_printf("%llu", (unsigned long long)e->id);
+	name = request_name(e->id);
 	table_read(st, REQ_EDIT_READ, name, keys, 3);
 	e->flying = true;
 	bstr_free(&keys[0]);
@@ -600,7 +600,7 @@
 {
 	bstr vm = bstr_printf(VM_PREFIX "%.*s", BSTR_ARG(e->vm));
 	bstr pool = bstr_printf("pool/%.*s", BSTR_ARG(e->pool));
-	bstr name = bstr_printf("%llu", (unsigned long long)e->id);
+	bstr name = request_name(e->id);
 	fx_commit c = {0};
 
 	commit_check(&c, vm, r->vm_revision);
@@ -627,10 +627,8 @@
 static struct edit *edit_find(struct state *st, bstr name)
 {
 	struct edit *e;
-	char *s = bstr_cstr(name);
-	uint64_t id = strtoull(s, NULL, 10);
+	uint64_t id = request_number(name);
 
-	free(s);
 	TAILQ_FOREACH(e, &st->edits, entry)
 		if (e->id == id)
 			return e;
--- a/reduce-table.c
+++ b/reduce-table.c
@@ -37,6 +37,22 @@
 	free(rq);
 }
 
+/* The name of a request that is for something with a number. */
+bstr request_name(uint64_t number)
+{
+	return bstr_printf("%llu", (unsigned long long)number);
+}
+
+/* The number in such a name. */
+uint64_t request_number(bstr name)
+{
+	char *s = bstr_cstr(name);
+	uint64_t number = strtoull(s, NULL, 10);
+
+	free(s);
+	return number;
+}
+
 /* Read rows by key. */
 uint64_t table_read(struct state *st, enum request_kind kind, bstr name,
 		    const bstr *keys, size_t count)
--- a/reduce-wave.c
+++ b/reduce-wave.c
@@ -443,10 +443,8 @@
 static struct wave_change *wave_change_find(struct state *st, bstr name)
 {
 	struct wave_change *c;
-	char *s = bstr_cstr(name);
-	uint64_t id = strtoull(s, NULL, 10);
+	uint64_t id = request_number(name);
 
-	free(s);
 	TAILQ_FOREACH(c, &st->wave_changes, entry)
 		if (c->id == id)
 			return c;
@@ -551,7 +549,7 @@
 	xdr_copy(XDR_PROC(xdr_op_request), &c->request, rq, sizeof(*rq));
 	TAILQ_INSERT_TAIL(&st->wave_changes, c, entry);
 	key = bstr_printf(WAVE_PREFIX "%.*s", BSTR_ARG(o->wave));
-	name = bstr_printf("%llu", (unsigned long long)c->id);
+	name = request_name(c->id);
 	table_read(st, REQ_WAVE_READ, name, &key, 1);
 	bstr_free(&name);
 	bstr_free(&key);
--- a/reduce.h
+++ b/reduce.h
@@ -636,6 +636,8 @@
 			    bstr name);
 struct request *request_find(struct state *st, uint64_t id);
 void request_free(struct state *st, struct request *rq);
+bstr request_name(uint64_t number);
+uint64_t request_number(bstr name);
 uint64_t table_read(struct state *st, enum request_kind kind, bstr name,
 		    const bstr *keys, size_t count);
 uint64_t table_scan(struct state *st, enum request_kind kind, bstr name,
