The soak asks how many jobs wait, and kills successors

Callers were told that 0 jobs of a queue wait where 50 had been accepted more than 5 s before and none of them had begun; the soak never asked.

Its clients now ask every VM for the count of two queues all through the run, one of them of an organisation at its upper limit, and the stand-in tells which jobs have begun: a 200 with less than half of those that wait is wrong, a 503 is not. All VMs have to say 0 again once all jobs are done. New faults: the owner and its successor killed while the latter reads, the store slow also for readers of the feed, starts turned away, some of them for longer than 5 s. What is wrong says how old the store's beat is; faults.log has the faults' moments.

--- a/tests/soak-entry.c
+++ b/tests/soak-entry.c
@@ -3,18 +3,21 @@
  * of the platform, clients that keep their connections open, and faults from
  * outside, drawn from a seed: processes killed, stopped by plan, paused; the
  * way to the store cut, silent or losing answers; the store refusing, slow or
- * without its history; workers that crash, freeze or go silent; changes of the
+ * without its history; workers that crash, freeze, go silent or turn starts
+ * away; the owner of the scheduling and its successor killed; changes of the
  * configuration.  Faults come in series and overlap.
  *
  * What is checked, from what callers and workers see: no task runs twice at a
  * time, nor after its end was acknowledged; a refused job never runs; an
- * accepted one is known to every VM and completes; a planned stop ends in
- * time, with status 0.
+ * accepted one is known to every VM and completes; who asks how many jobs of a
+ * queue wait is told no less than half of them, or 503, and 0 when all are
+ * done; a planned stop ends in time, with status 0.
  *
  * soak-entry             the kept seeds, a few seconds each
  * soak-entry SEED [S]    one seed, S seconds of faults
  */
 #include "../bamboofront.h"
+#include "../json-read.h"
 #include "standin.h"
 #include "support-relay.h"
 
@@ -36,6 +39,11 @@
 #define CLIENTS 3
 #define JOBS_MAX 4000 /* of one client */
 #define FAULT_S 6     /* of a kept seed */
+#define LEAD_MS 3000  /* of clients at work before the faults */
+#define KEY "k1"
+#define LIMIT_CPU 2000 /* the organisation's: two tasks at a time */
+/* A count may be 2 s old; a job that was accepted so long ago is in it. */
+#define COUNT_LATE_MS 5000
 /* Beyond all leases, takeovers and the jobs themselves, sanitized. */
 #define FINISH_MS 45000
 #define STOP_MS 9000	/* the grace of 6 s, sanitized */
@@ -52,6 +60,10 @@
 	{2, "and in another order"},
 };
 
+/* Two queues: one of quick jobs, one of an organisation at its limit. */
+static const char *const queues[] = {"/q/", "/w/"};
+#define LIMITED 1
+
 struct vm {
 	pid_t pid; /* 0: it does not run */
 	uint16_t port, readiness;
@@ -61,10 +73,13 @@
 	bool stopping; /* was asked to stop by plan */
 	int64_t began_at;
 	int64_t stop_by;
+	int64_t down_until; /* it is not started before */
 };
 struct job {
 	char id[17];
+	unsigned queue;
 	bool accepted;
+	int64_t accepted_at;
 	bool refused; /* the last word on it: it will not run */
 };
 struct client {
@@ -73,7 +88,14 @@
 	uint64_t random;
 	int fds[VMS];
 	struct job *jobs;
-	size_t count;
+	atomic_size_t count; /* those before it don't change any more */
+	unsigned counts, counts_refused;
+};
+/* What is to come of "kill the owner, and who follows it". */
+struct succession {
+	unsigned kills;
+	uint64_t epoch; /* of the last that was killed */
+	unsigned down_ms;
 };
 struct soak {
 	char dir[64];
@@ -82,8 +104,12 @@
 	struct relay_net *net;
 	struct vm vms[VMS];
 	struct client clients[CLIENTS];
+	struct succession succession;
+	const char *store_fault, *start_fault; /* JSON; "": none */
+	FILE *journal;			       /* of the faults */
 	atomic_bool over;
-	unsigned config, wrong;
+	unsigned config, limit;
+	atomic_uint wrong, most_waiting;
 };
 
 /* Draw a number below a bound. */
@@ -103,7 +129,15 @@
 {
 	printf("wrong: %s %s\n", what, id);
 	fflush(stdout); /* or each process that is started writes it too */
-	s->wrong++;
+	atomic_fetch_add(&s->wrong, 1);
+}
+
+/* Note a fault, for who reads the logs of a seed that failed. */
+static void note(struct soak *s, const char *what, const char *where)
+{
+	fprintf(s->journal, "mono_ms=%lld %s %s\n", (long long)clock_now(),
+		what, where);
+	fflush(s->journal);
 }
 
 /*
@@ -218,7 +252,8 @@
 
 	for (v = s->vms; v < s->vms + VMS; v++) {
 		if (vm_ended(s, v)) {
-			vm_begin(s, v);
+			if (clock_now() >= v->down_until)
+				vm_begin(s, v);
 		} else if (v->stopping && clock_now() > v->stop_by) {
 			wrong(s, "a planned stop took too long:", v->name);
 			kill(v->pid, SIGKILL);
@@ -231,12 +266,15 @@
 static int client_call(struct client *c, unsigned vm, const char *method,
 		       const char *path, const char *body, char **text)
 {
+	const char *limited = queues[LIMITED];
+	bool keyed = !strncmp(path, limited, strlen(limited));
 	int status = 0;
 
 	*text = NULL;
 	if (c->fds[vm] < 0)
 		c->fds[vm] = vm_connect(&c->soak->vms[vm]);
-	if (c->fds[vm] >= 0 && http_send(c->fds[vm], method, path, body))
+	if (c->fds[vm] >= 0 &&
+	    http_send_as(c->fds[vm], keyed ? KEY : NULL, method, path, body))
 		status = http_recv(c->fds[vm], text);
 	if (!status && c->fds[vm] >= 0) {
 		close(c->fds[vm]);
@@ -245,6 +283,12 @@
 	return status;
 }
 
+/* The path of a job. */
+static char *job_path(const struct job *j)
+{
+	return xasprintf("%s%s", queues[j->queue], j->id);
+}
+
 /* Hand a job in, at one VM after another until its fate is known. */
 static void client_submit(struct client *c, struct job *j)
 {
@@ -252,11 +296,13 @@
 		"[{\"count\":3,\"cpu\":1000,\"estimated_ms\":100}]",
 		"[{\"count\":2,\"cpu\":1000},{\"count\":2,\"cpu\":1000,"
 		"\"after\":[0]}]",
+		"[{\"count\":1,\"cpu\":1000}]",
 	};
-	char *path = xasprintf("/q/%s", j->id), *text;
+	bool limited = j->queue == LIMITED;
+	char *path = job_path(j), *text;
 	char *body = xasprintf("{\"specification\":\"%u\",\"steps\":%s}",
-			       50 + draw(&c->random, 400),
-			       steps[draw(&c->random, 2)]);
+			       (limited ? 600 : 50) + draw(&c->random, 400),
+			       steps[limited ? 2 : draw(&c->random, 2)]);
 	bool open = false; /* a try may have been taken */
 	unsigned tries = 1 + draw(&c->random, TRIES_MAX), i;
 	int status;
@@ -265,9 +311,9 @@
 		status = client_call(c, draw(&c->random, VMS), "POST", path,
 				     body, &text);
 		free(text);
-		if (status / 100 == 2)
-			j->accepted = true;
-		else if (status != 429 && status != 503)
+		j->accepted = status / 100 == 2;
+		j->accepted_at = clock_now();
+		if (!j->accepted && status != 429 && status != 503)
 			open = true;
 		nap(50);
 	}
@@ -276,6 +322,101 @@
 	free(body);
 }
 
+/* What the stand-in tells about itself. */
+static json_t *cloud_ask(struct soak *s, const char *path)
+{
+	json_t *answer = NULL;
+
+	if (http_call(s->cloud.port, "GET", path, NULL, &answer) != 200)
+		abort();
+	return answer;
+}
+
+/* A row of the scheduler's as the store has it, and its age; NULL: none. */
+static json_t *scheduler_row(struct soak *s, const char *key, int64_t *age)
+{
+	char *path = xasprintf("/control/scheduler/%s", key);
+	json_t *row = cloud_ask(s, path), *value = NULL;
+	bstr text = BSTR_NONE;
+
+	if (json_bytes(row, "value", &text))
+		value = json_read(text);
+	*age = json_int(row, "age_ms");
+	bstr_free(&text);
+	json_decref(row);
+	free(path);
+	return value;
+}
+
+/* How many jobs of a queue wait now that were accepted before a time? */
+static unsigned queue_waits(struct soak *s, unsigned queue, int64_t before)
+{
+	json_t *verdict = cloud_ask(s, "/control/verdict");
+	json_t *begun = json_object_get(verdict, "begun");
+	const struct client *c;
+	const struct job *j;
+	unsigned n = 0;
+	size_t i, count;
+
+	for (c = s->clients; c < s->clients + CLIENTS; c++) {
+		count = atomic_load(&c->count);
+		for (i = 0; i < count; i++) {
+			j = &c->jobs[i];
+			n += j->queue == queue && j->accepted &&
+			     j->accepted_at < before &&
+			     !json_object_get(begun, j->id);
+		}
+	}
+	json_decref(verdict);
+	if (n > atomic_load(&s->most_waiting))
+		atomic_store(&s->most_waiting, n);
+	return n;
+}
+
+/* How many jobs of a queue wait, as a VM says; the status. */
+static int client_count(struct client *c, unsigned vm, unsigned queue,
+			unsigned long *told)
+{
+	char *text, *p;
+	int status = client_call(c, vm, "GET", queues[queue], NULL, &text);
+
+	p = status == 200 ? strstr(text, "\"waiting\":") : NULL;
+	*told = p ? strtoul(p + 10, NULL, 10) : 0;
+	free(text);
+	return status;
+}
+
+/* Ask a VM how many jobs of a queue wait, and judge its answer. */
+static void client_ask_count(struct client *c)
+{
+	unsigned queue = draw(&c->random, NELEMS(queues)), waits;
+	unsigned vm = draw(&c->random, VMS);
+	int64_t before = clock_now() - COUNT_LATE_MS, age;
+	unsigned long told;
+	json_t *beat;
+	char *what;
+	int status = client_count(c, vm, queue, &told);
+
+	c->counts += status == 200;
+	c->counts_refused += status == 503;
+	if (status != 200)
+		return;
+	waits = queue_waits(c->soak, queue, before);
+	if (2 * told >= waits)
+		return;
+	beat = scheduler_row(c->soak, "beat", &age);
+	what = xasprintf("%s says %lu of %u in %s; the store's beat is %lld ms "
+			 "old, of epoch %lld, and says %lld",
+			 c->soak->vms[vm].name, told, waits, queues[queue],
+			 (long long)age, (long long)json_int(beat, "epoch"),
+			 (long long)json_int(json_object_get(beat, "waiting"),
+					     queue == LIMITED ? "w" : "q"));
+	wrong(c->soak, "too few wait:", what);
+	note(c->soak, "wrong:", what);
+	free(what);
+	json_decref(beat);
+}
+
 /* A client at work: jobs one after another, and questions about them. */
 static void *client_run(void *arg)
 {
@@ -286,12 +427,14 @@
 
 	while (!atomic_load(&c->soak->over) && c->count < JOBS_MAX) {
 		j = &c->jobs[c->count];
+		j->queue = draw(&c->random, NELEMS(queues));
 		snprintf(j->id, sizeof(j->id), "%016llx",
 			 (unsigned long long)random_next(&c->random));
 		client_submit(c, j);
 		c->count++;
+		client_ask_count(c);
 		j = &c->jobs[draw(&c->random, (unsigned)c->count)];
-		path = xasprintf("/q/%s", j->id);
+		path = job_path(j);
 		status = client_call(c, draw(&c->random, VMS), "GET", path,
 				     NULL, &text);
 		if (status == 410 && j->accepted)
@@ -310,17 +453,22 @@
 		abort();
 }
 
-/* Write a new configuration. */
+/* Write a new configuration; an organisation's limit is 0: none. */
 static void config_write(struct soak *s)
 {
 	char *body = xasprintf(
 		"{\"key\":\"config\",\"row\":{\"version\":%u,\"routes\":["
-		"{\"name\":\"q\",\"host\":\"x\",\"path_prefix\":\"/q/\","
+		"{\"name\":\"q\",\"host\":\"x\",\"path_prefix\":\"%s\","
 		"\"service\":\"rounds\",\"public\":true,\"max_attempts\":4,"
-		"\"stretch\":2,\"target_latency_ms\":600}],\"tenants\":[],"
+		"\"stretch\":2,\"target_latency_ms\":600},"
+		"{\"name\":\"w\",\"host\":\"x\",\"path_prefix\":\"%s\","
+		"\"service\":\"rounds\",\"priority\":1,\"max_attempts\":4,"
+		"\"stretch\":2,\"target_latency_ms\":600}],"
+		"\"tenants\":[{\"name\":\"org\",\"api_keys\":[\"" KEY "\"],"
+		"\"weight\":1,\"maximum\":{\"cpu\":%u}}],"
 		"\"services\":[{\"name\":\"rounds\",\"admission_check\":true}]"
 		"}}",
-		++s->config);
+		++s->config, queues[0], queues[LIMITED], s->limit);
 
 	cloud_tell(s, "/control/operator", body);
 	free(body);
@@ -332,64 +480,152 @@
 	return clock_now() > v->began_at + STARTED_MS;
 }
 
-/* Bring about one fault. */
-static void fault_make(struct soak *s)
+/* Put the faults of the store and of starts in force, side by side. */
+static void faults_tell(struct soak *s)
+{
+	char *body = xasprintf("[%s%s%s]", s->store_fault,
+			       *s->store_fault && *s->start_fault ? "," : "",
+			       s->start_fault);
+
+	cloud_tell(s, "/control/fault", body);
+	note(s, "store and starts", body);
+	free(body);
+}
+
+/* Let the store fail, or the workers' starts. */
+static void fault_cloud(struct soak *s)
 {
 	static const char *const store[] = {
-		"[{\"mode\":\"refuse\",\"ops\":[\"tx\",\"get\",\"feed\"]}]",
-		"[{\"mode\":\"slow\",\"ms\":300,\"ops\":[\"tx\",\"get\"]}]",
-		"[{\"mode\":\"lose\",\"share\":0.3,\"ops\":[\"tx\"]}]",
-		"[{\"mode\":\"down\",\"ops\":[\"tx\",\"get\",\"feed\"]}]",
-		"[{\"mode\":\"lose\",\"share\":0.2,\"ops\":[\"start\"]}]",
-		"[]",
-		"[]",
+		"{\"mode\":\"refuse\",\"ops\":[\"tx\",\"get\",\"feed\"]}",
+		"{\"mode\":\"slow\",\"ms\":300,\"ops\":[\"tx\",\"get\"]}",
+		"{\"mode\":\"slow\",\"ms\":500,\"ops\":[\"tx\",\"get\",\"feed\"]}",
+		"{\"mode\":\"slow\",\"ms\":600,\"share\":0.7,\"ops\":[\"get\"]}",
+		"{\"mode\":\"lose\",\"share\":0.3,\"ops\":[\"tx\"]}",
+		"{\"mode\":\"down\",\"ops\":[\"tx\",\"get\",\"feed\"]}",
+		"",
+	};
+	static const char *const starts[] = {
+		"{\"mode\":\"lose\",\"share\":0.2,\"ops\":[\"start\"]}",
+		"{\"mode\":\"refuse\",\"share\":0.7,\"ops\":[\"start\"]}",
+		"{\"mode\":\"refuse\",\"ops\":[\"start\"]}",
+		"",
 	};
+
+	if (draw(&s->random, 2))
+		s->store_fault = store[draw(&s->random, NELEMS(store))];
+	else
+		s->start_fault = starts[draw(&s->random, NELEMS(starts))];
+	faults_tell(s);
+}
+
+/* The VM that the store names as the owner of the scheduling; NULL: none. */
+static struct vm *owner_find(struct soak *s, uint64_t *epoch)
+{
+	struct vm *v, *found = NULL;
+	int64_t age;
+	json_t *owner = scheduler_row(s, "epoch", &age);
+
+	*epoch = (uint64_t)json_int(owner, "epoch");
+	for (v = s->vms; v < s->vms + VMS; v++)
+		if (bstr_eq_str(json_ref(owner, "vm"), v->name))
+			found = v;
+	json_decref(owner);
+	return found;
+}
+
+/* Kill the owner if that is still to come; then who has claimed after it. */
+static void owner_kill(struct soak *s)
+{
+	struct succession *k = &s->succession;
+	uint64_t epoch;
+	struct vm *v;
+
+	if (!k->kills || !(v = owner_find(s, &epoch)) || !v->pid ||
+	    epoch <= k->epoch)
+		return;
+	kill(v->pid, SIGKILL);
+	v->down_until = clock_now() + k->down_ms;
+	k->epoch = epoch;
+	k->kills--;
+	note(s, "owner killed", v->name);
+}
+
+/* Do something to a VM's process. */
+static void fault_vm(struct soak *s, struct vm *v)
+{
+	static const struct {
+		int sig;
+		const char *what;
+	} kinds[] = {{SIGKILL, "kill"}, {SIGTERM, "stop"}, {SIGSTOP, "pause"}};
+	unsigned kind = draw(&s->random, NELEMS(kinds));
+
+	if (!v->pid || (kind && (v->stopping || !vm_started(v))))
+		return;
+	kill(v->pid, kinds[kind].sig);
+	note(s, kinds[kind].what, v->name);
+	if (kinds[kind].sig == SIGTERM) {
+		v->stopping = true;
+		v->stop_by = clock_now() + STOP_MS;
+	}
+}
+
+/* Do something to a worker. */
+static void fault_worker(struct soak *s)
+{
+	static const char *const whats[] = {"crash", "freeze", "silence"};
+	unsigned worker = draw(&s->random, 6);
+	char *body = xasprintf("{\"worker\":%u,\"what\":\"%s\"}", worker,
+			       whats[draw(&s->random, 3)]);
+
+	cloud_tell(s, "/control/worker", body);
+	note(s, "worker", body);
+	free(body);
+}
+
+/* Bring about one fault. */
+static void fault_make(struct soak *s)
+{
 	static const enum relay_mode modes[] = {RELAY_CUT, RELAY_LOSE,
 						RELAY_SILENT};
-	static const char *const whats[] = {"crash", "freeze", "silence"};
+	static const char *const mode_names[] = {"cut", "lose", "silent"};
+	static const char *const stores[] = {"{\"what\":\"compact\"}",
+					     "{\"what\":\"silence\"}"};
 	struct vm *v = &s->vms[draw(&s->random, VMS)];
-	unsigned worker = draw(&s->random, 6);
-	char *body;
+	unsigned i;
 
-	switch (draw(&s->random, 9)) {
+	switch (draw(&s->random, 12)) {
 	case 0:
-		if (v->pid)
-			kill(v->pid, SIGKILL);
-		break;
 	case 1:
-		if (v->pid && !v->stopping && vm_started(v)) {
-			kill(v->pid, SIGTERM);
-			v->stopping = true;
-			v->stop_by = clock_now() + STOP_MS;
-		}
-		break;
 	case 2:
-		if (v->pid && !v->stopping && vm_started(v))
-			kill(v->pid, SIGSTOP);
+		fault_vm(s, v);
 		break;
 	case 3:
 		if (v->pid && vm_started(v))
 			kill(v->pid, SIGHUP);
 		config_write(s);
+		note(s, "configuration", v->name);
 		break;
 	case 4:
-		relay_net_set(s->net, v->name, "platform",
-			      modes[draw(&s->random, 3)]);
+		i = draw(&s->random, NELEMS(modes));
+		relay_net_set(s->net, v->name, "platform", modes[i]);
+		note(s, mode_names[i], v->name);
 		break;
 	case 5:
-		cloud_tell(s, "/control/fault",
-			   store[draw(&s->random, NELEMS(store))]);
-		break;
 	case 6:
-		cloud_tell(s, "/control/store",
-			   draw(&s->random, 2) ? "{\"what\":\"compact\"}"
-					       : "{\"what\":\"silence\"}");
+	case 7:
+		fault_cloud(s);
+		break;
+	case 8:
+		i = draw(&s->random, NELEMS(stores));
+		cloud_tell(s, "/control/store", stores[i]);
+		note(s, "store", stores[i]);
+		break;
+	case 9:
+		s->succession.kills = 2;
+		s->succession.down_ms = 2500 * draw(&s->random, 2);
 		break;
 	default:
-		body = xasprintf("{\"worker\":%u,\"what\":\"%s\"}", worker,
-				 whats[draw(&s->random, 3)]);
-		cloud_tell(s, "/control/worker", body);
-		free(body);
+		fault_worker(s);
 		break;
 	}
 }
@@ -409,13 +645,15 @@
 		free(body);
 	}
 	relay_net_set(s->net, NULL, "platform", RELAY_PASS);
-	cloud_tell(s, "/control/fault", "[]");
+	note(s, "healed", "");
+	s->store_fault = s->start_fault = "";
+	faults_tell(s);
 }
 
 /* Is a job shown as completed? */
 static bool job_is_done(struct client *c, const struct job *j)
 {
-	char *path = xasprintf("/q/%s", j->id), *text;
+	char *path = job_path(j), *text;
 	int status = client_call(c, draw(&c->random, VMS), "GET", path, NULL,
 				 &text);
 	bool so = status == 200 && text && strstr(text, "completed");
@@ -437,16 +675,42 @@
 	return true;
 }
 
+/* Every VM has to tell again that no job waits once all are done. */
+static void counts_judge(struct soak *s, int64_t until)
+{
+	unsigned vm, queue;
+	unsigned long told;
+
+	for (vm = 0; vm < VMS; vm++) {
+		for (queue = 0; queue < NELEMS(queues); queue++) {
+			while (client_count(s->clients, vm, queue, &told) !=
+				       200 ||
+			       told) {
+				if (clock_now() >= until) {
+					wrong(s, "does not say that none wait:",
+					      s->vms[vm].name);
+					break;
+				}
+				vms_look(s);
+				nap(50);
+			}
+		}
+	}
+}
+
 /* Wait until all that was accepted is done, and judge. */
 static void judge(struct soak *s)
 {
 	int64_t until = clock_now() + FINISH_MS;
-	json_t *verdict = NULL, *v;
+	unsigned counts = 0, unknown = 0;
+	json_t *verdict, *v;
 	struct client *c;
 	size_t i, accepted = 0, refused = 0;
 	struct job *j;
 
 	for (c = s->clients; c < s->clients + CLIENTS; c++) {
+		counts += c->counts;
+		unknown += c->counts_refused;
 		for (i = 0; i < c->count; i++) {
 			j = &c->jobs[i];
 			accepted += j->accepted;
@@ -455,9 +719,8 @@
 				wrong(s, "an accepted job is not done:", j->id);
 		}
 	}
-	if (http_call(s->cloud.port, "GET", "/control/verdict", NULL,
-		      &verdict) != 200)
-		abort();
+	counts_judge(s, until);
+	verdict = cloud_ask(s, "/control/verdict");
 	json_array_foreach(json_object_get(verdict, "broken"), i, v)
 		wrong(s, "at the workers:", json_string_value(v));
 	for (c = s->clients; c < s->clients + CLIENTS; c++)
@@ -466,8 +729,10 @@
 			    json_object_get(json_object_get(verdict, "begun"),
 					    c->jobs[i].id))
 				wrong(s, "a refused job ran:", c->jobs[i].id);
-	printf("accepted %zu refused %zu starts %lld\n", accepted, refused,
-	       (long long)json_int(verdict, "starts"));
+	printf("accepted %zu refused %zu starts %lld; counts %u refused %u, "
+	       "at most %u waited\n",
+	       accepted, refused, (long long)json_int(verdict, "starts"),
+	       counts, unknown, atomic_load(&s->most_waiting));
 	if (!accepted)
 		wrong(s, "nothing was accepted", "");
 	json_decref(verdict);
@@ -480,6 +745,7 @@
 	uint16_t ports[2 * VMS];
 	struct client *c;
 	struct vm *v;
+	char *path;
 	unsigned i;
 
 	memset(s, 0, sizeof(*s));
@@ -487,6 +753,13 @@
 	snprintf(s->dir, sizeof(s->dir), "/tmp/soak-XXXXXX");
 	if (!mkdtemp(s->dir))
 		abort();
+	path = xasprintf("%s/faults.log", s->dir);
+	s->journal = fopen(path, "we");
+	free(path);
+	if (!s->journal)
+		abort();
+	s->store_fault = s->start_fault = "";
+	s->limit = LIMIT_CPU;
 	standin_start(&s->cloud, "standin-cloud", args);
 	s->net = relay_net_new(s->cloud.port);
 	config_write(s);
@@ -532,6 +805,7 @@
 				close(c->fds[i]);
 		free(c->jobs);
 	}
+	fclose(s->journal);
 	relay_net_free(s->net);
 	standin_stop(&s->cloud);
 	if (s->wrong) {
@@ -549,6 +823,18 @@
 	rmdir(s->dir);
 }
 
+/* Sleep, and look after the processes. */
+static void soak_nap(struct soak *s, unsigned ms)
+{
+	int64_t until = clock_now() + ms;
+
+	do {
+		nap(20);
+		vms_look(s);
+		owner_kill(s);
+	} while (clock_now() < until);
+}
+
 /* Run one seed; true: nothing was wrong. */
 static bool soak_run(uint64_t seed, unsigned seconds)
 {
@@ -560,17 +846,22 @@
 	printf("seed %llu, %u s\n", (unsigned long long)seed, seconds);
 	fflush(stdout);
 	soak_start(s, seed);
+	nap(LEAD_MS);
 	until = clock_now() + seconds * 1000;
 	while (clock_now() < until) {
 		fault_make(s);
-		nap(100 + draw(&s->random, 500));
-		vms_look(s);
+		soak_nap(s, 100 + draw(&s->random, 500));
 		if (clock_now() > heal_at) {
 			faults_heal(s);
 			heal_at = clock_now() + 1000 + draw(&s->random, 3000);
+			/* Some last longer than a count may be late. */
+			if (!draw(&s->random, 4))
+				heal_at += COUNT_LATE_MS;
 		}
 	}
 	faults_heal(s);
+	s->limit = 0;
+	config_write(s);
 	atomic_store(&s->over, true);
 	for (c = s->clients; c < s->clients + CLIENTS; c++) {
 		vms_look(s);
--- a/tests/standin-cloud.c
+++ b/tests/standin-cloud.c
@@ -39,10 +39,11 @@
 	bool listed;
 };
 
-static json_t *rows;   /* all rows; a removed one keeps its version */
-static json_t *done;   /* tasks whose end as done was acknowledged */
-static json_t *broken; /* what must not happen and did */
-static json_t *begun;  /* jobs of which a task was started */
+static json_t *rows;	/* all rows; a removed one keeps its version */
+static json_t *done;	/* tasks whose end as done was acknowledged */
+static json_t *broken;	/* what must not happen and did */
+static json_t *begun;	/* jobs of which a task was started */
+static json_t *written; /* when a row was last written, by TABLE/KEY */
 static int64_t version, floor_version, starts;
 static struct worker workers[WORKERS_MAX];
 static int worker_count = 6;
@@ -100,6 +101,7 @@
 static void row_set(const json_t *name, json_t *value)
 {
 	json_t *row = row_find(name);
+	char *path;
 
 	if (!row) {
 		row = json_pack("{s:s, s:s, s:s}", "table",
@@ -110,6 +112,9 @@
 	}
 	json_object_set_new(row, "record_version", json_integer(version));
 	json_object_del(row, "removed");
+	path = xasprintf("%s/%s", text_of(name, "table"), text_of(name, "key"));
+	json_object_set_new(written, path, json_integer(clock_now()));
+	free(path);
 	if (value)
 		json_object_set(row, "value", value);
 	else
@@ -639,6 +644,24 @@
 		json_incref(json_object_get(rq->json, "row")));
 	request_answer(rq, 200, json_object());
 }
+
+/* A row of the scheduler, and how old it is: /control/scheduler/KEY. */
+static void control_scheduler(struct request *rq)
+{
+	const char *key = rq->path + strlen("/control/scheduler/");
+	json_t *name = json_pack("{s:s, s:s, s:s}", "table", "scheduler",
+				 "part", "", "key", key);
+	const json_t *row = row_find(name);
+	char *path = xasprintf("scheduler/%s", key);
+
+	request_answer(
+		rq, 200,
+		json_pack("{s:s, s:I}", "value", text_of(row, "value"),
+			  "age_ms",
+			  (json_int_t)(clock_now() - json_int(written, path))));
+	json_decref(name);
+	free(path);
+}
 static void control_verdict(struct request *rq)
 {
 	request_answer(rq, 200,
@@ -656,6 +679,7 @@
 	{"POST", "/control/worker", NULL, control_worker},
 	{"POST", "/control/store", NULL, control_store},
 	{"POST", "/control/operator", NULL, control_operator},
+	{"GET", "/control/scheduler/", NULL, control_scheduler},
 	{"GET", "/control/verdict", NULL, control_verdict},
 	{NULL, NULL, NULL, NULL},
 };
@@ -685,6 +709,7 @@
 	done = json_object();
 	broken = json_array();
 	begun = json_object();
+	written = json_object();
 	store = server_start(store_routes, 0, CONNECTIONS_MAX, NULL, NULL);
 	for (i = 0; i < worker_count; i++) {
 		workers[i].index = (unsigned)i;
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -132,6 +132,9 @@
 /* For tests: HTTP on a connection of one's own. */
 int http_connect(uint16_t port, const char *from); /* from: an IP or NULL */
 bool http_send(int fd, const char *method, const char *path, const char *body);
+/* With an organisation's key; NULL: with none. */
+bool http_send_as(int fd, const char *key, const char *method, const char *path,
+		  const char *body);
 /* The status, 0 if the connection ended first; *text is malloced. */
 int http_recv(int fd, char **text);
 bool http_silent(int fd);
--- a/tests/support-standin.c
+++ b/tests/support-standin.c
@@ -748,13 +748,16 @@
 	return fd;
 }
 
-/* Send a request. */
-bool http_send(int fd, const char *method, const char *path, const char *body)
+/* Send a request with an organisation's key. */
+bool http_send_as(int fd, const char *key, const char *method, const char *path,
+		  const char *body)
 {
-	char *text = xasprintf("%s %s HTTP/1.1\r\nHost: x\r\n"
+	char *text = xasprintf("%s %s HTTP/1.1\r\nHost: x\r\n%s%s%s"
 			       "Content-Length: %zu\r\n\r\n%s",
-			       method, path, body ? strlen(body) : 0,
-			       body ? body : "");
+			       method, path,
+			       key ? "Authorization: Bearer " : "",
+			       key ? key : "", key ? "\r\n" : "",
+			       body ? strlen(body) : 0, body ? body : "");
 	size_t len = strlen(text), done = 0;
 	ssize_t n = 0;
 
@@ -765,6 +768,12 @@
 	return done == len;
 }
 
+/* Send a request. */
+bool http_send(int fd, const char *method, const char *path, const char *body)
+{
+	return http_send_as(fd, NULL, method, path, body);
+}
+
 /* Receive an answer with its head; 0 if the connection ends before. */
 int http_recv(int fd, char **text)
 {
