--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -1412,7 +1412,7 @@
 	struct job_body *b = xcalloc(1, sizeof(*b));
 	unsigned i;
 
-	if (!job_of(w, id)) {
+	if (job_number(w, id) < 0) {
 		snprintf(w->jobs[w->job_count].id, sizeof(w->jobs[0].id), "%s",
 			 id);
 		w->jobs[w->job_count++].job = *job;
