--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -77,6 +77,7 @@
 	unsigned life;
 	bool cut_store;
 	enum world_store_mode store;
+	bool blind[TABLE_MAX]; /* its readings of a table get no answer */
 	bool cut_worker[WORLD_WORKERS];
 	int64_t frozen_until;
 	int64_t tick_at;
@@ -550,7 +551,8 @@
 	struct pending *p;
 	bool ok;
 
-	if (mode == STORE_SILENT) {
+	if (mode == STORE_SILENT || (fx->ask.kind == ASK_GET &&
+				     w->vms[vm].blind[fx->ask.range.table])) {
 		answer_none(w, vm, fx);
 		sched_effect_free(fx);
 		return;
@@ -1409,6 +1411,12 @@
 	w->slow[table] = ms;
 }
 
+/* Let a VM's readings of a table have no answer, or heal that. */
+void world_blind(struct world *w, unsigned vm, enum table table, bool blind)
+{
+	w->vms[vm].blind[table] = blind;
+}
+
 /* Forget the history of changes. */
 void world_compact(struct world *w)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -59,6 +59,7 @@
 void world_store(struct world *w, enum world_store_mode mode);
 void world_store_vm(struct world *w, unsigned vm, enum world_store_mode mode);
 void world_slow(struct world *w, enum table table, int64_t ms); /* pages */
+void world_blind(struct world *w, unsigned vm, enum table table, bool blind);
 void world_compact(struct world *w); /* the feeds' history goes */
 void world_unlist(struct world *w, unsigned worker, bool gone); /* its row */
 void world_crash(struct world *w, unsigned worker);   /* new life, same id */
