--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -391,3 +391,30 @@
 		check_free(w, "sizes", row);
 	}
 }
+
+/*
+ * Nothing that callers submit begins any more.  The store serves a table to
+ * some VMs and not to the one that takes over: it can beat, and never has read
+ * what it needs.  It has to let another VM own.
+ */
+Test(takeover, cannot_read)
+{
+	static const enum table tables[] = {TABLE_JOBS, TABLE_PROGRESS,
+					    TABLE_WORKERS};
+	struct world *w;
+	unsigned row, n, k, sees;
+
+	for (row = 0; row < 6; row++) {
+		w = calm(720 + row);
+		n = owner(w);
+		sees = (n + 1 + row / 3) % 4;
+		for (k = 0; k < 4; k++)
+			world_blind(w, k, tables[row % 3], k != sees);
+		world_kill(w, n);
+		world_submit(w, sees, JOB_A, &quick);
+		world_run(w, 20000);
+		cr_expect_str_eq(world_state(w, JOB_A), "completed", "row %u",
+				 row);
+		check_free(w, "cannot read", row);
+	}
+}
