Scheduler: a successor that can't read lets another VM own

Cause: whoever had claimed read until all tables had come and beat meanwhile, so that nobody replaced it; the store may serve a table to others and not to this VM. Then no job began any more. Ruled out: a store that is away for this VM as a whole (no beats: it is replaced), or for all (it goes on reading: nobody could do better). Change: after 2.5 s without a page, with beats that succeed, it gives up by plan; VMs that could not read claim after the others, each time later, so that all get a turn.

--- a/sched-follow.c
+++ b/sched-follow.c
@@ -180,6 +180,7 @@
 static void page_take(struct sched *s, struct follow *f, struct part_read *p,
 		      const struct answer *a)
 {
+	s->own.read_at = s->now;
 	if (!p->first)
 		p->first = a->revision;
 	if (a->more && a->row_count) {
--- a/sched-own.c
+++ b/sched-own.c
@@ -28,6 +28,13 @@
 #define CLAIM_CORES 0.2
 #define CLAIM_SMALL_MS 300
 
+/*
+ * An owner that can beat, but has got no page of what it needs for so long,
+ * lets another VM try: the store may serve that one.  That is three tries.
+ */
+#define LOAD_SILENT_MS 2500
+#define UNREAD_MAX 8
+
 /*
  * May this VM start tasks now?  An owner that has not proved its ownership
  * for a while starts nothing whose lease it could not renew.
@@ -217,7 +224,8 @@
 
 	if (!s->own.holder.bstr_len)
 		delay /= 4; /* given up by plan: nobody has to be sure */
-	return delay + claim_small(s);
+	/* Those that could not read what they needed come last, in turns. */
+	return delay + claim_small(s) + s->own.unread * CLAIM_SMALL_MS;
 }
 
 /*
@@ -290,7 +298,7 @@
 	s->own.life = s->options.seed;
 	bstr_set(&s->own.holder, s->options.vm);
 	s->own.proved_at = s->own.claimed_at;
-	s->own.owned_at = s->now;
+	s->own.owned_at = s->own.read_at = s->now;
 	s->own.settle_by = s->own.old_heard_at +
 			   (s->own.old_released ? LEASE_MS : UNPROVED_LEASE_MS);
 	s->own.beat_at = s->now;
@@ -318,6 +326,7 @@
 		return;
 	workers_inherit(s);
 	s->own.state = OWN_YES;
+	s->own.unread = 0;
 	s->place = true;
 	sched_observe(s, HISTOGRAM_TAKEOVER, s->now - s->own.claimed_at);
 	sched_log(s, LOG_OWNER_READY, "epoch=%llu jobs=%u workers=%u ms=%lld",
@@ -449,6 +458,29 @@
 	return s->own.state == OWN_NOT && own_is_self(s) && !s->stop_by;
 }
 
+/* Give the ownership up for another VM to take at once. */
+void own_release(struct sched *s)
+{
+	struct ownership none = {.epoch = s->own.epoch, .settled = s->settled};
+	struct request *rq;
+	struct tx *t;
+
+	if (s->own.state != OWN_YES && s->own.state != OWN_LOADING)
+		return;
+	t = sched_tx(s, FOR_RELEASE, s->now + STORE_TIMEOUT_MS, &rq);
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
+	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
+		 owner_row_write(&none, true));
+	own_lose(s, "released");
+}
+
+/* Is it the store's readings that fail, and not the store? */
+static bool own_cannot_read(const struct sched *s)
+{
+	return s->now - s->own.read_at >= LOAD_SILENT_MS &&
+	       s->now - s->own.proved_at < OWNER_SILENT_MS;
+}
+
 /* Look at the clock. */
 void own_tick(struct sched *s)
 {
@@ -467,6 +499,11 @@
 		if (!s->own.beating && s->follows[1].whole &&
 		    s->now - s->own.owned_at >= BEAT_MS)
 			own_beat(s);
+		if (own_cannot_read(s)) {
+			if (s->own.unread < UNREAD_MAX)
+				s->own.unread++;
+			own_release(s);
+		}
 		break;
 	case OWN_YES:
 		own_beat_due(s);
@@ -476,19 +513,3 @@
 		break;
 	}
 }
-
-/* Give the ownership up for another VM to take at once. */
-void own_release(struct sched *s)
-{
-	struct ownership none = {.epoch = s->own.epoch, .settled = s->settled};
-	struct request *rq;
-	struct tx *t;
-
-	if (s->own.state != OWN_YES && s->own.state != OWN_LOADING)
-		return;
-	t = sched_tx(s, FOR_RELEASE, s->now + STORE_TIMEOUT_MS, &rq);
-	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
-	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
-		 owner_row_write(&none, true));
-	own_lose(s, "released");
-}
--- a/sched-state.h
+++ b/sched-state.h
@@ -333,8 +333,10 @@
 	json_t *ceilings;     /* what it may have had running, or NULL */
 	int64_t settle_by;    /* no lease of it ends later */
 	int64_t owned_at;
-	bool doubtful; /* read the row before the next order */
-	bool known;    /* the row was read, or found missing */
+	int64_t read_at; /* a page came, or the reading began */
+	unsigned unread; /* times in a row that none came */
+	bool doubtful;	 /* read the row before the next order */
+	bool known;	 /* the row was read, or found missing */
 };
 
 struct waiting_count {
