--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -87,7 +87,8 @@
 	bool cut_store;
 	enum world_store_mode store;
 	int64_t slow_ms;
-	bool stalled[TABLE_MAX]; /* reads of it get no answer */
+	bool stalled[TABLE_MAX]; /* its pages and its feed get no answer */
+	bool blind[TABLE_MAX];	 /* its pages get none */
 	bool cut_worker[WORLD_WORKERS];
 	int64_t frozen_until;
 	int64_t tick_at;
@@ -619,6 +620,16 @@
 	return w->store != STORE_GOOD ? w->store : w->vms[vm].store;
 }
 
+/* Does the store answer a VM's reading of a table?  Writes it does. */
+static bool read_is_answered(const struct world_vm *v, const struct ask *ask)
+{
+	if (ask->kind == ASK_TX)
+		return true;
+	if (ask->kind == ASK_GET && v->blind[ask->range.table])
+		return false;
+	return !v->stalled[ask->range.table];
+}
+
 /* An ask has arrived at the store. */
 static void store_take(struct world *w, unsigned vm, struct sched_effect *fx)
 {
@@ -627,8 +638,7 @@
 	struct pending *p;
 	bool ok;
 
-	if (mode == STORE_SILENT || (fx->ask.kind != ASK_TX &&
-				     w->vms[vm].stalled[fx->ask.range.table])) {
+	if (mode == STORE_SILENT || !read_is_answered(&w->vms[vm], &fx->ask)) {
 		answer_none(w, vm, fx);
 		sched_effect_free(fx);
 		return;
@@ -1591,6 +1601,12 @@
 	w->pages_slow_ms[table] = ms;
 }
 
+/* Let the pages of a table not come to a VM; its feed does. */
+void world_blind(struct world *w, unsigned vm, enum table table, bool blind)
+{
+	w->vms[vm].blind[table] = blind;
+}
+
 /* Forget the history of changes. */
 void world_compact(struct world *w)
 {
