Test: an end is acknowledged before its job is written

The small world now holds each acknowledged end against the job's row of progress, in all tests and properties.

--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -1,4 +1,5 @@
 #include "support-world.h"
+#include "../json-read.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -761,14 +762,69 @@
 				.how = k->ends[i].how};
 }
 
+/* Is a bit of a text in hex set? */
+static bool hex_bit(const char *hex, unsigned bit)
+{
+	char digit[2] = "0";
+
+	if (!hex || strlen(hex) <= bit / 8 * 2 + 1)
+		return false;
+	/* Of each byte the high digit comes first. */
+	digit[0] = hex[bit / 8 * 2 + (bit % 8 < 4)];
+	return strtoul(digit, NULL, 16) >> (bit % 4) & 1;
+}
+
+/*
+ * Does a job's row of progress show that a task is done?  So it has to before
+ * the end is acknowledged: nobody else knows of it then.
+ */
+static bool progress_has(const json_t *row, const struct world_job *j,
+			 unsigned at, unsigned index)
+{
+	const char *state = json_string_value(json_object_get(row, "state"));
+	json_t *time;
+	size_t i;
+
+	if (!state || (strcmp(state, "queued") && strcmp(state, "running")))
+		return state != NULL;
+	json_array_foreach(json_object_get(row, "times"), i, time)
+		return hex_bit(json_string_value(json_object_get(time, "done")),
+			       (at ? j->tasks : 0) + index);
+	return true;
+}
+
+/* Check that the store knows of an end that is acknowledged. */
+static void ack_check(struct world *w, const char *task)
+{
+	const struct world_job *j = job_of(w, task);
+	char id[JOB_ID_BYTES + 1] = "";
+	unsigned k, at, index;
+	struct world_row *r;
+	json_t *row;
+
+	memcpy(id, task, JOB_ID_BYTES);
+	r = row_get(w, TABLE_PROGRESS, id);
+	if (!j || row_get(w, TABLE_JOBS, id)->removed ||
+	    sscanf(task + JOB_ID_BYTES, ".%u.%u.%u", &k, &at, &index) != 3)
+		return;
+	row = r->removed ? NULL : json_read(r->value);
+	if (!progress_has(row, j, at, index))
+		break_promise(w, "an end acknowledged that nobody has written",
+			      task);
+	json_decref(row);
+}
+
 /* Ends up to a number are acknowledged. */
 static void ends_ack(struct world *w, struct world_worker *k, uint64_t seen)
 {
 	unsigned i;
 
-	for (i = 0; i < k->end_count; i++)
-		if (k->ends[i].number <= seen && k->ends[i].how == END_DONE)
-			note_of(w, k->ends[i].name)->done_acked = true;
+	for (i = 0; i < k->end_count; i++) {
+		if (k->ends[i].number > seen || k->ends[i].how != END_DONE)
+			continue;
+		note_of(w, k->ends[i].name)->done_acked = true;
+		ack_check(w, k->ends[i].name);
+	}
 	for (i = k->end_count; i-- > 0;)
 		if (k->ends[i].number <= seen) {
 			memmove(&k->ends[i], &k->ends[i + 1],
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -306,6 +306,50 @@
 				   5 + 167 * k);
 }
 
+/*
+ * A caller's task is done twice if its end was acknowledged before it was
+ * written and the owner is lost then.  A commit that holds the ends of a job's
+ * first step gets no answer; meanwhile its second step ends, on one of the
+ * workers, and more jobs change than one commit holds.  The job is written by
+ * a later one, and the ends on the other workers are not acknowledged sooner.
+ * The world compares each acknowledgement with the rows of the store.
+ */
+Test(sched, acknowledged_when_written)
+{
+	static const struct world_job steps = {
+		.tasks = 4, .apart = 1, .more_tasks = 1, .task_ms = 150};
+	static const unsigned crowds[] = {0, 30, 90, 150};
+	char id[JOB_ID_BYTES + 1];
+	struct world *w;
+	unsigned i, n, row;
+
+	for (row = 0; row < 80; row++) {
+		w = calm(900 + row);
+		n = owner(w);
+		/* Of one job at a time; the crowd waits. */
+		world_limit(w, 8000);
+		world_run(w, 10);
+		world_submit(w, (n + 1) % 4, JOB_A, &steps);
+		world_run(w, 10);
+		for (i = 0; i < crowds[row % 4]; i++) {
+			snprintf(id, sizeof(id), "%x%015x", i % 16, i);
+			world_submit(w, (n + 1 + i % 3) % 4, id, &steps);
+		}
+		world_run(w, 100 + row / 4 * 6);
+		world_store_vm(w, n, STORE_SILENT);
+		world_run(w, 25);
+		world_store_vm(w, n, STORE_GOOD);
+		while (i-- > 0) {
+			snprintf(id, sizeof(id), "%x%015x", i % 16, i);
+			world_call(w, (n + 1 + i % 3) % 4, VERB_CANCEL, id);
+		}
+		world_run(w, 8000);
+		cr_expect_null(world_broken(w), "row %u, crowd %u: %s", row,
+			       crowds[row % 4], world_broken(w));
+		world_free(w);
+	}
+}
+
 /*
  * The owner is cut off from the store and from one worker, and is replaced;
  * the successor renews that worker.  The old owner sees a silent worker whose
