What was in a failed commit keeps its number

A caller's task ran a second time after a takeover: its end had been acknowledged to the worker before the store knew of it. A commit got no answer; a job in it had changed again meanwhile and stood at the tail of what was to be written with a newer number only.

Ruled out: a late commit (its condition holds it back, late_writes), a takeover that reads too little (the row was not in the store).

Now a job that changes while its commit is under way stays there, and gets its new place when the commit succeeds; when it fails, the whole of it goes back to the front with its old numbers. That also takes out the special number for the head.

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -15,7 +15,12 @@
  */
 #define KEY_COMMIT "commit"
 
-/* Put what was in a failed commit back at the front, in its order. */
+/*
+ * Put what was in a failed commit back at the front, in its order.  A job that
+ * has changed again meanwhile keeps the older of its numbers: with the newer
+ * one an end of before would count as durable while the job waits behind
+ * others, and its task would run twice if the owner were lost then.
+ */
 static void commit_undo(struct sched *s)
 {
 	struct job *j;
@@ -23,23 +28,25 @@
 	while ((j = TAILQ_LAST(&s->flying, job_queue))) {
 		TAILQ_REMOVE(&s->flying, j, dirty);
 		j->dirty_seq = j->flying_seq;
-		j->flying_seq = 0;
+		j->flying_seq = j->again_seq = 0;
 		TAILQ_INSERT_HEAD(&s->dirty, j, dirty);
 	}
 }
 
-/*
- * Jobs that changed again while their commit was under way went to the tail
- * with a new number, and their older number is lost with a failed commit:
- * then nothing may count as durable before all that is dirty now has been
- * written.  dirty_seq of the head gives way to 1, below every end seen.
- */
-static void commit_taint(struct sched *s)
+/* A job that was written has changed again since: it has its place by that. */
+static void commit_once_more(struct sched *s, struct job *j)
 {
-	struct job *j = TAILQ_FIRST(&s->dirty);
+	struct job *before;
 
-	if (j)
-		j->dirty_seq = 1;
+	j->dirty_seq = j->again_seq;
+	j->again_seq = 0;
+	TAILQ_FOREACH_REVERSE(before, &s->dirty, job_queue, dirty)
+	if (before->dirty_seq < j->dirty_seq)
+		break;
+	if (before)
+		TAILQ_INSERT_AFTER(&s->dirty, before, j, dirty);
+	else
+		TAILQ_INSERT_HEAD(&s->dirty, j, dirty);
 }
 
 /*
@@ -98,7 +105,6 @@
 static void commit_again(struct sched *s, int64_t at)
 {
 	commit_undo(s);
-	commit_taint(s);
 	s->commit_at = at;
 	sched_count(s, COUNT_RETRY_PLATFORM_UNKNOWN, 1);
 }
@@ -128,6 +134,8 @@
 	while ((j = TAILQ_FIRST(&s->flying))) {
 		TAILQ_REMOVE(&s->flying, j, dirty);
 		j->flying_seq = 0;
+		if (j->again_seq)
+			commit_once_more(s, j);
 		job_written(s, j);
 		job_settle(s, j);
 	}
--- a/sched-job.c
+++ b/sched-job.c
@@ -193,11 +193,13 @@
 /* A job's progress has changed and is to be written. */
 void job_touch(struct sched *s, struct job *j)
 {
-	if (j->dirty_seq)
+	if (j->dirty_seq || j->again_seq)
 		return;
 	/* In the commit under way: it is written once more after that. */
-	if (j->flying_seq)
-		TAILQ_REMOVE(&s->flying, j, dirty);
+	if (j->flying_seq) {
+		j->again_seq = ++s->dirty_seq;
+		return;
+	}
 	j->dirty_seq = ++s->dirty_seq;
 	TAILQ_INSERT_TAIL(&s->dirty, j, dirty);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -175,6 +175,7 @@
 	struct occurrence_list occs;
 	uint64_t dirty_seq;  /* 0: not among the dirty */
 	uint64_t flying_seq; /* 0: not in the commit under way */
+	uint64_t again_seq;  /* it has changed again since; 0: it has not */
 	UT_hash_handle hh;
 };
 TAILQ_HEAD(job_queue, job);
