--- a/tests/soak-entry.c
+++ b/tests/soak-entry.c
@@ -38,7 +38,7 @@
 #define VMS 4
 #define CLIENTS 3
 #define JOBS_MAX 4000 /* of one client */
-#define FAULT_S 6     /* of a kept seed */
+#define FAULT_S 8     /* of a kept seed */
 #define LEAD_MS 3000  /* of clients at work before the faults */
 #define KEY "k1"
 #define LIMIT_CPU 2000 /* the organisation's: two tasks at a time */
@@ -56,10 +56,14 @@
 	uint64_t seed;
 	const char *why;
 } kept[] = {
+	{1, "the first one kept; other faults by now"},
 	{2, "processes killed and paused, workers that crash or go silent"},
 	{12,
 	 "owners killed in a row, planned stops, the store slow and silent"},
 	{33, "owners killed in a row, answers lost, starts turned away"},
+	{402, "starts that were turned away counted as begun"},
+	{414, "a VM told the last beat's count, seconds after it"},
+	{417, "a VM that had owned told a count from before it did"},
 };
 
 /* Two queues: one of quick jobs, one of an organisation at its limit. */
