A machine is taken only when the ends that its worker told are written

Tasks that had ended ran again under the next owner: the owner moved or maintained their machine while the commit that writes the ends had no answer, and was lost. The worker's list went with the machine, so nobody knew of the ends any more.

Ruled out: an acknowledgement before the write (acknowledged_when_written), a successor that reads too little (the row was not in the store).

--- a/sched-move.c
+++ b/sched-move.c
@@ -196,8 +196,9 @@
 		return false;
 	if (pool && pool->standby)
 		return true;
-	return w && w->fenced && TAILQ_EMPTY(&w->tasks) && w->listed &&
-	       !w->row.draining && !w->leaving && s->now - w->idle_at >= since;
+	return w && w->fenced && TAILQ_EMPTY(&w->tasks) &&
+	       worker_ends_durable(w) && w->listed && !w->row.draining &&
+	       !w->leaving && s->now - w->idle_at >= since;
 }
 
 /* Move a machine. */
--- a/sched-state.h
+++ b/sched-state.h
@@ -609,6 +609,7 @@
 void worker_tick(struct sched *s);
 void worker_answer(struct sched *s, struct request *rq, struct answer *a);
 void worker_acknowledge(struct sched *s);
+bool worker_ends_durable(const struct worker *w);
 void worker_lost(struct sched *s, struct worker *w, const char *why);
 void sched_worker_free(struct sched *s, struct worker *w);
 int64_t worker_clock(const struct sched *s, const struct worker *w);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -438,6 +438,8 @@
 	}
 	if (!member_note(s, v, wm))
 		return;
+	if (w && !worker_ends_durable(w))
+		return;
 	/* Tasks of the same steps on other machines can't be missed now. */
 	if (w)
 		w->taken = true;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -447,6 +447,16 @@
 	settle_check(s);
 }
 
+/*
+ * Are all ends that a worker has told durable?  If planned work took its
+ * machine before, they would go with the worker's list, and with the owner's
+ * memory if that is lost: tasks that were done would run again.
+ */
+bool worker_ends_durable(const struct worker *w)
+{
+	return w->acked == w->seen;
+}
+
 /* Ends up to here are durable: tell the workers with the next hold. */
 void worker_acknowledge(struct sched *s)
 {
