--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -43,6 +43,8 @@
 	OP_REFUSE,
 	OP_VANISH,
 	OP_LONG, /* as RUN, and five times as long */
+	OP_WRITES_LATE, /* one VM's, for a while: done seconds later */
+	OP_PAGES_SLOW,	/* of one table */
 	OPS
 };
 static const char *const names[OPS] = {
@@ -50,7 +52,8 @@
 	"KILL",	    "STOP",    "FREEZE", "CUT_STORE", "CUT_WORKER", "STORE",
 	"STORE_VM", "COMPACT", "UNLIST", "CRASH",     "LATE",	    "FAILS",
 	"LIMIT",    "WAVE",    "HEAL",	 "ASK",	      "SLOW",	    "PAGES",
-	"STALL",    "REFUSE",  "VANISH", "LONG"};
+	"STALL",    "REFUSE",  "VANISH", "LONG",
+	"WRITES_LATE", "PAGES_SLOW"};
 
 struct step_of {
 	op what;
@@ -93,6 +96,8 @@
 	world_store(p.w, STORE_GOOD);
 	world_store_slow(p.w, 0);
 	world_pages(p.w, 0);
+	for (i = 0; i < TABLE_MAX; i++)
+		world_pages_slow(p.w, (table)i, 0);
 	world_refuse_starts(p.w, REFUSAL_NONE);
 	world_vanish(p.w, 0);
 	world_late(p.w, 0);
@@ -239,6 +244,15 @@
 	case OP_LONG:
 		world_run(p.w, 1 + s.a * 20);
 		break;
+	case OP_WRITES_LATE:
+		world_store_vm(p.w, vm, STORE_LATE);
+		world_run(p.w, 10 + s.b * 4);
+		world_store_vm(p.w, vm, STORE_GOOD);
+		break;
+	case OP_PAGES_SLOW:
+		world_pages_slow(p.w, (table)(s.a % TABLE_MAX),
+				 s.b % 3 ? s.b * 3 : 0);
+		break;
 	case OPS:
 		break;
 	}
@@ -328,6 +342,11 @@
 	  OP_SLOW,  OP_PAGES, OP_STALL,	   OP_REFUSE,	 OP_VANISH,
 	  OP_HEAL,  OP_LONG},
 	 true},
+	{"writes done late, pages slow, VMs lost, and all are asked",
+	 {OP_WRITES_LATE, OP_WRITES_LATE, OP_PAGES_SLOW, OP_KILL, OP_FREEZE,
+	  OP_SLOW, OP_CUT_STORE, OP_CUT_WORKER, OP_UNLIST, OP_COMPACT, OP_LIMIT,
+	  OP_WAVE, OP_CANCEL, OP_STOP, OP_HEAL, OP_LONG},
+	 true},
 };
 
 static rc::Gen<step_of> any_step(const mix &m)
