Review: an old beat that is read again counts as a sign of life

Red on this code: with the feeds' history gone each half second the rows are read whole again and again, and nobody claims for 8 s, 4 of 4 rows (build/san/test-takeover).

--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -447,3 +447,30 @@
 		check_free(w, "moves", row);
 	}
 }
+
+/*
+ * Nobody schedules, although the owner is dead.  The store discards the feeds'
+ * history each half second, so that its rows are read whole again and again:
+ * a beat that was known before is no new sign of life.
+ */
+Test(takeover, old_beat_is_no_sign_of_life)
+{
+	struct world *w;
+	unsigned row, n, k;
+
+	for (row = 0; row < 4; row++) {
+		w = calm(860 + row);
+		n = owner(w);
+		world_kill(w, n);
+		for (k = 0; k < 16; k++) {
+			world_unlist(w, 5, k % 2 == 0); /* a change */
+			world_run(w, 20);
+			world_compact(w);
+			world_run(w, 480);
+		}
+		cr_expect_neq(world_owner(w), -1, "nobody in 8 s, row %u", row);
+		world_run(w, 4000);
+		cr_expect_neq(world_owner(w), -1, "nobody after, row %u", row);
+		check_free(w, "old beat", row);
+	}
+}
