--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -446,3 +446,86 @@
 		check_free(w, "written before it goes", row);
 	}
 }
+
+/*
+ * All that waits is served seconds late, without anybody having failed.  A
+ * beat without an answer is carried out late, while the next one is on its way
+ * to the store.  The owner hears of the first by its own feed before it is told
+ * that the second was refused: the row's revision is then not newer than what
+ * it knows, but newer than what the second demanded.  It is still the owner.
+ */
+Test(takeover, late_beat_is_heard_first)
+{
+	struct world *w;
+	unsigned row, n, k, lost = 0;
+
+	for (row = 0; row < 60; row++) {
+		w = calm(720 + row);
+		n = owner(w);
+		world_store_vm(w, n, STORE_LATE);
+		world_run(w, 420);
+		world_store_vm(w, n, STORE_GOOD);
+		world_store_slow_vm(w, n, 200 + 100 * (row % 5));
+		for (k = 0; k < 600 && owner(w) == n; k++)
+			world_run(w, 10);
+		lost += owner(w) != n;
+		check_free(w, "heard first", row);
+	}
+	cr_expect_eq(lost, 0, "%u owners of %u were replaced", lost, row);
+}
+
+/*
+ * Machines that are not needed are called up and paid for.  A successor has
+ * not noted its workers yet, or has not heard them all, and counts only those
+ * it may use: pools with room in plenty seem to have none for what runs there.
+ */
+Test(takeover, no_moves_before_workers_are_known)
+{
+	static const struct world_job little = {.tasks = 1, .task_ms = 8000};
+	struct world *w;
+	unsigned row;
+
+	for (row = 0; row < 4; row++) {
+		w = world_new(840 + row, 4, 6);
+		world_standby(w, 3);
+		world_run(w, 4000);
+		world_submit(w, other(w), JOB_A, &little);
+		world_run(w, 1500);
+		cr_expect_eq(world_moves(w), 0, "%u moved before, row %u",
+			     world_moves(w), row);
+		world_store_slow(w, row % 2 ? 300 : 0);
+		world_run(w, 500);
+		world_kill(w, owner(w));
+		world_run(w, 9000);
+		cr_expect_eq(world_moves(w), 0, "%u moved, row %u",
+			     world_moves(w), row);
+		check_free(w, "moves", row);
+	}
+}
+
+/*
+ * Nobody schedules, although the owner is dead.  The store discards the feeds'
+ * history each half second, so that its rows are read whole again and again:
+ * a beat that was known before is no new sign of life.
+ */
+Test(takeover, old_beat_is_no_sign_of_life)
+{
+	struct world *w;
+	unsigned row, n, k;
+
+	for (row = 0; row < 4; row++) {
+		w = calm(860 + row);
+		n = owner(w);
+		world_kill(w, n);
+		for (k = 0; k < 16; k++) {
+			world_unlist(w, 5, k % 2 == 0); /* a change */
+			world_run(w, 20);
+			world_compact(w);
+			world_run(w, 480);
+		}
+		cr_expect_neq(world_owner(w), -1, "nobody in 8 s, row %u", row);
+		world_run(w, 4000);
+		cr_expect_neq(world_owner(w), -1, "nobody after, row %u", row);
+		check_free(w, "old beat", row);
+	}
+}
