An owner knows its own late beat, also when the feed tells of it first

All that waited was served seconds late without anybody having failed: an owner gave its ownership up for replaced. A beat got no answer, the next one was sent, the first was carried out after all, and the owner's own feed told of it before the refusal of the second came; the refusal then showed nothing newer than what was known.

Ruled out: another owner (the row of the epoch was unchanged), commits and waves' notes (no feed moves their revisions while a VM owns).

--- a/sched-own.c
+++ b/sched-own.c
@@ -391,6 +391,11 @@
 		s->homes_told = s->homes_told || s->homes_telling;
 		break;
 	case OUT_CONFLICT:
+		/*
+		 * By what this beat had demanded: the feed may have told of
+		 * the earlier one that was carried out meanwhile.
+		 */
+		s->own.beat_revision = rq->revision;
 		if (!tx_overtaken(s, a, TABLE_OWNER, bstr_lit(KEY_BEAT),
 				  &s->own.beat_revision)) {
 			own_lose(s, "replaced");
@@ -435,8 +440,9 @@
 	s->own.beat_seq++;
 	t = sched_tx(s, FOR_BEAT, s->now + STORE_TIMEOUT_MS, &rq);
 	rq->number = s->own.epoch;
+	rq->revision = s->own.beat_revision;
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
-	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_BEAT), s->own.beat_revision);
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_BEAT), rq->revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_BEAT), beat_row_write(s));
 	if (workers_note(s))
 		tx_write(t, TABLE_OWNER, bstr_lit(KEY_WORKERS),
--- a/sched-state.h
+++ b/sched-state.h
@@ -284,8 +284,9 @@
 	unsigned k;
 	unsigned task;
 	uint64_t run;
-	uint64_t number; /* a wave's, or a lease on a worker's clock */
-	bstr name;	 /* a machine's */
+	uint64_t number;   /* a wave's, or a lease on a worker's clock */
+	uint64_t revision; /* that a beat demanded of the one before */
+	bstr name;	   /* a machine's */
 	UT_hash_handle hh;
 };
 
