An old beat that is read again is no sign of life

Nothing that callers submitted began for 8 s after the owner's death, while the feeds' history went each half second: the owner's rows were read whole again each time, and the unchanged beat counted as a new one, so that nobody claimed. One such reading delayed a takeover by up to 1.3 s.

Ruled out: a store that does not serve the VMs (they read), a claim that conflicts (none was sent).

Now only a row of a newer revision than the known one is a sign of life. old_beat_is_no_sign_of_life: before, 4 of 4 rows red; after, none. test-sched 29, test-waiting 6 passed.

--- a/sched-own.c
+++ b/sched-own.c
@@ -135,6 +135,17 @@
 		  (unsigned long long)s->own.epoch, why);
 }
 
+/*
+ * A sign of life of the owner, new here.  The same row read once more, when
+ * the feed's history is gone, is none: read again and again it would keep
+ * everybody from following an owner that is dead.
+ */
+static void own_heard(struct sched *s)
+{
+	s->own.heard_at = s->own.sign_at = s->now;
+	s->own.silent = 0;
+}
+
 /* The row of the owner: it may name another, or nobody. */
 static void epoch_row_take(struct sched *s, struct row *r)
 {
@@ -142,10 +153,10 @@
 
 	if (r->revision < s->own.revision || !owner_row_read(r->value, &s->own))
 		return;
+	if (r->revision > s->own.revision || !s->own.known)
+		own_heard(s);
 	s->own.revision = r->revision;
 	s->own.known = true;
-	s->own.heard_at = s->own.sign_at = s->now;
-	s->own.silent = 0;
 	if (s->own.epoch != epoch || !s->own.holder.bstr_len)
 		sched_log(s, LOG_OWNER_SEEN, "epoch=%llu vm=%.*s revision=%llu",
 			  (unsigned long long)s->own.epoch,
@@ -186,12 +197,11 @@
 		wave_status_take(s, r);
 		return;
 	}
+	if (s->own.state != OWN_YES && beat_row_read(s, r->value, &epoch) &&
+	    r->revision > s->own.beat_revision)
+		own_heard(s);
 	if (r->revision > s->own.beat_revision)
 		s->own.beat_revision = r->revision;
-	if (s->own.state == OWN_YES || !beat_row_read(s, r->value, &epoch))
-		return;
-	s->own.heard_at = s->own.sign_at = s->now;
-	s->own.silent = 0;
 }
 
 /* The store has answered about the ownership: silence counts from here. */
