Moves wait until each worker had the time to answer a new owner

A successor ordered all machines in standby up for one small job, and sent them back seconds later: with a store that answers in 300 ms, the list of machines came before its workers were noted or had answered, so that a pool seemed to have none.

Ruled out: the pools' sizes (they had been read). Waiting until all is settled alone did not help, nor does it have to: a worker that is cut off would hold moves back for 6 s.

--- a/sched-move.c
+++ b/sched-move.c
@@ -69,6 +69,16 @@
 	return NULL;
 }
 
+/*
+ * Has each worker had the time to answer this owner?  Before that a pool
+ * seems to have none, and all machines in standby would be called up for a
+ * single job, to be sent back seconds later.
+ */
+static bool workers_are_counted(const struct sched *s)
+{
+	return s->settled || s->now - s->own.ready_at >= WORKER_QUIET_MS;
+}
+
 /* Add up what the workers have. */
 static void balance_workers(struct sched *s, struct balances *b)
 {
@@ -78,7 +88,7 @@
 
 	HASH_ITER(hh, s->workers, w, next) {
 		p = balance_find(b, w->row.service);
-		if (!p || !worker_takes(s, w))
+		if (!p || !worker_is_well(s, w))
 			continue;
 		p->workers++;
 		p->cores += (double)w->row.capacity.cpu;
@@ -432,7 +442,7 @@
 	size_t i;
 
 	if (!own_alone(s) || !s->list_whole || !s->homes_told || !s->config ||
-	    s->now < s->move_at)
+	    !workers_are_counted(s) || s->now < s->move_at)
 		return;
 	s->move_at = s->now + MOVE_EVERY_MS;
 	b.count = s->config->service_count;
--- a/sched-own.c
+++ b/sched-own.c
@@ -349,6 +349,7 @@
 		return;
 	workers_inherit(s);
 	s->own.state = OWN_YES;
+	s->own.ready_at = s->now;
 	s->own.unread = 0;
 	s->place = true;
 	sched_observe(s, HISTOGRAM_TAKEOVER, s->now - s->own.claimed_at);
--- a/sched-state.h
+++ b/sched-state.h
@@ -342,10 +342,11 @@
 	json_t *ceilings;     /* what it may have had running, or NULL */
 	int64_t settle_by;    /* no lease of it ends later */
 	int64_t owned_at;
-	int64_t read_at; /* a page came, or the reading began */
-	unsigned unread; /* times in a row that none came */
-	bool doubtful;	 /* read the row before the next order */
-	bool known;	 /* the row was read, or found missing */
+	int64_t ready_at; /* all was read */
+	int64_t read_at;  /* a page came, or the reading began */
+	unsigned unread;  /* times in a row that none came */
+	bool doubtful;	  /* read the row before the next order */
+	bool known;	  /* the row was read, or found missing */
 };
 
 struct waiting_count {
@@ -614,6 +615,7 @@
 void worker_lost(struct sched *s, struct worker *w, const char *why);
 void sched_worker_free(struct sched *s, struct worker *w);
 int64_t worker_clock(const struct sched *s, const struct worker *w);
+bool worker_is_well(const struct sched *s, const struct worker *w);
 bool worker_takes(const struct sched *s, const struct worker *w);
 void sched_workers_free(struct sched *s);
 
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -47,15 +47,20 @@
 	return until < most ? until : most;
 }
 
-/* May it get new work? */
-bool worker_takes(const struct sched *s, const struct worker *w)
+/* Is it there, and well? */
+bool worker_is_well(const struct sched *s, const struct worker *w)
 {
 	return w->listed && !w->gone && !w->row.draining && !w->leaving &&
-	       w->fenced && w->noted &&
-	       s->now - w->answered_at < WORKER_QUIET_MS &&
+	       w->fenced && s->now - w->answered_at < WORKER_QUIET_MS &&
 	       s->now >= w->unwell_until;
 }
 
+/* May it get new work? */
+bool worker_takes(const struct sched *s, const struct worker *w)
+{
+	return worker_is_well(s, w) && w->noted;
+}
+
 /* Make a worker that nothing is known of. */
 static struct worker *worker_new(struct sched *s, bstr id)
 {
