--- a/sched-follow.c
+++ b/sched-follow.c
@@ -201,7 +201,7 @@
 	if (a->revision > f->revision)
 		f->revision = a->revision;
 	/* One that is as long as a page may be cut off: more follows. */
-	if (a->row_count < PAGE_ROWS)
+	if (a->row_count < PAGE_ROWS && !a->more)
 		f->told_at = a->store_clock;
 	if (f->table == TABLE_WORKERS)
 		f->again_at = s->now + WORKERS_FEED_APART_MS;
--- a/tests/test-waiting.c
+++ b/tests/test-waiting.c
@@ -190,7 +190,7 @@
 		 true},
 	};
 	struct world *w;
-	unsigned i, vm, lost, asleep;
+	unsigned i, vm, lost, asleep, told;
 
 	for (i = 0; i < NELEMS(rows); i++) {
 		w = calm(720 + i, rows[i].fill);
@@ -209,7 +209,13 @@
 			world_cut_store(w, vm,
 					rows[i].cut && !(rows[i].sleeps &&
 							 vm == asleep));
-		world_run(w, 10000);
+		/* 2 s after what was known, and 1 s that this was old. */
+		world_run(w, 3000);
+		told = world_counts_told(w);
+		world_run(w, 7000);
+		if (rows[i].all != STORE_LOSES && !rows[i].sleeps)
+			cr_expect_eq(world_counts_told(w), told,
+				     "%s: told for longer", rows[i].name);
 		check_calm(w, rows[i].name);
 	}
 }
