--- /dev/null
+++ b/tests/test-http-client.c
@@ -0,0 +1,238 @@
+#include "../http-client.h"
+#include "support-fake.h"
+
+#include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LONG_MS 60000 /* a limit that is not to be reached */
+#define SHORT_MS 1000 /* one that is */
+#define WAIT_MS 10000 /* for what must come */
+
+/* A request and what came of it, seen from the client's thread. */
+struct call {
+	struct http_request http;
+	enum http_outcome outcome;
+	struct gate *ended;
+	/* Hold the client's thread up: at a gate, past a deadline. */
+	struct gate *entered;
+	struct gate *leave;
+	struct call *outlast;
+	int listener;	     /* and till a connection has come here; or 0 */
+	int accepted;	     /* that connection */
+	struct call *expire; /* put the deadline of this one in the past */
+};
+
+/* Counts how often it was opened; threads wait for that. */
+struct gate {
+	pthread_mutex_t lock;
+	pthread_cond_t opened;
+	unsigned count;
+};
+#define GATE                                                           \
+	{                                                              \
+		PTHREAD_MUTEX_INITIALIZER, PTHREAD_COND_INITIALIZER, 0 \
+	}
+
+static void gate_open(struct gate *g)
+{
+	pthread_mutex_lock(&g->lock);
+	g->count++;
+	pthread_cond_broadcast(&g->opened);
+	pthread_mutex_unlock(&g->lock);
+}
+
+/* Wait until a gate has been opened so often. */
+static void gate_wait(struct gate *g, unsigned count)
+{
+	pthread_mutex_lock(&g->lock);
+	while (g->count < count)
+		pthread_cond_wait(&g->opened, &g->lock);
+	pthread_mutex_unlock(&g->lock);
+}
+
+/* Let time pass until the deadline of another call has. */
+static void call_outlast(const struct call *other)
+{
+	while (clock_now() <= other->http.deadline)
+		poll(NULL, 0, 20);
+}
+
+/* Keep the client's thread from its work, as a VM without processor does. */
+static bool call_build(struct http_request *r)
+{
+	struct call *c = (struct call *)r;
+
+	if (c->leave) {
+		gate_open(c->entered);
+		gate_wait(c->leave, 1);
+	}
+	if (c->outlast)
+		call_outlast(c->outlast);
+	return true;
+}
+
+/* Note the outcome; a call with a listener holds the thread up here. */
+static struct http_request *call_done(struct http_request *r,
+				      const struct http_answer *a)
+{
+	struct call *c = (struct call *)r;
+	struct pollfd p = {.fd = c->listener, .events = POLLIN};
+	int first;
+
+	c->outcome = a->outcome;
+	if (c->listener) {
+		/* Make room for the connection that hangs, and wait for it. */
+		first = accept(c->listener, NULL, NULL);
+		if (c->outlast)
+			call_outlast(c->outlast);
+		if (c->expire)
+			c->expire->http.deadline = clock_now() - 1;
+		if (first >= 0 && poll(&p, 1, WAIT_MS) == 1)
+			c->accepted = accept(c->listener, NULL, NULL);
+		close(first);
+	}
+	http_request_clear(r);
+	gate_open(c->ended);
+	return NULL;
+}
+
+/* Set up a call to a port. */
+static void call_set(struct call *c, uint16_t port, const char *name,
+		     int64_t timeout_ms, struct gate *ended)
+{
+	memset(c, 0, sizeof(*c));
+	c->ended = ended;
+	c->accepted = -1;
+	c->http.method = "POST";
+	c->http.url = xasprintf("http://127.0.0.1:%u/%s", port, name);
+	c->http.queue = xstrdup("cloud");
+	c->http.body = bstr_new("order");
+	c->http.max_answer = 1000;
+	c->http.deadline = clock_now() + timeout_ms;
+	c->http.done = call_done;
+}
+
+static struct http_client *client_start(void)
+{
+	struct http_client_options o = {
+		.max_per_queue = 8, .max_requests = 64, .connect_ms = LONG_MS};
+	struct http_client *c;
+	struct error e;
+
+	error_init(&e);
+	c = http_client_start(&o, &e);
+	cr_assert(c);
+	return c;
+}
+
+/*
+ * An order lies with libcurl, and the thread gets no time until its deadline
+ * has passed.  The order must not leave then: another may have taken over the
+ * machine that it is about.  The order is ready before what holds the thread
+ * up, as both come in the one round after the call that waits for the gate.
+ */
+Test(http_client, nothing_leaves_after_its_deadline, .timeout = 60)
+{
+	static const struct fake_step steps[] = {{FAKE_SAY, 200, "a"},
+						 {FAKE_SAY, 200, "b"},
+						 {FAKE_SAY, 200, "c"},
+						 {FAKE_SAY, 200, "d"}};
+	struct call warm, first, order, hold;
+	struct http_client *client;
+	struct fake *f;
+	size_t i, n;
+	int kept;
+
+	for (kept = 0; kept < 2; kept++) {
+		struct gate entered = GATE, leave = GATE, ended = GATE;
+		unsigned count = 0;
+
+		f = fake_start(steps, NELEMS(steps));
+		client = client_start();
+		if (kept) {
+			/* Its connection is then there for the order. */
+			call_set(&warm, fake_port(f), "warm", LONG_MS, &ended);
+			cr_assert(http_client_send(client, &warm.http));
+			gate_wait(&ended, ++count);
+			cr_assert_eq(warm.outcome, HTTP_OK);
+		}
+		call_set(&first, fake_port(f), "first", LONG_MS, &ended);
+		first.entered = &entered;
+		first.leave = &leave;
+		first.http.build = call_build;
+		cr_assert(http_client_send(client, &first.http));
+		gate_wait(&entered, 1);
+		call_set(&order, fake_port(f), "order", SHORT_MS, &ended);
+		call_set(&hold, fake_port(f), "hold", LONG_MS, &ended);
+		hold.outlast = &order;
+		hold.http.build = call_build;
+		cr_assert(http_client_send(client, &order.http));
+		cr_assert(http_client_send(client, &hold.http));
+		gate_open(&leave);
+		gate_wait(&ended, count + 3);
+		cr_expect_eq(first.outcome, HTTP_OK);
+		cr_expect_eq(hold.outcome, HTTP_OK);
+		cr_expect_eq(order.outcome, HTTP_NOT_SENT, "kept %d: %d", kept,
+			     order.outcome);
+		http_client_stop(client);
+		n = fake_requests(f);
+		for (i = 0; i < n; i++)
+			cr_expect_null(strstr(fake_wait(f, i)->head, "/order "),
+				       "kept %d: it has arrived", kept);
+		fake_stop(f);
+	}
+}
+
+/*
+ * The order's connection hangs, and is accepted while the thread gets no time
+ * and its deadline passes.  The server must not see a byte of it; neither if
+ * libcurl, which looks at the clock once for all that it does in a round, is
+ * late to note the deadline: then the deadline passes without its knowing.
+ */
+Test(http_client, a_late_connection_carries_nothing, .timeout = 60)
+{
+	static const struct fake_step steps[] = {{FAKE_HOLD, 200, "a"}};
+	struct http_client *client;
+	struct call order, hold;
+	struct fake *f;
+	uint16_t port;
+	char byte;
+	int hanging[2], unknown;
+
+	for (unknown = 0; unknown < 2; unknown++) {
+		struct gate ended = GATE;
+
+		f = fake_start(steps, NELEMS(steps));
+		port = fake_hanging(hanging);
+		client = client_start();
+		/* The kernel asks again for a connection after a second. */
+		call_set(&order, port, "order", (unknown ? 10 : 3) * SHORT_MS,
+			 &ended);
+		call_set(&hold, fake_port(f), "hold", LONG_MS, &ended);
+		hold.outlast = unknown ? NULL : &order;
+		hold.expire = unknown ? &order : NULL;
+		hold.listener = hanging[0];
+		cr_assert(http_client_send(client, &order.http));
+		cr_assert(http_client_send(client, &hold.http));
+		/* The order was begun before it: it waits to be connected. */
+		cr_assert(fake_wait(f, 0));
+		fake_release(f, 0);
+		gate_wait(&ended, 2);
+		cr_expect_eq(order.outcome, HTTP_NOT_SENT, "unknown %d: %d",
+			     unknown, order.outcome);
+		cr_assert_geq(hold.accepted, 0, "no connection came");
+		http_client_stop(client);
+		cr_expect_leq(recv(hold.accepted, &byte, 1, 0), 0,
+			      "unknown %d: a byte came", unknown);
+		close(hold.accepted);
+		close(hanging[0]);
+		close(hanging[1]);
+		fake_stop(f);
+	}
+}
