An order about a machine is void when another VM may own

The client has held back what is past its deadline since the last mend; but that deadline was up to 2.5 s after the owner's last proof, and a successor claims after 1.3 s.

Now the deadline of a move or a wave's call is bounded by that.

--- a/sched-move.c
+++ b/sched-move.c
@@ -220,7 +220,8 @@
 	struct request *rq;
 	struct ask *ask;
 
-	rq = sched_ask(s, FOR_MOVE, ASK_MOVE, s->now + MOVE_TIMEOUT_MS, &ask);
+	rq = sched_ask(s, FOR_MOVE, ASK_MOVE,
+		       own_alone_until(s, s->now + MOVE_TIMEOUT_MS), &ask);
 	rq->name = bstr_copy(m->id);
 	ask->order.machine = bstr_copy(m->id);
 	ask->order.pool = bstr_copy(to->service->name);
--- a/sched-own.c
+++ b/sched-own.c
@@ -57,6 +57,19 @@
 				      OWNER_SILENT_MS - OWN_ALONE_MARGIN_MS;
 }
 
+/*
+ * Until when may an order about a machine be under way?  It was decided by an
+ * owner that was alone, and may be sent much later by one that gets no
+ * processor: after this another VM may own and have called for the machine.
+ * The client sends nothing after the deadline.
+ */
+int64_t own_alone_until(const struct sched *s, int64_t deadline)
+{
+	int64_t most = s->own.proved_at + OWNER_SILENT_MS;
+
+	return deadline < most ? deadline : most;
+}
+
 /* May this VM give orders now? */
 bool own_acts(const struct sched *s)
 {
--- a/sched-state.h
+++ b/sched-state.h
@@ -565,7 +565,8 @@
 void own_lose(struct sched *s, const char *why);
 void own_doubt(struct sched *s, const char *why);
 void own_release(struct sched *s);
-bool own_alone(const struct sched *s);	/* may order about machines now */
+bool own_alone(const struct sched *s); /* may order about machines now */
+int64_t own_alone_until(const struct sched *s, int64_t deadline);
 bool own_acts(const struct sched *s);	/* may give orders now */
 bool own_starts(const struct sched *s); /* and start tasks */
 
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -301,8 +301,8 @@
 	struct request *rq;
 	struct ask *ask;
 
-	rq = sched_ask(s, FOR_UPKEEP, ASK_UPKEEP, s->now + CLOUD_TIMEOUT_MS,
-		       &ask);
+	rq = sched_ask(s, FOR_UPKEEP, ASK_UPKEEP,
+		       own_alone_until(s, s->now + CLOUD_TIMEOUT_MS), &ask);
 	rq->number = v->number;
 	rq->name = bstr_copy(wm->id);
 	ask->order.machine = bstr_copy(wm->id);
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -1,5 +1,6 @@
 #include "support-world.h"
 #include "../json-read.h"
+#include "../sched-state.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -1141,6 +1142,21 @@
 	feeds_wake(w);
 }
 
+/*
+ * Nobody checks who gives orders about machines: one must not leave its VM
+ * when another may own.  The client sends nothing after the deadline.
+ */
+static void machine_order_check(struct world *w, unsigned vm,
+				const struct ask *ask)
+{
+	const struct sched *s = w->vms[vm].sched;
+
+	if (s && ask->kind != ASK_MACHINES && ask->kind != ASK_ADVICE &&
+	    s->own.state == OWN_YES &&
+	    ask->deadline > s->own.proved_at + OWNER_SILENT_MS)
+		break_promise(w, "an order about a machine may leave late", "");
+}
+
 /* An ask about a machine has arrived. */
 static void machine_take(struct world *w, unsigned vm, struct sched_effect *fx)
 {
@@ -1149,6 +1165,7 @@
 	unsigned i, n, down = 0;
 	char *name;
 
+	machine_order_check(w, vm, &fx->ask);
 	if (fx->ask.kind == ASK_MACHINES) {
 		a->machines = xcalloc(w->worker_count, sizeof(*a->machines));
 		for (i = 0; i < w->worker_count; i++)
