--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -42,18 +42,18 @@
 	OP_STALL,
 	OP_REFUSE,
 	OP_VANISH,
-	OP_LONG, /* as RUN, and five times as long */
+	OP_LONG,	/* as RUN, and five times as long */
 	OP_WRITES_LATE, /* one VM's, for a while: done seconds later */
 	OP_PAGES_SLOW,	/* of one table */
 	OPS
 };
 static const char *const names[OPS] = {
-	"RUN",	    "QUICK",   "CHAIN",	 "LASTING",   "RETRY",	    "CANCEL",
-	"KILL",	    "STOP",    "FREEZE", "CUT_STORE", "CUT_WORKER", "STORE",
-	"STORE_VM", "COMPACT", "UNLIST", "CRASH",     "LATE",	    "FAILS",
-	"LIMIT",    "WAVE",    "HEAL",	 "ASK",	      "SLOW",	    "PAGES",
-	"STALL",    "REFUSE",  "VANISH", "LONG",
-	"WRITES_LATE", "PAGES_SLOW"};
+	"RUN",	      "QUICK",	"CHAIN",    "LASTING",	   "RETRY",
+	"CANCEL",     "KILL",	"STOP",	    "FREEZE",	   "CUT_STORE",
+	"CUT_WORKER", "STORE",	"STORE_VM", "COMPACT",	   "UNLIST",
+	"CRASH",      "LATE",	"FAILS",    "LIMIT",	   "WAVE",
+	"HEAL",	      "ASK",	"SLOW",	    "PAGES",	   "STALL",
+	"REFUSE",     "VANISH", "LONG",	    "WRITES_LATE", "PAGES_SLOW"};
 
 struct step_of {
 	op what;
