HTTP client: nothing is sent once its deadline has passed

Cause: after a request was handed to libcurl only libcurl's timeout kept the deadline. That runs from when libcurl begins the transfer, a round of the loop after it was reckoned; and curl_multi_perform reads the clock once, so all that a round does is judged by the time at its start. A thread that gets no processor sends late in both. Change: the hook that libcurl calls before it writes looks at the deadline; a request that is late ends as not sent. Left: a thread that stops between the hook and that call; what the kernel has taken by the deadline.

--- a/http-client.c
+++ b/http-client.c
@@ -302,11 +302,22 @@
 
 /*
  * Called when a connection stands and nothing of the request has been sent
- * on it; from here on the request may have arrived.  libcurl calls this again
- * if it repeats the request by itself, which it does when a connection it had
- * kept turns out to be closed without a byte of an answer.  The peer may then
- * see the request twice; that is safe because commits are idempotent by their
- * txid, starts and orders by the task, and objects never change.
+ * on it; from here on the request may have arrived.
+ *
+ * The deadline is looked at once more.  libcurl's timeout runs from when it
+ * begins the transfer, and a round reads the clock once for all transfers: a
+ * thread that gets no processor would send orders about machines long after
+ * their deadline, beside those of a successor.  libcurl writes right after
+ * this returns, all of a small request in one call, so what is late stays
+ * here.  Not held back: what is late because the thread stops between the
+ * look and that call, and what the kernel has taken before the deadline, until
+ * socket_close().
+ *
+ * libcurl calls this again if it repeats the request by itself, which it does
+ * when a connection it had kept turns out to be closed without a byte of an
+ * answer.  The peer may then see the request twice; that is safe because
+ * commits are idempotent by their txid, starts and orders by the task, and
+ * objects never change.
  */
 static int request_ready(void *arg, char *peer_ip, char *local_ip,
 			 int peer_port, int local_port)
@@ -319,6 +330,8 @@
 		t->stale = true;
 		return CURL_PREREQFUNC_ABORT;
 	}
+	if (t->request->deadline <= clock_now())
+		return CURL_PREREQFUNC_ABORT;
 	if (fd >= 0)
 		t->client->sockets[fd].used = true;
 	t->sent = true;
--- a/http-client.h
+++ b/http-client.h
@@ -41,7 +41,7 @@
 	bstr body;
 	size_t max_answer; /* bytes */
 	int64_t start_at;  /* not before; 0: at once */
-	int64_t deadline;
+	int64_t deadline;  /* none is begun to be written from here on */
 	bool (*build)(struct http_request *r);
 	struct http_request *(*done)(struct http_request *r,
 				     const struct http_answer *a);
