--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -786,7 +786,8 @@
 	json_t *time;
 	size_t i;
 
-	if (!state || (strcmp(state, "queued") && strcmp(state, "running")))
+	if (!state ||
+	    (strcmp(state, "queued") != 0 && strcmp(state, "running") != 0))
 		return state != NULL;
 	json_array_foreach(json_object_get(row, "times"), i, time)
 		return hex_bit(json_string_value(json_object_get(time, "done")),
