--- a/sched-commit.c
+++ b/sched-commit.c
@@ -36,13 +36,12 @@
 /* A job that was written has changed again since: it has its place by that. */
 static void commit_once_more(struct sched *s, struct job *j)
 {
-	struct job *before;
+	struct job *before = TAILQ_LAST(&s->dirty, job_queue);
 
 	j->dirty_seq = j->again_seq;
 	j->again_seq = 0;
-	TAILQ_FOREACH_REVERSE(before, &s->dirty, job_queue, dirty)
-	if (before->dirty_seq < j->dirty_seq)
-		break;
+	while (before && before->dirty_seq > j->dirty_seq)
+		before = TAILQ_PREV(before, job_queue, dirty);
 	if (before)
 		TAILQ_INSERT_AFTER(&s->dirty, before, j, dirty);
 	else
