Of a final job only the time that a worker speaks of is made

By reading (review): a run of time k of a final repeated job made all times up to k, thousands of them, at an owner that had just taken over.

--- a/sched-job.c
+++ b/sched-job.c
@@ -477,22 +477,36 @@
 		job_finish(s, j, FATE_FAILED);
 }
 
+/* Find one time of a job. */
+struct occurrence *occurrence_find(const struct job *j, unsigned k)
+{
+	struct occurrence *o;
+
+	TAILQ_FOREACH(o, &j->occs, entry)
+		if (o->k == k)
+			return o;
+	return NULL;
+}
+
 /*
- * Make the occurrences up to one that a worker speaks of: an owner whose wall
- * clock was ahead of this VM's has begun it, or the job was final when it was
- * read and has none.
+ * Make what a worker speaks of: the occurrences up to one that an owner has
+ * begun whose wall clock was ahead of this VM's; or just that one, of a job
+ * that was final when it was read and has none.
  */
 static void job_catch_up(struct sched *s, struct job *j, unsigned k)
 {
 	unsigned times = j->body->repeat_count ? j->body->repeat_count : 1;
-	bool final = j->fate > FATE_RUNNING;
 
-	if ((final && !job_may_show_up(s, j)) || k >= times)
+	if (k >= times)
+		return;
+	if (j->fate > FATE_RUNNING) {
+		if (job_may_show_up(s, j) && !occurrence_find(j, k))
+			job_make_occurrence(j, k);
 		return;
+	}
 	while (j->next_k <= k) {
 		job_make_occurrence(j, j->next_k++);
-		if (!final)
-			job_touch(s, j);
+		job_touch(s, j);
 	}
 }
 
@@ -516,10 +530,8 @@
 	    index >= (*job)->body->steps[number].count)
 		return NULL;
 	job_catch_up(s, *job, k);
-	TAILQ_FOREACH(o, &(*job)->occs, entry)
-		if (o->k == k)
-			return &o->tasks[o->first[number] + index];
-	return NULL;
+	o = occurrence_find(*job, k);
+	return o ? &o->tasks[o->first[number] + index] : NULL;
 }
 
 /*
--- a/sched-order.c
+++ b/sched-order.c
@@ -189,13 +189,11 @@
 
 	if (!j)
 		return NULL;
-	TAILQ_FOREACH(o, &j->occs, entry) {
-		if (o->k != rq->k)
-			continue;
-		t = &o->tasks[rq->task];
-		return t->worker == rq->worker && t->run == rq->run ? t : NULL;
-	}
-	return NULL;
+	o = occurrence_find(j, rq->k);
+	if (!o)
+		return NULL;
+	t = &o->tasks[rq->task];
+	return t->worker == rq->worker && t->run == rq->run ? t : NULL;
 }
 
 /* A start was turned away: it has not run and will not. */
--- a/sched-state.h
+++ b/sched-state.h
@@ -576,6 +576,7 @@
 void progress_row_take(struct sched *s, struct row *r);
 void sched_job_free(struct sched *s, struct job *j);
 void job_make_occurrence(struct job *j, unsigned k);
+struct occurrence *occurrence_find(const struct job *j, unsigned k);
 void job_touch(struct sched *s, struct job *j);
 void job_tick(struct sched *s);
 void job_task_done(struct sched *s, struct task *t);
