--- a/sched-job.c
+++ b/sched-job.c
@@ -12,7 +12,7 @@
  * be on the right side of the 250 ms that its start may be early. */
 #define DUE_SLACK_MS 20
 
-/* Find a job that is not final. */
+/* Find a job of the book. */
 struct job *sched_job_find(struct sched *s, const char *id)
 {
 	struct job *j;
--- a/sched-own.c
+++ b/sched-own.c
@@ -30,9 +30,11 @@
 
 /*
  * An owner that can beat, but has got no page of what it needs for so long,
- * lets another VM try: the store may serve that one.  That is three tries.
+ * lets another VM try: the store may serve that one.  A page is asked for
+ * three times in that.
  */
 #define LOAD_SILENT_MS 2500
+/* Each such time it claims later, CLAIM_SMALL_MS each, up to so many. */
 #define UNREAD_MAX 8
 
 /*
--- a/sched-state.h
+++ b/sched-state.h
@@ -151,7 +151,10 @@
 	FATE_CANCELLED
 };
 
-/* A job that is not final, or whose final state is not durable yet. */
+/*
+ * A job that is not final, or whose final state is not durable yet, or runs of
+ * which an earlier owner may have left.
+ */
 struct job {
 	TAILQ_ENTRY(job) entry; /* by arrival */
 	TAILQ_ENTRY(job) dirty; /* progress to be written */
