--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -2,9 +2,7 @@
  * The scheduler in a small world: what callers see of jobs while VMs, the
  * store, workers and machines fail.  Each failure is a row of a table.
  */
-#include "support-world.h"
-
-#include <criterion/criterion.h>
+#include "world-calm.h"
 
 #define JOB_A "00000000000000aa"
 #define JOB_B "10000000000000bb"
@@ -19,29 +17,6 @@
 	.tasks = 4, .lasts = true, .may_miss = 1};
 static const struct world_job flaky = {.tasks = 2, .task_ms = 300, .fails = 2};
 
-/* A world in which somebody owns the scheduling and workers are known. */
-static struct world *calm(uint64_t seed)
-{
-	struct world *w = world_new(seed, 4, 6);
-
-	world_run(w, 2000);
-	cr_assert_neq(world_owner(w), -1);
-	return w;
-}
-
-/* The VM that owns the scheduling, or another one. */
-static unsigned owner(struct world *w)
-{
-	int n = world_owner(w);
-
-	cr_assert_neq(n, -1, "nobody owns the scheduling");
-	return (unsigned)n;
-}
-static unsigned other(struct world *w)
-{
-	return (owner(w) + 1) % 4;
-}
-
 /* Check that all was kept, and free the world. */
 static void check_free(struct world *w)
 {
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -2,9 +2,7 @@
  * A new owner of the scheduling and the facts it takes over: none is used,
  * published or written over before it was read, or when it is old.
  */
-#include "support-world.h"
-
-#include <criterion/criterion.h>
+#include "world-calm.h"
 
 #define JOB_A "00000000000000aa"
 #define JOB_B "10000000000000bb"
@@ -13,29 +11,6 @@
 static const struct world_job pair = {.tasks = 2, .lasts = true, .apart = 1};
 static const struct world_job four = {.tasks = 4, .lasts = true, .apart = 1};
 
-/* A world in which somebody owns the scheduling and workers are known. */
-static struct world *calm(uint64_t seed)
-{
-	struct world *w = world_new(seed, 4, 6);
-
-	world_run(w, 2000);
-	cr_assert_neq(world_owner(w), -1);
-	return w;
-}
-
-/* The VM that owns the scheduling, or another one. */
-static unsigned owner(struct world *w)
-{
-	int n = world_owner(w);
-
-	cr_assert_neq(n, -1, "nobody owns the scheduling");
-	return (unsigned)n;
-}
-static unsigned other(struct world *w)
-{
-	return (owner(w) + 1) % 4;
-}
-
 /* Check that all was kept, and free the world. */
 static void check_free(struct world *w, const char *name, unsigned row)
 {
