A list that was asked of an old life of a worker is not taken for whole

Tasks that a worker had done ran again: it had crashed and started anew under its id, and a hold with a number of ends that its old life had told was answered by the new one, without the ends up to that number. The owner took the list for whole, started the hidden ones elsewhere, and acknowledged them with the next hold.

Ruled out: an end acknowledged before its commit (the commit was in time), the commit's numbers.

Now a hold knows the number that it was sent with; an answer of another life to it only makes the owner ask again, without a number.

--- a/sched-worker.c
+++ b/sched-worker.c
@@ -356,6 +356,7 @@
 	o->address = bstr_copy(w->row.address);
 	o->epoch = s->own.epoch;
 	o->ack_to = w->sure ? w->acked : 0;
+	rq->number = o->ack_to;
 	o->wait_ms = wait;
 	/*
 	 * Without an answer for a while the lease is not renewed: it ends,
@@ -658,11 +659,30 @@
 	}
 }
 
+/*
+ * Was a hold meant for the life before the one that answers it?  Then its list
+ * leaves out the ends up to a number that the old life had told: taken for
+ * whole, tasks that the new life has done would run again, and their ends be
+ * acknowledged unseen.  It is asked once more, without that number.
+ */
+static bool hold_was_for_old_life(const struct worker *w,
+				  const struct request *rq,
+				  const struct answer *a)
+{
+	return rq->number && a->born && w->born && a->born != w->born;
+}
+
 /* A worker has answered a hold. */
-static void hold_take(struct sched *s, struct worker *w, struct answer *a)
+static void hold_take(struct sched *s, struct worker *w, struct request *rq,
+		      struct answer *a)
 {
 	size_t i;
 
+	if (hold_was_for_old_life(w, rq, a)) {
+		w->answered_at = s->now;
+		w->sure = false;
+		return;
+	}
 	if (a->born && a->born != w->born)
 		worker_reborn(s, w, a->born, a->clock);
 	/*
@@ -702,7 +722,7 @@
 		return;
 	w->looking = false;
 	if (a->outcome == OUT_DONE) {
-		hold_take(s, w, a);
+		hold_take(s, w, rq, a);
 		w->look_at = w->acked < w->seen ? s->now + HOLD_PACE_MS
 						: s->now;
 		worker_acknowledge(s);
