--- a/sched-state.h
+++ b/sched-state.h
@@ -395,6 +395,7 @@
 	bool writing;
 	bool told; /* the operator can read that it runs */
 	int64_t write_at;
+	int64_t tell_at; /* the next line of the log */
 	UT_hash_handle hh;
 };
 
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -27,6 +27,8 @@
 #define WAVE_STEP_MS 4500
 #define WAVE_RESERVE_MS 4000
 #define WAVE_NAME_MAX 40
+/* A line for each open wave is logged so often. */
+#define WAVE_TOLD_MS 1000
 
 /* Find a wave. */
 static struct wave *wave_find(struct sched *s, uint64_t number)
@@ -419,31 +421,68 @@
 	return false;
 }
 
-/* Drive a marked machine on. */
-static void member_tick(struct sched *s, struct wave *v,
-			struct wave_machine *wm)
+/* What a machine of a wave waits for. */
+enum member_wait {
+	MEMBER_DONE,
+	MEMBER_AWAY,	/* the call is under way, or it is down */
+	MEMBER_TURN,	/* others first, or a calmer moment */
+	MEMBER_AGAIN,	/* the call was refused: a while */
+	MEMBER_SHORT,	/* its short tasks */
+	MEMBER_LASTING, /* others of its lasting tasks' steps */
+	MEMBER_NOTE,	/* the note in the store */
+	MEMBER_ENDS,	/* its ends to be durable */
+	MEMBER_WAIT_MAX
+};
+
+/* Drive a machine on, and tell what it waits for. */
+static enum member_wait member_tick(struct sched *s, struct wave *v,
+				    struct wave_machine *wm)
 {
 	struct worker *w;
 
-	if (!wm->marked || wm->asked || wm->done || s->now < wm->again_at)
-		return;
+	if (wm->done)
+		return member_is_away(s, wm) ? MEMBER_AWAY : MEMBER_DONE;
+	if (wm->asked)
+		return MEMBER_AWAY;
+	if (s->now < wm->again_at)
+		return MEMBER_AGAIN;
+	if (!wm->marked)
+		return MEMBER_TURN;
 	member_machine(s, wm->id, &w);
 	if (w)
 		w->leaving = true;
 	if (w && short_tasks(w) && s->now < wm->marked_at + WAVE_DRAIN_MS)
-		return;
+		return MEMBER_SHORT;
 	if (w && !wave_may_take(s, w)) {
 		worker_thin(s, w);
-		return;
+		return MEMBER_LASTING;
 	}
 	if (!member_note(s, v, wm))
-		return;
+		return MEMBER_NOTE;
 	if (w && !worker_ends_durable(w))
-		return;
+		return MEMBER_ENDS;
 	/* Tasks of the same steps on other machines can't be missed now. */
 	if (w)
 		w->taken = true;
 	upkeep_send(s, v, wm);
+	return MEMBER_AWAY;
+}
+
+/* Tell once in a while how many machines wait for what. */
+static void wave_tell(struct sched *s, struct wave *v,
+		      const unsigned waits[MEMBER_WAIT_MAX])
+{
+	if (s->now < v->tell_at)
+		return;
+	v->tell_at = s->now + WAVE_TOLD_MS;
+	sched_log(s, LOG_WAVE,
+		  "wave=%" PRIu64 " left_ms=%lld done=%u away=%u turn=%u "
+		  "again=%u short=%u lasting=%u note=%u ends=%u",
+		  v->number, (long long)(v->finish_at - s->now),
+		  waits[MEMBER_DONE], waits[MEMBER_AWAY], waits[MEMBER_TURN],
+		  waits[MEMBER_AGAIN], waits[MEMBER_SHORT],
+		  waits[MEMBER_LASTING], waits[MEMBER_NOTE],
+		  waits[MEMBER_ENDS]);
 }
 
 /* The key of a wave's rows. */
@@ -508,7 +547,7 @@
 /* Drive a wave on. */
 static void wave_drive(struct sched *s, struct wave *v)
 {
-	unsigned away = 0;
+	unsigned away = 0, waits[MEMBER_WAIT_MAX] = {0};
 	bool all = true;
 	size_t i;
 
@@ -525,7 +564,8 @@
 	while (away < v->maximum && wave_mark(s, v))
 		away++;
 	for (i = 0; i < v->count; i++)
-		member_tick(s, v, &v->machines[i]);
+		waits[member_tick(s, v, &v->machines[i])]++;
+	wave_tell(s, v, waits);
 	if (!all)
 		return;
 	v->completed = v->dirty = true;
