Waves: the operator's time goes on when all VMs begin anew

Each process counted the operator's time from when it first saw the row. Ruled out: the platform's refusals (one machine only, gone for good).

--- a/sched-state.h
+++ b/sched-state.h
@@ -389,7 +389,9 @@
 	struct wave_machine *machines;
 	size_t count;
 	unsigned maximum;
-	int64_t finish_at;
+	int64_t finish_at;    /* by this process's reckoning */
+	int64_t finish_noted; /* by the store's clock, as an owner told; 0: not
+			       */
 	bool completed;
 	bool dirty; /* its rows are to be written */
 	bool writing;
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -115,6 +115,21 @@
 		  v->number, v->count, v->maximum, (long long)row->finish_by_s);
 }
 
+/*
+ * When a wave has to be finished.  A VM counts the operator's time from when
+ * it first saw the row, and a process that begins anew sees it anew: with all
+ * of them killed, machines of busy pools would wait until long after the
+ * operator's time.  What an owner has noted by the store's clock goes on.
+ */
+static int64_t wave_finish_at(const struct sched *s, const struct wave *v)
+{
+	int64_t noted = v->finish_noted - s->store_ahead;
+
+	if (v->finish_noted && s->store_timed && noted < v->finish_at)
+		return noted;
+	return v->finish_at;
+}
+
 /* What an owner noted of a wave. */
 void wave_status_take(struct sched *s, struct row *r)
 {
@@ -130,6 +145,8 @@
 		v->notes = json_incref(json_object_get(row, "machines"));
 		wave_merge(v, true);
 		v->told = true;
+		v->finish_noted = json_integer_value(
+			json_object_get(row, "finish"));
 		if (json_is_true(json_object_get(row, "completed"))) {
 			v->completed = true;
 			v->dirty = false;
@@ -357,7 +374,7 @@
 			left++;
 	left = (left + v->maximum - 1) / v->maximum;
 	return s->now + (int64_t)left * WAVE_STEP_MS + WAVE_RESERVE_MS <
-	       v->finish_at;
+	       wave_finish_at(s, v);
 }
 
 /* Is a machine of a pool that has much to do? */
@@ -478,7 +495,7 @@
 	sched_log(s, LOG_WAVE,
 		  "wave=%" PRIu64 " left_ms=%lld done=%u away=%u turn=%u "
 		  "again=%u short=%u lasting=%u note=%u ends=%u",
-		  v->number, (long long)(v->finish_at - s->now),
+		  v->number, (long long)(wave_finish_at(s, v) - s->now),
 		  waits[MEMBER_DONE], waits[MEMBER_AWAY], waits[MEMBER_TURN],
 		  waits[MEMBER_AGAIN], waits[MEMBER_SHORT],
 		  waits[MEMBER_LASTING], waits[MEMBER_NOTE],
@@ -536,10 +553,13 @@
 				     v->completed ? "completed" : "running"));
 	json_decref(v->notes);
 	v->notes = wave_notes(v);
+	if (s->store_timed)
+		v->finish_noted = wave_finish_at(s, v) + s->store_ahead;
 	tx_write(t, TABLE_OWNER, bstr_lit(key),
-		 json_write(json_pack("{s:I, s:O, s:b}", "wave",
+		 json_write(json_pack("{s:I, s:O, s:b, s:I}", "wave",
 				      (json_int_t)v->number, "machines",
-				      v->notes, "completed", v->completed)));
+				      v->notes, "completed", v->completed,
+				      "finish", (json_int_t)v->finish_noted)));
 	v->writing = true;
 	v->dirty = false;
 }
@@ -570,7 +590,7 @@
 		return;
 	v->completed = v->dirty = true;
 	sched_log(s, LOG_WAVE_DONE, "wave=%" PRIu64 " left_ms=%lld", v->number,
-		  (long long)(v->finish_at - s->now));
+		  (long long)(wave_finish_at(s, v) - s->now));
 }
 
 /* Ask for the list of machines, from a page on. */
--- /dev/null
+++ b/tests/test-upkeep.c
@@ -0,0 +1,65 @@
+/*
+ * Maintenance waves under trouble: whether they end in time, and what holds
+ * their machines.
+ */
+#include "world-calm.h"
+
+#define JOB_A "00000000000000aa"
+
+/* How many more tasks than the pool has room for keep it busy. */
+static const struct world_job heap = {.tasks = 240, .task_ms = 4000};
+
+static void check_free(struct world *w, const char *name)
+{
+	cr_expect_null(world_broken(w), "%s: %s", name, world_broken(w));
+	world_free(w);
+}
+
+/* Kill all VMs and start them again. */
+static void all_begin_anew(struct world *w)
+{
+	unsigned k;
+
+	for (k = 0; k < WORLD_VMS; k++)
+		world_kill(w, k);
+	world_run(w, 300);
+	for (k = 0; k < WORLD_VMS; k++)
+		world_start(w, k);
+}
+
+/*
+ * Guards against a wave that is late because each new life of all VMs reckons
+ * its time anew: machines of a busy pool wait for a calmer moment that comes
+ * after the operator's.
+ */
+static const struct {
+	const char *name;
+	unsigned lives;
+	int64_t apart_ms;
+} anew_rows[] = {
+	{"never", 0, 0},
+	{"once, late", 1, 6500},
+	{"twice", 2, 5500},
+	{"three times", 3, 3500},
+};
+Test(upkeep, time_goes_on_when_all_vms_begin_anew)
+{
+	unsigned row, k;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(anew_rows); row++) {
+		w = calm(1500 + row);
+		world_submit(w, other(w), JOB_A, &heap);
+		world_run(w, 300);
+		world_wave(w, 6, 3);
+		for (k = 0; k < anew_rows[row].lives; k++) {
+			world_run(w, anew_rows[row].apart_ms - 300);
+			all_begin_anew(w);
+		}
+		world_run(w, 20000 - anew_rows[row].lives *
+					     anew_rows[row].apart_ms);
+		cr_expect_eq(world_taken(w), 6, "%s: %u of 6 in time",
+			     anew_rows[row].name, world_taken(w));
+		check_free(w, anew_rows[row].name);
+	}
+}
