--- a/sched-job.c
+++ b/sched-job.c
@@ -253,8 +253,11 @@
 		    : fate == FATE_FAILED  ? COUNT_JOBS_FAILED
 					   : COUNT_JOBS_NOT_RUN,
 		    1);
-	sched_log(s, LOG_JOB_FINAL, "job=%s state=%s starts=%u ms=%lld", j->id,
-		  fate_name(fate), j->starts, (long long)(s->now - j->arrived));
+	sched_log(s, LOG_JOB_FINAL,
+		  "job=%s queue=%.*s state=%s starts=%u ms=%lld late_ms=%lld",
+		  j->id, BSTR_ARG(j->route), fate_name(fate), j->starts,
+		  (long long)(s->now - j->arrived),
+		  (long long)(j->due ? s->now - j->due : 0));
 	if (!j->inherited)
 		sched_observe(s, HISTOGRAM_JOB, s->now - j->arrived);
 	job_stop(s, j);
@@ -363,8 +366,9 @@
 	}
 	job_add(s, j);
 	if (!j->inherited)
-		sched_log(s, LOG_JOB_SEEN, "job=%s queue=%.*s revision=%llu",
-			  id, BSTR_ARG(j->route),
+		sched_log(s, LOG_JOB_SEEN,
+			  "job=%s queue=%.*s organisation=%.*s revision=%llu",
+			  id, BSTR_ARG(j->route), BSTR_ARG(j->tenant),
 			  (unsigned long long)r->revision);
 }
 
--- a/sched-limit.c
+++ b/sched-limit.c
@@ -170,25 +170,32 @@
 	       below(used.gpus, need.gpus, maximum.gpus);
 }
 
-/* May a task of a step begin, by its organisation's limit? */
-bool limit_allows(struct sched *s, const struct job *j,
-		  const struct job_step *st)
+/* What its organisation's limit has against a task of a step beginning. */
+enum hold limit_hold(struct sched *s, const struct job *j,
+		     const struct job_step *st)
 {
 	const struct tenant *t = tenant_named(s, j->tenant);
 	struct usage *u;
 
 	if (!t)
-		return true;
+		return HOLD_NONE;
 	u = usage_of(s, j->tenant);
 	if (!all_below(size_add(u->used, usage_hidden(s, u)), st->need,
 		       t->maximum))
-		return false;
+		return HOLD_LIMIT;
 	if (size_fits(size_add(u->used, st->need), u->ceiling))
-		return true;
+		return HOLD_NONE;
 	/* Have the next beat raise it. */
 	u->wanted = st->need;
 	s->own.beat_at = s->now;
-	return false;
+	return HOLD_CEILING;
+}
+
+/* May a task of a step begin, by its organisation's limit? */
+bool limit_allows(struct sched *s, const struct job *j,
+		  const struct job_step *st)
+{
+	return limit_hold(s, j, st) == HOLD_NONE;
 }
 
 /* Free the accounts. */
--- a/sched-order.c
+++ b/sched-order.c
@@ -84,6 +84,19 @@
 	return &ask->order;
 }
 
+/* What a start's line of the log says of what held the job back. */
+static const char *hold_word(enum hold hold)
+{
+	static const char *const words[] = {
+		[HOLD_NONE] = "none",	[HOLD_LEASES] = "leases",
+		[HOLD_ROOM] = "room",	[HOLD_WORKER] = "worker",
+		[HOLD_LIMIT] = "limit", [HOLD_CEILING] = "ceiling",
+		[HOLD_STORE] = "store", [HOLD_TICKET] = "ticket",
+	};
+
+	return words[hold];
+}
+
 /* Start a task on a worker. */
 void sched_task_start(struct sched *s, struct task *t, struct worker *w,
 		      uint64_t run)
@@ -111,10 +124,11 @@
 	o->ticket = bstr_copy(advice_ticket(s, t->occ, t->step, w));
 	sched_count(s, COUNT_STARTS, 1);
 	sched_log(s, LOG_TASK_START,
-		  "task=%.*s run=%llu worker=%.*s waited_ms=%lld epoch=%llu",
+		  "task=%.*s run=%llu worker=%.*s waited_ms=%lld hold=%s "
+		  "epoch=%llu",
 		  BSTR_ARG(o->task), (unsigned long long)run, BSTR_ARG(w->id),
 		  (long long)(t->ready_at ? s->now - t->ready_at : 0),
-		  (unsigned long long)s->own.epoch);
+		  hold_word(j->hold), (unsigned long long)s->own.epoch);
 }
 
 /* A worker runs a task that an earlier owner started: keep it. */
--- a/sched-place.c
+++ b/sched-place.c
@@ -174,6 +174,8 @@
 	c->due = o->job->arrived +
 		 (int64_t)((r ? r->stretch : 1) * (double)whole) +
 		 (r ? r->objective_ms : 0);
+	if (!o->job->due)
+		o->job->due = c->due;
 	if (!st->lasts && s->now + chain[at] > c->due) {
 		c->late = true;
 		c->due = whole;
@@ -214,6 +216,8 @@
 			if (pool && size_fits(step_room(&j->body->steps[i]),
 					      pool->most))
 				candidate_add(s, p, r, pool, o, i);
+			else
+				j->hold = HOLD_ROOM;
 		}
 	}
 }
@@ -223,9 +227,14 @@
 {
 	struct job *j;
 
-	TAILQ_FOREACH(j, &s->order, entry)
-		if (j->fate <= FATE_RUNNING && job_is_settled(s, j))
+	TAILQ_FOREACH(j, &s->order, entry) {
+		if (j->fate > FATE_RUNNING)
+			continue;
+		if (job_is_settled(s, j))
 			candidates_of(s, p, j);
+		else
+			j->hold = HOLD_LEASES;
+	}
 }
 
 /* The order among what waits. */
@@ -364,16 +373,18 @@
 	const struct job_step *st = &c->job->body->steps[c->step];
 	struct task *t = &c->occ->tasks[c->occ->first[c->step]];
 	struct worker *w;
+	enum hold limit;
 	unsigned i;
 
 	for (i = 0; i < st->count; i++, t++) {
 		if (t->phase != AT_REST || s->now < t->not_before)
 			continue;
-		if (!limit_allows(s, c->job, st))
-			return;
-		w = worker_choose(s, c, t);
-		if (!w)
+		limit = limit_hold(s, c->job, st);
+		w = limit ? NULL : worker_choose(s, c, t);
+		if (!w) {
+			c->job->hold = limit ? limit : HOLD_WORKER;
 			return;
+		}
 		sched_task_start(s, t, w, run_next(s, t));
 	}
 }
@@ -433,17 +444,35 @@
 	free(chosen);
 }
 
+/* What holds a step back, all of its tasks. */
+static enum hold candidate_hold(struct sched *s, const struct candidate *c)
+{
+	const struct job_step *st = &c->job->body->steps[c->step];
+	enum hold limit;
+
+	if (!size_fits(step_room(st), c->pool->most))
+		return HOLD_ROOM;
+	limit = limit_hold(s, c->job, st);
+	if (limit)
+		return limit;
+	if (!job_begin(s, c->job))
+		return HOLD_STORE;
+	if (c->advised &&
+	    !advice_ready(s, c->occ, c->step, c->pool->workers, c->pool->count))
+		return HOLD_TICKET;
+	return HOLD_NONE;
+}
+
 /* Place a step, as far as there is room for it. */
 static void candidate_place(struct sched *s, const struct candidate *c)
 {
 	const struct job_step *st = &c->job->body->steps[c->step];
+	enum hold hold = candidate_hold(s, c);
 
-	if (!size_fits(step_room(st), c->pool->most) ||
-	    !limit_allows(s, c->job, st) || !job_begin(s, c->job))
-		return;
-	if (c->advised &&
-	    !advice_ready(s, c->occ, c->step, c->pool->workers, c->pool->count))
+	if (hold) {
+		c->job->hold = hold;
 		return;
+	}
 	if (st->gang)
 		gang_place(s, c);
 	else
--- a/sched-state.h
+++ b/sched-state.h
@@ -151,6 +151,18 @@
 	FATE_CANCELLED
 };
 
+/* What held a job's tasks back when they could not be placed. */
+enum hold {
+	HOLD_NONE,
+	HOLD_LEASES,  /* an earlier owner may have them running */
+	HOLD_ROOM,    /* no worker of the pool has room */
+	HOLD_WORKER,  /* those with room do not suit */
+	HOLD_LIMIT,   /* the organisation's upper limit */
+	HOLD_CEILING, /* the ceiling that the store knows */
+	HOLD_STORE,   /* the store has to know that it begins */
+	HOLD_TICKET   /* advice on the placement */
+};
+
 /*
  * A job that is not final, or whose final state is not durable yet, or runs of
  * which an earlier owner may have left.
@@ -170,6 +182,8 @@
 	bool begun;	   /* the store knows that its tasks may run */
 	bool ran_before;   /* an earlier owner had said so */
 	bool ran;	   /* a worker has begun one of its tasks */
+	enum hold hold;	   /* the latest */
+	int64_t due;	   /* its objective ends; 0: nothing was placed */
 	enum job_fate fate;
 	int64_t ended; /* wall clock */
 	unsigned next_k;
@@ -645,6 +659,8 @@
 void usage_found(struct sched *s, const struct task *t);
 json_t *ceilings_write(struct sched *s);
 void ceilings_told(struct sched *s);
+enum hold limit_hold(struct sched *s, const struct job *j,
+		     const struct job_step *st);
 bool limit_allows(struct sched *s, const struct job *j,
 		  const struct job_step *st);
 void usage_free(struct sched *s);
