Moves: they begin as soon as an owner is ready

Workers that have not answered yet count as at work meanwhile, so no pool seems to have none. test-load: no move within 0.5 s beside a silent worker before, moves after; the test that a single job calls up no machine after a takeover (test-takeover) stays green.

--- a/sched-move.c
+++ b/sched-move.c
@@ -70,13 +70,15 @@
 }
 
 /*
- * Has each worker had the time to answer this owner?  Before that a pool
- * seems to have none, and all machines in standby would be called up for a
- * single job, to be sent back seconds later.
+ * May a worker that has not answered this owner yet be at work?  Each gets
+ * the time for it.  Without them a pool seems to have none after a takeover,
+ * and all machines in standby would be called up for a single job, to be sent
+ * back seconds later.
  */
-static bool workers_are_counted(const struct sched *s)
+static bool worker_may_answer(const struct sched *s, const struct worker *w)
 {
-	return s->settled || s->now - s->own.ready_at >= WORKER_QUIET_MS;
+	return !w->fenced && !w->gone && w->listed && !w->row.draining &&
+	       s->now - s->own.ready_at < WORKER_QUIET_MS;
 }
 
 /* Add up what the workers have. */
@@ -88,11 +90,11 @@
 
 	HASH_ITER(hh, s->workers, w, next) {
 		p = balance_find(b, w->row.service);
-		if (!p || !worker_is_well(s, w))
+		if (!p || !(worker_is_well(s, w) || worker_may_answer(s, w)))
 			continue;
 		p->workers++;
 		p->cores += (double)w->row.capacity.cpu;
-		if (TAILQ_EMPTY(&w->tasks))
+		if (w->fenced && TAILQ_EMPTY(&w->tasks))
 			p->empty++;
 		TAILQ_FOREACH(t, &w->tasks, on)
 			if (task_step(t)->lasts && !task_step(t)->fills)
@@ -443,7 +445,7 @@
 	size_t i;
 
 	if (!own_alone(s) || !s->list_whole || !s->homes_told || !s->config ||
-	    !workers_are_counted(s) || s->now < s->move_at)
+	    s->now < s->move_at)
 		return;
 	s->move_at = s->now + MOVE_EVERY_MS;
 	b.count = s->config->service_count;
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -95,3 +95,38 @@
 		check_free(w, outage_rows[row].name);
 	}
 }
+
+/*
+ * Guards against a burst that waits after a takeover until each worker has
+ * had the time to answer: machines in standby are free all the while.
+ */
+static const struct {
+	const char *name;
+	unsigned silent; /* workers that nobody reaches */
+} burst_rows[] = {
+	{"all answer", 0},
+	{"one is silent", 1},
+};
+Test(load, machines_come_right_after_a_takeover)
+{
+	static const struct world_job heap = {.tasks = 200, .task_ms = 2000};
+	struct world *w;
+	unsigned row, k, n;
+
+	for (row = 0; row < NELEMS(burst_rows); row++) {
+		w = world_new(1640 + row, WORLD_VMS, WORLD_WORKERS);
+		world_standby(w, 3);
+		world_run(w, 4000);
+		for (k = 0; k < WORLD_VMS && burst_rows[row].silent; k++)
+			world_cut_worker(w, k, 0, true);
+		n = (unsigned)world_owner(w);
+		world_submit(w, (n + 1) % WORLD_VMS, "00000000000000aa", &heap);
+		world_run(w, 20);
+		world_kill(w, n);
+		for (k = 0; k < 400 && world_owner(w) == -1; k++)
+			world_run(w, 10);
+		world_run(w, 500);
+		cr_expect_gt(world_moves(w), 0, "%s", burst_rows[row].name);
+		check_free(w, burst_rows[row].name);
+	}
+}
