Order: repeated jobs are due by their own times; chains and objectives have a file

Each time of a repeated job was reckoned from when the job arrived, so all but the first were taken for late and stood behind what is not. sched-place.c loses what sched-due.c is about.

--- a/sched-place.c
+++ b/sched-place.c
@@ -110,27 +110,6 @@
 		pool_measure(&p->pools[i]);
 }
 
-/*
- * The longest chains of expected times from each step to the end of its job;
- * the longest of all is returned.  Steps come after those that they wait for.
- */
-static int64_t chains_make(struct sched *s, const struct job *j, int64_t *chain)
-{
-	const struct job_body *b = j->body;
-	int64_t rest[STEPS_MAX] = {0}, longest = 0;
-	size_t i, k;
-
-	for (i = b->step_count; i-- > 0;) {
-		chain[i] = rest[i] + step_expected_ms(s, j, (unsigned)i);
-		if (chain[i] > longest)
-			longest = chain[i];
-		for (k = 0; k < b->steps[i].after_count; k++)
-			if (rest[b->steps[i].after[k]] < chain[i])
-				rest[b->steps[i].after[k]] = chain[i];
-	}
-	return longest;
-}
-
 /* Does a step have a task that waits to be placed now? */
 static bool step_waits(struct sched *s, const struct occurrence *o, unsigned at)
 {
@@ -159,7 +138,7 @@
 			  struct occurrence *o, unsigned at)
 {
 	const struct job_step *st = &o->job->body->steps[at];
-	int64_t chain[STEPS_MAX], whole = chains_make(s, o->job, chain);
+	int64_t chain[STEPS_MAX], whole = job_chains(s, o->job, chain);
 	struct candidate *c;
 
 	if (p->count == p->room) {
@@ -171,9 +150,7 @@
 		.job = o->job, .occ = o, .pool = pool, .step = at};
 	c->advised = r && r->advised;
 	c->rank = st->lasts ? 0 : 1 + (r ? r->priority : 0);
-	c->due = o->job->arrived +
-		 (int64_t)((r ? r->stretch : 1) * (double)whole) +
-		 (r ? r->objective_ms : 0);
+	c->due = occurrence_due_at(s, o, whole);
 	if (!o->job->due)
 		o->job->due = c->due;
 	if (!st->lasts && s->now + chain[at] > c->due) {
--- a/sched-state.h
+++ b/sched-state.h
@@ -684,6 +684,11 @@
 		  struct worker **workers, size_t count);
 void advice_answer(struct sched *s, struct request *rq, struct answer *ans);
 
+/* sched-due.c */
+int64_t job_chains(struct sched *s, const struct job *j, int64_t *chain);
+int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
+			  int64_t longest);
+
 /* sched-learn.c */
 void learn_run(struct sched *s, const struct task *t);
 int64_t step_expected_ms(struct sched *s, const struct job *j, unsigned at);
