Revert: callers told to stay away longer once an outage of the store has lasted

Who comes late in an outage is kept away for longer than it lasts, and that costs as much as those gain who come early.

--- a/sched-call.c
+++ b/sched-call.c
@@ -12,26 +12,6 @@
 #define CANCEL_SUFFIX "/cancel"
 /* Bytes; the platform's own bound of what a job hands to its workers. */
 #define PAYLOAD_MAX 4000
-/*
- * When a refused caller may come back, seconds.  Callers try a few times only:
- * with a second between them all tries of one that came at the start of an
- * outage end before the store is back.
- */
-#define RETRY_AFTER_S 1
-#define RETRY_AFTER_LONG_S 2
-/* An outage that has lasted so long is taken for a long one, ms. */
-#define OUTAGE_LONG_MS 1000
-
-/*
- * How long a refused caller is told to stay away: an outage of the store that
- * has lasted for a while goes on for as long again, as far as anybody knows.
- */
-static uint32_t retry_after_s(const struct sched *s)
-{
-	if (!sched_store_works(s) && s->now - s->store_ok_at > OUTAGE_LONG_MS)
-		return RETRY_AFTER_LONG_S;
-	return RETRY_AFTER_S;
-}
 
 /* Reply to a caller, and log the decision. */
 static void reply(struct sched *s, uint64_t id, int status, const char *text,
@@ -45,7 +25,7 @@
 							: REPLY_ERROR,
 				   .text = text};
 	if (status == 503 || status == 429)
-		fx->reply.retry_after_s = retry_after_s(s);
+		fx->reply.retry_after_s = RETRY_AFTER_S;
 	sched_log(s, status < 300 ? LOG_CALL_DONE : LOG_CALL_REFUSED,
 		  "job=%s status=%d reason=%s config=%llu store_age_ms=%lld",
 		  job, status, text,
--- a/sched-state.h
+++ b/sched-state.h
@@ -50,6 +50,7 @@
 /* Answers must leave this VM before the caller's deadline: two ways of 3 ms,
  * and the round of a loaded processor. */
 #define REPLY_MARGIN_MS 120
+#define RETRY_AFTER_S 1
 /* Gauges are set so often; metrics are fetched every 5 s. */
 #define GAUGES_MS 1000
 /* Ends of many tasks are made durable together; at most so many rows. */
