Revert: moves by what can run now

Hypothesis: pools whose jobs have long chains call for machines by steps that can't run yet, and hold them empty (trial with a log of how full pools are: transfers 16 to 18 machines, 0.35 to 0.7 of their cores in use) while another pool is full. Only ready steps counted, and only beyond 0.8 of the cores. The early call pays: a burst's later steps come before a machine does.

--- a/sched-move.c
+++ b/sched-move.c
@@ -30,8 +30,6 @@
 /* A pool lends at most this share of its own machines to others; with 0.7 of
  * them away 0.013 of a day's credit was lost on one site, none on another. */
 #define LENT_SHARE 0.5
-/* With so much of its cores wanted, tasks of a pool wait for room. */
-#define FULL_SHARE 0.8
 /* A lasting task that waits so long needs another worker. */
 #define STRANDED_MS 300
 /* A line for each pool is logged so often. */
@@ -52,8 +50,7 @@
 	unsigned empty;	   /* workers without tasks */
 	double cores;	   /* thousandths, of the workers that take work */
 	double lasting;	   /* of them, used by lasting tasks */
-	double wanted;	   /* by what waits and runs, thousandths */
-	double work;	   /* of that, in thousandths x ms */
+	double work;	   /* waiting and running, in thousandths x ms */
 };
 
 struct balances {
@@ -105,26 +102,19 @@
 	}
 }
 
-/*
- * Add up what is left of the steps of an occurrence that can run now.  What
- * comes after them can't use a machine yet: counted as well, it kept machines
- * empty in pools whose jobs have long chains while others had too few.
- */
-static void occurrence_add(struct sched *s, struct balance *p,
-			   const struct occurrence *o)
+/* Work left of an occurrence, in thousandths of a core x ms. */
+static double occurrence_work(struct sched *s, const struct occurrence *o)
 {
 	const struct job_body *b = o->job->body;
-	double cpu;
+	double work = 0;
 	unsigned i;
 
-	for (i = 0; i < b->step_count; i++) {
-		if (b->steps[i].lasts || b->steps[i].fills || !o->left[i] ||
-		    !step_ready(o, i))
-			continue;
-		cpu = (double)o->left[i] * (double)b->steps[i].need.cpu;
-		p->wanted += cpu;
-		p->work += cpu * (double)step_expected_ms(s, o->job, i);
-	}
+	for (i = 0; i < b->step_count; i++)
+		if (!b->steps[i].lasts && !b->steps[i].fills)
+			work += (double)o->left[i] *
+				(double)b->steps[i].need.cpu *
+				(double)step_expected_ms(s, o->job, i);
+	return work;
 }
 
 /* Lasting tasks of an occurrence that have found no worker for a while. */
@@ -156,7 +146,7 @@
 		if (!p)
 			continue;
 		TAILQ_FOREACH(o, &j->occs, entry) {
-			occurrence_add(s, p, o);
+			p->work += occurrence_work(s, o);
 			p->stranded += occurrence_stranded(s, o);
 		}
 	}
@@ -191,17 +181,14 @@
 	return n ? cores / n : 0;
 }
 
-/*
- * How long a pool needs for its work, with some machines more or less; 0: all
- * of it can run at once, and more machines would not make it faster.
- */
+/* How long a pool needs for its work, with some machines more or less. */
 static double drain_ms(const struct balance *p, double one, int more)
 {
 	double cores = p->cores - p->lasting + one * (p->coming + more);
 
 	if (p->stranded > p->coming)
 		return 1e9;
-	if (p->wanted <= FULL_SHARE * cores)
+	if (p->work <= 0)
 		return 0;
 	return cores > one / 8 ? p->work / cores : 1e9;
 }
@@ -398,15 +385,14 @@
 		p = &b->list[i];
 		if (!p->routed)
 			continue;
-		sched_log(
-			s, LOG_POOL,
-			"pool=%.*s workers=%u home=%u coming=%u empty=%u "
-			"cores=%.0f lasting=%.0f wanted=%.0f work_ms=%.0f drain_ms=%.0f "
-			"stranded=%u",
-			BSTR_ARG(p->service->name), p->workers, p->home,
-			p->coming, p->empty, p->cores / 1000, p->lasting / 1000,
-			p->wanted / 1000, p->work / 1000, drain_ms(p, one, 0),
-			p->stranded);
+		sched_log(s, LOG_POOL,
+			  "pool=%.*s workers=%u home=%u coming=%u empty=%u "
+			  "cores=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
+			  "stranded=%u",
+			  BSTR_ARG(p->service->name), p->workers, p->home,
+			  p->coming, p->empty, p->cores / 1000,
+			  p->lasting / 1000, p->work / 1000,
+			  drain_ms(p, one, 0), p->stranded);
 	}
 }
 
