Placing: only what has room begins, and needs that found none are remembered

Each job whose need fitted the most room of any worker was written down as begun, also those that stood behind others for that room: 60 writes a commit, thousands waiting. And each of thousands of steps was tried on each of 200 workers, again and again: the owner placed 450 tasks a second. A successor then took all that had begun for running somewhere and waited for the leases (1,813 jobs of one pool). Ruled out: limits and ceilings (a count of what held each job back), the owner's reading (its beats came).

--- a/sched-place.c
+++ b/sched-place.c
@@ -21,6 +21,9 @@
 #define MERIT_LASTING 1e5
 #define MERIT_FULL 1e4 /* all of its cores are in use */
 
+/* So many needs that found no room are remembered while tasks are placed. */
+#define MISSED_MAX 8
+
 /* A step with tasks that wait. */
 struct candidate {
 	struct job *job;
@@ -38,7 +41,11 @@
 	bstr service;
 	struct worker **workers;
 	size_t count;
-	struct size most; /* the most room of any, in each resource */
+	struct size most;     /* the most room of any, in each resource */
+	struct size room;     /* of all together */
+	struct size promised; /* of it, to jobs that wait for the store */
+	struct size missed[MISSED_MAX]; /* needs that no worker has room for */
+	size_t missed_count;
 };
 
 struct placing {
@@ -73,8 +80,10 @@
 	size_t i;
 
 	pool->most = (struct size){-1, -1, -1};
+	pool->room = (struct size){0, 0, 0};
 	for (i = 0; i < pool->count; i++) {
 		r = worker_room(pool->workers[i]);
+		pool->room = size_add(pool->room, r);
 		if (r.cpu > pool->most.cpu)
 			pool->most.cpu = r.cpu;
 		if (r.memory > pool->most.memory)
@@ -84,6 +93,30 @@
 	}
 }
 
+/*
+ * Is it known that no worker has room for a need?  Room only shrinks while
+ * tasks are placed, so what found none rules out all that want as much.
+ */
+static bool pool_misses(const struct pool *pool, struct size need)
+{
+	size_t i;
+
+	for (i = 0; i < pool->missed_count; i++)
+		if (size_fits(pool->missed[i], need))
+			return true;
+	return false;
+}
+
+/* No worker of a pool had room for a need. */
+static void pool_missed(struct pool *pool, struct size need)
+{
+	if (pool_misses(pool, need))
+		return;
+	if (pool->missed_count < MISSED_MAX)
+		pool->missed_count++;
+	pool->missed[pool->missed_count - 1] = need;
+}
+
 /* Sort the workers that may get work by their services. */
 static void pools_make(struct sched *s, struct placing *p)
 {
@@ -344,6 +377,12 @@
 	return (t->top_run > base ? t->top_run : base) + 1;
 }
 
+/* May each worker with room for a step's task have it? */
+static bool step_is_plain(const struct candidate *c, const struct job_step *st)
+{
+	return !st->label.bstr_len && !st->apart && !c->advised;
+}
+
 /* Place the tasks of a step, one by one. */
 static void step_place(struct sched *s, const struct candidate *c)
 {
@@ -360,6 +399,8 @@
 		w = limit ? NULL : worker_choose(s, c, t);
 		if (!w) {
 			c->job->hold = limit ? limit : HOLD_WORKER;
+			if (!limit && step_is_plain(c, st))
+				pool_missed(c->pool, step_room(st));
 			return;
 		}
 		sched_task_start(s, t, w, run_next(s, t));
@@ -421,19 +462,39 @@
 	free(chosen);
 }
 
+/*
+ * Have the store know that a job begins, if there is room for it beside those
+ * that wait for the same.  In an overload all that waits would begin: the
+ * writes of thousands of jobs stand before those of the few that have room,
+ * and a successor has to take them all for running somewhere.
+ */
+static enum hold candidate_begin(struct sched *s, const struct candidate *c)
+{
+	const struct job_step *st = &c->job->body->steps[c->step];
+	struct size need = step_room(st);
+	unsigned i;
+
+	if (!size_fits(size_add(c->pool->promised, need), c->pool->room))
+		return HOLD_ROOM;
+	for (i = 0; i < c->occ->left[c->step]; i++)
+		c->pool->promised = size_add(c->pool->promised, need);
+	return job_begin(s, c->job) ? HOLD_NONE : HOLD_STORE;
+}
+
 /* What holds a step back, all of its tasks. */
 static enum hold candidate_hold(struct sched *s, const struct candidate *c)
 {
 	const struct job_step *st = &c->job->body->steps[c->step];
 	enum hold limit;
 
-	if (!size_fits(step_room(st), c->pool->most))
+	if (!size_fits(step_room(st), c->pool->most) ||
+	    pool_misses(c->pool, step_room(st)))
 		return HOLD_ROOM;
 	limit = limit_hold(s, c->job, st);
 	if (limit)
 		return limit;
-	if (!job_begin(s, c->job))
-		return HOLD_STORE;
+	if (!c->job->begun)
+		return candidate_begin(s, c);
 	if (c->advised &&
 	    !advice_ready(s, c->occ, c->step, c->pool->workers, c->pool->count))
 		return HOLD_TICKET;
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -5,6 +5,8 @@
 #include "support-world.h"
 
 #include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
 
 /* A world in which somebody owns the scheduling and workers are known. */
 static struct world *calm(uint64_t seed)
@@ -82,3 +84,37 @@
 		check_free(w, "late after a takeover");
 	}
 }
+
+/*
+ * Guards against an overload in which all that waits is written down as begun:
+ * the few that have room wait for thousands of writes, and a successor takes
+ * all of it for running somewhere.
+ */
+Test(load, only_what_has_room_begins)
+{
+	static const struct world_job most = {.tasks = 46, .task_ms = 9000};
+	static const struct world_job pair = {.tasks = 2, .task_ms = 4000};
+	unsigned row, k, begun;
+	struct world *w;
+	char id[24];
+
+	for (row = 0; row < 3; row++) {
+		w = calm(1680 + row);
+		world_submit(w, 0, "00000000000000aa", &most);
+		world_run(w, 500);
+		for (k = 0; k < 30; k++) {
+			snprintf(id, sizeof(id), "%x0000000000000%02x", k % 16,
+				 k);
+			world_submit(w, k % WORLD_VMS, id, &pair);
+		}
+		world_run(w, 1000);
+		for (k = begun = 0; k < 30; k++) {
+			snprintf(id, sizeof(id), "%x0000000000000%02x", k % 16,
+				 k);
+			begun += !strcmp(world_state(w, id), "running");
+		}
+		cr_expect_geq(begun, 1, "row %u: none has begun", row);
+		cr_expect_leq(begun, 3, "row %u: %u have begun", row, begun);
+		check_free(w, "only what has room begins");
+	}
+}
