Placing: a look at a long book is not taken at each round of events

With thousands of jobs a look at all that waits costs tens of ms of the owner, and each round of events asked for one. Books of up to 500 jobs are looked at as before.

--- a/sched-place.c
+++ b/sched-place.c
@@ -21,6 +21,13 @@
 #define MERIT_LASTING 1e5
 #define MERIT_FULL 1e4 /* all of its cores are in use */
 
+/*
+ * A look at all that waits costs the owner about a millisecond for so many
+ * jobs.  At each round of events a long queue would take all of its processor,
+ * and nothing be placed in time; spaced by that the looks take half of it.
+ */
+#define JOBS_PER_MS 100
+#define JOBS_MANY 500
 /* So many needs that found no room are remembered while tasks are placed. */
 #define MISSED_MAX 8
 
@@ -527,6 +534,8 @@
 	/* What can't be placed now is looked at again when it can. */
 	if (!own_starts(s))
 		return;
+	if (HASH_COUNT(s->jobs) > JOBS_MANY)
+		s->place_at = s->now + HASH_COUNT(s->jobs) / JOBS_PER_MS;
 	s->place = s->pauses = s->waits = false;
 	pools_make(s, &p);
 	candidates_make(s, &p);
--- a/sched-state.h
+++ b/sched-state.h
@@ -487,8 +487,9 @@
 	struct usage *usage;
 	bool settled; /* all workers' lists are known, or their leases over */
 	bool place;   /* something changed: look for work to place */
-	bool pauses;  /* some task's pause has not ended */
-	bool waits;   /* some task was left waiting */
+	int64_t place_at; /* but not before this */
+	bool pauses;	  /* some task's pause has not ended */
+	bool waits;	  /* some task was left waiting */
 	struct machine *machines;
 	bool listing;
 	int64_t list_at;
--- a/sched.c
+++ b/sched.c
@@ -332,7 +332,7 @@
 	 * load a look for each would cost the owner more than its share of
 	 * the processor, and the queue would grow by that.
 	 */
-	if (s->place && !ev->more)
+	if (s->place && !ev->more && s->now >= s->place_at)
 		place_all(s);
 	own_beat_due(s);
 	commit_tick(s);
