--- a/sched-place.c
+++ b/sched-place.c
@@ -39,8 +39,8 @@
 	unsigned step;
 	bool advised;  /* a start needs a ticket */
 	unsigned rank; /* lasting work, then priorities */
-	bool late;     /* its objective can't be met any more */
-	int64_t due;   /* when its objective ends; if late: its length */
+	enum lateness late;
+	int64_t due; /* when its objective ends; if late: its length */
 };
 
 /* The workers of one service that may get work. */
@@ -193,10 +193,11 @@
 	c->due = occurrence_due_at(s, o, whole);
 	if (!o->job->due)
 		o->job->due = c->due;
-	if (!st->lasts && s->now + chain[at] > c->due) {
-		c->late = true;
+	c->late = st->lasts ? IN_TIME
+			    : occurrence_lateness(s, o, c->due,
+						  s->now + chain[at]);
+	if (c->late)
 		c->due = whole;
-	}
 }
 
 /*
@@ -262,7 +263,7 @@
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
 	if (x->late != y->late)
-		return x->late ? 1 : -1;
+		return x->late < y->late ? -1 : 1;
 	if (x->due != y->due)
 		return x->due < y->due ? -1 : 1;
 	return strcmp(x->job->id, y->job->id);
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -2,6 +2,7 @@
  * Patterns of load and trouble that callers feel, and how they are answered:
  * a burst at a takeover, work that is late already beside work that is not.
  */
+#include "../sched-state.h"
 #include "support-world.h"
 
 #include <criterion/criterion.h>
@@ -118,3 +119,54 @@
 		check_free(w, "only what has room begins");
 	}
 }
+
+/*
+ * Guards against an overload in which work that nobody waits for any more is
+ * done before work that is a little late.  A job that came at 1,000 and is due
+ * at 3,000 has a caller until 7,000.
+ */
+static const struct {
+	const char *name;
+	int64_t end;
+	enum lateness want;
+} late_rows[] = {
+	{"long before", 1200, IN_TIME},
+	{"just in time", 3000, IN_TIME},
+	{"just late", 3001, LATE},
+	{"as long as somebody waits", 7000, LATE},
+	{"when nobody does", 7001, HOPELESS},
+};
+Test(load, lateness)
+{
+	struct job_body body = {0};
+	struct job job = {.arrived = 1000, .body = &body};
+	struct occurrence occ = {.job = &job};
+	struct sched s = {0};
+	unsigned row;
+
+	for (row = 0; row < NELEMS(late_rows); row++)
+		cr_expect_eq(
+			occurrence_lateness(&s, &occ, 3000, late_rows[row].end),
+			late_rows[row].want, "%s", late_rows[row].name);
+}
+
+/*
+ * Guards against repeated jobs whose times are all taken for late but the
+ * first: each is due by its own time of day.
+ */
+Test(load, repeated_jobs_are_due_by_their_times)
+{
+	struct job_body body = {
+		.repeat_count = 5, .first_at = 50000, .interval_ms = 2000};
+	struct job job = {.arrived = 0, .body = &body, .route = BSTR_NONE};
+	struct fleet_config none = {0};
+	struct sched s = {.now = 9000, .wall = 59000, .config = &none};
+	struct occurrence occ = {.job = &job};
+	unsigned k;
+
+	for (k = 0; k < 5; k++) {
+		occ.k = k;
+		cr_expect_eq(occurrence_due_at(&s, &occ, 700),
+			     2000 * (int64_t)k + 700, "time %u", k);
+	}
+}
