--- a/sched-place.c
+++ b/sched-place.c
@@ -516,7 +516,9 @@
 	enum hold hold = candidate_hold(s, c);
 
 	if (hold) {
-		c->job->hold = hold;
+		/* What has just found room did not wait for the store before. */
+		if (hold != HOLD_STORE || !c->job->hold)
+			c->job->hold = hold;
 		return;
 	}
 	if (st->gang)
