--- a/sched-move.c
+++ b/sched-move.c
@@ -422,11 +422,16 @@
 	s->drain_count = 0;
 }
 
-/* Has a pool more to do than it can finish soon? */
+/*
+ * Has a pool more to do than it can finish soon?  An owner that has not looked
+ * at the pools yet does not know: waves would take machines in a burst.
+ */
 bool pool_is_busy(const struct sched *s, bstr pool)
 {
 	size_t i;
 
+	if (!s->drains)
+		return true;
 	for (i = 0; i < s->drain_count; i++)
 		if (bstr_eq(s->drains[i].pool, pool))
 			return s->drains[i].ms > DRAIN_LOW_MS;
--- a/sched-own.c
+++ b/sched-own.c
@@ -108,6 +108,7 @@
 	wave_forget(s);
 	usage_free(s);
 	homes_forget(s);
+	drains_free(s);
 	s->dirty_seq = 0;
 	s->committing = false;
 	s->advice_calls = 0;
