Revert: a takeover does not make old work new

After a takeover nearly all that waits is late by its true age and stands back behind new work; counted as new, the part of it that is not yet hopeless is served.

--- a/sched-job.c
+++ b/sched-job.c
@@ -11,8 +11,6 @@
 /* The wall clock jumps; an occurrence is begun no sooner than this late, to
  * be on the right side of the 250 ms that its start may be early. */
 #define DUE_SLACK_MS 20
-/* Beyond this age one job is as late as the other. */
-#define JOB_AGE_MAX_MS 60000
 
 /* Find a job of the book. */
 struct job *sched_job_find(struct sched *s, const char *id)
@@ -321,26 +319,11 @@
 	}
 }
 
-/*
- * When a job that is read at a takeover came.  By the callers' time it may be
- * late long since: taken for new it would stand before what can be in time.
- * The wall clocks of two VMs differ, and may jump: a job is no older than any
- * that has an objective to meet, and none comes from the future.
- */
-static int64_t job_came_at(const struct sched *s, const struct job *j)
-{
-	int64_t age = s->wall - j->submitted;
-
-	if (!j->inherited || age < 0)
-		return s->now;
-	return s->now - (age < JOB_AGE_MAX_MS ? age : JOB_AGE_MAX_MS);
-}
-
 /* Put a job into the book. */
 static void job_add(struct sched *s, struct job *j)
 {
+	j->arrived = s->now;
 	j->inherited = s->own.state == OWN_LOADING;
-	j->arrived = job_came_at(s, j);
 	HASH_ADD(hh, s->jobs, id, JOB_ID_BYTES, j);
 	TAILQ_INSERT_TAIL(&s->order, j, entry);
 	if (!j->inherited)
