--- a/sched-wave.c
+++ b/sched-wave.c
@@ -26,6 +26,8 @@
  */
 #define WAVE_STEP_MS 4500
 #define WAVE_RESERVE_MS 4000
+/* The part of the time left that the pace of a wave reckons with. */
+#define WAVE_TIME_SHARE 0.6
 #define WAVE_NAME_MAX 40
 /* A line for each open wave is logged so often. */
 #define WAVE_TOLD_MS 1000
@@ -363,8 +365,8 @@
 	return cost;
 }
 
-/* Is there time to wait for calmer moments? */
-static bool wave_can_wait(const struct sched *s, const struct wave *v)
+/* Machines of a wave that are left to do. */
+static unsigned wave_left(const struct wave *v)
 {
 	unsigned left = 0;
 	size_t i;
@@ -372,11 +374,36 @@
 	for (i = 0; i < v->count; i++)
 		if (!v->machines[i].done)
 			left++;
-	left = (left + v->maximum - 1) / v->maximum;
-	return s->now + (int64_t)left * WAVE_STEP_MS + WAVE_RESERVE_MS <
+	return left;
+}
+
+/* Is there time to wait for calmer moments? */
+static bool wave_can_wait(const struct sched *s, const struct wave *v)
+{
+	unsigned steps = (wave_left(v) + v->maximum - 1) / v->maximum;
+
+	return s->now + (int64_t)steps * WAVE_STEP_MS + WAVE_RESERVE_MS <
 	       wave_finish_at(s, v);
 }
 
+/*
+ * How many machines may be away at once: no more than the time that remains
+ * calls for, since they are missed by the work that goes on.  A part of that
+ * time is kept for trouble, and as it runs out more are taken, up to the
+ * operator's maximum.
+ */
+static unsigned wave_at_once(const struct sched *s, const struct wave *v)
+{
+	double ms = (double)(wave_finish_at(s, v) - s->now) * WAVE_TIME_SHARE;
+	int64_t steps = (int64_t)(ms / WAVE_STEP_MS);
+	unsigned left = wave_left(v);
+
+	if (steps < 1)
+		return v->maximum;
+	left = (unsigned)((left + steps - 1) / steps);
+	return left < v->maximum ? left : v->maximum;
+}
+
 /* Is a machine of a pool that has much to do? */
 static bool member_is_busy(struct sched *s, const struct wave_machine *wm)
 {
@@ -581,7 +608,7 @@
 /* Drive a wave on. */
 static void wave_drive(struct sched *s, struct wave *v)
 {
-	unsigned away = 0, waits[MEMBER_WAIT_MAX] = {0};
+	unsigned away = 0, at_once, waits[MEMBER_WAIT_MAX] = {0};
 	bool all = true;
 	size_t i;
 
@@ -595,7 +622,8 @@
 			away++;
 		all = all && v->machines[i].done;
 	}
-	while (away < v->maximum && wave_mark(s, v))
+	at_once = wave_at_once(s, v);
+	while (away < at_once && wave_mark(s, v))
 		away++;
 	for (i = 0; i < v->count; i++)
 		waits[member_tick(s, v, &v->machines[i])]++;
