--- a/entry-settings.c
+++ b/entry-settings.c
@@ -123,6 +123,25 @@
 	return LEVEL_INFO;
 }
 
+/* Read the mechanisms that are left out, for a measurement. */
+static unsigned without_get(const json_t *j, struct error *e)
+{
+	const json_t *list = member(j, "without"), *v;
+	unsigned without = 0;
+	enum policy p;
+	size_t i;
+
+	json_array_foreach(list, i, v) {
+		p = policy_find(json_string_value(v) ? json_string_value(v)
+						     : "");
+		if (p == POLICY_MAX)
+			error_add(e, "without", "entry %zu is no mechanism", i);
+		else
+			without |= 1U << p;
+	}
+	return without;
+}
+
 /* Read the settings; false: e tells all that is wrong. */
 bool entry_settings_load(const char *path, struct entry_settings *s,
 			 struct error *e)
@@ -150,6 +169,7 @@
 	advice = json_string_value(member(j, "advice"));
 	s->platform.advice = advice ? advice : "";
 	s->sched.cpu_share = cores_get(j, e);
+	s->sched.without = without_get(j, e);
 	bounds_get(j, &s->sched, e);
 	s->log_level = level_get(j, e);
 	return !e->count;
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -52,7 +52,7 @@
 	double declared = st->estimated_ms ? st->estimated_ms : 1;
 	struct lesson *l = lesson_of(s, j->route);
 
-	if (l->count < 1)
+	if (l->count < 1 || !policy_on(s, POLICY_LEARNING))
 		return (int64_t)declared;
 	return (int64_t)exp(DECLARED_SHARE * log(declared) +
 			    (1 - DECLARED_SHARE) * l->log_ms);
--- a/sched-move.c
+++ b/sched-move.c
@@ -261,12 +261,13 @@
 {
 	struct machine *m, *next, *best = NULL;
 	struct balance *from;
+	double lent = policy_on(s, POLICY_LENDING) ? LENT_SHARE : 0;
 	bool spare = false;
 
 	HASH_ITER(hh, s->machines, m, next) {
 		from = balance_find(b, m->pool);
 		if (!from || from == to || !machine_is_idle(s, m, 0) ||
-		    !pool_spares(from, one, LENT_SHARE))
+		    !pool_spares(from, one, lent))
 			continue;
 		if (!best || (from->service->standby && !spare))
 			best = m;
@@ -325,6 +326,7 @@
 {
 	struct machine *m, *next;
 	struct balance *from, *standby = NULL, *to;
+	int64_t stay = policy_on(s, POLICY_IDLE_STAY) ? IDLE_MS : 0;
 	unsigned n = 0;
 	size_t i;
 
@@ -336,8 +338,7 @@
 	HASH_ITER(hh, s->machines, m, next) {
 		from = balance_find(b, m->pool);
 		if (n >= MOVES_AT_ONCE || !from || from->service->standby ||
-		    !machine_is_idle(s, m, IDLE_MS) ||
-		    !pool_spares(from, one, 0))
+		    !machine_is_idle(s, m, stay) || !pool_spares(from, one, 0))
 			continue;
 		to = pool_below_home(b);
 		if (!to)
@@ -467,7 +468,7 @@
 	one = machine_cores(&b);
 	balances_log(s, &b, one);
 	drains_keep(s, &b, one);
-	if (!moves_in(s, &b, one))
+	if (!policy_on(s, POLICY_MOVES) || !moves_in(s, &b, one))
 		moves_out(s, &b, one);
 	free(b.list);
 }
--- a/sched-order.c
+++ b/sched-order.c
@@ -120,7 +120,8 @@
 	o->run = run;
 	o->deadline = t->start_by;
 	o->payload = bstr_copy(j->body->payload);
-	o->checkpoint = bstr_copy(t->checkpoint);
+	if (policy_on(s, POLICY_CHECKPOINTS))
+		o->checkpoint = bstr_copy(t->checkpoint);
 	o->ticket = bstr_copy(advice_ticket(s, t->occ, t->step, w));
 	sched_count(s, COUNT_STARTS, 1);
 	sched_log(s, LOG_TASK_START,
--- a/sched-pace.c
+++ b/sched-pace.c
@@ -35,6 +35,8 @@
 	double tail = worker_tail(w);
 	struct task *t;
 
+	if (!policy_on(s, POLICY_PACING))
+		return;
 	TAILQ_FOREACH(t, &w->tasks, on) {
 		if (!task_step(t)->fills || t->phase != AT_WORK || t->stopping)
 			continue;
--- a/sched-place.c
+++ b/sched-place.c
@@ -172,6 +172,19 @@
 	return waits;
 }
 
+/* How late a candidate counts that would end at a time. */
+static enum lateness candidate_lateness(const struct sched *s,
+					const struct candidate *c, int64_t end)
+{
+	enum lateness late = occurrence_lateness(s, c->occ, c->due, end);
+
+	if (!policy_on(s, POLICY_LATE_LAST))
+		return IN_TIME;
+	if (late == HOPELESS && !policy_on(s, POLICY_HOPELESS_LAST))
+		return LATE;
+	return late;
+}
+
 /* Add a step to those that can be placed. */
 static void candidate_add(struct sched *s, struct placing *p,
 			  const struct route *r, struct pool *pool,
@@ -193,11 +206,12 @@
 	c->due = occurrence_due_at(s, o, whole);
 	if (!o->job->due)
 		o->job->due = c->due;
-	c->late = st->lasts ? IN_TIME
-			    : occurrence_lateness(s, o, c->due,
-						  s->now + chain[at]);
+	if (!st->lasts)
+		c->late = candidate_lateness(s, c, s->now + chain[at]);
 	if (c->late)
 		c->due = whole;
+	else if (!policy_on(s, POLICY_DUE_ORDER))
+		c->due = o->job->arrived;
 }
 
 /*
@@ -331,7 +345,7 @@
 		return -1;
 	if (st->apart && step_on(w, t->occ, t->step) >= st->apart)
 		return -1;
-	if (s->now < w->doubt_until)
+	if (s->now < w->doubt_until && policy_on(s, POLICY_DOUBT))
 		return -1;
 	if (c->advised && !advice_ticket(s, t->occ, t->step, w).bstr_len)
 		return -1;
@@ -339,14 +353,17 @@
 	 * What fills idle cores wants many of them; what serves its own users
 	 * is disturbed by the load of others beside it.
 	 */
-	apart = st->fills || st->target_ms;
+	apart = st->fills || st->target_ms ||
+		(st->lasts && !policy_on(s, POLICY_TOGETHER));
 	idle = (double)room.cpu / (double)(w->row.capacity.cpu + 1);
 	merit = MERIT_FULL * (apart ? idle : 1 - idle);
+	if (!policy_on(s, POLICY_FULLEST))
+		merit = MERIT_FULL * idle;
 	if (merit < 0)
 		merit = 0;
 	if (st->rack.bstr_len && bstr_eq(st->rack, w->rack))
 		merit += MERIT_RACK;
-	if (t->avoid != w->serial)
+	if (t->avoid != w->serial || !policy_on(s, POLICY_AVOID))
 		merit += MERIT_NOT_AVOID;
 	if (st->tight)
 		merit += MERIT_SIBLINGS * rack_siblings(c->pool, w->rack, t);
@@ -516,7 +533,8 @@
 	enum hold hold = candidate_hold(s, c);
 
 	if (hold) {
-		/* What has just found room did not wait for the store before. */
+		/* What has just found room did not wait for the store before.
+		 */
 		if (hold != HOLD_STORE || !c->job->hold)
 			c->job->hold = hold;
 		return;
--- a/sched-state.h
+++ b/sched-state.h
@@ -686,6 +686,9 @@
 		  struct worker **workers, size_t count);
 void advice_answer(struct sched *s, struct request *rq, struct answer *ans);
 
+/* sched-policy.c */
+bool policy_on(const struct sched *s, enum policy p);
+
 /* sched-due.c */
 /* What can still come of a job for its caller. */
 enum lateness {
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -382,6 +382,8 @@
 {
 	unsigned steps = (wave_left(v) + v->maximum - 1) / v->maximum;
 
+	if (!policy_on(s, POLICY_WAVE_CALM))
+		return false;
 	return s->now + (int64_t)steps * WAVE_STEP_MS + WAVE_RESERVE_MS <
 	       wave_finish_at(s, v);
 }
@@ -398,7 +400,7 @@
 	int64_t steps = (int64_t)(ms / WAVE_STEP_MS);
 	unsigned left = wave_left(v);
 
-	if (steps < 1)
+	if (steps < 1 || !policy_on(s, POLICY_WAVE_PACE))
 		return v->maximum;
 	left = (unsigned)((left + steps - 1) / steps);
 	return left < v->maximum ? left : v->maximum;
--- a/scheduler.h
+++ b/scheduler.h
@@ -372,6 +372,14 @@
 };
 TAILQ_HEAD(sched_effects, sched_effect);
 
+/* Mechanisms that can be left out, see policy.def. */
+enum policy {
+#define POLICY(name, word, text) POLICY_##name,
+#include "policy.def"
+#undef POLICY
+	POLICY_MAX
+};
+
 struct sched_options {
 	bstr vm;
 	bstr zone;
@@ -386,12 +394,14 @@
 	int64_t move_ms;
 	double far_factor;
 	double cpu_share; /* cores that this VM may use */
+	unsigned without; /* mechanisms left out, a bit each */
 };
 struct sched;
 struct sched *sched_new(const struct sched_options *o);
 void sched_reduce(struct sched *s, const struct sched_event *ev,
 		  struct sched_effects *out);
 void sched_free(struct sched *s);
+enum policy policy_find(const char *word);
 
 /* sched-data.c: freeing and copying what events and effects hold. */
 void job_body_free(struct job_body *b); /* and b itself */
