Revert: hopeless work is last

Hypothesis: work that is past three times its objective, for which nobody waits, takes the room of work that is only a little late. Expected times are off by half; what is taken for hopeless is often not.

--- a/sched-due.c
+++ b/sched-due.c
@@ -4,9 +4,6 @@
  */
 #include "sched-state.h"
 
-/* Callers wait for so many times the length of an objective. */
-#define LATE_FACTOR 3
-
 /*
  * The longest chains of expected times from each step to the end of its job;
  * the longest of all is returned.  Steps come after those that they wait for.
@@ -49,19 +46,3 @@
 	       (int64_t)((r ? r->stretch : 1) * (double)longest) +
 	       (r ? r->objective_ms : 0);
 }
-
-/*
- * How late an occurrence would be that is due at one time and ends at another.
- * In an overload all that waits becomes late: work that nobody waits for any
- * more would take the room of what is only a little late.
- */
-enum lateness occurrence_lateness(const struct sched *s,
-				  const struct occurrence *o, int64_t due,
-				  int64_t end)
-{
-	int64_t came = occurrence_came_at(s, o);
-
-	if (end <= due)
-		return IN_TIME;
-	return end <= came + LATE_FACTOR * (due - came) ? LATE : HOPELESS;
-}
--- a/sched-place.c
+++ b/sched-place.c
@@ -39,8 +39,8 @@
 	unsigned step;
 	bool advised;  /* a start needs a ticket */
 	unsigned rank; /* lasting work, then priorities */
-	enum lateness late;
-	int64_t due; /* when its objective ends; if late: its length */
+	bool late;     /* its objective can't be met any more */
+	int64_t due;   /* when its objective ends; if late: its length */
 };
 
 /* The workers of one service that may get work. */
@@ -172,19 +172,6 @@
 	return waits;
 }
 
-/* How late a candidate counts that would end at a time. */
-static enum lateness candidate_lateness(const struct sched *s,
-					const struct candidate *c, int64_t end)
-{
-	enum lateness late = occurrence_lateness(s, c->occ, c->due, end);
-
-	if (!policy_on(s, POLICY_LATE_LAST))
-		return IN_TIME;
-	if (late == HOPELESS && !policy_on(s, POLICY_HOPELESS_LAST))
-		return LATE;
-	return late;
-}
-
 /* Add a step to those that can be placed. */
 static void candidate_add(struct sched *s, struct placing *p,
 			  const struct route *r, struct pool *pool,
@@ -206,8 +193,8 @@
 	c->due = occurrence_due_at(s, o, whole);
 	if (!o->job->due)
 		o->job->due = c->due;
-	if (!st->lasts)
-		c->late = candidate_lateness(s, c, s->now + chain[at]);
+	c->late = !st->lasts && s->now + chain[at] > c->due &&
+		  policy_on(s, POLICY_LATE_LAST);
 	if (c->late)
 		c->due = whole;
 	else if (!policy_on(s, POLICY_DUE_ORDER))
@@ -277,7 +264,7 @@
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
 	if (x->late != y->late)
-		return x->late < y->late ? -1 : 1;
+		return x->late ? 1 : -1;
 	if (x->due != y->due)
 		return x->due < y->due ? -1 : 1;
 	return strcmp(x->job->id, y->job->id);
--- a/sched-state.h
+++ b/sched-state.h
@@ -690,15 +690,6 @@
 bool policy_on(const struct sched *s, enum policy p);
 
 /* sched-due.c */
-/* What can still come of a job for its caller. */
-enum lateness {
-	IN_TIME,
-	LATE,	 /* its objective can't be met any more */
-	HOPELESS /* it would end so late that nobody waits for it */
-};
-enum lateness occurrence_lateness(const struct sched *s,
-				  const struct occurrence *o, int64_t due,
-				  int64_t end);
 int64_t job_chains(struct sched *s, const struct job *j, int64_t *chain);
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest);
