Revert: a wave is paced by the time that remains

Hypothesis: the operator's maximum at once, taken in the first seconds, is missed by the work that goes on; as many as the time that remains calls for would do.

--- a/sched-wave.c
+++ b/sched-wave.c
@@ -26,8 +26,6 @@
  */
 #define WAVE_STEP_MS 4500
 #define WAVE_RESERVE_MS 4000
-/* The part of the time left that the pace of a wave reckons with. */
-#define WAVE_TIME_SHARE 0.6
 #define WAVE_NAME_MAX 40
 /* A line for each open wave is logged so often. */
 #define WAVE_TOLD_MS 1000
@@ -388,24 +386,6 @@
 	       wave_finish_at(s, v);
 }
 
-/*
- * How many machines may be away at once: no more than the time that remains
- * calls for, since they are missed by the work that goes on.  A part of that
- * time is kept for trouble, and as it runs out more are taken, up to the
- * operator's maximum.
- */
-static unsigned wave_at_once(const struct sched *s, const struct wave *v)
-{
-	double ms = (double)(wave_finish_at(s, v) - s->now) * WAVE_TIME_SHARE;
-	int64_t steps = (int64_t)(ms / WAVE_STEP_MS);
-	unsigned left = wave_left(v);
-
-	if (steps < 1 || !policy_on(s, POLICY_WAVE_PACE))
-		return v->maximum;
-	left = (unsigned)((left + steps - 1) / steps);
-	return left < v->maximum ? left : v->maximum;
-}
-
 /* Is a machine of a pool that has much to do? */
 static bool member_is_busy(struct sched *s, const struct wave_machine *wm)
 {
@@ -610,7 +590,7 @@
 /* Drive a wave on. */
 static void wave_drive(struct sched *s, struct wave *v)
 {
-	unsigned away = 0, at_once, waits[MEMBER_WAIT_MAX] = {0};
+	unsigned away = 0, waits[MEMBER_WAIT_MAX] = {0};
 	bool all = true;
 	size_t i;
 
@@ -624,8 +604,7 @@
 			away++;
 		all = all && v->machines[i].done;
 	}
-	at_once = wave_at_once(s, v);
-	while (away < at_once && wave_mark(s, v))
+	while (away < v->maximum && wave_mark(s, v))
 		away++;
 	for (i = 0; i < v->count; i++)
 		waits[member_tick(s, v, &v->machines[i])]++;
