--- a/tests/test-upkeep.c
+++ b/tests/test-upkeep.c
@@ -104,3 +104,27 @@
 		check_free(w, silent_rows[row].name);
 	}
 }
+
+/*
+ * Guards against a wave that takes machines in a burst, because an owner that
+ * has just taken over has not looked at the pools yet.
+ */
+Test(upkeep, successor_looks_at_the_pools_first)
+{
+	struct world *w;
+	unsigned row, k;
+
+	for (row = 0; row < 4; row++) {
+		w = calm(1540 + row);
+		world_submit(w, other(w), JOB_A, &heap);
+		world_run(w, 300);
+		world_kill(w, owner(w));
+		world_wave(w, 6, 3);
+		for (k = 0; k < 400 && world_owner(w) == -1; k++)
+			world_run(w, 10);
+		world_run(w, 2000);
+		cr_expect_eq(world_taken(w), 0, "row %u: %u taken in a burst",
+			     row, world_taken(w));
+		check_free(w, "looks at the pools first");
+	}
+}
