--- a/sched-place.c
+++ b/sched-place.c
@@ -520,8 +520,7 @@
 	enum hold hold = candidate_hold(s, c);
 
 	if (hold) {
-		/* What has just found room did not wait for the store before.
-		 */
+		/* It has just found room: it waited for something else. */
 		if (hold != HOLD_STORE || !c->job->hold)
 			c->job->hold = hold;
 		return;
--- a/tests/test-catalogue.c
+++ b/tests/test-catalogue.c
@@ -94,6 +94,24 @@
 	doc_close(&d);
 }
 
+Test(catalogue, mechanisms)
+{
+	static const struct {
+		const char *word;
+		const char *text;
+	} rows[] = {
+#define POLICY(name, word, text) {word, text},
+#include "../policy.def"
+#undef POLICY
+	};
+	struct doc d = doc_open("docs/POLICY.md");
+	size_t i;
+
+	for (i = 0; i < NELEMS(rows); i++)
+		doc_expect(&d, "| `%s` | %s |", rows[i].word, rows[i].text);
+	doc_close(&d);
+}
+
 Test(catalogue, settings)
 {
 	struct doc d = doc_open("docs/SETTINGS.md");
