--- a/tests/test-failure.c
+++ b/tests/test-failure.c
@@ -872,7 +872,8 @@
 		snprintf(key, sizeof(key), "tour-%zu", i);
 		s.key = key;
 		said = submit(&in, i % in.vm_count, &s);
-		cr_assert_eq(said.status, 202);
+		cr_assert_eq(said.status, 202, "submission %zu: %d %s", i,
+			     (int)said.status, said_text(&said, "reason"));
 		snprintf(ids[i], sizeof(ids[i]), "%s", said_text(&said, "job"));
 		caller_said_free(&said);
 	}
