A start that a later life of a silent worker may do keeps its task

Callers saw a task of a job that was completed run once more. A worker began a new life, got a start and told nobody; the owner gave it up as silent by the lease of the life it knew and started the task elsewhere. The start's deadline was on the old life's clock, and the new life's clock began anew: it did the start seconds later.

Evidence: prop-sched, kept sequence with WORLD_LOG=1: TASK_START run 1 7.275 s, TASK_UNSURE 8.075 s, WORKER_LOST why=silent 9.841 s, run 1 done at 13.394 s. Ruled out: an end acknowledged unseen, a list of an old life taken for whole.

The task waits until no order is done any more, unless its start went by a connection older than the latest word of the known life. Any shorter bound would rest on a clock that nobody has read; a connection can't outlive its end.

--- a/http-client.c
+++ b/http-client.c
@@ -56,7 +56,8 @@
 /* What is known of an open socket, by its descriptor. */
 struct socket_info {
 	uint64_t serial; /* counts sockets opened; 0: not open */
-	bool used;	 /* it has carried a request */
+	int64_t opened_at;
+	bool used; /* it has carried a request */
 	char peer_ip[INET6_ADDRSTRLEN];
 	uint16_t peer_port;
 	uint16_t local_port; /* 0: not known yet */
@@ -230,6 +231,7 @@
 	}
 	memset(&c->sockets[fd], 0, sizeof(*c->sockets));
 	c->sockets[fd].serial = ++c->last_serial;
+	c->sockets[fd].opened_at = clock_now();
 	socket_peer(&c->sockets[fd], &a->addr);
 	return fd;
 }
@@ -332,8 +334,11 @@
 	}
 	if (t->request->deadline <= clock_now())
 		return CURL_PREREQFUNC_ABORT;
-	if (fd >= 0)
+	t->answer.opened_at = clock_now();
+	if (fd >= 0) {
 		t->client->sockets[fd].used = true;
+		t->answer.opened_at = t->client->sockets[fd].opened_at;
+	}
 	t->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
--- a/http-client.h
+++ b/http-client.h
@@ -21,7 +21,8 @@
 	bool too_long; /* that is why it is HTTP_INVALID */
 	long status;
 	uint32_t retry_after_ms; /* 0: the answer gave none */
-	bstr body;		 /* the client's: copy what is kept */
+	int64_t opened_at; /* its connection, the newest tried; 0: not sent */
+	bstr body;	   /* the client's: copy what is kept */
 };
 
 /*
--- a/sched-order.c
+++ b/sched-order.c
@@ -108,6 +108,7 @@
 	task_place(s, t, w, run);
 	t->phase = AT_START;
 	t->asked = true;
+	t->opened_at = 0;
 	t->start_by = worker_clock(s, w) + START_BY_MS;
 	if (t->start_by > w->lease_end)
 		w->lease_end = t->start_by;
@@ -292,6 +293,7 @@
 		}
 		break;
 	case OUT_UNKNOWN:
+		t->opened_at = a->opened_at;
 		w->unwell_until = s->now + UNWELL_MS;
 		sched_log(s, LOG_TASK_UNSURE,
 			  "task=%s.%u.%u.%u run=%llu "
--- a/sched-state.h
+++ b/sched-state.h
@@ -107,6 +107,7 @@
 	int64_t start_by; /* on the worker's clock */
 	int64_t acked;	  /* the worker's clock when it took the start */
 	int64_t begun_at;
+	int64_t opened_at; /* of its start's connection; 0: not known */
 	int64_t ready_at;
 	int64_t not_before;
 	unsigned fails;
@@ -225,6 +226,7 @@
 	bool looking;	   /* a hold is under way */
 	int64_t look_at;
 	int64_t answered_at;
+	int64_t alive_at; /* its known life lived then, or later */
 	int64_t stray_at; /* runs that nobody wants are stopped from then on */
 	bool strays_due;
 	int64_t unwell_until;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -99,6 +99,39 @@
 	}
 }
 
+/*
+ * May a start without an answer have reached a later life of its worker than
+ * the one known?  Not by a connection that is older than the latest sign of
+ * that one: no later life has an end of it.
+ */
+static bool start_may_be_anothers(const struct task *t)
+{
+	return t->phase == AT_START &&
+	       (!t->opened_at || t->opened_at > t->worker->alive_at);
+}
+
+/*
+ * What a silent worker was told to hold has lapsed, but a new life of it that
+ * nobody knows of may have got a start and do it late: its clock began anew,
+ * so that it takes the start's deadline for one far ahead.  Such a task would
+ * run a second time.  By this time no order is done any more.
+ */
+static void starts_wait(struct sched *s, struct worker *w)
+{
+	struct task *t;
+
+	TAILQ_FOREACH(t, &w->tasks, on) {
+		if (!start_may_be_anothers(t))
+			continue;
+		t->not_before = t->begun_at + LATE_ORDER_MS;
+		sched_log(s, LOG_START_AWAITED,
+			  "task=%s.%u.%u.%u run=%llu worker=%.*s wait_ms=%lld",
+			  t->occ->job->id, t->occ->k, t->step, t->index,
+			  (unsigned long long)t->run, BSTR_ARG(w->id),
+			  (long long)(t->not_before - s->now));
+	}
+}
+
 /*
  * A worker runs nothing any more: it was cut off for longer than its lease,
  * started anew, or its machine was taken.  Its tasks may start elsewhere.
@@ -141,6 +174,7 @@
 	w->seen_seq = 0;
 	w->fenced = false;
 	w->lease_end = 0;
+	w->alive_at = 0;
 	w->clock = 0; /* it starts anew as well */
 	w->clock_at = s->now;
 	w->look_at = s->now;
@@ -398,6 +432,7 @@
 
 	if (!w->gone && worker_is_over(s, w)) {
 		w->gone = true;
+		starts_wait(s, w);
 		if (!TAILQ_EMPTY(&w->tasks))
 			worker_lost(s, w, "silent");
 	}
@@ -697,6 +732,8 @@
 	w->clock = a->clock;
 	w->clock_at = s->now;
 	w->answered_at = s->now;
+	if (a->born && a->sent_at > w->alive_at)
+		w->alive_at = a->sent_at;
 	w->gone = false;
 	w->sure = true;
 	if (!w->fenced) {
--- a/scheduler.h
+++ b/scheduler.h
@@ -207,6 +207,7 @@
 	enum outcome outcome;
 	enum refusal refusal;
 	int64_t sent_at;
+	int64_t opened_at; /* the connection it went by; 0: not known */
 	uint64_t revision;
 	struct row *rows;
 	size_t row_count;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -142,6 +142,7 @@
 	unsigned page_rows; /* 0: as many as are asked for */
 	unsigned late_percent;
 	unsigned vanish_percent;
+	bool old_connections;
 	enum refusal refusal; /* of all starts */
 	int64_t limit;
 	int64_t limit_before; /* in force until then */
@@ -409,7 +410,10 @@
 /* No answer: the VM's own client gives up at the deadline. */
 static void answer_none(struct world *w, unsigned vm, struct sched_effect *fx)
 {
-	answer_send(w, vm, answer_make(fx, OUT_UNKNOWN, w->now),
+	struct sched_event *ev = answer_make(fx, OUT_UNKNOWN, w->now);
+
+	ev->answer.opened_at = w->old_connections;
+	answer_send(w, vm, ev,
 		    fx->ask.deadline > w->now ? fx->ask.deadline : w->now);
 }
 
@@ -1767,6 +1771,12 @@
 	w->vanish_percent = percent;
 }
 
+/* Unanswered requests are told to have gone by connections that old. */
+void world_old_connections(struct world *w)
+{
+	w->old_connections = true;
+}
+
 /* All workers turn every start away, or take them again. */
 void world_refuse_starts(struct world *w, enum refusal why)
 {
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -18,6 +18,7 @@
 struct call {
 	struct http_request http;
 	enum http_outcome outcome;
+	int64_t opened_at;
 	struct gate *ended;
 	/* Hold the client's thread up: at a gate, past a deadline. */
 	struct gate *entered;
@@ -86,6 +87,7 @@
 	int first;
 
 	c->outcome = a->outcome;
+	c->opened_at = a->opened_at;
 	if (c->listener) {
 		/* Make room for the connection that hangs, and wait for it. */
 		first = accept(c->listener, NULL, NULL);
@@ -236,3 +238,34 @@
 		fake_stop(f);
 	}
 }
+
+/*
+ * A start that only an earlier life of its worker can have got is taken for
+ * one that any life may do late: the age of the connection that carried a
+ * request has to be told, also of one without an answer.
+ */
+Test(http_client, tells_how_old_the_connection_is, .timeout = 60)
+{
+	static const struct fake_step steps[] = {{FAKE_SAY, 200, "a"},
+						 {FAKE_HOLD, 200, "b"}};
+	struct http_client *client = client_start();
+	struct gate ended = GATE;
+	struct call first, second;
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	int64_t before = clock_now(), between;
+
+	call_set(&first, fake_port(f), "first", LONG_MS, &ended);
+	cr_assert(http_client_send(client, &first.http));
+	gate_wait(&ended, 1);
+	cr_expect_geq(first.opened_at, before);
+	between = clock_now();
+	poll(NULL, 0, 5);
+	call_set(&second, fake_port(f), "second", SHORT_MS, &ended);
+	cr_assert(http_client_send(client, &second.http));
+	gate_wait(&ended, 2);
+	cr_expect_eq(second.outcome, HTTP_NO_ANSWER);
+	cr_expect_eq(second.opened_at, first.opened_at);
+	cr_expect_leq(second.opened_at, between);
+	http_client_stop(client);
+	fake_stop(f);
+}
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -569,6 +569,46 @@
 	cr_expect_str_eq(world_state(w, JOB_A), "completed");
 	check_free(w);
 }
+
+/*
+ * A task that a new life of a silent worker did late runs a second time; one
+ * whose start can't have reached another life must not wait for that.
+ */
+static const struct {
+	const char *name;
+	bool old_connections;
+	int64_t after_ms;
+	const char *state;
+} silent_start_rows[] = {
+	{"any life", false, 9000, "running"},
+	{"any life, in the end", false, 16000, "completed"},
+	{"the known life only", true, 9000, "completed"},
+};
+Test(sched, start_at_a_silent_worker)
+{
+	struct world *w;
+	unsigned i, k;
+
+	for (i = 0; i < NELEMS(silent_start_rows); i++) {
+		w = calm(17);
+		if (silent_start_rows[i].old_connections)
+			world_old_connections(w);
+		world_vanish(w, 100);
+		world_submit(w, 0, JOB_A, &quick);
+		world_run(w, 20);
+		for (k = 0; k < 24; k++)
+			world_cut_worker(w, k % 4, k / 4, true);
+		world_vanish(w, 0);
+		world_run(w, 5000);
+		for (k = 0; k < 24; k++)
+			world_cut_worker(w, k % 4, k / 4, false);
+		world_run(w, silent_start_rows[i].after_ms - 5000);
+		cr_expect_str_eq(world_state(w, JOB_A),
+				 silent_start_rows[i].state, "%s",
+				 silent_start_rows[i].name);
+		check_free(w);
+	}
+}
 Test(sched, worker_fails_all)
 {
 	struct world *w = calm(15);
