--- a/sched-commit.c
+++ b/sched-commit.c
@@ -111,6 +111,7 @@
 /* The outcome of a commit. */
 void commit_answer(struct sched *s, struct request *rq, struct answer *a)
 {
+	unsigned rows = 0;
 	struct job *j;
 
 	if (rq->epoch != s->own.epoch || s->own.state != OWN_YES)
@@ -133,11 +134,13 @@
 	while ((j = TAILQ_FIRST(&s->flying))) {
 		TAILQ_REMOVE(&s->flying, j, dirty);
 		j->flying_seq = 0;
+		rows++;
 		if (j->again_seq)
 			commit_once_more(s, j);
 		job_written(s, j);
 		job_settle(s, j);
 	}
+	load_commit(s, rows, s->now - a->sent_at);
 	worker_acknowledge(s);
 }
 
--- a/sched-job.c
+++ b/sched-job.c
@@ -81,6 +81,7 @@
 	if (j->begun)
 		return true;
 	if (j->fate == FATE_QUEUED) {
+		s->load.begins++;
 		j->fate = FATE_RUNNING;
 		job_touch(s, j);
 	}
--- /dev/null
+++ b/sched-load.c
@@ -0,0 +1,62 @@
+/*
+ * What the owner did in the last second, for whoever asks why work waited
+ * beside free room: how often it looked at workers and at what waits, how much
+ * it wrote, and what it has yet to write.
+ */
+#include "sched-state.h"
+
+/* A line is logged so often while there is something to tell. */
+#define LOAD_TOLD_MS 1000
+
+/* A worker has answered a look; how long was it since the one before? */
+void load_hold(struct sched *s, const struct worker *w, const struct answer *a)
+{
+	int64_t gap = s->now - w->answered_at;
+
+	s->load.holds++;
+	s->load.ends += (unsigned)a->ended_count;
+	if (w->fenced && !TAILQ_EMPTY(&w->tasks)) {
+		s->load.gaps++;
+		s->load.gap_ms += gap;
+	}
+}
+
+/* A commit of so many rows has been answered. */
+void load_commit(struct sched *s, unsigned rows, int64_t ms)
+{
+	s->load.commits++;
+	s->load.rows += rows;
+	if (ms > s->load.commit_ms)
+		s->load.commit_ms = ms;
+}
+
+/* Jobs whose progress is to be written. */
+static unsigned dirty_jobs(const struct sched *s)
+{
+	const struct job *j;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(j, &s->dirty, dirty)
+		n++;
+	return n;
+}
+
+/* Tell once in a while, and begin to count anew. */
+void load_tick(struct sched *s)
+{
+	struct load *l = &s->load;
+
+	if (s->now < l->tell_at)
+		return;
+	if (s->own.state == OWN_YES && (l->starts || l->ends))
+		sched_log(s, LOG_OWNER_LOAD,
+			  "jobs=%u looks=%u begins=%u starts=%u holds=%u "
+			  "gap_ms=%lld ends=%u commits=%u rows=%u "
+			  "commit_ms=%lld unwritten=%u",
+			  HASH_COUNT(s->jobs), l->looks, l->begins, l->starts,
+			  l->holds,
+			  (long long)(l->gaps ? l->gap_ms / l->gaps : 0),
+			  l->ends, l->commits, l->rows, (long long)l->commit_ms,
+			  dirty_jobs(s));
+	*l = (struct load){.tell_at = s->now + LOAD_TOLD_MS};
+}
--- a/sched-move.c
+++ b/sched-move.c
@@ -49,6 +49,7 @@
 	unsigned coming;   /* machines on their way to it */
 	unsigned empty;	   /* workers without tasks */
 	double cores;	   /* thousandths, of the workers that take work */
+	double used;	   /* of them, by tasks */
 	double lasting;	   /* of them, used by lasting tasks */
 	double work;	   /* waiting and running, in thousandths x ms */
 };
@@ -94,6 +95,7 @@
 			continue;
 		p->workers++;
 		p->cores += (double)w->row.capacity.cpu;
+		p->used += (double)w->used.cpu;
 		if (w->fenced && TAILQ_EMPTY(&w->tasks))
 			p->empty++;
 		TAILQ_FOREACH(t, &w->tasks, on)
@@ -386,14 +388,15 @@
 		p = &b->list[i];
 		if (!p->routed)
 			continue;
-		sched_log(s, LOG_POOL,
-			  "pool=%.*s workers=%u home=%u coming=%u empty=%u "
-			  "cores=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
-			  "stranded=%u",
-			  BSTR_ARG(p->service->name), p->workers, p->home,
-			  p->coming, p->empty, p->cores / 1000,
-			  p->lasting / 1000, p->work / 1000,
-			  drain_ms(p, one, 0), p->stranded);
+		sched_log(
+			s, LOG_POOL,
+			"pool=%.*s workers=%u home=%u coming=%u empty=%u "
+			"cores=%.0f used=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
+			"stranded=%u",
+			BSTR_ARG(p->service->name), p->workers, p->home,
+			p->coming, p->empty, p->cores / 1000, p->used / 1000,
+			p->lasting / 1000, p->work / 1000, drain_ms(p, one, 0),
+			p->stranded);
 	}
 }
 
--- a/sched-order.c
+++ b/sched-order.c
@@ -124,6 +124,7 @@
 	if (policy_on(s, POLICY_CHECKPOINTS))
 		o->checkpoint = bstr_copy(t->checkpoint);
 	o->ticket = bstr_copy(advice_ticket(s, t->occ, t->step, w));
+	s->load.starts++;
 	sched_count(s, COUNT_STARTS, 1);
 	sched_log(s, LOG_TASK_START,
 		  "task=%.*s run=%llu worker=%.*s waited_ms=%lld hold=%s "
--- a/sched-place.c
+++ b/sched-place.c
@@ -544,6 +544,7 @@
 	if (HASH_COUNT(s->jobs) > JOBS_MANY)
 		s->place_at = s->now + HASH_COUNT(s->jobs) / JOBS_PER_MS;
 	s->place = s->pauses = s->waits = false;
+	s->load.looks++;
 	pools_make(s, &p);
 	candidates_make(s, &p);
 	/*
--- a/sched-state.h
+++ b/sched-state.h
@@ -442,6 +442,21 @@
 	UT_hash_handle hh;
 };
 
+/* What an owner did since it told last, see sched-load.c. */
+struct load {
+	int64_t tell_at;
+	unsigned looks; /* at what waits */
+	unsigned begins;
+	unsigned starts;
+	unsigned holds;
+	unsigned ends;
+	unsigned gaps; /* between looks at a worker with tasks */
+	int64_t gap_ms;
+	unsigned commits;
+	unsigned rows;
+	int64_t commit_ms; /* the longest */
+};
+
 struct sched {
 	struct sched_options options;
 	bstr self; /* holder name */
@@ -506,6 +521,7 @@
 	unsigned advice_calls; /* under way */
 	struct drain *drains;
 	size_t drain_count;
+	struct load load;
 	struct lesson *lessons;
 };
 
@@ -696,6 +712,11 @@
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest);
 
+/* sched-load.c */
+void load_hold(struct sched *s, const struct worker *w, const struct answer *a);
+void load_commit(struct sched *s, unsigned rows, int64_t ms);
+void load_tick(struct sched *s);
+
 /* sched-learn.c */
 void learn_run(struct sched *s, const struct task *t);
 int64_t step_expected_ms(struct sched *s, const struct job *j, unsigned at);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -734,6 +734,7 @@
 			return;
 		worker_reborn(s, w, 0, a);
 	}
+	load_hold(s, w, a);
 	w->clock = a->clock;
 	w->clock_at = s->now;
 	w->answered_at = s->now;
--- a/sched.c
+++ b/sched.c
@@ -300,6 +300,7 @@
 	wave_tick(s);
 	move_tick(s);
 	commit_tick(s);
+	load_tick(s);
 	gauges_tick(s);
 	ready_tick(s);
 	stop_tick(s);
