A pool with much to do lends no machine: the machine taken off is counted signed

In an overload of all queues pools took machines from each other, 1.5 s of each gone with the move: callers' jobs waited beside room that was under way.

Cause: drain_ms() added the machines under way, unsigned, and the -1 of the machine to be lent. With none under way the sum wrapped round to four thousand million machines, the pool's work was done at once, and it spared whatever had just fallen empty. Ruled out: the bound on what a pool lends, and a home size that was read wrong (home=61, as the operator gave it).

test-load busy_pools_lend_nothing: 1 to 3 moves more in three of four rows before, none after. No other reckoning in the scheduler mixes the two kinds.

--- a/sched-move.c
+++ b/sched-move.c
@@ -186,7 +186,7 @@
 /* How long a pool needs for its work, with some machines more or less. */
 static double drain_ms(const struct balance *p, double one, int more)
 {
-	double cores = p->cores - p->lasting + one * (p->coming + more);
+	double cores = p->cores - p->lasting + one * ((double)p->coming + more);
 
 	if (p->stranded > p->coming)
 		return 1e9;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -24,6 +24,7 @@
 #define QUEUE "q"
 #define SERVICE "pool"
 #define STANDBY "spare"
+#define SECOND "pool2" /* of the other queue */
 #define TENANT "org"
 #define KEY "key"
 /*
@@ -180,7 +181,8 @@
 	uint64_t machine_epoch[WORLD_WORKERS]; /* the highest of an order */
 	bool busy; /* machines can't be maintained now */
 	bool machines_silent;
-	bool spare[WORLD_WORKERS]; /* machines that stand by, without workers */
+	bool second;
+	const char *pools[WORLD_WORKERS]; /* of the machines */
 	unsigned moves;
 	bool maintained[WORLD_WORKERS];
 	int64_t maintained_until[WORLD_WORKERS];
@@ -292,7 +294,7 @@
 	struct fleet_config *c = xcalloc(1, sizeof(*c));
 
 	c->version = w->config_version;
-	c->routes = xcalloc(1, sizeof(*c->routes));
+	c->routes = xcalloc(2, sizeof(*c->routes));
 	c->route_count = 1;
 	c->routes[0] = (struct route){.name = bstr_new(QUEUE),
 				      .host = bstr_new("h"),
@@ -302,13 +304,25 @@
 				      .advised = w->advised,
 				      .stretch = 2,
 				      .objective_ms = 600};
-	c->services = xcalloc(2, sizeof(*c->services));
+	if (w->second)
+		c->routes[c->route_count++] = (struct route){
+			.name = bstr_new("q2"),
+			.host = bstr_new("h"),
+			.prefix = bstr_new("/q2/"),
+			.service = bstr_new(SECOND),
+			.attempts = 3,
+			.stretch = 2,
+			.objective_ms = 600};
+	c->services = xcalloc(3, sizeof(*c->services));
 	c->service_count = 1;
 	c->services[0] = (struct service){.name = bstr_new(SERVICE),
 					  .guards = true};
 	if (w->standby)
 		c->services[c->service_count++] = (struct service){
 			.name = bstr_new(STANDBY), .standby = true};
+	if (w->second)
+		c->services[c->service_count++] = (struct service){
+			.name = bstr_new(SECOND), .guards = true};
 	c->tenants = xcalloc(1, sizeof(*c->tenants));
 	c->tenant_count = 1;
 	c->tenants[0] = (struct tenant){.name = bstr_new(TENANT),
@@ -336,7 +350,7 @@
 		return;
 	if (from->table == TABLE_WORKERS) {
 		r->kind = ROW_WORKER;
-		r->worker.service = bstr_new(SERVICE);
+		r->worker.service = bstr_new(w->pools[from->worker]);
 		r->worker.address = bstr_printf("a%d", from->worker);
 		r->worker.capacity = (struct size){CORES, 64000, 0};
 		r->worker.draining = w->workers[from->worker].draining;
@@ -1170,6 +1184,20 @@
 		break_promise(w, "an order about a machine may leave late", "");
 }
 
+/* Does a machine stand by, without a worker? */
+static bool machine_is_off(const struct world *w, unsigned n)
+{
+	return !strcmp(w->pools[n], STANDBY);
+}
+
+/* The pool that a move names. */
+static const char *pool_called(bstr name)
+{
+	if (bstr_eq_str(name, STANDBY))
+		return STANDBY;
+	return bstr_eq_str(name, SECOND) ? SECOND : SERVICE;
+}
+
 /* An ask about a machine has arrived. */
 static void machine_take(struct world *w, unsigned vm, struct sched_effect *fx)
 {
@@ -1184,10 +1212,10 @@
 		for (i = 0; i < w->worker_count; i++)
 			a->machines[a->machine_count++] = (struct machine_row){
 				.machine = bstr_printf("m-%u", i),
-				.pool = bstr_new(w->spare[i] ? STANDBY
-							     : SERVICE),
-				.worker = w->spare[i] ? BSTR_NONE
-						      : worker_id(w, i),
+				.pool = bstr_new(w->pools[i]),
+				.worker = machine_is_off(w, i)
+						  ? BSTR_NONE
+						  : worker_id(w, i),
 				.state = w->now < w->maintained_until[i]
 						 ? MACHINE_UPKEEP
 						 : MACHINE_UP};
@@ -1203,10 +1231,10 @@
 		n = (unsigned)(name[2] - '0');
 		free(name);
 		w->moves++;
-		w->spare[n] = bstr_eq_str(fx->ask.order.pool, STANDBY);
+		w->pools[n] = pool_called(fx->ask.order.pool);
 		taken_ends_check(w, n);
 		machine_restart(w, n, 300);
-		if (w->spare[n])
+		if (machine_is_off(w, n))
 			world_unlist(w, n, true);
 	} else if (fx->ask.kind == ASK_UPKEEP) {
 		name = bstr_cstr(fx->ask.order.machine);
@@ -1378,15 +1406,17 @@
 				      struct job_body *body)
 {
 	struct sched_event *ev = xcalloc(1, sizeof(*ev));
+	const struct world_job *j = *id ? job_of(w, id) : NULL;
 
 	ev->kind = EVENT_CALL;
-	ev->call = (struct call_in){.id = call,
-				    .kind = verb,
-				    .host = bstr_new("h"),
-				    .path = bstr_printf("/q/%s", id),
-				    .key = bstr_new(KEY),
-				    .body = body,
-				    .deadline = w->now + 3000};
+	ev->call = (struct call_in){
+		.id = call,
+		.kind = verb,
+		.host = bstr_new("h"),
+		.path = bstr_printf("/%s/%s", j && j->second ? "q2" : "q", id),
+		.key = bstr_new(KEY),
+		.body = body,
+		.deadline = w->now + 3000};
 	return ev;
 }
 
@@ -1493,6 +1523,7 @@
 	row_write(w, TABLE_OPERATOR, "config", -1);
 	for (i = 0; i < workers; i++) {
 		w->workers[i].listed = true;
+		w->pools[i] = SERVICE;
 		snprintf(key, sizeof(key), "i-%u-0", i);
 		row_write(w, TABLE_WORKERS, key, (int)i);
 	}
@@ -1826,11 +1857,25 @@
 	w->config_version++;
 	row_write(w, TABLE_OPERATOR, "config", -1);
 	for (i = w->worker_count - machines; i < w->worker_count; i++) {
-		w->spare[i] = true;
+		w->pools[i] = STANDBY;
 		world_unlist(w, i, true);
 	}
 }
 
+/* Let the last machines be another pool, with a queue of its own. */
+void world_second_pool(struct world *w, unsigned machines)
+{
+	unsigned i;
+
+	w->second = true;
+	w->config_version++;
+	row_write(w, TABLE_OPERATOR, "config", -1);
+	for (i = w->worker_count - machines; i < w->worker_count; i++) {
+		w->pools[i] = SECOND;
+		world_unlist(w, i, false);
+	}
+}
+
 /* Write the configuration with the key, or without. */
 void world_keys(struct world *w, bool given)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -32,6 +32,7 @@
 	bool lasts;
 	unsigned apart;
 	unsigned may_miss;
+	bool second; /* to the queue of the second pool */
 };
 
 struct world;
@@ -86,7 +87,8 @@
 void world_fail_all(struct world *w, unsigned worker, bool fail);
 void world_limit(struct world *w, int64_t cpu); /* of the organisation */
 void world_wave(struct world *w, unsigned machines, unsigned maximum);
-void world_standby(struct world *w, unsigned machines); /* before it runs */
+void world_standby(struct world *w, unsigned machines);	    /* before it runs */
+void world_second_pool(struct world *w, unsigned machines); /* likewise */
 void world_keys(struct world *w, bool given); /* the organisation's key */
 void world_advise(struct world *w); /* starts need tickets; even workers */
 
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -105,6 +105,37 @@
 	}
 }
 
+/*
+ * Guards against an overload of all queues in which pools take machines from
+ * each other: one that has just fallen empty leaves a pool with much to do,
+ * and is gone for the time of a move.
+ */
+Test(load, busy_pools_lend_nothing)
+{
+	static const struct world_job heap = {.tasks = 200, .task_ms = 2000};
+	static const struct world_job heap2 = {
+		.tasks = 120, .task_ms = 2000, .second = true};
+	unsigned row, before;
+	struct world *w;
+
+	for (row = 0; row < 4; row++) {
+		w = world_new(1700 + row, WORLD_VMS, WORLD_WORKERS);
+		world_second_pool(w, 3);
+		world_run(w, 4000);
+		/* The store answers late: all is empty until jobs begin. */
+		world_store_slow(w, 150 + 100 * (int64_t)row);
+		world_submit(w, 0, "00000000000000aa", &heap);
+		world_submit(w, 1, "00000000000000bb", &heap2);
+		/* One may go before the owner has seen the second job. */
+		world_run(w, 300 + 100 * (int64_t)row);
+		before = world_moves(w);
+		world_run(w, 5000);
+		cr_expect_eq(world_moves(w), before, "row %u: %u moves more",
+			     row, world_moves(w) - before);
+		check_free(w, "busy pools lend nothing");
+	}
+}
+
 /*
  * Guards against repeated jobs whose times are all taken for late but the
  * first: each is due by its own time of day.
