A pool lends by what waits in it, not by what runs

What an empty machine is needed for is work that is ready and nowhere: that is summed up apart, and a pool spares a machine while the others can begin it soon. test-load busy_pools_lend_nothing stays green.

--- a/sched-move.c
+++ b/sched-move.c
@@ -52,6 +52,7 @@
 	double used;	   /* of them, by tasks */
 	double lasting;	   /* of them, used by lasting tasks */
 	double work;	   /* waiting and running, in thousandths x ms */
+	double waiting;	   /* of it, what could run if there were room */
 };
 
 struct balances {
@@ -104,19 +105,35 @@
 	}
 }
 
-/* Work left of an occurrence, in thousandths of a core x ms. */
-static double occurrence_work(struct sched *s, const struct occurrence *o)
+/* Tasks of a step that are ready and nowhere. */
+static unsigned step_resting(const struct occurrence *o, unsigned at)
 {
-	const struct job_body *b = o->job->body;
-	double work = 0;
+	const struct task *t = &o->tasks[o->first[at]];
+	unsigned i, n = 0;
+
+	if (!o->left[at] || !step_ready(o, at))
+		return 0;
+	for (i = 0; i < o->job->body->steps[at].count; i++, t++)
+		n += t->phase == AT_REST;
+	return n;
+}
+
+/* Add the work left of an occurrence, in thousandths of a core x ms. */
+static void balance_occurrence(struct sched *s, struct balance *p,
+			       const struct occurrence *o)
+{
+	const struct job_step *st = o->job->body->steps;
+	double one;
 	unsigned i;
 
-	for (i = 0; i < b->step_count; i++)
-		if (!b->steps[i].lasts && !b->steps[i].fills)
-			work += (double)o->left[i] *
-				(double)b->steps[i].need.cpu *
-				(double)step_expected_ms(s, o->job, i);
-	return work;
+	for (i = 0; i < o->job->body->step_count; i++, st++) {
+		if (st->lasts || st->fills)
+			continue;
+		one = (double)st->need.cpu *
+		      (double)step_expected_ms(s, o->job, i);
+		p->work += one * o->left[i];
+		p->waiting += one * step_resting(o, i);
+	}
 }
 
 /* Lasting tasks of an occurrence that have found no worker for a while. */
@@ -148,7 +165,7 @@
 		if (!p)
 			continue;
 		TAILQ_FOREACH(o, &j->occs, entry) {
-			p->work += occurrence_work(s, o);
+			balance_occurrence(s, p, o);
 			p->stranded += occurrence_stranded(s, o);
 		}
 	}
@@ -183,10 +200,10 @@
 	return n ? cores / n : 0;
 }
 
-/* How long a pool needs for its work, with some machines more or less. */
-static double drain_ms(const struct balance *p, double one, int more)
+/* How long a pool needs for its work, with the machines under way. */
+static double drain_ms(const struct balance *p, double one)
 {
-	double cores = p->cores - p->lasting + one * ((double)p->coming + more);
+	double cores = p->cores - p->lasting + one * p->coming;
 
 	if (p->stranded > p->coming)
 		return 1e9;
@@ -241,9 +258,16 @@
 		  BSTR_ARG(to->service->name), why);
 }
 
+/* Would a pool with a machine less need longer for what waits in it? */
+static bool pool_waits(const struct balance *p, double one, double ms)
+{
+	return p->waiting > (p->cores - p->lasting - one) * ms;
+}
+
 /*
  * May a pool spare one of its empty machines now?  What it has beyond its
- * home size, yes; of its own a few, while it has little to do itself.
+ * home size, yes; of its own a few, while little waits in it.  What runs there
+ * needs no other machine.
  */
 static bool pool_spares(const struct balance *p, double one, double lent)
 {
@@ -252,9 +276,9 @@
 	if (p->workers + p->coming + lent * p->home <= p->home)
 		return false;
 	if (p->workers + p->coming > p->home)
-		return drain_ms(p, one, -1) < DRAIN_HIGH_MS / 2;
+		return !pool_waits(p, one, DRAIN_HIGH_MS / 2);
 	return p->empty > (unsigned)(KEEP_FREE * p->workers) + 1 &&
-	       drain_ms(p, one, -1) < DRAIN_LOW_MS;
+	       !pool_waits(p, one, DRAIN_LOW_MS);
 }
 
 /* A machine for a pool: of standby, else of one that can spare it. */
@@ -290,10 +314,10 @@
 		worst = NULL;
 		for (i = 0; i < b->count; i++)
 			if (b->list[i].routed && !b->list[i].service->standby &&
-			    (!worst || drain_ms(&b->list[i], one, 0) >
-					       drain_ms(worst, one, 0)))
+			    (!worst ||
+			     drain_ms(&b->list[i], one) > drain_ms(worst, one)))
 				worst = &b->list[i];
-		if (!worst || drain_ms(worst, one, 0) < DRAIN_HIGH_MS)
+		if (!worst || drain_ms(worst, one) < DRAIN_HIGH_MS)
 			return n;
 		m = machine_choose(s, b, worst, one);
 		if (!m)
@@ -395,7 +419,7 @@
 			"stranded=%u",
 			BSTR_ARG(p->service->name), p->workers, p->home,
 			p->coming, p->empty, p->cores / 1000, p->used / 1000,
-			p->lasting / 1000, p->work / 1000, drain_ms(p, one, 0),
+			p->lasting / 1000, p->work / 1000, drain_ms(p, one),
 			p->stranded);
 	}
 }
@@ -410,7 +434,7 @@
 	s->drain_count = b->count;
 	for (i = 0; i < b->count; i++) {
 		s->drains[i].pool = bstr_copy(b->list[i].service->name);
-		s->drains[i].ms = drain_ms(&b->list[i], one, 0);
+		s->drains[i].ms = drain_ms(&b->list[i], one);
 	}
 }
 
