Commits carry as many rows as the store takes

Callers' jobs waited beside free room: a worker's ends were listed again and again until they were durable, and its next ones seen late for it.

Cause: one commit is under way at a time, of 60 rows. Once its answer took over 66 ms, on an owner short of processor, less was written than ended; the ends not acknowledged came again with each look (OWNER_LOAD: 2,000 to 29,000 ends a second for 1,000 to 1,700 starts, unwritten=200 to 400, commit_ms up to 727), reading them took more processor, and commits grew slower still. It did not end with the demand. Ruled out: the store's pace (commits answered in 19 ms before).

A commit takes 97 rows, and half a megabyte, of the store's 100 entries and 1 MB.

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -69,7 +69,9 @@
 	struct request *rq;
 	struct job *j;
 	struct tx *t;
+	size_t bytes = 0;
 	unsigned n;
+	bstr row;
 
 	if (s->committing || !own_acts(s) || TAILQ_EMPTY(&s->dirty) ||
 	    s->now < s->commit_at)
@@ -78,12 +80,16 @@
 	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
 	tx_expect(t, TABLE_PROGRESS, bstr_lit(KEY_COMMIT), s->commit_revision);
 	tx_write(t, TABLE_PROGRESS, bstr_lit(KEY_COMMIT), bstr_new("{}"));
-	for (n = 0; n < COMMIT_ROWS_MAX && (j = TAILQ_FIRST(&s->dirty)); n++) {
+	for (n = 0; n < COMMIT_ROWS_MAX && bytes < COMMIT_BYTES_MAX &&
+		    (j = TAILQ_FIRST(&s->dirty));
+	     n++) {
 		TAILQ_REMOVE(&s->dirty, j, dirty);
 		TAILQ_INSERT_TAIL(&s->flying, j, dirty);
 		j->flying_seq = j->dirty_seq;
 		j->dirty_seq = 0;
-		tx_write(t, TABLE_PROGRESS, bstr_lit(j->id), progress_write(j));
+		row = progress_write(j);
+		bytes += row.bstr_len;
+		tx_write(t, TABLE_PROGRESS, bstr_lit(j->id), row);
 	}
 	s->committing = true;
 	s->flying_from = TAILQ_FIRST(&s->flying)->flying_seq;
--- a/sched-job.c
+++ b/sched-job.c
@@ -11,6 +11,8 @@
 /* The wall clock jumps; an occurrence is begun no sooner than this late, to
  * be on the right side of the 250 ms that its start may be early. */
 #define DUE_SLACK_MS 20
+/* Jobs whose rows are removed together, three of each. */
+#define SWEEP_JOBS_MAX 30
 
 /* Find a job of the book. */
 struct job *sched_job_find(struct sched *s, const char *id)
@@ -596,7 +598,7 @@
 	bstr key;
 
 	TAILQ_FOREACH(r, &s->retirees, entry) {
-		if (n++ == COMMIT_ROWS_MAX / 2 || r->removing ||
+		if (n++ == SWEEP_JOBS_MAX || r->removing ||
 		    s->wall - r->ended <= s->options.keep_ms)
 			break;
 		if (!t) {
--- a/sched-state.h
+++ b/sched-state.h
@@ -53,8 +53,11 @@
 #define RETRY_AFTER_S 1
 /* Gauges are set so often; metrics are fetched every 5 s. */
 #define GAUGES_MS 1000
-/* Ends of many tasks are made durable together; at most so many rows. */
-#define COMMIT_ROWS_MAX 60
+/* Ends of many tasks are made durable together: rows and bytes at most.  The
+ * store takes 100 entries and 1 MB; two are conditions, one the commit's own.
+ */
+#define COMMIT_ROWS_MAX 97
+#define COMMIT_BYTES_MAX (512 * 1024)
 #define COMMIT_PACE_MS 20
 #define PAGE_ROWS 500
 /* Run numbers of one epoch; a restart a second for 2.7 hours stays below. */
