A pool keeps its empty machines only from what would be late without them

In a turn's first moments something waits in most pools, and half of their machines stand empty.

A pool spares nothing while what waits in it needs over 2 s on the rest, which is when a move lets work be late that was not; one that machines are under way to is in need, as before. busy_pools_lend_nothing is green.

--- a/sched-move.c
+++ b/sched-move.c
@@ -18,6 +18,8 @@
 #define DRAIN_HIGH_MS 400.0
 /* Below this a pool has more than it needs. */
 #define DRAIN_LOW_MS 250.0
+/* What waits for longer is late: such a pool spares nothing. */
+#define WAIT_HIGH_MS 2000.0
 /*
  * A machine is idle for so long before it leaves its pool: meanwhile it can
  * go to the queue whose turn is next, without a way through standby.
@@ -251,10 +253,10 @@
 		  BSTR_ARG(to->service->name), why);
 }
 
-/* Would a pool with a machine less need longer for what waits in it? */
-static bool pool_waits(const struct balance *p, double one, double ms)
+/* Would what waits in a pool be late with a machine less? */
+static bool pool_waits(const struct balance *p, double one)
 {
-	return p->waiting > (p->cores - p->lasting - one) * ms;
+	return p->waiting > (p->cores - p->lasting - one) * WAIT_HIGH_MS;
 }
 
 /*
@@ -268,10 +270,12 @@
 		return true;
 	if (p->workers + p->coming + lent * p->home <= p->home)
 		return false;
-	if (p->workers + p->coming > p->home)
-		return !pool_waits(p, one, DRAIN_HIGH_MS / 2);
-	return p->empty > (unsigned)(KEEP_FREE * p->workers) + 1 &&
-	       !pool_waits(p, one, DRAIN_LOW_MS);
+	/* One that machines are under way to is in need. */
+	if (pool_waits(p, one) ||
+	    (p->coming && drain_ms(p, one) >= DRAIN_LOW_MS))
+		return false;
+	return p->workers + p->coming > p->home ||
+	       p->empty > (unsigned)(KEEP_FREE * p->workers) + 1;
 }
 
 /* A machine for a pool: of standby, else of one that can spare it. */
