Test: the number of a held call is kept when the call is given up

a_late_answer_reaches_nobody ended in undefined behaviour once beside load (index at held_open()): the caller's time, 50 ms on the real clock, ran out between the wait for the call and the reading of its number, and the list of calls without an answer was empty by then. The product did what it should.

Provoked with a pause of 150 ms between the two: red each time before, green with the same pause after. The number is kept apart; what is checked is as before. No other test reads that list for a call that may be given up.

--- a/tests/support-caller.c
+++ b/tests/support-caller.c
@@ -65,6 +65,7 @@
 	pthread_mutex_lock(&r->lock);
 	if (r->held_count < NELEMS(r->held))
 		r->held[r->held_count++] = call;
+	r->held_last = call;
 	r->held_ever++;
 	pthread_cond_broadcast(&r->changed);
 	pthread_mutex_unlock(&r->lock);
--- a/tests/support-caller.h
+++ b/tests/support-caller.h
@@ -22,6 +22,7 @@
 	pthread_cond_t changed;
 	uint64_t held[256]; /* calls without an answer, oldest first */
 	unsigned held_count;
+	uint64_t held_last; /* also if it has been given up since */
 	unsigned held_ever;
 	unsigned calls;	   /* EV_CALLs */
 	unsigned answers;  /* sent, to whomever */
--- a/tests/test-edge-caller.c
+++ b/tests/test-edge-caller.c
@@ -284,7 +284,7 @@
 	client_send(fd, GET("/v1/jobs/held"), strlen(GET("/v1/jobs/held")));
 	cr_assert(reducer_await(r, &r->held_ever, nth));
 	pthread_mutex_lock(&r->lock);
-	*call = r->held[r->held_count - 1];
+	*call = r->held_last;
 	pthread_mutex_unlock(&r->lock);
 	return fd;
 }
