A cell that lost a race for a team's allowance goes on with what it holds

Cause: two cells had written the team's row at once as the platform went away. The loser took its whole hold for unknown until the row was read again, which nobody can then. Ruled out: the freshness of keys (peers vouch), the hold's cap after an unknown outcome. Only a cell's owner changes its hold, so after a lost race it is what it was; a successor leaves room for what may run here until the workers answer to it.

--- a/reduce-limit.c
+++ b/reduce-limit.c
@@ -235,10 +235,12 @@
 }
 
 /*
- * A change of the hold has its outcome.  After a lost race the row is read
- * again before anything is started on it.  After an unknown outcome it is
- * read before it is written; what is held until then is the lesser of old
- * and new, so a cell whose platform is down goes on with that.
+ * A change of the hold has its outcome.  After a lost race or an unknown
+ * outcome the row is read before it is written again; what is held until then
+ * is the lesser of old and new, so a cell whose platform is down goes on with
+ * that.  Nobody but this cell's owner changes its hold: who won the race has
+ * changed another cell's, or is a successor, which counts what may run here
+ * until the workers answer to it.
  */
 void allow_committed(struct state *st, struct request *rq,
 		     const ev_platform *ev)
@@ -258,7 +260,6 @@
 		t->cap_revision = t->revision;
 	}
 	if (ev->outcome != PLATFORM_OK) {
-		t->loaded = t->loaded && ev->outcome != PLATFORM_CONFLICT;
 		t->stale = true;
 		t->retry_at = st->now + (int64_t)state_random(st, 100);
 		return;
--- /dev/null
+++ b/tests/test-limit.c
@@ -0,0 +1,94 @@
+#include "support-sim.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+/* Upper limits under trouble: one team, two pools that share its limit. */
+static const struct sim_plan plan = {
+	.seed = 5,
+	.entries = 2,
+	.dcs = 1,
+	.slots = 8,
+	.per_rack = 2,
+	.pools = {{.budget = 1, .workers = 2}, {.budget = 1, .workers = 2}},
+	.teams = {{1, 24}},
+	.reboot_ms = 10000,
+};
+
+/* The platform goes away right after a race for the team's row. */
+struct outage {
+	unsigned armed_after; /* writes of the row, from now on; 0: never */
+	unsigned writes;
+	int64_t from; /* simulated time; 0: it is there */
+};
+
+static bool writes_allowance(const effect *fx)
+{
+	const fx_commit *c = &fx->effect_u.commit;
+	u_int i;
+
+	if (fx->kind != FX_COMMIT)
+		return false;
+	for (i = 0; i < c->writes.writes_len; i++)
+		if (!strncmp(c->writes.writes_val[i].key.bstr_val, "allow/", 6))
+			return true;
+	return false;
+}
+
+static enum sim_fault request(struct sim *s, const effect *fx)
+{
+	struct outage *o = s->arg;
+
+	if (o->from)
+		return SIM_DROP;
+	if (o->armed_after && writes_allowance(fx) &&
+	    ++o->writes == o->armed_after)
+		o->from = s->now;
+	return SIM_FINE;
+}
+
+static void submit(struct sim *s, unsigned entry, unsigned pool, unsigned n)
+{
+	struct sim_job j = {.pool = pool, .run_ms = 300, .declared_ms = 300};
+
+	while (n--)
+		sim_submit(s, entry, &j);
+}
+
+/*
+ * Guards against a cell that starts nothing of a team as long as the platform
+ * is away, because another cell has changed the team's row at the same time:
+ * the row is to be read again, and can't be.  What the cell holds is still its.
+ */
+Test(limit, a_lost_race_takes_nothing_away)
+{
+	unsigned writes, job, pool, first, begun[2];
+	struct outage o;
+	struct sim *s;
+
+	for (writes = 1; writes <= 4; writes++) {
+		memset(&o, 0, sizeof(o));
+		memset(begun, 0, sizeof(begun));
+		s = sim_new(&plan);
+		s->arg = &o;
+		s->hooks.request = request;
+		for (pool = 0; pool < 2; pool++)
+			submit(s, pool, pool, 4);
+		sim_run(s, 2000);
+		o.armed_after = writes;
+		for (pool = 0; pool < 2; pool++)
+			submit(s, pool, pool, 20);
+		sim_run(s, 8000);
+		cr_assert(o.from, "%u writes: no race", writes);
+		first = (unsigned)s->job_count;
+		for (pool = 0; pool < 2; pool++)
+			submit(s, pool, pool, 4);
+		sim_run(s, 3000);
+		for (job = first; job < s->job_count; job++)
+			begun[s->jobs[job].pool] += s->jobs[job].began_at > 0;
+		for (pool = 0; pool < 2; pool++)
+			cr_expect_eq(begun[pool], 4, "%u writes, pool %u: %u",
+				     writes, pool, begun[pool]);
+		sim_free(s);
+	}
+}
