An owner that reads a long book beats between its pages

Cause: six owners in 8 s, each replaced by silence of 1.3 s while it read 3,770 jobs: OWNER_GAINED 22.77 s, OWNER_BEAT read=0 at 23.29 and 24.87 s, OWNER_CLAIM by another at 24.65 s, and so on to epoch 7. The owner beat with the tick only, which comes after the round of events in which all sixteen pages lay; the answer to its beat, which the next one waits for, lay behind them. Ruled out: the store (away until 19.4 s only), small VMs (all have 0.25 cores), the leases of an unreachable worker (all answered epoch 7 within 60 ms, these tasks as lapsed).

--- a/sched-follow.c
+++ b/sched-follow.c
@@ -15,6 +15,13 @@
  */
 #define WORKERS_FEED_APART_MS 200
 
+/*
+ * So many parts are read at once.  The answer to an owner's beat comes behind
+ * their pages, and the next beat waits for it: behind all sixteen of a long
+ * book it would be too late.
+ */
+#define READS_AT_ONCE 4
+
 /* How many parts of a table are read. */
 static unsigned follow_parts(const struct follow *f)
 {
@@ -75,7 +82,7 @@
 /* Ask where nothing is under way. */
 static void follow_go(struct sched *s, struct follow *f)
 {
-	unsigned i;
+	unsigned i, open = 0;
 
 	if (!f->wanted || s->now < f->again_at)
 		return;
@@ -85,8 +92,13 @@
 		return;
 	}
 	for (i = 0; i < follow_parts(f); i++)
-		if (!f->reads[i].open && !f->reads[i].whole)
-			page_ask(s, f, i);
+		open += f->reads[i].open;
+	for (i = 0; i < follow_parts(f) && open < READS_AT_ONCE; i++) {
+		if (f->reads[i].open || f->reads[i].whole)
+			continue;
+		page_ask(s, f, i);
+		open++;
+	}
 }
 
 /* Ask wherever nothing is under way. */
--- a/sched-own.c
+++ b/sched-own.c
@@ -489,13 +489,25 @@
 	s->own.beat_at = s->now + BEAT_MS;
 }
 
+/*
+ * May an owner that still loads beat?  The old owner's beat has to be read: a
+ * beat before that would write over its ceilings, and the limits be broken.
+ */
+static bool own_beat_loads(const struct sched *s)
+{
+	return s->own.state == OWN_LOADING && s->follows[1].whole &&
+	       s->now - s->own.owned_at >= BEAT_MS;
+}
+
 /*
  * Beat if it is time.  Looked at after each event: a start that a ceiling
- * holds back waits for the beat that raises it.
+ * holds back waits for the beat that raises it, and an owner that takes the
+ * pages of a long book one after the other would seem silent, be replaced, and
+ * its successor as well.
  */
 void own_beat_due(struct sched *s)
 {
-	if (s->own.state == OWN_YES && !s->own.beating &&
+	if ((s->own.state == OWN_YES || own_beat_loads(s)) && !s->own.beating &&
 	    s->now >= s->own.beat_at)
 		own_beat(s);
 }
@@ -543,13 +555,7 @@
 			own_claim(s);
 		break;
 	case OWN_LOADING:
-		/*
-		 * The old owner's beat is still to be read: a beat before that
-		 * would write over its ceilings, and the limits be broken.
-		 */
-		if (!s->own.beating && s->follows[1].whole &&
-		    s->now - s->own.owned_at >= BEAT_MS)
-			own_beat(s);
+		own_beat_due(s);
 		if (own_cannot_read(s)) {
 			if (s->own.unread < UNREAD_MAX)
 				s->own.unread++;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -143,6 +143,7 @@
 	int64_t slow_ms;
 	int64_t pages_slow_ms[TABLE_MAX];
 	unsigned page_rows; /* 0: as many as are asked for */
+	int64_t row_ms;	    /* that a VM takes for a row of a page */
 	unsigned late_percent;
 	unsigned vanish_percent;
 	bool old_connections;
@@ -1433,6 +1434,10 @@
 			answer_send(w, p->vm, p->answer, v->frozen_until);
 		} else {
 			p->answer->more = pending_has_more(w, p);
+			v->frozen_until =
+				w->now +
+				w->row_ms *
+					(int64_t)p->answer->answer.row_count;
 			vm_step(w, p->vm, p->answer);
 		}
 	} else {
@@ -1774,6 +1779,12 @@
 	w->pages_slow_ms[table] = ms;
 }
 
+/* Let each row that comes to a VM take it so long. */
+void world_rows_slow(struct world *w, int64_t ms)
+{
+	w->row_ms = ms;
+}
+
 /* Let the pages of a table not come to a VM; its feed does. */
 void world_blind(struct world *w, unsigned vm, enum table table, bool blind)
 {
@@ -1954,6 +1965,18 @@
 	return -1;
 }
 
+/* How often the ownership has changed hands. */
+unsigned world_epoch(struct world *w)
+{
+	struct ownership o = {0};
+	unsigned epoch = 0;
+
+	if (owner_row_read(row_get(w, TABLE_OWNER, "epoch")->value, &o))
+		epoch = (unsigned)o.epoch;
+	bstr_free(&o.holder);
+	return epoch;
+}
+
 /* Starts that workers carried out. */
 unsigned world_starts(const struct world *w)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -73,6 +73,7 @@
 void world_pages(struct world *w, unsigned rows); /* at most; 0: as asked */
 void world_compact(struct world *w);		  /* the feeds' history goes */
 void world_pages_slow(struct world *w, enum table table, int64_t ms);
+void world_rows_slow(struct world *w, int64_t ms);
 void world_blind(struct world *w, unsigned vm, enum table table, bool blind);
 void world_unlist(struct world *w, unsigned worker, bool gone); /* its row */
 void world_crash(struct world *w, unsigned worker);   /* new life, same id */
@@ -93,7 +94,8 @@
 void world_advise(struct world *w); /* starts need tickets; even workers */
 
 /* What there is to see. */
-int world_owner(const struct world *w);	      /* who acts; -1: nobody */
+int world_owner(const struct world *w); /* who acts; -1: nobody */
+unsigned world_epoch(struct world *w);
 unsigned world_starts(const struct world *w); /* that workers carried out */
 unsigned world_starts_of(const struct world *w, unsigned worker);
 unsigned world_taken(const struct world *w); /* machines maintained */
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -504,3 +504,33 @@
 		check_free(w, "old beat", row);
 	}
 }
+
+/*
+ * Lasting tasks stand still for as long as VMs replace each other: one that
+ * reads thousands of jobs for longer than an owner may be silent does not beat
+ * meanwhile, and the next one begins anew.
+ */
+Test(takeover, reading_a_long_book_is_no_silence)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 60000};
+	struct world *w;
+	unsigned row, i;
+	char id[24];
+
+	for (row = 0; row < 4; row++) {
+		w = calm(560 + row);
+		for (i = 0; i < 320; i++) {
+			snprintf(id, sizeof(id), "%x0000000000000%02x", i % 16,
+				 i / 16);
+			world_submit(w, i % 4, id, &one);
+			world_run(w, 1);
+		}
+		world_run(w, 500);
+		world_rows_slow(w, 3 + row);
+		world_kill(w, owner(w));
+		world_run(w, 12000);
+		cr_expect_eq(world_epoch(w), 2, "row %u: epoch %u", row,
+			     world_epoch(w));
+		check_free(w, "long book", row);
+	}
+}
