A request whose shard has not been handed over yet goes to who still owns it

Cause: by the list of VMs the one that joins is the better owner at once, and answers that it does not own the shard. Its owner hands it over after a second, the other looks for it each 300 ms, and a request was given up after a second. Evidence: the log of a fleet's start (docs/incidents/), and the same without processes: 1 of 600 submissions refused as a VM joins a fleet of three that misses none.

Who hears "not mine" asks the next best VM at once. That is who owned the shard until the better one came, so one hop finds it; when all were asked it is under way, and the search goes on as before.

--- a/reduce-call.c
+++ b/reduce-call.c
@@ -235,7 +235,7 @@
 	bstr to = f->vm;
 
 	if (!to.bstr_len && u)
-		to = unit_choose(st, u);
+		to = unit_choose_next(st, u, f->skipped);
 	if (!to.bstr_len || bstr_eq(to, st->vm))
 		return to;
 	m = member_find(st, to);
@@ -250,8 +250,10 @@
 	bstr to = forward_target(st, f);
 
 	f->resend_at = st->now + FORWARD_RETRY_MS;
-	if (!to.bstr_len)
+	if (!to.bstr_len) {
+		f->skipped = 0;
 		return;
+	}
 	bstr_set(&f->to, to);
 	m->call = f->id;
 	m->team = f->team;
@@ -480,7 +482,11 @@
 	forward_free(st, f);
 }
 
-/* Whom we asked does not own the shard: look again. */
+/*
+ * Whom we asked does not own the shard: ask the one that does if it has only
+ * just joined, and would be refused everything until that hands over.  When
+ * all have been asked the shard is on its way: look again in a while.
+ */
 void call_unowned(struct state *st, bstr from, const pm_unowned *m)
 {
 	struct forward *f = forward_find(st, m->call);
@@ -491,7 +497,9 @@
 	if (!f)
 		return;
 	f->sent = f->sends && --f->sends; /* that VM did nothing with it */
-	f->resend_at = st->now + FORWARD_RETRY_MS;
+	f->skipped++;
+	f->resend_at = st->now;
+	effect_wake(st, st->now);
 	effect_count(st, COUNT_RETRY_OWNER_CHANGED, 1);
 }
 
--- a/reduce-member.c
+++ b/reduce-member.c
@@ -64,34 +64,63 @@
 }
 
 /*
- * Choose the owner of a unit by rendezvous hashing: every VM comes to the
- * same answer from the same list, and one VM's end moves only what it had.
- * A cell is owned in its own data centre.
+ * The VM whose hash with a unit is the highest below a bound, and that hash;
+ * empty: there is none.  Only those that have answered us count if answering is
+ * set. A cell is owned in its own data centre.
  */
-bstr unit_choose(struct state *st, const struct unit *u)
+static bstr unit_best_below(struct state *st, const struct unit *u,
+			    uint64_t *bound)
 {
-	bstr best = BSTR_NONE;
+	uint64_t h, most = 0, below = *bound;
 	struct member *m, *next;
-	uint64_t h, most = 0;
+	bstr best = BSTR_NONE;
 
 	if (lease_valid(st) && !st->stopping &&
 	    (u->kind == UNIT_SHARD || bstr_eq(u->id.dc, st->dc))) {
-		best = st->vm;
-		most = hash64(u->name, st->vm);
+		h = hash64(u->name, st->vm);
+		if (h < below) {
+			best = st->vm;
+			most = h;
+		}
 	}
 	HASH_ITER(hh, st->members, m, next) {
 		if (!member_alive(m) ||
 		    (u->kind == UNIT_CELL && !bstr_eq(u->id.dc, m->dc)))
 			continue;
 		h = hash64(u->name, m->vm);
-		if (!best.bstr_len || h > most) {
+		if (h < below && (!best.bstr_len || h > most)) {
 			best = m->vm;
 			most = h;
 		}
 	}
+	*bound = most;
 	return best;
 }
 
+/*
+ * Choose the owner of a unit by rendezvous hashing: every VM comes to the
+ * same answer from the same list, and one VM's end moves only what it had.
+ */
+bstr unit_choose(struct state *st, const struct unit *u)
+{
+	return unit_choose_next(st, u, 0);
+}
+
+/*
+ * The VM that would own a unit if so many better ones were not there: until
+ * they have been there for a while it is the one that does.  Empty: there are
+ * not so many.
+ */
+bstr unit_choose_next(struct state *st, const struct unit *u, unsigned skipped)
+{
+	uint64_t bound = UINT64_MAX;
+	bstr vm = unit_best_below(st, u, &bound);
+
+	while (skipped-- && vm.bstr_len)
+		vm = unit_best_below(st, u, &bound);
+	return vm;
+}
+
 /* Write our own row with the next number. */
 static void member_renew(struct state *st)
 {
--- a/reduce.h
+++ b/reduce.h
@@ -418,6 +418,8 @@
 	int64_t resend_at; /* 0: sent, waiting */
 	bool sent;
 	unsigned sends; /* copies that may have been handled */
+	unsigned
+		skipped; /* VMs that said they do not own it, this time round */
 };
 TAILQ_HEAD(forward_list, forward);
 
@@ -676,6 +678,7 @@
 bool lease_valid(const struct state *st);
 /* The VM that should own a unit; empty if nobody can. */
 bstr unit_choose(struct state *st, const struct unit *u);
+bstr unit_choose_next(struct state *st, const struct unit *u, unsigned skipped);
 void peer_send(struct state *st, bstr to, const peer_message *m);
 
 /* reduce-key.c: proof of freshness, and whose key it is. */
--- a/tests/support-sim.c
+++ b/tests/support-sim.c
@@ -728,7 +728,7 @@
 	p->key = bstr_printf("j%u", n);
 	p->label = bstr_printf("l%u", job->label);
 	p->payload = bstr_printf("%u", n);
-	p->may_repeat = p->wait = TRUE;
+	p->may_repeat = p->wait = !job->claimed;
 	p->urgent = job->urgent;
 	p->run_ms = (uint32_t)job->declared_ms;
 	p->timeout_ms = 3600000;
--- a/tests/support-sim.h
+++ b/tests/support-sim.h
@@ -53,6 +53,7 @@
 struct sim_job {
 	unsigned team, pool, label;
 	bool urgent;
+	bool claimed; /* answered 202 as soon as it is durable */
 	int64_t run_ms, declared_ms;
 	int64_t submitted_at, began_at, ended_at; /* 0: not yet */
 	unsigned starts, http;
