A VM that never answered keeps no newcomer from a unit that was given up

Callers of up to a third of the shards were refused for 5 s as a VM joined in the place of one that had been lost.

Cause, found by test-join: the newcomer reads the lost VM's row and takes it for alive until it has watched it for a whole lease. The others know better and hand its shards over to the newcomer, which believes them to be the lost one's: released at 36.2 s, owned at 41.1 s. Ruled out: a claim that failed (the first attempt was made at 41.1 s).

--- a/reduce-member.c
+++ b/reduce-member.c
@@ -29,6 +29,17 @@
 	       st->now - m->ponged_at < 4 * (int64_t)st->ping_ms;
 }
 
+/*
+ * Has a VM answered us, or had no time to yet?  One that has not may be long
+ * gone, though its row's age does not tell that yet.
+ */
+static bool member_answers(const struct state *st, const struct member *m)
+{
+	return member_alive(m) &&
+	       (m->ponged_at >= 0 ||
+		st->now - m->known_at < 4 * (int64_t)st->ping_ms);
+}
+
 /*
  * Our own lease.  It counts from when the renewal was sent, others count
  * from when they read it, so it always ends here before it ends for them.
@@ -69,7 +80,7 @@
  * set. A cell is owned in its own data centre.
  */
 static bstr unit_best_below(struct state *st, const struct unit *u,
-			    uint64_t *bound)
+			    bool answering, uint64_t *bound)
 {
 	uint64_t h, most = 0, below = *bound;
 	struct member *m, *next;
@@ -84,7 +95,7 @@
 		}
 	}
 	HASH_ITER(hh, st->members, m, next) {
-		if (!member_alive(m) ||
+		if (!(answering ? member_answers(st, m) : member_alive(m)) ||
 		    (u->kind == UNIT_CELL && !bstr_eq(u->id.dc, m->dc)))
 			continue;
 		h = hash64(u->name, m->vm);
@@ -114,13 +125,26 @@
 bstr unit_choose_next(struct state *st, const struct unit *u, unsigned skipped)
 {
 	uint64_t bound = UINT64_MAX;
-	bstr vm = unit_best_below(st, u, &bound);
+	bstr vm = unit_best_below(st, u, false, &bound);
 
 	while (skipped-- && vm.bstr_len)
-		vm = unit_best_below(st, u, &bound);
+		vm = unit_best_below(st, u, false, &bound);
 	return vm;
 }
 
+/*
+ * Is this VM the best of those that have answered it?  A better one in the list
+ * may be long gone: a VM that has just joined takes it for alive for a whole
+ * lease, while the others know better and hand its units over to the one that
+ * joined.  They would have no owner meanwhile.
+ */
+bool unit_is_heir(struct state *st, const struct unit *u)
+{
+	uint64_t bound = UINT64_MAX;
+
+	return bstr_eq(unit_best_below(st, u, true, &bound), st->vm);
+}
+
 /* Write our own row with the next number. */
 static void member_renew(struct state *st)
 {
@@ -235,6 +259,7 @@
 		m = xcalloc(1, sizeof(*m));
 		m->vm = bstr_copy(row.vm);
 		m->ponged_at = m->proof_at = INT64_MIN / 2;
+		m->known_at = st->now;
 		m->seen_at = st->now;
 		HASH_ADD_BSTR(st->members, vm, m);
 		effect_log(st, LOG_MEMBER_SEEN, "%.*s at %.*s",
@@ -242,6 +267,7 @@
 	}
 	if (m->incarnation != row.incarnation) {
 		m->ponged_at = m->proof_at = INT64_MIN / 2;
+		m->known_at = st->now;
 		m->config_revision = 0;
 	}
 	if (m->incarnation != row.incarnation || m->seq != row.seq) {
--- a/reduce-own.c
+++ b/reduce-own.c
@@ -189,7 +189,8 @@
 static void unit_found(struct state *st, struct unit *u, bstr owner)
 {
 	u->loose = false;
-	if (bstr_eq(unit_choose(st, u), st->vm)) {
+	if (bstr_eq(unit_choose(st, u), st->vm) ||
+	    (!owner.bstr_len && unit_is_heir(st, u))) {
 		if (!unit_owner_gone(st, u, owner))
 			return;
 		u->state = UNIT_CLAIMING;
@@ -295,7 +296,7 @@
 	if (!u->wanted || st->stopping)
 		return true;
 	best = unit_choose(st, u);
-	if (!best.bstr_len || bstr_eq(best, st->vm)) {
+	if (!best.bstr_len || bstr_eq(best, st->vm) || unit_is_heir(st, u)) {
 		u->unwanted_at = 0;
 		return false;
 	}
@@ -311,7 +312,8 @@
 	case UNIT_IDLE:
 		if (!u->wanted || !lease_valid(st) || !st->scanned_at ||
 		    st->stopping || st->now < u->retry_at ||
-		    (!u->loose && !bstr_eq(unit_choose(st, u), st->vm)))
+		    (!u->loose && !bstr_eq(unit_choose(st, u), st->vm) &&
+		     !unit_is_heir(st, u)))
 			return;
 		u->state = UNIT_READING;
 		unit_ask(st, u);
--- a/reduce.h
+++ b/reduce.h
@@ -100,6 +100,7 @@
 	bool listed;
 	uint64_t ping_seq;
 	int64_t ping_at;
+	int64_t known_at;  /* this life of it, here */
 	int64_t ponged_at; /* when the latest answered ping was sent */
 	int64_t heard_at;
 	int64_t proof_at; /* its proof, on our clock */
@@ -678,6 +679,7 @@
 bool lease_valid(const struct state *st);
 /* The VM that should own a unit; empty if nobody can. */
 bstr unit_choose(struct state *st, const struct unit *u);
+bool unit_is_heir(struct state *st, const struct unit *u);
 bstr unit_choose_next(struct state *st, const struct unit *u, unsigned skipped);
 void peer_send(struct state *st, bstr to, const peer_message *m);
 
--- a/tests/test-join.c
+++ b/tests/test-join.c
@@ -24,6 +24,8 @@
 	unsigned joining;  /* VMs, at once */
 	int64_t absent_ms; /* since the VMs that they replace were lost */
 } join_rows[] = {
+	{"one joins, another was lost lately", 1, 30000},
+	{"two join, two were lost lately", 2, 30000},
 	{"one joins, none is missed", 1, 700000},
 	{"two join, none is missed", 2, 700000},
 };
