--- a/sched-place.c
+++ b/sched-place.c
@@ -22,9 +22,9 @@
 #define MERIT_FULL 1e4 /* all of its cores are in use */
 
 /*
- * A look at all that waits costs the owner about a millisecond for so many
- * jobs.  At each round of events a long queue would take all of its processor,
- * and nothing be placed in time; spaced by that the looks take half of it.
+ * Looks at what waits are a millisecond apart for so many jobs.  At each round
+ * of events a long queue would take all of the owner's processor, and what it
+ * writes and hears from workers would wait behind them.
  */
 #define JOBS_PER_MS 100
 #define JOBS_MANY 500
