--- a/sched-order.c
+++ b/sched-order.c
@@ -109,6 +109,7 @@
 	task_phase(t, AT_START);
 	t->asked = true;
 	t->opened_at = 0;
+	t->awaited = 0;
 	t->start_by = worker_clock(s, w) + START_BY_MS;
 	if (t->start_by > w->lease_end)
 		w->lease_end = t->start_by;
--- a/sched-state.h
+++ b/sched-state.h
@@ -111,6 +111,7 @@
 	int64_t acked;	  /* the worker's clock when it took the start */
 	int64_t begun_at;
 	int64_t opened_at; /* of its start's connection; 0: not known */
+	uint32_t awaited;  /* serial of the worker that may do it; 0: none */
 	int64_t ready_at;
 	int64_t not_before;
 	unsigned fails;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -123,6 +123,7 @@
 	TAILQ_FOREACH(t, &w->tasks, on) {
 		if (!start_may_be_anothers(t))
 			continue;
+		t->awaited = w->serial;
 		task_pause(t, t->begun_at + LATE_ORDER_MS);
 		sched_log(s, LOG_START_AWAITED,
 			  "task=%s.%u.%u.%u run=%llu worker=%.*s wait_ms=%lld",
@@ -132,6 +133,30 @@
 	}
 }
 
+/*
+ * A silent worker has answered, and is the life that was known: no other can
+ * have got a start, and to this one it is void by now.
+ */
+static void starts_wait_no_more(struct sched *s, const struct worker *w)
+{
+	struct occurrence *o;
+	struct job *j;
+	struct task *t;
+	unsigned i;
+
+	TAILQ_FOREACH(j, &s->order, entry) {
+		TAILQ_FOREACH(o, &j->occs, entry) {
+			for (i = 0; i < o->task_count; i++) {
+				t = &o->tasks[i];
+				if (t->awaited == w->serial &&
+				    w->clock > t->start_by)
+					t->not_before = s->now;
+			}
+		}
+	}
+	s->place = true;
+}
+
 /*
  * A worker runs nothing any more: it was cut off for longer than its lease,
  * started anew, or its machine was taken.  Its tasks may start elsewhere.
@@ -716,6 +741,7 @@
 static void hold_take(struct sched *s, struct worker *w, struct request *rq,
 		      struct answer *a)
 {
+	bool back;
 	size_t i;
 
 	if (hold_was_for_old_life(w, rq, a)) {
@@ -735,11 +761,14 @@
 		worker_reborn(s, w, 0, a);
 	}
 	load_hold(s, w, a);
+	back = w->gone && a->born && w->fenced;
 	w->clock = a->clock;
 	w->clock_at = s->now;
 	w->answered_at = s->now;
 	if (a->born && a->sent_at > w->alive_at)
 		w->alive_at = a->sent_at;
+	if (back)
+		starts_wait_no_more(s, w);
 	w->gone = false;
 	w->sure = true;
 	if (!w->fenced) {
