That tasks await a worker's late start is a flag of the worker's own

Whether it had been given up was read from "gone", which its row clears with each of its heartbeats: now and then a worker's return would not have released its tasks.

--- a/sched-state.h
+++ b/sched-state.h
@@ -253,6 +253,7 @@
 	int64_t look_at;
 	int64_t answered_at;
 	int64_t alive_at; /* its known life lived then, or later */
+	bool awaited;	  /* tasks wait for what that life may do late */
 	int64_t stray_at; /* runs that nobody wants are stopped from then on */
 	bool strays_due;
 	int64_t unwell_until;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -124,6 +124,7 @@
 		if (!start_may_be_anothers(t))
 			continue;
 		t->awaited = w->serial;
+		w->awaited = true;
 		task_pause(t, t->begun_at + LATE_ORDER_MS);
 		sched_log(s, LOG_START_AWAITED,
 			  "task=%s.%u.%u.%u run=%llu worker=%.*s wait_ms=%lld",
@@ -137,7 +138,7 @@
  * A silent worker has answered, and is the life that was known: no other can
  * have got a start, and to this one it is void by now.
  */
-static void starts_wait_no_more(struct sched *s, const struct worker *w)
+static void starts_wait_no_more(struct sched *s, struct worker *w)
 {
 	struct occurrence *o;
 	struct job *j;
@@ -154,6 +155,7 @@
 			}
 		}
 	}
+	w->awaited = false;
 	s->place = true;
 }
 
@@ -205,6 +207,7 @@
 	w->fenced = false;
 	w->lease_end = 0;
 	w->alive_at = 0;
+	w->awaited = false;
 	w->clock = 0; /* it starts anew as well */
 	w->clock_at = s->now;
 	w->look_at = s->now;
@@ -749,7 +752,6 @@
 static void hold_take(struct sched *s, struct worker *w, struct request *rq,
 		      struct answer *a)
 {
-	bool back;
 	size_t i;
 
 	if (hold_was_for_old_life(w, rq, a)) {
@@ -770,13 +772,12 @@
 	}
 	load_hold(s, w, a);
 	w->ends_cut = a->ended_cut;
-	back = w->gone && a->born && w->fenced;
 	w->clock = a->clock;
 	w->clock_at = s->now;
 	w->answered_at = s->now;
 	if (a->born && a->sent_at > w->alive_at)
 		w->alive_at = a->sent_at;
-	if (back)
+	if (w->awaited && a->born)
 		starts_wait_no_more(s, w);
 	w->gone = false;
 	w->sure = true;
