A start answered by another life keeps its tasks for the longest lease there is

A task ran again after it was done: a worker had begun a new life, which answered some starts and then was out of reach. The owner gave it up with the old life's lease, 3.7 s after its last word, and started its tasks elsewhere; the new life had done them, and told so when it was heard again.

The answer tells by a clock that began anew.

--- a/sched-order.c
+++ b/sched-order.c
@@ -278,8 +278,9 @@
 	if (rq->purpose != FOR_START)
 		return;
 	/* Its clock began anew: it is another life than the one known. */
-	if (a->outcome == OUT_UNKNOWN || a->refusal == REFUSAL_NOT_SENT ||
-	    (a->clock && a->clock + CLOCK_BACK_MS < worker_clock(s, w)))
+	if (a->clock && a->clock + CLOCK_BACK_MS < worker_clock(s, w))
+		worker_other_life(s, w);
+	else if (a->outcome == OUT_UNKNOWN || a->refusal == REFUSAL_NOT_SENT)
 		worker_unsure(s, w);
 	sched_observe(s, HISTOGRAM_START_CALL, s->now - a->sent_at);
 	t = start_task(s, rq);
--- a/sched-state.h
+++ b/sched-state.h
@@ -252,8 +252,9 @@
 	bool looking;	   /* a hold is under way */
 	int64_t look_at;
 	int64_t answered_at;
-	int64_t alive_at; /* its known life lived then, or later */
-	bool awaited;	  /* tasks wait for what that life may do late */
+	int64_t alive_at;    /* its known life lived then, or later */
+	bool awaited;	     /* tasks wait for what that life may do late */
+	int64_t other_until; /* a later life may hold a lease until then */
 	int64_t stray_at; /* runs that nobody wants are stopped from then on */
 	bool strays_due;
 	int64_t unwell_until;
@@ -681,6 +682,7 @@
 void workers_inherit(struct sched *s);
 bool pool_is_settled(const struct sched *s, bstr service);
 void worker_unsure(struct sched *s, struct worker *w);
+void worker_other_life(struct sched *s, struct worker *w);
 struct worker *worker_find(struct sched *s, bstr id);
 void worker_tick(struct sched *s);
 void worker_answer(struct sched *s, struct request *rq, struct answer *a);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -205,7 +205,10 @@
 	w->seen = w->acked = 0;
 	w->seen_seq = 0;
 	w->fenced = false;
-	w->lease_end = 0;
+	/* What it has taken by a start meant for the old life lasts longer. */
+	w->lease_end = a->running_count ? a->clock + s->options.lease_max_ms
+					: 0;
+	w->other_until = 0;
 	w->alive_at = 0;
 	w->awaited = false;
 	w->clock = 0; /* it starts anew as well */
@@ -228,6 +231,19 @@
 		w->look_at = s->now;
 }
 
+/*
+ * A start was answered by a clock that began anew: by a later life than the one
+ * known.  What it took holds the longest lease there, for the start's deadline
+ * was one of the old clock.  Given up with the old life's lease, its tasks
+ * would run elsewhere beside it, or once more when it has done them.
+ */
+void worker_other_life(struct sched *s, struct worker *w)
+{
+	worker_unsure(s, w);
+	w->other_until = s->now + (int64_t)((double)s->options.lease_max_ms *
+					    CLOCK_SLOW);
+}
+
 /* Its row was removed. */
 static void worker_unlist(struct sched *s, struct worker *w)
 {
@@ -456,7 +472,8 @@
 	int64_t settle = s->own.settle_by + SETTLE_SLACK_MS +
 			 (int64_t)(UNPROVED_LEASE_MS * (CLOCK_SLOW - 1));
 
-	if (s->now - w->answered_at < WORKER_QUIET_MS)
+	if (s->now - w->answered_at < WORKER_QUIET_MS ||
+	    s->now < w->other_until)
 		return false;
 	if (w->fenced && w->clock)
 		return lease_was_over(w, s->own.proved_at);
