--- a/sched-place.c
+++ b/sched-place.c
@@ -291,7 +291,8 @@
 	for (i = 0; i < p->count; i++)
 		p->order[i] = &p->list[i];
 	if (p->count)
-		qsort(p->order, p->count, sizeof(*p->order), candidate_cmp);
+		qsort(p->order, p->count, sizeof(struct candidate *),
+		      candidate_cmp);
 }
 
 /* How many tasks of a step are on a worker? */
