The age of an answer in the inbox makes no new life of its worker

An owner short of processor took its workers for new lives: the clock in an answer to a start was compared with what the worker's clock shows by the time of reading, and an answer that had lain in the inbox for over 1.5 s seemed to come from a clock that began anew. The worker's ends were listed anew, which costs more processor, and with a dead worker's tasks would have been kept for a second lease.

Found by reading once more.

--- a/sched-order.c
+++ b/sched-order.c
@@ -265,6 +265,17 @@
 	}
 }
 
+/*
+ * Has the clock in an answer begun anew since the worker's last list?  It was
+ * read after the question was sent; how long the answer lay in the inbox of an
+ * owner short of processor says nothing.
+ */
+static bool clock_is_anothers(const struct worker *w, const struct answer *a)
+{
+	return a->clock &&
+	       a->clock + CLOCK_BACK_MS < w->clock + (a->sent_at - w->clock_at);
+}
+
 /* The outcome of an order.  Stops and paces are seen in the lists. */
 void order_answer(struct sched *s, struct request *rq, struct answer *a)
 {
@@ -278,7 +289,7 @@
 	if (rq->purpose != FOR_START)
 		return;
 	/* Its clock began anew: it is another life than the one known. */
-	if (a->clock && a->clock + CLOCK_BACK_MS < worker_clock(s, w))
+	if (clock_is_anothers(w, a))
 		worker_other_life(s, w);
 	else if (a->outcome == OUT_UNKNOWN || a->refusal == REFUSAL_NOT_SENT)
 		worker_unsure(s, w);
