A feed's long answer is waited for longer when the last one did not come

Cause: the owner's book grew old in steps: OWNER_BEAT age_ms up to 6,643, JOB_SEEN in bursts at 6.5, 7.3, 8.8 and 12.6 s. An answer of the jobs' feed, 500 rows for an owner short of processor, took longer than the 1.2 s it was given; it was thrown away and asked for again, with the same rows.

--- a/sched-follow.c
+++ b/sched-follow.c
@@ -22,6 +22,34 @@
  */
 #define READS_AT_ONCE 4
 
+/*
+ * An answer of the feed is waited for twice as long as the last one was late,
+ * and twice as long again after one that did not come.  On an owner short of
+ * processor a long one takes seconds: given up and asked for again each time,
+ * it would never come, and cancels be read when their tasks have begun.
+ */
+#define FEED_PATIENCE_MAX_MS 4000
+
+/* How long beyond its wait is a feed's answer waited for? */
+static uint32_t feed_patience(const struct follow *f)
+{
+	if (f->patience_ms < FEED_TIMEOUT_MS)
+		return FEED_TIMEOUT_MS;
+	return f->patience_ms < FEED_PATIENCE_MAX_MS ? f->patience_ms
+						     : FEED_PATIENCE_MAX_MS;
+}
+
+/* A feed's answer has come, or not: how long the next one is waited for. */
+static void feed_patience_take(struct sched *s, struct follow *f, bool came)
+{
+	int64_t beyond = s->now - f->asked_at - f->wait_ms;
+
+	if (!came)
+		f->patience_ms = 2 * feed_patience(f);
+	else
+		f->patience_ms = beyond > 0 ? 2 * (uint32_t)beyond : 0;
+}
+
 /* How many parts of a table are read. */
 static unsigned follow_parts(const struct follow *f)
 {
@@ -52,8 +80,9 @@
 	/* Just after a whole reading it tells at once what came meanwhile. */
 	uint32_t wait_ms = f->fed ? f->wait_ms : 0;
 
-	rq = sched_ask(s, f->feed, ASK_FEED, s->now + wait_ms + FEED_TIMEOUT_MS,
-		       &ask);
+	rq = sched_ask(s, f->feed, ASK_FEED,
+		       s->now + wait_ms + feed_patience(f), &ask);
+	f->asked_at = s->now;
 	rq->number = f->reading;
 	ask->range.table = f->table;
 	ask->range.after = f->revision;
@@ -246,6 +275,8 @@
 		follow_go(s, f);
 		return;
 	}
+	if (fed)
+		feed_patience_take(s, f, a->outcome == OUT_DONE);
 	if (a->outcome != OUT_DONE) {
 		f->again_at = s->now + STORE_AGAIN_MS;
 		return;
--- a/sched-state.h
+++ b/sched-state.h
@@ -358,9 +358,11 @@
 	bool open;	  /* a request to the feed is under way */
 	bool whole;	  /* read whole; the feed goes on at revision */
 	uint64_t revision;
-	bool fed;	 /* the feed has answered since */
-	int64_t told_at; /* all until then is known, by the store's clock;
-			  * 0: the feed has not told yet */
+	bool fed; /* the feed has answered since */
+	int64_t asked_at;
+	uint32_t patience_ms; /* for its next answer, see sched-follow.c */
+	int64_t told_at;      /* all until then is known, by the store's clock;
+			       * 0: the feed has not told yet */
 	struct part_read reads[JOB_PARTS];
 	int64_t again_at;
 };
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -69,6 +69,12 @@
 	w->pages_slow_ms[table] = ms;
 }
 
+/* Let the answers of a table's feed take so much longer. */
+void world_feed_slow(struct world *w, enum table table, int64_t ms)
+{
+	w->feed_slow_ms[table] = ms;
+}
+
 /* Let each row that comes to a VM take it so long. */
 void world_rows_slow(struct world *w, int64_t ms)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -151,6 +151,7 @@
 	enum world_store_mode store;
 	int64_t slow_ms;
 	int64_t pages_slow_ms[TABLE_MAX];
+	int64_t feed_slow_ms[TABLE_MAX];
 	unsigned page_rows; /* 0: as many as are asked for */
 	int64_t row_ms;	    /* that a VM takes for a row of a page */
 	unsigned late_percent;
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -127,6 +127,8 @@
 {
 	int64_t slow = w->slow_ms + w->vms[vm].slow_ms;
 
+	if (fx->ask.kind == ASK_FEED)
+		slow += w->feed_slow_ms[fx->ask.range.table];
 	if (slow && w->now + WAY_MS + slow > fx->ask.deadline) {
 		sched_event_free(ev);
 		world_answer_none(w, vm, fx);
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -73,6 +73,7 @@
 void world_pages(struct world *w, unsigned rows); /* at most; 0: as asked */
 void world_compact(struct world *w);		  /* the feeds' history goes */
 void world_pages_slow(struct world *w, enum table table, int64_t ms);
+void world_feed_slow(struct world *w, enum table table, int64_t ms);
 void world_rows_slow(struct world *w, int64_t ms);
 void world_blind(struct world *w, unsigned vm, enum table table, bool blind);
 void world_unlist(struct world *w, unsigned worker, bool gone); /* its row */
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -136,6 +136,29 @@
 	}
 }
 
+/*
+ * Guards against an owner short of processor that gives each long answer of the
+ * jobs' feed up and asks for it again: it reads no job and no cancel any more.
+ */
+Test(load, slow_answers_of_the_feed_come_at_last)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 200};
+	static const int64_t slow_ms[] = {0, 900, 1500, 3000};
+	struct world *w;
+	unsigned row;
+
+	for (row = 0; row < NELEMS(slow_ms); row++) {
+		w = calm(1720 + row);
+		world_feed_slow(w, TABLE_JOBS, slow_ms[row]);
+		world_submit(w, 0, "00000000000000aa", &one);
+		world_run(w, 14000);
+		cr_expect_str_eq(world_state(w, "00000000000000aa"),
+				 "completed", "%lld ms",
+				 (long long)slow_ms[row]);
+		check_free(w, "slow answers of the feed");
+	}
+}
+
 /*
  * Guards against repeated jobs whose times are all taken for late but the
  * first: each is due by its own time of day.
