Only the jobs' feed is waited for longer, and not for an outage of the store

After an outage a VM would have waited up to 4.5 s for an answer that never comes to what it had asked in it, and learnt of a new configuration or a withdrawn key too late.

--- a/sched-follow.c
+++ b/sched-follow.c
@@ -23,10 +23,12 @@
 #define READS_AT_ONCE 4
 
 /*
- * An answer of the feed is waited for twice as long as the last one was late,
- * and twice as long again after one that did not come.  On an owner short of
- * processor a long one takes seconds: given up and asked for again each time,
- * it would never come, and cancels be read when their tasks have begun.
+ * An answer of the jobs' feed is waited for twice as long as the last one was
+ * late, and twice as long again after one that did not come though the store
+ * answered others.  On an owner short of processor a long one takes seconds:
+ * given up and asked for again each time, it would never come, and cancels be
+ * read when their tasks have begun.  After an outage nothing is waited for
+ * longer: what was asked in it is never answered.
  */
 #define FEED_PATIENCE_MAX_MS 4000
 
@@ -44,10 +46,12 @@
 {
 	int64_t beyond = s->now - f->asked_at - f->wait_ms;
 
-	if (!came)
-		f->patience_ms = 2 * feed_patience(f);
-	else
+	if (f->table != TABLE_JOBS)
+		return;
+	if (came)
 		f->patience_ms = beyond > 0 ? 2 * (uint32_t)beyond : 0;
+	else if (s->store_ok_at > f->asked_at)
+		f->patience_ms = 2 * feed_patience(f);
 }
 
 /* How many parts of a table are read. */
