A mailbox wakes its reader once, not for each put

Each put wrote the eventfd and each clearing read it twice: at a thousand workers some eight system calls a start went into waking threads that were awake. The reader asks to be woken as it clears the descriptor; the first put after that writes, the others are drained with it.

The order of fences: a put that finds nobody asking was made before the reader asked, so the drain that follows the asking sees it.

--- a/bamboofront.h
+++ b/bamboofront.h
@@ -164,6 +164,7 @@
 void *mailbox_take(struct mailbox *m);	      /* NULL: empty */
 int mailbox_fd(struct mailbox *m);	      /* readable: look again */
 void mailbox_clear(struct mailbox *m);	      /* before draining it */
+void mailbox_wake(struct mailbox *m);	      /* with nothing to take */
 bool mailbox_wait(struct mailbox *m, int timeout_ms);
 void mailbox_free(struct mailbox *m);
 
--- a/mailbox.c
+++ b/mailbox.c
@@ -3,6 +3,7 @@
 #include <ck_ring.h>
 #include <errno.h>
 #include <poll.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -25,6 +26,7 @@
 struct mailbox {
 	ck_ring_t ring;
 	ck_ring_buffer_t *buffer;
+	atomic_bool asked; /* the reader wants to be woken by the next put */
 	int fd;
 };
 
@@ -35,26 +37,40 @@
 
 	m->buffer = xcalloc(size, sizeof(*m->buffer));
 	ck_ring_init(&m->ring, size);
+	atomic_init(&m->asked, true);
 	m->fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (m->fd < 0)
 		abort();
 	return m;
 }
 
-/* Put a pointer, from any thread, and wake the reader. */
-bool mailbox_put(struct mailbox *m, void *p)
+/* Make the descriptor readable. */
+void mailbox_wake(struct mailbox *m)
 {
 	uint64_t one = 1;
+	ssize_t n = write(m->fd, &one, sizeof(one));
 
-	RING_RELEASE(m);
-	if (!ck_ring_enqueue_mpsc(&m->ring, m->buffer, p))
-		return false;
 	/*
 	 * A failed write means that the eventfd's count is at its top: it
 	 * is readable then, so the reader wakes all the same.
 	 */
-	return write(m->fd, &one, sizeof(one)) == sizeof(one) ||
-	       errno == EAGAIN;
+	(void)n;
+}
+
+/*
+ * Put a pointer, from any thread.  The first put since the reader has cleared
+ * the descriptor wakes it; what follows is drained with that one, and a write
+ * for each would be a system call for each.
+ */
+bool mailbox_put(struct mailbox *m, void *p)
+{
+	RING_RELEASE(m);
+	if (!ck_ring_enqueue_mpsc(&m->ring, m->buffer, p))
+		return false;
+	atomic_thread_fence(memory_order_seq_cst);
+	if (atomic_load(&m->asked) && atomic_exchange(&m->asked, false))
+		mailbox_wake(m);
+	return true;
 }
 
 /* Take the oldest pointer; only the one reader may call this. */
@@ -75,16 +91,18 @@
 }
 
 /*
- * Reset the descriptor.  The reader does this before it drains the ring: a
- * pointer put in between is either drained or leaves the descriptor
- * readable, so no wake-up is lost.
+ * Reset the descriptor and ask to be woken.  The reader does this before it
+ * drains the ring: a pointer put in between is either drained or makes the
+ * descriptor readable, so no wake-up is lost.
  */
 void mailbox_clear(struct mailbox *m)
 {
 	uint64_t count;
+	ssize_t n = read(m->fd, &count, sizeof(count)); /* sets it to 0 */
 
-	while (read(m->fd, &count, sizeof(count)) == sizeof(count))
-		;
+	(void)n;
+	atomic_store(&m->asked, true);
+	atomic_thread_fence(memory_order_seq_cst);
 }
 
 /* Sleep until something may be there, at most timeout_ms. */
