The HTTP client costs the same with a thousand hosts as with ten

Cause: the one owner of the large site was out of processor from the first turn on, and libcurl had 41 to 49% of its samples. curl_multi_perform and curl_multi_poll go through all transfers under way (a long poll at each of 1,100 workers) for every round, queues were found by comparing names along a list, all queues were walked twice a round, sockets were searched one by one, and once a second libcurl looks at all idle connections of an instance, beginning again with each that it finds closed.

Change: curl_multi_socket_action over epoll; queues by hash, with a list of those that may begin something; waiting requests in a heap by when they are due; sockets found by the connection's numbers; 32 queues to an instance of libcurl, so that its own walks stay short. A socket that libcurl has no use for stays registered until something comes on it. libcurl closes a socket whose connecting it gave up without telling: it is forgotten when it is watched no more.

Ruled out: names (the addresses are numbers), the pruning of the names' cache (short in a shard).

--- a/bamboofront.h
+++ b/bamboofront.h
@@ -12,6 +12,7 @@
 #include <sys/types.h>
 
 #include <jansson.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -148,8 +149,9 @@
 void histograms_print(FILE *f); /* text exposition format */
 
 /* clock.c: the only place where time is read. */
-int64_t clock_now(void);  /* monotonic, ms */
-int64_t clock_wall(void); /* since 1970, ms */
+int64_t clock_now(void);		/* monotonic, ms */
+int64_t clock_wall(void);		/* since 1970, ms */
+int64_t clock_thread(pthread_t thread); /* its processor time, ms */
 
 /* random.c: numbers that a seed gives. */
 uint64_t random_next(uint64_t *state);
--- a/clock.c
+++ b/clock.c
@@ -21,6 +21,14 @@
 	return clock_read(CLOCK_BOOTTIME);
 }
 
+/* Processor time that a thread of this process has used. */
+int64_t clock_thread(pthread_t thread)
+{
+	clockid_t id;
+
+	return pthread_getcpuclockid(thread, &id) ? 0 : clock_read(id);
+}
+
 /* Wall clock; only for what people read and for envelopes' deadlines. */
 int64_t clock_wall(void)
 {
--- a/http-client.h
+++ b/http-client.h
@@ -8,6 +8,7 @@
 #define HTTP_CLIENT_H
 
 #include "bamboofront.h"
+#include "heap.h"
 
 enum http_outcome {
 	HTTP_OK,	/* a whole answer with a status, maybe an error's */
@@ -33,8 +34,11 @@
  * is never refused, or NULL.
  */
 #define HTTP_HEADERS_MAX 3
+struct http_queue;
 struct http_request {
-	TAILQ_ENTRY(http_request) entry;
+	TAILQ_ENTRY(http_request) entry; /* this, waits_in, due: the client's */
+	struct http_queue *waits_in;
+	struct heap_node due;
 	const char *method;
 	char *url;
 	char *queue;
@@ -50,6 +54,7 @@
 void http_request_clear(struct http_request *r);
 
 struct http_client_options {
+	const char *name;	/* of its thread, or NULL */
 	const char *token;	/* or NULL */
 	const char *tls_ca;	/* file, or NULL */
 	unsigned max_per_queue; /* requests at once of one queue */
@@ -62,6 +67,7 @@
 				      struct error *e);
 /* False: the client holds max_requests; r is still the caller's. */
 bool http_client_send(struct http_client *c, struct http_request *r);
+int64_t http_client_used(const struct http_client *c); /* processor, ms */
 /* Put an event into an inbox from done, waiting while the inbox is full. */
 void http_client_post(struct http_client *c, struct mailbox *inbox, event *ev);
 /* Ends every request with its outcome, joins the thread and frees c. */
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -269,3 +269,106 @@
 	http_client_stop(client);
 	fake_stop(f);
 }
+
+/* Send a call and wait for its outcome. */
+static enum http_outcome call_once(struct http_client *client, struct call *c,
+				   uint16_t port, const char *queue)
+{
+	struct gate ended = GATE;
+
+	call_set(c, port, "once", LONG_MS, &ended);
+	free(c->http.queue);
+	c->http.queue = xstrdup(queue);
+	cr_assert(http_client_send(client, &c->http));
+	gate_wait(&ended, 1);
+	return c->outcome;
+}
+
+/*
+ * A peer that closes idle connections makes the next request fail, or the
+ * client's thread spin on a socket that is readable for ever.
+ */
+Test(http_client, a_connection_closed_while_idle_is_replaced, .timeout = 60)
+{
+	static const char whole[] = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+				    "\r\na";
+	static const struct fake_step steps[] = {{FAKE_RAW, 200, whole},
+						 {FAKE_SAY, 200, "b"},
+						 {FAKE_SAY, 200, "c"}};
+	struct http_client *client = client_start();
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	struct call c;
+	int64_t used;
+
+	cr_expect_eq(call_once(client, &c, fake_port(f), "q"), HTTP_OK);
+	cr_expect_eq(call_once(client, &c, fake_port(f), "q"), HTTP_OK);
+	cr_expect_eq(call_once(client, &c, fake_port(f), "q"), HTTP_OK);
+	fake_stop(f);
+	used = http_client_used(client);
+	poll(NULL, 0, 300);
+	cr_expect_leq(http_client_used(client) - used, 100);
+	http_client_stop(client);
+}
+
+/* Queues beyond one shard lose their requests, or their connections. */
+Test(http_client, many_queues_keep_their_connections, .timeout = 60)
+{
+	enum { QUEUES = 70 };
+	static struct fake_step steps[2 * QUEUES];
+	struct http_client *client = client_start();
+	struct fake *f;
+	struct call c;
+	char name[16];
+	size_t i;
+
+	for (i = 0; i < NELEMS(steps); i++)
+		steps[i] = (struct fake_step){FAKE_SAY, 200, "a"};
+	f = fake_start(steps, NELEMS(steps));
+	for (i = 0; i < NELEMS(steps); i++) {
+		snprintf(name, sizeof(name), "q%zu", i % QUEUES);
+		cr_assert_eq(call_once(client, &c, fake_port(f), name), HTTP_OK,
+			     "call %zu", i);
+	}
+	for (i = 0; i < NELEMS(steps); i++)
+		cr_expect_leq(fake_wait(f, i)->connection, QUEUES);
+	http_client_stop(client);
+	fake_stop(f);
+}
+
+/* What waits for a place or for its time is begun late, never, or too early. */
+Test(http_client, waits_for_a_place_and_for_its_time, .timeout = 60)
+{
+	static const struct {
+		const char *name;
+		int64_t start_ms;
+		int64_t timeout_ms;
+		enum http_outcome outcome;
+	} rows[] = {
+		{"at once", 0, LONG_MS, HTTP_OK},
+		{"after a while", 100, LONG_MS, HTTP_OK},
+		{"out of time before its time", 400, 100, HTTP_NOT_SENT},
+	};
+	static const struct fake_step steps[] = {{FAKE_SAY, 200, "a"},
+						 {FAKE_SAY, 200, "b"}};
+	struct http_client *client = client_start();
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	struct call c;
+	int64_t from;
+	size_t i;
+
+	for (i = 0; i < NELEMS(rows); i++) {
+		struct gate ended = GATE;
+
+		call_set(&c, fake_port(f), "timed", rows[i].timeout_ms, &ended);
+		from = clock_now();
+		c.http.start_at = from + rows[i].start_ms;
+		cr_assert(http_client_send(client, &c.http));
+		gate_wait(&ended, 1);
+		cr_expect_eq(c.outcome, rows[i].outcome, "%s", rows[i].name);
+		if (rows[i].outcome == HTTP_OK)
+			cr_expect_geq(clock_now(), from + rows[i].start_ms,
+				      "%s", rows[i].name);
+	}
+	http_client_stop(client);
+	fake_stop(f);
+}
