--- a/bamboofront-entryd.c
+++ b/bamboofront-entryd.c
@@ -22,18 +22,29 @@
 #define TICK_MS 40
 /* The settings file is looked at so often: it may change without a signal. */
 #define SETTINGS_LOOK_MS 1000
+#define PROCESSOR_TOLD_MS 1000
+
+/* Processor time that the threads had used, in ms. */
+struct processor {
+	int64_t scheduler;
+	int64_t store;
+	int64_t workers;
+};
 
 struct entry {
 	char *path;
 	struct entry_settings settings;
 	struct timespec changed; /* of the settings file */
 	int64_t look_at;
+	struct mailbox *store_inbox; /* taken first, see platform/calls.c */
 	struct mailbox *inbox;
 	struct platform *platform;
 	struct front *front;
 	struct sched *sched;
 	struct sched_effects effects;
 	int64_t tick_at;
+	int64_t told_at; /* the latest line about processor time */
+	struct processor processor;
 	bool stopped; /* the scheduler knows of the planned stop */
 	bool exit;
 };
@@ -177,16 +188,47 @@
 	}
 }
 
-/* Reduce what has come in. */
+/*
+ * Tell what the owner's threads have used in the last second: what it does not
+ * get done may be for want of processor, which no other line shows.
+ */
+static void processor_tell(struct entry *d)
+{
+	struct processor now = {.scheduler = clock_thread(pthread_self())};
+	const struct processor *before = &d->processor;
+
+	platform_used(d->platform, &now.store, &now.workers);
+	if (counter_get(COUNT_OWNER))
+		log_event(LOG_PROCESSOR,
+			  "ms=%lld scheduler_ms=%lld store_ms=%lld "
+			  "workers_ms=%lld",
+			  (long long)(clock_now() - d->told_at),
+			  (long long)(now.scheduler - before->scheduler),
+			  (long long)(now.store - before->store),
+			  (long long)(now.workers - before->workers));
+	d->processor = now;
+	d->told_at = clock_now();
+}
+
+/* The next event to reduce; NULL: none has come. */
+static struct sched_event *inbox_take(struct entry *d)
+{
+	struct sched_event *ev = mailbox_take(d->store_inbox);
+
+	return ev ? ev : mailbox_take(d->inbox);
+}
+
+/* Reduce what has come in; false: there may be more. */
 static bool inbox_drain(struct entry *d)
 {
 	struct sched_event *ev, *next;
 	int n;
 
+	mailbox_clear(d->store_inbox);
 	mailbox_clear(d->inbox);
-	ev = mailbox_take(d->inbox);
+	ev = inbox_take(d);
 	for (n = 1; ev; n++) {
-		next = n < EVENTS_PER_ROUND ? mailbox_take(d->inbox) : NULL;
+		next = n < EVENTS_PER_ROUND ? inbox_take(d) : NULL;
 		ev->more = next != NULL;
 		entry_step(d, ev);
 		ev = next;
@@ -198,6 +240,7 @@
 static void entry_loop(struct entry *d)
 {
 	struct pollfd p[] = {
+		{.fd = mailbox_fd(d->store_inbox), .events = POLLIN},
 		{.fd = mailbox_fd(d->inbox), .events = POLLIN},
 		{.fd = signal_fd, .events = POLLIN},
 	};
@@ -218,6 +261,8 @@
 		}
 		if (clock_now() >= d->look_at)
 			settings_look(d, false);
+		if (clock_now() >= d->told_at + PROCESSOR_TOLD_MS)
+			processor_tell(d);
 		log_flush();
 	}
 }
@@ -226,12 +271,14 @@
 static bool entry_start(struct entry *d, struct error *e)
 {
 	TAILQ_INIT(&d->effects);
+	d->store_inbox = mailbox_new(INBOX_SIZE);
 	d->inbox = mailbox_new(INBOX_SIZE);
 	randombytes_buf(&d->settings.sched.seed,
 			sizeof(d->settings.sched.seed));
 	d->settings.sched.seed >>= 1; /* JSON's whole numbers have a sign */
 	d->sched = sched_new(&d->settings.sched);
-	d->platform = platform_start(&d->settings.platform, d->inbox, e);
+	d->platform = platform_start(&d->settings.platform, d->store_inbox,
+				     d->inbox, e);
 	if (!d->platform)
 		return false;
 	d->front = front_start(&d->settings.front, d->inbox, e);
@@ -247,9 +294,10 @@
 		front_stop(d->front);
 	if (d->platform)
 		platform_stop(d->platform);
-	while ((ev = mailbox_take(d->inbox)))
+	while ((ev = inbox_take(d)))
 		sched_event_free(ev);
 	sched_free(d->sched);
+	mailbox_free(d->store_inbox);
 	mailbox_free(d->inbox);
 	entry_settings_free(&d->settings);
 }
