The owner's steps don't walk all workers

Workers with ends to acknowledge stand in a list by the number that must be durable. A pool is kept, with the count of its workers of which it is not known what they run, and looks fill its list anew. Tasks of a step are alike: only the merits of the worker that got one are weighed again. A list marks the runs that it names in place of comparing names, and names are read without scanf. A job keeps its organisation and its account. Looks are a millisecond apart for each 500 workers, as they were for each 100 jobs.

--- a/sched-job.c
+++ b/sched-job.c
@@ -36,16 +36,31 @@
 			   t->index);
 }
 
+/* Find what a job refers to in the configuration in force. */
+static void job_configure(const struct sched *s, struct job *j)
+{
+	if (j->reckoned.config == s->config_count)
+		return;
+	j->reckoned.route = route_named(s, j->route);
+	j->reckoned.tenant = tenant_named(s, j->tenant);
+	j->reckoned.pool = NULL; /* the queue may lead to another one */
+	j->reckoned.config = s->config_count;
+}
+
 /* A job's queue in the configuration in force; NULL: it is not there. */
 const struct route *job_route(const struct sched *s, struct job *j)
 {
-	if (j->reckoned.config != s->config_count) {
-		j->reckoned.route = route_named(s, j->route);
-		j->reckoned.config = s->config_count;
-	}
+	job_configure(s, j);
 	return j->reckoned.route;
 }
 
+/* A job's organisation there; NULL: it is not there. */
+const struct tenant *job_tenant(const struct sched *s, struct job *j)
+{
+	job_configure(s, j);
+	return j->reckoned.tenant;
+}
+
 /* The service whose workers run a job now. */
 bstr job_service(const struct sched *s, struct job *j)
 {
@@ -560,21 +575,43 @@
 	}
 }
 
-/* Find a task by its name on a worker; job is set if that is known. */
+/* Read ".NUMBER" and move on; false: that is not there. */
+static bool number_take(bstr *text, unsigned *n)
+{
+	const char *p = text->bstr_val, *end = p + text->bstr_len;
+	uint64_t value = 0;
+
+	if (end - p < 2 || *p != '.' || p[1] < '0' || p[1] > '9')
+		return false;
+	for (p++; p < end && *p >= '0' && *p <= '9'; p++) {
+		value = value * 10 + (unsigned)(*p - '0');
+		if (value > UINT32_MAX)
+			return false;
+	}
+	*n = (unsigned)value;
+	*text = bstr_ref(p, (size_t)(end - p));
+	return true;
+}
+
+/*
+ * Find a task by its name on a worker; job is set if that is known.  Each list
+ * of a worker names all that runs there, so names are read thousands of times
+ * a second.
+ */
 struct task *task_find(struct sched *s, bstr name, struct job **job)
 {
-	char text[64];
 	struct occurrence *o;
 	unsigned k, number, index;
+	bstr rest;
 
 	*job = NULL;
-	if (name.bstr_len <= JOB_ID_BYTES || name.bstr_len >= sizeof(text))
+	if (name.bstr_len <= JOB_ID_BYTES)
 		return NULL;
-	memcpy(text, name.bstr_val, name.bstr_len);
-	text[name.bstr_len] = '\0';
-	*job = sched_job_find(s, text);
-	if (!*job ||
-	    sscanf(text + JOB_ID_BYTES, ".%u.%u.%u", &k, &number, &index) != 3)
+	*job = sched_job_find(s, name.bstr_val);
+	rest = bstr_ref(name.bstr_val + JOB_ID_BYTES,
+			name.bstr_len - JOB_ID_BYTES);
+	if (!*job || !number_take(&rest, &k) || !number_take(&rest, &number) ||
+	    !number_take(&rest, &index) || rest.bstr_len)
 		return NULL;
 	if (number >= (*job)->body->step_count ||
 	    index >= (*job)->body->steps[number].count)
--- a/sched-limit.c
+++ b/sched-limit.c
@@ -19,7 +19,7 @@
 #define CEILING_TASKS 8
 
 /* The account of an organisation. */
-struct usage *usage_of(struct sched *s, bstr tenant)
+static struct usage *usage_of(struct sched *s, bstr tenant)
 {
 	struct usage *u;
 
@@ -32,10 +32,18 @@
 	return u;
 }
 
+/* The account of a job's organisation. */
+struct usage *job_usage(struct sched *s, struct job *j)
+{
+	if (!j->reckoned.usage)
+		j->reckoned.usage = usage_of(s, j->tenant);
+	return j->reckoned.usage;
+}
+
 /* Count a run, or count it no more. */
 void usage_add(struct sched *s, const struct task *t, int sign)
 {
-	struct usage *u = usage_of(s, t->occ->job->tenant);
+	struct usage *u = job_usage(s, t->occ->job);
 	struct size need = task_step(t)->need;
 
 	u->used = sign > 0 ? size_add(u->used, need) : size_sub(u->used, need);
@@ -44,7 +52,7 @@
 /* A run of before was found: it is part of what the old ceiling allowed. */
 void usage_found(struct sched *s, const struct task *t)
 {
-	struct usage *u = usage_of(s, t->occ->job->tenant);
+	struct usage *u = job_usage(s, t->occ->job);
 
 	u->found = size_add(u->found, task_step(t)->need);
 }
@@ -70,22 +78,29 @@
 			     a.gpus < b.gpus ? a.gpus : b.gpus};
 }
 
+/* Read the ceiling that earlier owners had told; it changes no more. */
+static void usage_inherit(const struct sched *s, struct usage *u)
+{
+	char *name = bstr_cstr(u->tenant);
+	const json_t *row = json_object_get(s->own.ceilings, name);
+
+	free(name);
+	u->told = (struct size){json_integer_value(json_array_get(row, 0)),
+				json_integer_value(json_array_get(row, 1)),
+				json_integer_value(json_array_get(row, 2))};
+	u->inherits = true;
+}
+
 /* What an earlier owner may have running that was not found yet. */
-static struct size usage_hidden(const struct sched *s, const struct usage *u)
+static struct size usage_hidden(const struct sched *s, struct usage *u)
 {
-	struct size hidden = {0, 0, 0}, zero = {0, 0, 0}, told;
-	const json_t *row;
-	char *name;
+	struct size hidden = {0, 0, 0}, zero = {0, 0, 0};
 
 	if (s->settled)
 		return hidden;
-	name = bstr_cstr(u->tenant);
-	row = json_object_get(s->own.ceilings, name);
-	free(name);
-	told = (struct size){json_integer_value(json_array_get(row, 0)),
-			     json_integer_value(json_array_get(row, 1)),
-			     json_integer_value(json_array_get(row, 2))};
-	hidden = size_sub(told, u->found);
+	if (!u->inherits)
+		usage_inherit(s, u);
+	hidden = size_sub(u->told, u->found);
 	return size_sub(hidden, size_min(hidden, zero));
 }
 
@@ -171,15 +186,14 @@
 }
 
 /* What its organisation's limit has against a task of a step beginning. */
-enum hold limit_hold(struct sched *s, const struct job *j,
-		     const struct job_step *st)
+enum hold limit_hold(struct sched *s, struct job *j, const struct job_step *st)
 {
-	const struct tenant *t = tenant_named(s, j->tenant);
+	const struct tenant *t = job_tenant(s, j);
 	struct usage *u;
 
 	if (!t)
 		return HOLD_NONE;
-	u = usage_of(s, j->tenant);
+	u = job_usage(s, j);
 	if (!all_below(size_add(u->used, usage_hidden(s, u)), st->need,
 		       t->maximum))
 		return HOLD_LIMIT;
@@ -192,8 +206,7 @@
 }
 
 /* May a task of a step begin, by its organisation's limit? */
-bool limit_allows(struct sched *s, const struct job *j,
-		  const struct job_step *st)
+bool limit_allows(struct sched *s, struct job *j, const struct job_step *st)
 {
 	return limit_hold(s, j, st) == HOLD_NONE;
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -512,7 +512,7 @@
 		m->state = MACHINE_MOVING;
 		if (w) {
 			worker_lost(s, w, "moved");
-			w->gone = true;
+			worker_gone(s, w);
 			w->listed = false;
 		}
 		return;
--- a/sched-order.c
+++ b/sched-order.c
@@ -32,6 +32,7 @@
 
 	t->worker = w;
 	t->run = run;
+	t->list = 0;
 	if (run > t->top_run)
 		t->top_run = run;
 	t->stopping = false;
--- a/sched-place.c
+++ b/sched-place.c
@@ -22,14 +22,14 @@
 #define MERIT_FULL 1e4 /* all of its cores are in use */
 
 /*
- * Looks at what waits are a millisecond apart for so many jobs.  At each round
- * of events a long queue would take all of the owner's processor, and what it
- * writes and hears from workers would wait behind them.
+ * Looks at what waits are a millisecond apart for so many jobs, and for so many
+ * workers.  At each round of events a long queue or a large fleet would take
+ * all of the owner's processor, and what it writes and hears from workers would
+ * wait behind them.
  */
 #define JOBS_PER_MS 100
+#define WORKERS_PER_MS 500
 #define JOBS_MANY 500
-/* So many needs that found no room are remembered while tasks are placed. */
-#define MISSED_MAX 8
 
 /* A step with tasks that wait. */
 struct candidate {
@@ -45,114 +45,13 @@
 	int64_t due;	  /* when its objective ends; if late: its length */
 };
 
-/* The workers of one service that may get work. */
-struct pool {
-	bstr service;
-	struct worker **workers;
-	size_t count;
-	struct size most;     /* the most room of any, in each resource */
-	struct size room;     /* of all together */
-	struct size promised; /* of it, to jobs that wait for the store */
-	struct size missed[MISSED_MAX]; /* needs that no worker has room for */
-	size_t missed_count;
-};
-
 struct placing {
-	struct pool *pools;
-	size_t pool_count;
 	struct candidate *list;
 	struct candidate **order;
 	size_t count;
 	size_t room;
 };
 
-/* What is free on a worker. */
-static struct size worker_room(const struct worker *w)
-{
-	return size_sub(w->row.capacity, w->used);
-}
-
-/* The pool of a service; NULL: none of its workers may get work. */
-static struct pool *pool_find(struct placing *p, bstr service)
-{
-	size_t i;
-
-	for (i = 0; i < p->pool_count; i++)
-		if (bstr_eq(p->pools[i].service, service))
-			return &p->pools[i];
-	return NULL;
-}
-
-/* Sum up again the most that one worker of a pool has free. */
-static void pool_measure(struct pool *pool)
-{
-	struct size r;
-	size_t i;
-
-	pool->most = (struct size){-1, -1, -1};
-	pool->room = (struct size){0, 0, 0};
-	for (i = 0; i < pool->count; i++) {
-		r = worker_room(pool->workers[i]);
-		pool->room = size_add(pool->room, r);
-		if (r.cpu > pool->most.cpu)
-			pool->most.cpu = r.cpu;
-		if (r.memory > pool->most.memory)
-			pool->most.memory = r.memory;
-		if (r.gpus > pool->most.gpus)
-			pool->most.gpus = r.gpus;
-	}
-}
-
-/*
- * Is it known that no worker has room for a need?  Room only shrinks while
- * tasks are placed, so what found none rules out all that want as much.
- */
-static bool pool_misses(const struct pool *pool, struct size need)
-{
-	size_t i;
-
-	for (i = 0; i < pool->missed_count; i++)
-		if (size_fits(pool->missed[i], need))
-			return true;
-	return false;
-}
-
-/* No worker of a pool had room for a need. */
-static void pool_missed(struct pool *pool, struct size need)
-{
-	if (pool_misses(pool, need))
-		return;
-	if (pool->missed_count < MISSED_MAX)
-		pool->missed_count++;
-	pool->missed[pool->missed_count - 1] = need;
-}
-
-/* Sort the workers that may get work by their services. */
-static void pools_make(struct sched *s, struct placing *p)
-{
-	struct worker *w, *next;
-	struct pool *pool;
-	size_t i;
-
-	HASH_ITER(hh, s->workers, w, next) {
-		if (!worker_takes(s, w))
-			continue;
-		pool = pool_find(p, w->row.service);
-		if (!pool) {
-			p->pools = xrealloc(p->pools, p->pool_count + 1,
-					    sizeof(*p->pools));
-			pool = &p->pools[p->pool_count++];
-			memset(pool, 0, sizeof(*pool));
-			pool->service = w->row.service;
-		}
-		pool->workers = xrealloc(pool->workers, pool->count + 1,
-					 sizeof(struct worker *));
-		pool->workers[pool->count++] = w;
-	}
-	for (i = 0; i < p->pool_count; i++)
-		pool_measure(&p->pools[i]);
-}
-
 /* Does a step have a task that waits to be placed now? */
 static bool step_waits(struct sched *s, const struct occurrence *o, unsigned at)
 {
@@ -234,7 +133,7 @@
 static void candidates_of(struct sched *s, struct placing *p, struct job *j)
 {
 	const struct route *r = job_route(s, j);
-	struct pool *pool = pool_find(p, r ? r->service : j->service);
+	struct pool *pool = job_pool(s, j);
 	struct occurrence *o;
 	unsigned i;
 
@@ -243,8 +142,8 @@
 			if (!step_waits(s, o, i))
 				continue;
 			s->waits = true;
-			if (pool && size_fits(step_room(&j->body->steps[i]),
-					      pool->most))
+			if (size_fits(step_room(&j->body->steps[i]),
+				      pool->most))
 				candidate_add(s, p, r, pool, o, i);
 			else
 				j->hold = HOLD_ROOM;
@@ -420,12 +319,41 @@
 	return !st->label.bstr_len && !st->apart && !c->advised;
 }
 
-/* Place the tasks of a step, one by one. */
+/* Reckon how well some workers of a pool suit a task. */
+static void merits_reckon(struct sched *s, const struct candidate *c,
+			  const struct task *t, double *merits, size_t from,
+			  size_t to)
+{
+	size_t i;
+
+	for (i = from; i < to; i++)
+		merits[i] = worker_merit(s, c, c->pool->workers[i], t);
+}
+
+/* The place of the best of them; as many as there are: none suits. */
+static size_t merits_best(const double *merits, size_t count)
+{
+	size_t i, best = count;
+
+	for (i = 0; i < count; i++)
+		if (merits[i] >= 0 &&
+		    (best == count || merits[i] > merits[best]))
+			best = i;
+	return best;
+}
+
+/*
+ * Place the tasks of a step, one by one.  They are alike, so what a worker's
+ * merits are changes only where one of them is placed; but for a task that is
+ * to avoid a worker, and a step whose tasks draw each other into a rack.
+ */
 static void step_place(struct sched *s, const struct candidate *c)
 {
 	const struct job_step *st = &c->job->body->steps[c->step];
 	struct task *t = &c->occ->tasks[c->occ->first[c->step]];
-	struct worker *w;
+	size_t at = 0, count = c->pool->count;
+	double *merits = xcalloc(count + 1, sizeof(*merits));
+	bool all = true; /* merits are to be reckoned, not just that at at */
 	enum hold limit;
 	unsigned i;
 
@@ -433,15 +361,25 @@
 		if (t->phase != AT_REST || s->now < t->not_before)
 			continue;
 		limit = limit_hold(s, c->job, st);
-		w = limit ? NULL : worker_choose(s, c, t);
-		if (!w) {
-			c->job->hold = limit ? limit : HOLD_WORKER;
-			if (!limit && step_is_plain(c, st))
+		if (limit) {
+			c->job->hold = limit;
+			break;
+		}
+		if (all || st->tight || t->avoid)
+			merits_reckon(s, c, t, merits, 0, count);
+		else
+			merits_reckon(s, c, t, merits, at, at + 1);
+		all = t->avoid;
+		at = merits_best(merits, count);
+		if (at == count) {
+			c->job->hold = HOLD_WORKER;
+			if (step_is_plain(c, st))
 				pool_missed(c->pool, step_room(st));
-			return;
+			break;
 		}
-		sched_task_start(s, t, w, run_next(s, t));
+		sched_task_start(s, t, c->pool->workers[at], run_next(s, t));
 	}
+	free(merits);
 }
 
 /* Undo what was reserved for the first n tasks of a gang. */
@@ -449,7 +387,7 @@
 		      unsigned n)
 {
 	const struct job_step *st = task_step(t);
-	struct usage *u = usage_of(s, t->occ->job->tenant);
+	struct usage *u = job_usage(s, t->occ->job);
 	unsigned i;
 
 	for (i = 0; i < n; i++) {
@@ -466,7 +404,7 @@
 {
 	const struct job_step *st = &c->job->body->steps[c->step];
 	struct task *first = &c->occ->tasks[c->occ->first[c->step]];
-	struct usage *u = usage_of(s, c->job->tenant);
+	struct usage *u = job_usage(s, c->job);
 	struct worker **chosen = xcalloc(st->count, sizeof(struct worker *));
 	bstr checkpoint = BSTR_NONE;
 	uint64_t run = 0;
@@ -572,11 +510,12 @@
 	/* What can't be placed now is looked at again when it can. */
 	if (!own_starts(s))
 		return;
+	s->place_at = s->now + HASH_COUNT(s->workers) / WORKERS_PER_MS;
 	if (HASH_COUNT(s->jobs) > JOBS_MANY)
-		s->place_at = s->now + HASH_COUNT(s->jobs) / JOBS_PER_MS;
+		s->place_at += HASH_COUNT(s->jobs) / JOBS_PER_MS;
 	s->place = s->pauses = s->waits = false;
 	s->load.looks++;
-	pools_make(s, &p);
+	pools_make(s);
 	candidates_make(s, &p);
 	/*
 	 * What waits may wait for a pause to end, or for a worker to be well
@@ -586,9 +525,6 @@
 	candidates_sort(&p);
 	for (i = 0; i < p.count; i++)
 		candidate_place(s, p.order[i]);
-	for (i = 0; i < p.pool_count; i++)
-		free(p.pools[i].workers);
-	free(p.pools);
 	free(p.order);
 	free(p.list);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -109,6 +109,7 @@
 	int64_t stop_at;  /* when to say so again */
 	int64_t start_by; /* on the worker's clock */
 	int64_t acked;	  /* the worker's clock when it took the start */
+	uint64_t list;	  /* the latest that names this run as running */
 	int64_t begun_at;
 	int64_t opened_at; /* of its start's connection; 0: not known */
 	uint32_t awaited;  /* serial of the worker that may do it; 0: none */
@@ -181,8 +182,11 @@
  * thousands of jobs waiting the owner would do nothing else.
  */
 struct reckoning {
-	unsigned config;	   /* counts those in force; 0: none yet */
-	const struct route *route; /* in that one, or NULL */
+	unsigned config;	     /* counts those in force; 0: none yet */
+	const struct route *route;   /* in that one, or NULL */
+	const struct tenant *tenant; /* the same */
+	struct usage *usage;	     /* its organisation's account, or NULL */
+	struct pool *pool;	     /* whose workers run it, or NULL */
 	int64_t until;
 	int64_t *expected; /* ms that a step's tasks take */
 	int64_t *chain;	   /* ms from a step's start to the job's end */
@@ -258,12 +262,16 @@
 	int64_t stray_at; /* runs that nobody wants are stopped from then on */
 	bool strays_due;
 	int64_t unwell_until;
-	uint64_t seen;	   /* highest end known here */
-	uint64_t seen_seq; /* dirty_seq then */
-	uint64_t acked;	   /* highest durable end */
-	bool ends_cut;	   /* it has more ends than its last list held */
-	bool sure;	   /* it is still the life that these are of */
-	unsigned doubt;	   /* failures in a row */
+	uint64_t seen;		     /* highest end known here */
+	uint64_t seen_seq;	     /* dirty_seq then */
+	uint64_t acked;		     /* highest durable end */
+	uint64_t list;		     /* counts the lists that it has told */
+	TAILQ_ENTRY(worker) unacked; /* while seen is above it */
+	struct pool *pool;	     /* of its service */
+	bool unknown;		     /* it counts there as such */
+	bool ends_cut;	/* it has more ends than its last list held */
+	bool sure;	/* it is still the life that these are of */
+	unsigned doubt; /* failures in a row */
 	char doubt_job[JOB_ID_BYTES + 1];
 	int64_t doubt_until;
 	int64_t idle_at; /* since when it has no task */
@@ -275,6 +283,26 @@
 	UT_hash_handle hh;
 };
 
+TAILQ_HEAD(worker_queue, worker);
+
+/* So many needs that found no room are remembered while tasks are placed. */
+#define MISSED_MAX 8
+
+/* The workers of a service.  All but the first two hold for one look only. */
+struct pool {
+	bstr service;		 /* empty: of those whose service isn't known */
+	unsigned unknown;	 /* of which it is not known what they run */
+	struct worker **workers; /* those that may get work */
+	size_t count;
+	size_t space;
+	struct size most;     /* the most room of any, in each resource */
+	struct size room;     /* of all together */
+	struct size promised; /* of it, to jobs that wait for the store */
+	struct size missed[MISSED_MAX]; /* needs that no worker has room for */
+	size_t missed_count;
+	UT_hash_handle hh;
+};
+
 enum purpose {
 	FOR_OPERATOR_GET,
 	FOR_OPERATOR_FEED,
@@ -455,7 +483,9 @@
 	struct size next;    /* as the beat under way tells it */
 	struct size wanted;  /* by a task that the ceiling holds back */
 	bool telling;
-	struct size found; /* of what earlier owners had running */
+	bool inherits;	   /* what earlier owners may have running was read */
+	struct size told;  /* it: their ceiling */
+	struct size found; /* of it, what was found */
 	UT_hash_handle hh;
 };
 
@@ -533,6 +563,9 @@
 	struct retired_list retirees;
 	int64_t sweep_at;
 	struct worker *workers;
+	struct worker_queue unacked; /* by seen_seq */
+	struct pool *pools;	     /* by service */
+	unsigned unknown_count;	     /* workers, of all pools */
 	struct usage *usage;
 	bool settled; /* all workers' lists are known, or their leases over */
 	bool place;   /* something changed: look for work to place */
@@ -662,6 +695,7 @@
 bstr task_name(const struct task *t);
 const struct job_step *task_step(const struct task *t);
 const struct route *job_route(const struct sched *s, struct job *j);
+const struct tenant *job_tenant(const struct sched *s, struct job *j);
 bstr job_service(const struct sched *s, struct job *j);
 void task_phase(struct task *t, enum run_phase phase);
 void task_pause(struct task *t, int64_t until);
@@ -682,7 +716,6 @@
 bstr workers_row_write(const struct sched *s);
 void workers_row_read(struct sched *s, bstr row);
 void workers_inherit(struct sched *s);
-bool pool_is_settled(const struct sched *s, bstr service);
 void worker_unsure(struct sched *s, struct worker *w);
 void worker_other_life(struct sched *s, struct worker *w);
 struct worker *worker_find(struct sched *s, bstr id);
@@ -691,12 +724,26 @@
 void worker_acknowledge(struct sched *s);
 bool worker_ends_durable(const struct worker *w);
 void worker_lost(struct sched *s, struct worker *w, const char *why);
+void worker_gone(struct sched *s, struct worker *w);
 void sched_worker_free(struct sched *s, struct worker *w);
 int64_t worker_clock(const struct sched *s, const struct worker *w);
 bool worker_is_well(const struct sched *s, const struct worker *w);
 bool worker_takes(const struct sched *s, const struct worker *w);
 void sched_workers_free(struct sched *s);
 
+/* sched-pool.c */
+struct pool *pool_of(struct sched *s, bstr service);
+struct pool *job_pool(struct sched *s, struct job *j);
+void worker_count(struct sched *s, struct worker *w);
+void worker_uncount(struct sched *s, struct worker *w);
+bool pool_is_settled(struct sched *s, bstr service);
+void pools_make(struct sched *s);
+void pool_measure(struct pool *p);
+bool pool_misses(const struct pool *p, struct size need);
+void pool_missed(struct pool *p, struct size need);
+void pools_free(struct sched *s);
+struct size worker_room(const struct worker *w);
+
 /* sched-order.c */
 struct size step_room(const struct job_step *st);
 void sched_task_start(struct sched *s, struct task *t, struct worker *w,
@@ -710,15 +757,13 @@
 void order_answer(struct sched *s, struct request *rq, struct answer *a);
 
 /* sched-limit.c */
-struct usage *usage_of(struct sched *s, bstr tenant);
+struct usage *job_usage(struct sched *s, struct job *j);
 void usage_add(struct sched *s, const struct task *t, int sign);
 void usage_found(struct sched *s, const struct task *t);
 json_t *ceilings_write(struct sched *s);
 void ceilings_told(struct sched *s);
-enum hold limit_hold(struct sched *s, const struct job *j,
-		     const struct job_step *st);
-bool limit_allows(struct sched *s, const struct job *j,
-		  const struct job_step *st);
+enum hold limit_hold(struct sched *s, struct job *j, const struct job_step *st);
+bool limit_allows(struct sched *s, struct job *j, const struct job_step *st);
 void usage_free(struct sched *s);
 
 /* sched-place.c */
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -733,7 +733,7 @@
 		w->answered_at = s->now - WORKER_QUIET_MS;
 	} else if (w) {
 		worker_lost(s, w, "maintenance");
-		w->gone = true;
+		worker_gone(s, w);
 		w->listed = false;
 	}
 	sched_log(s, LOG_WAVE_MACHINE,
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -61,6 +61,32 @@
 	return worker_is_well(s, w) && w->noted;
 }
 
+/* A worker runs nothing any more. */
+void worker_gone(struct sched *s, struct worker *w)
+{
+	w->gone = true;
+	worker_count(s, w);
+}
+
+/* A worker has no end left to acknowledge. */
+static void worker_acked(struct sched *s, struct worker *w)
+{
+	if (w->acked != w->seen)
+		TAILQ_REMOVE(&s->unacked, w, unacked);
+	w->acked = w->seen;
+}
+
+/* A worker has told an end that is new here. */
+static void worker_saw_end(struct sched *s, struct worker *w, uint64_t number)
+{
+	if (w->acked != w->seen)
+		TAILQ_REMOVE(&s->unacked, w, unacked);
+	if (number > w->seen)
+		w->seen = number;
+	w->seen_seq = s->dirty_seq;
+	TAILQ_INSERT_TAIL(&s->unacked, w, unacked);
+}
+
 /* Make a worker that nothing is known of. */
 static struct worker *worker_new(struct sched *s, bstr id)
 {
@@ -70,12 +96,15 @@
 	w->serial = ++s->last_worker;
 	TAILQ_INIT(&w->tasks);
 	HASH_ADD_BSTR(s->workers, id, w);
+	worker_count(s, w);
 	return w;
 }
 
 /* Free a worker that no request speaks of. */
 void sched_worker_free(struct sched *s, struct worker *w)
 {
+	worker_acked(s, w);
+	worker_uncount(s, w);
 	HASH_DEL(s->workers, w);
 	worker_row_free(&w->row);
 	bstr_free(&w->rack);
@@ -97,6 +126,7 @@
 			task_rest(s, t);
 		sched_worker_free(s, w);
 	}
+	pools_free(s);
 }
 
 /*
@@ -202,9 +232,11 @@
 	if (w->born)
 		worker_lost(s, w, "restarted");
 	w->born = born;
+	worker_acked(s, w);
 	w->seen = w->acked = 0;
 	w->seen_seq = 0;
 	w->fenced = false;
+	worker_count(s, w);
 	/* What it has taken by a start meant for the old life lasts longer. */
 	w->lease_end = a->running_count ? a->clock + s->options.lease_max_ms
 					: 0;
@@ -273,6 +305,7 @@
 		w->look_at = s->now;
 	w->listed = true;
 	w->gone = false;
+	worker_count(s, w);
 	if (moved)
 		w->look_at = s->now;
 	if (w->row.draining && !was)
@@ -283,6 +316,8 @@
 	s->place = true;
 }
 
+static void worker_check(struct sched *s, struct worker *w);
+
 /* A row of a worker. */
 void worker_row_take(struct sched *s, struct row *r)
 {
@@ -305,7 +340,7 @@
 	}
 	worker_update(s, w, r);
 	if (s->own.state == OWN_YES)
-		worker_tick(s);
+		worker_check(s, w);
 }
 
 /*
@@ -391,6 +426,7 @@
 			continue;
 		w = worker_new(s, id);
 		w->row.service = json_bstr(v);
+		worker_count(s, w);
 		w->answered_at = w->clock_at = s->now;
 		sched_log(s, LOG_WORKER_SEEN,
 			  "worker=%s service=%.*s address=-", name,
@@ -398,27 +434,6 @@
 	}
 }
 
-/* Is it known what a worker runs, and what has ended there? */
-static bool worker_is_known(const struct worker *w)
-{
-	return w->gone || (w->fenced && !w->ends_cut);
-}
-
-/*
- * Is it known of all workers of a service what they run?  Tasks of earlier
- * owners may be on those that have not answered and may still hold a lease.
- */
-bool pool_is_settled(const struct sched *s, bstr service)
-{
-	const struct worker *w;
-
-	for (w = s->workers; w; w = w->hh.next)
-		if (!worker_is_known(w) && (!w->row.service.bstr_len ||
-					    bstr_eq(w->row.service, service)))
-			return false;
-	return true;
-}
-
 /* How long a hold may wait for an end. */
 static uint32_t hold_wait(const struct worker *w)
 {
@@ -486,7 +501,7 @@
 	struct task *t, *next;
 
 	if (!w->gone && worker_is_over(s, w)) {
-		w->gone = true;
+		worker_gone(s, w);
 		starts_wait(s, w);
 		if (!TAILQ_EMPTY(&w->tasks))
 			worker_lost(s, w, "silent");
@@ -512,14 +527,9 @@
  */
 static void settle_check(struct sched *s)
 {
-	struct worker *w, *next;
-	unsigned n = 0;
-
 	if (s->settled)
 		return;
-	HASH_ITER(hh, s->workers, w, next)
-		n += !worker_is_known(w);
-	if (n) {
+	if (s->unknown_count) {
 		s->place = true; /* of the pools that are settled */
 		return;
 	}
@@ -556,12 +566,10 @@
 void worker_acknowledge(struct sched *s)
 {
 	uint64_t durable = commit_durable(s);
-	struct worker *w, *next;
+	struct worker *w;
 
-	HASH_ITER(hh, s->workers, w, next) {
-		if (w->acked == w->seen || w->seen_seq > durable)
-			continue;
-		w->acked = w->seen;
+	while ((w = TAILQ_FIRST(&s->unacked)) && w->seen_seq <= durable) {
+		worker_acked(s, w);
 		if (!w->looking && own_acts(s))
 			worker_hold(s, w);
 	}
@@ -665,10 +673,8 @@
 	for (i = 0; i < a->ended_count; i++) {
 		if (a->ended[i].number <= known)
 			continue;
-		if (a->ended[i].number > w->seen)
-			w->seen = a->ended[i].number;
 		end_take(s, w, &a->ended[i]);
-		w->seen_seq = s->dirty_seq;
+		worker_saw_end(s, w, a->ended[i].number);
 		s->place = true;
 	}
 }
@@ -694,6 +700,7 @@
 			run_stop(s, w, r->task, r->run);
 		return;
 	}
+	t->list = w->list;
 	j->ran = true;
 	if (t->phase == AT_START)
 		task_phase(t, AT_WORK);
@@ -704,20 +711,6 @@
 		bstr_set(&t->checkpoint, r->checkpoint);
 }
 
-/* Is a task in a list of what runs? */
-static bool running_has(const struct answer *a, const struct task *t)
-{
-	bstr name = task_name(t);
-	bool found = false;
-	size_t i;
-
-	for (i = 0; i < a->running_count && !found; i++)
-		found = a->running[i].run == t->run &&
-			bstr_eq(a->running[i].task, name);
-	bstr_free(&name);
-	return found;
-}
-
 /*
  * Tasks that a list does not name, if it has room for all ends: a task that was
  * done and whose end is not listed yet would run a second time.  A list may be
@@ -734,7 +727,7 @@
 		return;
 	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
 		next = TAILQ_NEXT(t, on);
-		if (t->asked || running_has(a, t))
+		if (t->asked || t->list == w->list)
 			continue;
 		if (t->phase == AT_START && a->clock <= t->start_by)
 			continue;
@@ -805,11 +798,13 @@
 	w->strays_due = s->now >= w->stray_at;
 	if (w->strays_due)
 		w->stray_at = s->now + STRAY_AGAIN_MS;
+	w->list++;
 	ends_take(s, w, a);
 	for (i = 0; i < a->running_count; i++)
 		running_take(s, w, &a->running[i]);
 	absent_take(s, w, a);
 	pace_worker(s, w);
+	worker_count(s, w);
 }
 
 /* An answer to a hold. */
@@ -836,7 +831,7 @@
 		own_doubt(s, "fenced");
 	} else if (a->refusal == REFUSAL_OTHER_LIFE) {
 		/* Another worker answers there: this one has ended. */
-		w->gone = true;
+		worker_gone(s, w);
 		w->answered_at = s->now - WORKER_QUIET_MS;
 		if (!TAILQ_EMPTY(&w->tasks))
 			worker_lost(s, w, "replaced");
--- a/sched.c
+++ b/sched.c
@@ -375,6 +375,7 @@
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->flying);
 	TAILQ_INIT(&s->retirees);
+	TAILQ_INIT(&s->unacked);
 	return s;
 }
 
