A successor waits only for lives that may hold something

The note is written without those that are gone, once a second at most while there are any; one that comes back gets nothing before it is noted again. A worker that no earlier owner had noted holds nothing of one. A final job is forgotten once its own pools are known.

--- a/sched-job.c
+++ b/sched-job.c
@@ -69,6 +69,19 @@
 	return r ? r->service : j->service;
 }
 
+/*
+ * Is it known where the tasks of a job are?  They can be on workers of the
+ * service that its queue leads to, or of the one that it led to when the job
+ * was accepted.
+ */
+bool job_is_settled(struct sched *s, struct job *j)
+{
+	if (!j->settled)
+		j->settled = pool_is_settled(s, job_service(s, j)) &&
+			     pool_is_settled(s, j->service);
+	return j->settled;
+}
+
 /* Does a job's progress, as it was read, show that a task of it has begun? */
 static bool progress_has_run(const struct job *j)
 {
@@ -331,9 +344,9 @@
  * final one they are to be stopped, and count for their organisation until
  * they have ended: others started beside them would be above its upper limit.
  */
-static bool job_may_show_up(const struct sched *s, const struct job *j)
+static bool job_may_show_up(struct sched *s, struct job *j)
 {
-	return j->inherited && !s->settled;
+	return j->inherited && !s->settled && !job_is_settled(s, j);
 }
 
 /* A final job whose state is durable and that runs nowhere is forgotten. */
--- a/sched-place.c
+++ b/sched-place.c
@@ -111,18 +111,11 @@
 		c->due = o->job->arrived;
 }
 
-/*
- * Is it known where the tasks of a job are?  They can be on workers of the
- * service that its queue leads to, or of the one that it led to when the job
- * was accepted.
- */
-static bool job_is_settled(struct sched *s, struct job *j)
+/* May tasks of a job be somewhere that is not known yet? */
+static bool job_is_hidden(struct sched *s, struct job *j)
 {
-	if (!j->inherited || !j->ran_before || j->settled || s->settled)
-		return true;
-	j->settled = pool_is_settled(s, job_service(s, j)) &&
-		     pool_is_settled(s, j->service);
-	return j->settled;
+	return j->inherited && j->ran_before && !s->settled &&
+	       !job_is_settled(s, j);
 }
 
 /*
@@ -159,10 +152,10 @@
 	TAILQ_FOREACH(j, &s->order, entry) {
 		if (j->fate > FATE_RUNNING)
 			continue;
-		if (job_is_settled(s, j))
-			candidates_of(s, p, j);
-		else
+		if (job_is_hidden(s, j))
 			j->hold = HOLD_LEASES;
+		else
+			candidates_of(s, p, j);
 	}
 }
 
--- a/sched-pool.c
+++ b/sched-pool.c
@@ -31,10 +31,10 @@
 	return j->reckoned.pool;
 }
 
-/* Is it known what a worker runs, and what has ended there? */
+/* Is it known which runs of earlier owners a worker has, or had? */
 static bool worker_is_known(const struct worker *w)
 {
-	return w->gone || (w->fenced && !w->ends_cut);
+	return !w->inherited || w->gone || (w->fenced && !w->ends_cut);
 }
 
 /* A worker counts no more. */
--- a/sched-state.h
+++ b/sched-state.h
@@ -252,6 +252,7 @@
 	int64_t lease_end; /* the latest told to it, on its clock */
 	bool fenced;	   /* it has answered to our epoch */
 	bool noting;	   /* the beat under way names it */
+	bool inherited;	   /* earlier owners may have given it work */
 	bool noted;	   /* a successor would know of it */
 	bool looking;	   /* a hold is under way */
 	int64_t look_at;
@@ -421,6 +422,7 @@
 	int64_t settle_by;    /* no lease of it ends later */
 	int64_t owned_at;
 	int64_t ready_at; /* all was read */
+	int64_t told_at;  /* when to say next what it waits for */
 	int64_t read_at;  /* a page came, or the reading began */
 	unsigned unread;  /* times in a row that none came */
 	bool doubtful;	  /* read the row before the next order */
@@ -564,6 +566,8 @@
 	int64_t sweep_at;
 	struct worker *workers;
 	struct worker_queue unacked; /* by seen_seq */
+	unsigned noted_gone;	     /* workers in the note that are gone */
+	int64_t note_at;	     /* it is not written for these before */
 	struct pool *pools;	     /* by service */
 	unsigned unknown_count;	     /* workers, of all pools */
 	struct usage *usage;
@@ -688,6 +692,7 @@
 void job_unretire(struct sched *s, struct retired *r);
 void job_settle(struct sched *s, struct job *j);
 bool job_waits(const struct job *j);
+bool job_is_settled(struct sched *s, struct job *j);
 bool job_begin(struct sched *s, struct job *j);
 void job_written(struct sched *s, struct job *j);
 bool step_ready(const struct occurrence *o, unsigned at);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -12,6 +12,10 @@
 #define CLOCK_NONE (-1)
 /* Runs that nobody wants are stopped at most so often on one worker. */
 #define STRAY_AGAIN_MS 300
+/* The note is written anew for those that are gone so often at most. */
+#define NOTE_AGAIN_MS 1000
+/* While a successor waits for workers it says so once in so long. */
+#define SETTLE_TOLD_MS 500
 
 /* Find a worker. */
 struct worker *worker_find(struct sched *s, bstr id)
@@ -65,6 +69,7 @@
 void worker_gone(struct sched *s, struct worker *w)
 {
 	w->gone = true;
+	s->noted_gone += w->noted;
 	worker_count(s, w);
 }
 
@@ -360,19 +365,29 @@
  * The workers that may hold leases of this owner are noted in the store
  * before they get work.  A worker's own row may lapse while it is cut off
  * and runs on: a successor would not know of it, and would start its tasks
- * elsewhere.  True: there are some that are not noted yet.  Not while the
- * owner loads: what the one before it noted may not have been read.
+ * elsewhere.  Those that are gone are left out in time: a successor would wait
+ * for each life of a moved machine until no lease can hold any more.  True:
+ * the note is to be written.  Not while the owner loads: what the one before
+ * it noted may not have been read.
  */
 bool workers_note(struct sched *s)
 {
+	bool any = s->noted_gone && s->now >= s->note_at;
 	struct worker *w, *next;
-	bool any = false;
 
 	if (s->own.state != OWN_YES)
 		return false;
+	HASH_ITER(hh, s->workers, w, next)
+		any = any || (!w->gone && !w->noted);
 	HASH_ITER(hh, s->workers, w, next) {
-		w->noting = true;
-		any = any || !w->noted;
+		w->noting = any && !w->gone;
+		/* One that comes back gets nothing before it is noted anew. */
+		if (any && w->gone)
+			w->noted = false;
+	}
+	if (any) {
+		s->noted_gone = 0;
+		s->note_at = s->now + NOTE_AGAIN_MS;
 	}
 	return any;
 }
@@ -398,6 +413,8 @@
 	char *id;
 
 	for (w = s->workers; w; w = w->hh.next) {
+		if (w->gone)
+			continue;
 		id = bstr_cstr(w->id);
 		json_object_set_new(list, id, bstr_json(w->row.service));
 		free(id);
@@ -412,7 +429,10 @@
 	s->own.workers = json_read(row);
 }
 
-/* Take over the workers that the old owner noted and that have no row. */
+/*
+ * Take over the workers that the old owner noted, also those that have no row.
+ * Whom it had not noted it had given nothing to.
+ */
 void workers_inherit(struct sched *s)
 {
 	struct worker *w;
@@ -422,9 +442,14 @@
 
 	json_object_foreach(s->own.workers, name, v) {
 		id = bstr_lit(name);
-		if (worker_find(s, id))
+		w = worker_find(s, id);
+		if (w) {
+			w->inherited = true;
+			worker_count(s, w);
 			continue;
+		}
 		w = worker_new(s, id);
+		w->inherited = true;
 		w->row.service = json_bstr(v);
 		worker_count(s, w);
 		w->answered_at = w->clock_at = s->now;
@@ -521,6 +546,32 @@
 		worker_hold(s, w);
 }
 
+/* Say once in a while for which worker the owner waits, and why. */
+static void settle_tell(struct sched *s)
+{
+	struct worker *w, *next, *one = NULL;
+
+	if (s->now < s->own.told_at)
+		return;
+	s->own.told_at = s->now + SETTLE_TOLD_MS;
+	HASH_ITER(hh, s->workers, w, next)
+		if (w->unknown && (!one || w->answered_at < one->answered_at))
+			one = w;
+	if (!one)
+		return;
+	sched_log(s, LOG_OWNER_WAITS,
+		  "epoch=%llu ms=%lld unknown=%u worker=%.*s listed=%d "
+		  "fenced=%d ends_cut=%d quiet_ms=%lld other_ms=%lld "
+		  "leases_ms=%lld proof_ms=%lld",
+		  (unsigned long long)s->own.epoch,
+		  (long long)(s->now - s->own.owned_at), s->unknown_count,
+		  BSTR_ARG(one->id), one->listed, one->fenced, one->ends_cut,
+		  (long long)(s->now - one->answered_at),
+		  (long long)(one->other_until - s->now),
+		  (long long)(s->own.settle_by - s->now),
+		  (long long)(s->now - s->own.proved_at));
+}
+
 /*
  * After a takeover tasks of earlier owners may run anywhere, until each
  * worker has answered or cannot hold a lease any more.
@@ -530,6 +581,7 @@
 	if (s->settled)
 		return;
 	if (s->unknown_count) {
+		settle_tell(s);
 		s->place = true; /* of the pools that are settled */
 		return;
 	}
@@ -789,6 +841,8 @@
 		w->alive_at = a->sent_at;
 	if (w->awaited && a->born)
 		starts_wait_no_more(s, w);
+	if (w->gone && !w->noted)
+		s->own.beat_at = s->now; /* to note it */
 	w->gone = false;
 	w->sure = true;
 	if (!w->fenced) {
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -4,6 +4,8 @@
  */
 #include "world-calm.h"
 
+#include "../sched-state.h"
+
 #define JOB_A "00000000000000aa"
 #define JOB_B "10000000000000bb"
 
@@ -534,3 +536,66 @@
 		check_free(w, "long book", row);
 	}
 }
+
+/* Have a successor own the scheduling; how long it then takes to settle. */
+static int64_t settling_ms(struct world *w)
+{
+	unsigned n = owner(w), k;
+
+	world_kill(w, n);
+	for (k = 0; k < 500 && world_owner(w) == -1; k++)
+		world_run(w, 10);
+	n = owner(w);
+	for (k = 0; k < 1000 && !world_sched(w, n)->settled; k++)
+		world_run(w, 10);
+	return k * 10;
+}
+
+/* A successor waits, until no lease can hold, for a life it need not know. */
+static const struct {
+	const char *name;
+	unsigned replaced; /* workers whose lives ended under the old owner */
+	bool late;	   /* one is listed only after the takeover */
+	bool silent;	   /* a noted worker can't be reached: it does wait */
+} settle_rows[] = {
+	{"all answer", 0, false, false},
+	{"lives that were replaced", 4, false, false},
+	{"one that nobody had noted", 0, true, false},
+	{"one that was noted and is silent", 0, false, true},
+};
+static void settles_in_time(unsigned row)
+{
+	struct world *w = world_new(560 + row, 4, 6);
+	unsigned i, k;
+	int64_t ms;
+
+	if (settle_rows[row].late) {
+		world_unlist(w, 5, true);
+		for (k = 0; k < 4; k++)
+			world_cut_worker(w, k, 5, true);
+	}
+	world_run(w, 2500);
+	for (i = 0; i < settle_rows[row].replaced; i++) {
+		world_replace(w, i);
+		world_run(w, 300);
+	}
+	world_run(w, 2500);
+	for (k = 0; k < 4 && settle_rows[row].silent; k++)
+		world_cut_worker(w, k, 0, true);
+	if (settle_rows[row].late)
+		world_unlist(w, 5, false);
+	ms = settling_ms(w);
+	if (settle_rows[row].silent)
+		cr_expect_gt(ms, 3000, "%s", settle_rows[row].name);
+	else
+		cr_expect_lt(ms, 1500, "%s: %lld ms", settle_rows[row].name,
+			     (long long)ms);
+	check_free(w, settle_rows[row].name, row);
+}
+Test(takeover, settles_without_lives_that_hold_nothing)
+{
+	unsigned i;
+
+	for (i = 0; i < NELEMS(settle_rows); i++)
+		settles_in_time(i);
+}
