What only a successor needs is in a table that nobody follows

The note of all workers (33 to 45 KB at 1,100 workers), the pools' first sizes and the waves' notes stood in the table of the owner's beat, whose feed all entry VMs read: each writing of one went to each of 147 VMs, was decoded there and thrown away. They have a table of their own, read whole at a takeover. The note groups workers by service, so that 4,000 fit into a row of 64 KB, not 1,500.

--- a/sched-follow.c
+++ b/sched-follow.c
@@ -142,6 +142,7 @@
 	for (i = 0; i < NELEMS(s->follows); i++)
 		follow_go(s, &s->follows[i]);
 	follow_go(s, &s->progress);
+	follow_go(s, &s->notes);
 }
 
 /* Hand a row to the file whose subject it is. */
@@ -166,6 +167,9 @@
 	case TABLE_OWNER:
 		own_row_take(s, r);
 		break;
+	case TABLE_NOTES:
+		note_row_take(s, r);
+		break;
 	case TABLE_STATUS:
 	case TABLE_MAX:
 		break;
@@ -180,7 +184,7 @@
 	for (i = 0; i < NELEMS(s->follows); i++)
 		if (s->follows[i].get == p || s->follows[i].feed == p)
 			return &s->follows[i];
-	return &s->progress;
+	return p == FOR_NOTES_GET ? &s->notes : &s->progress;
 }
 
 /* Note where the next page starts: just after the last key of this one. */
--- a/sched-own.c
+++ b/sched-own.c
@@ -114,10 +114,11 @@
 	s->advice_calls = 0;
 	s->settled = false;
 	s->follows[2].wanted = s->follows[3].wanted = false;
-	s->progress.wanted = false;
+	s->progress.wanted = s->notes.wanted = false;
 	follow_restart(&s->follows[2]);
 	follow_restart(&s->follows[3]);
 	follow_restart(&s->progress);
+	follow_restart(&s->notes);
 	s->follows[3].told_at = 0;
 }
 
@@ -197,22 +198,8 @@
 		epoch_row_take(s, r);
 		return;
 	}
-	if (bstr_eq_str(r->key, KEY_WORKERS)) {
-		if (s->own.state != OWN_YES)
-			workers_row_read(s, r->value);
-		return;
-	}
-	if (bstr_eq_str(r->key, KEY_HOMES)) {
-		if (!s->homes) {
-			s->homes = json_read(r->value);
-			s->homes_told = s->homes != NULL;
-		}
+	if (!bstr_eq_str(r->key, KEY_BEAT))
 		return;
-	}
-	if (!bstr_eq_str(r->key, KEY_BEAT)) {
-		wave_status_take(s, r);
-		return;
-	}
 	if (s->own.state != OWN_YES && beat_row_read(s, r->value, &epoch) &&
 	    r->revision > s->own.beat_revision)
 		own_heard(s);
@@ -220,6 +207,28 @@
 		s->own.beat_revision = r->revision;
 }
 
+/*
+ * What the owners before wrote for their successor.  It is long, and would be
+ * sent to every VM with each change if it stood beside the beat.
+ */
+void note_row_take(struct sched *s, struct row *r)
+{
+	if (r->removed || r->kind == ROW_BAD || s->own.state == OWN_YES)
+		return;
+	if (bstr_eq_str(r->key, KEY_WORKERS)) {
+		workers_row_read(s, r->value);
+		return;
+	}
+	if (!bstr_eq_str(r->key, KEY_HOMES)) {
+		wave_status_take(s, r);
+		return;
+	}
+	if (!s->homes) {
+		s->homes = json_read(r->value);
+		s->homes_told = s->homes != NULL;
+	}
+}
+
 /* The store has answered about the ownership: silence counts from here. */
 void own_answered(struct sched *s)
 {
@@ -345,6 +354,7 @@
 	s->own.doubtful = false;
 	own_forget(s);
 	s->follows[2].wanted = s->follows[3].wanted = true;
+	s->notes.wanted = true;
 	/* What the old owner wrote last may not have come by the feed yet. */
 	follow_restart(&s->follows[1]);
 	follow_tick(s);
@@ -361,7 +371,7 @@
 	/* Progress is of jobs that are in the book: read after the jobs. */
 	s->progress.wanted = s->follows[3].whole;
 	if (!s->follows[1].whole || !s->follows[2].whole ||
-	    !s->follows[3].whole || !s->progress.whole)
+	    !s->follows[3].whole || !s->progress.whole || !s->notes.whole)
 		return;
 	workers_inherit(s);
 	s->own.state = OWN_YES;
@@ -472,10 +482,10 @@
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_BEAT), rq->revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_BEAT), beat_row_write(s));
 	if (workers_note(s))
-		tx_write(t, TABLE_OWNER, bstr_lit(KEY_WORKERS),
+		tx_write(t, TABLE_NOTES, bstr_lit(KEY_WORKERS),
 			 workers_row_write(s));
 	if (s->homes_dirty)
-		tx_write(t, TABLE_OWNER, bstr_lit(KEY_HOMES),
+		tx_write(t, TABLE_NOTES, bstr_lit(KEY_HOMES),
 			 json_write(json_incref(s->homes)));
 	s->homes_telling = s->homes_dirty;
 	s->homes_dirty = false;
--- a/sched-state.h
+++ b/sched-state.h
@@ -314,6 +314,7 @@
 	FOR_JOBS_GET,
 	FOR_JOBS_FEED,
 	FOR_PROGRESS_GET,
+	FOR_NOTES_GET,
 	FOR_BEAT,
 	FOR_CLAIM,
 	FOR_RELEASE,
@@ -552,6 +553,7 @@
 
 	/* The owner's. */
 	struct follow progress; /* read once, at a takeover */
+	struct follow notes;	/* the same */
 	struct job *jobs;
 	struct job_queue order;
 	struct job_queue dirty;
@@ -663,6 +665,7 @@
 
 /* sched-own.c */
 void own_row_take(struct sched *s, struct row *r);
+void note_row_take(struct sched *s, struct row *r);
 void own_answered(struct sched *s);
 void own_store_back(struct sched *s);
 void own_may_claim(struct sched *s);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -569,7 +569,7 @@
 	t = sched_tx(s, FOR_WAVE_ROW, s->now + STORE_TIMEOUT_MS, &rq);
 	rq->number = v->number;
 	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
-	tx_expect(t, TABLE_OWNER, bstr_lit(key), v->revision);
+	tx_expect(t, TABLE_NOTES, bstr_lit(key), v->revision);
 	if (!v->told || v->completed)
 		tx_write(t, TABLE_STATUS, bstr_lit(key),
 			 bstr_printf("{\"state\":\"%s\"}",
@@ -578,7 +578,7 @@
 	v->notes = wave_notes(v);
 	if (s->store_timed)
 		v->finish_noted = wave_finish_at(s, v) + s->store_ahead;
-	tx_write(t, TABLE_OWNER, bstr_lit(key),
+	tx_write(t, TABLE_NOTES, bstr_lit(key),
 		 json_write(json_pack("{s:I, s:O, s:b, s:I}", "wave",
 				      (json_int_t)v->number, "machines",
 				      v->notes, "completed", v->completed,
@@ -806,7 +806,7 @@
 	}
 	wave_key(v, key);
 	if (a->outcome == OUT_CONFLICT &&
-	    !tx_overtaken(s, a, TABLE_OWNER, bstr_lit(key), &v->revision)) {
+	    !tx_overtaken(s, a, TABLE_NOTES, bstr_lit(key), &v->revision)) {
 		own_lose(s, "replaced");
 		return;
 	}
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -405,21 +405,29 @@
 	}
 }
 
-/* The row that notes them: services by worker. */
+/*
+ * The row that notes them: workers by service.  A row has at most 64 KB, and so
+ * room for some 4,000.
+ */
 bstr workers_row_write(const struct sched *s)
 {
-	json_t *list = json_object();
+	json_t *services = json_object(), *list;
 	const struct worker *w;
-	char *id;
+	char *service;
 
 	for (w = s->workers; w; w = w->hh.next) {
 		if (w->gone)
 			continue;
-		id = bstr_cstr(w->id);
-		json_object_set_new(list, id, bstr_json(w->row.service));
-		free(id);
+		service = bstr_cstr(w->row.service);
+		list = json_object_get(services, service);
+		if (!list) {
+			list = json_array();
+			json_object_set_new(services, service, list);
+		}
+		json_array_append_new(list, bstr_json(w->id));
+		free(service);
 	}
-	return json_write(list);
+	return json_write(services);
 }
 
 /* Read it, as another owner wrote it. */
@@ -429,33 +437,40 @@
 	s->own.workers = json_read(row);
 }
 
+/* Take over one worker that the old owner noted. */
+static void worker_inherit(struct sched *s, bstr id, const char *service)
+{
+	struct worker *w = worker_find(s, id);
+
+	if (!w) {
+		w = worker_new(s, id);
+		w->row.service = bstr_new(service);
+		w->answered_at = w->clock_at = s->now;
+		sched_log(s, LOG_WORKER_SEEN,
+			  "worker=%.*s service=%s address=-", BSTR_ARG(id),
+			  service);
+	}
+	w->inherited = true;
+	worker_count(s, w);
+}
+
 /*
  * Take over the workers that the old owner noted, also those that have no row.
  * Whom it had not noted it had given nothing to.
  */
 void workers_inherit(struct sched *s)
 {
-	struct worker *w;
-	const char *name;
-	json_t *v;
+	const char *service;
+	json_t *list, *v;
 	bstr id;
+	size_t i;
 
-	json_object_foreach(s->own.workers, name, v) {
-		id = bstr_lit(name);
-		w = worker_find(s, id);
-		if (w) {
-			w->inherited = true;
-			worker_count(s, w);
-			continue;
+	json_object_foreach(s->own.workers, service, list) {
+		json_array_foreach(list, i, v) {
+			id = json_bstr(v);
+			worker_inherit(s, id, service);
+			bstr_free(&id);
 		}
-		w = worker_new(s, id);
-		w->inherited = true;
-		w->row.service = json_bstr(v);
-		worker_count(s, w);
-		w->answered_at = w->clock_at = s->now;
-		sched_log(s, LOG_WORKER_SEEN,
-			  "worker=%s service=%.*s address=-", name,
-			  BSTR_ARG(w->row.service));
 	}
 }
 
--- a/sched.c
+++ b/sched.c
@@ -140,6 +140,7 @@
 	case FOR_JOBS_GET:
 	case FOR_JOBS_FEED:
 	case FOR_PROGRESS_GET:
+	case FOR_NOTES_GET:
 		follow_answer(s, rq, a);
 		break;
 	case FOR_BEAT:
@@ -371,6 +372,8 @@
 	s->follows[3].parts = JOB_PARTS;
 	s->progress = follow_make(TABLE_PROGRESS, FOR_PROGRESS_GET, PURPOSE_MAX,
 				  0, false);
+	s->notes = follow_make(TABLE_NOTES, FOR_NOTES_GET, PURPOSE_MAX, 0,
+			       false);
 	TAILQ_INIT(&s->order);
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->flying);
@@ -405,6 +408,7 @@
 	for (i = 0; i < NELEMS(s->follows); i++)
 		follow_restart(&s->follows[i]);
 	follow_restart(&s->progress);
+	follow_restart(&s->notes);
 	while (!TAILQ_EMPTY(&out)) {
 		struct sched_effect *fx = TAILQ_FIRST(&out);
 
--- a/scheduler.h
+++ b/scheduler.h
@@ -120,6 +120,7 @@
 	TABLE_JOBS,	/* a row for each job; another for its cancel */
 	TABLE_PROGRESS, /* a row for each job: state, what is done */
 	TABLE_OWNER,	/* who owns the scheduling; the owner's beat */
+	TABLE_NOTES,	/* what a successor has to know; nobody follows it */
 	TABLE_STATUS,	/* read by the operator */
 	TABLE_MAX
 };
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -67,7 +67,7 @@
 /* How many machines the operator gave the pool, as an owner noted it. */
 unsigned world_home(struct world *w)
 {
-	const struct world_row *r = world_row_get(w, TABLE_OWNER, "homes");
+	const struct world_row *r = world_row_get(w, TABLE_NOTES, "homes");
 	const char *at = NULL;
 
 	if (!r->removed)
