--- a/sched-state.h
+++ b/sched-state.h
@@ -25,6 +25,9 @@
 #define UNPROVED_LEASE_MS 6000
 /* A hold waits so long for an end, and so renews at least so often. */
 #define HOLD_WAIT_MS 700
+/* At one without tasks it waits so long that there are so many a second. */
+#define HOLD_IDLE_MAX_MS 1400
+#define IDLE_LOOKS_PER_S 700
 /* Between looks at a worker that has unacknowledged ends, or is silent. */
 #define HOLD_PACE_MS 300
 /* An exchange with a worker takes at most so long beyond its wait. */
@@ -257,8 +260,9 @@
 	bool looking;	   /* a hold is under way */
 	int64_t look_at;
 	int64_t answered_at;
-	int64_t alive_at;    /* its known life lived then, or later */
-	bool awaited;	     /* tasks wait for what that life may do late */
+	int64_t heard_by; /* by when a long look under way is; 0: it is none */
+	int64_t alive_at; /* its known life lived then, or later */
+	bool awaited;	  /* tasks wait for what that life may do late */
 	int64_t other_until; /* a later life may hold a lease until then */
 	int64_t stray_at; /* runs that nobody wants are stopped from then on */
 	bool strays_due;
@@ -735,6 +739,8 @@
 void worker_gone(struct sched *s, struct worker *w);
 void sched_worker_free(struct sched *s, struct worker *w);
 int64_t worker_clock(const struct sched *s, const struct worker *w);
+bool worker_is_quiet(const struct sched *s, const struct worker *w);
+void worker_set_quiet(struct sched *s, struct worker *w);
 bool worker_is_well(const struct sched *s, const struct worker *w);
 bool worker_takes(const struct sched *s, const struct worker *w);
 void sched_workers_free(struct sched *s);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -730,7 +730,7 @@
 		 * taken for at work, others of their steps were taken too.
 		 */
 		w->leaving = w->taken = false;
-		w->answered_at = s->now - WORKER_QUIET_MS;
+		worker_set_quiet(s, w);
 	} else if (w) {
 		worker_lost(s, w, "maintenance");
 		worker_gone(s, w);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -51,12 +51,25 @@
 	return until < most ? until : most;
 }
 
+/* Is an answer of it overdue? */
+bool worker_is_quiet(const struct sched *s, const struct worker *w)
+{
+	return s->now - w->answered_at >= WORKER_QUIET_MS &&
+	       s->now >= w->heard_by;
+}
+
+/* Take its answer for overdue. */
+void worker_set_quiet(struct sched *s, struct worker *w)
+{
+	w->answered_at = s->now - WORKER_QUIET_MS;
+	w->heard_by = 0;
+}
+
 /* Is it there, and well? */
 bool worker_is_well(const struct sched *s, const struct worker *w)
 {
 	return w->listed && !w->gone && !w->row.draining && !w->leaving &&
-	       w->fenced && s->now - w->answered_at < WORKER_QUIET_MS &&
-	       s->now >= w->unwell_until;
+	       w->fenced && !worker_is_quiet(s, w) && s->now >= w->unwell_until;
 }
 
 /* May it get new work? */
@@ -474,18 +487,31 @@
 	}
 }
 
+/*
+ * How long a look at a worker without tasks waits.  Most of a large fleet is
+ * idle at a time, and the looks at it would be half of all that the owner does.
+ */
+static uint32_t idle_wait(const struct sched *s)
+{
+	uint32_t wait = HASH_COUNT(s->workers) * 1000 / IDLE_LOOKS_PER_S;
+
+	if (wait < HOLD_WAIT_MS)
+		return HOLD_WAIT_MS;
+	return wait < HOLD_IDLE_MAX_MS ? wait : HOLD_IDLE_MAX_MS;
+}
+
 /* How long a hold may wait for an end. */
-static uint32_t hold_wait(const struct worker *w)
+static uint32_t hold_wait(const struct sched *s, const struct worker *w)
 {
 	if (!w->fenced || !w->clock || !w->sure || w->acked < w->seen)
 		return 0;
-	return HOLD_WAIT_MS;
+	return TAILQ_EMPTY(&w->tasks) ? idle_wait(s) : HOLD_WAIT_MS;
 }
 
 /* Renew a worker's lease and look what runs and has ended there. */
 static void worker_hold(struct sched *s, struct worker *w)
 {
-	uint32_t wait = hold_wait(w);
+	uint32_t wait = hold_wait(s, w);
 	struct request *rq;
 	struct ask *ask;
 	struct order *o;
@@ -505,13 +531,16 @@
 	 * Without an answer for a while the lease is not renewed: it ends,
 	 * and the tasks may start elsewhere the sooner.
 	 */
-	if (w->clock && s->now - w->answered_at < WORKER_QUIET_MS) {
+	if (w->clock && !worker_is_quiet(s, w)) {
 		o->deadline = worker_clock(s, w) + lease_until(s) - s->now;
 		if (o->deadline > w->lease_end)
 			w->lease_end = o->deadline;
 	}
 	w->looking = true;
 	w->look_at = s->now + HOLD_PACE_MS;
+	w->heard_by = 0;
+	if (wait > HOLD_WAIT_MS)
+		w->heard_by = s->now + wait + WORKER_QUIET_MS - HOLD_WAIT_MS;
 	sched_count(s, COUNT_WORKER_EXCHANGES, 1);
 }
 
@@ -527,8 +556,7 @@
 	int64_t settle = s->own.settle_by + SETTLE_SLACK_MS +
 			 (int64_t)(UNPROVED_LEASE_MS * (CLOCK_SLOW - 1));
 
-	if (s->now - w->answered_at < WORKER_QUIET_MS ||
-	    s->now < w->other_until)
+	if (!worker_is_quiet(s, w) || s->now < w->other_until)
 		return false;
 	if (w->fenced && w->clock)
 		return lease_was_over(w, s->own.proved_at);
@@ -901,7 +929,7 @@
 	} else if (a->refusal == REFUSAL_OTHER_LIFE) {
 		/* Another worker answers there: this one has ended. */
 		worker_gone(s, w);
-		w->answered_at = s->now - WORKER_QUIET_MS;
+		worker_set_quiet(s, w);
 		if (!TAILQ_EMPTY(&w->tasks))
 			worker_lost(s, w, "replaced");
 	} else if (a->outcome == OUT_REFUSED) {
