--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -156,7 +156,7 @@
 		}
 	} else if (fx->ask.kind == ASK_MOVE) {
 		name = bstr_cstr(fx->ask.order.machine);
-		n = (unsigned)(name[2] - '0');
+		n = (unsigned)strtoul(name + 2, NULL, 10);
 		free(name);
 		w->moves++;
 		w->pools[n] = pool_called(fx->ask.order.pool);
@@ -166,7 +166,7 @@
 			world_unlist(w, n, true);
 	} else if (fx->ask.kind == ASK_UPKEEP) {
 		name = bstr_cstr(fx->ask.order.machine);
-		n = (unsigned)(name[2] - '0');
+		n = (unsigned)strtoul(name + 2, NULL, 10);
 		free(name);
 		if (fx->ask.order.epoch < w->machine_epoch[n])
 			world_break_promise(w, "a machine has two owners", "");
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -104,7 +104,7 @@
 	int64_t slow_ms;
 	bool stalled[TABLE_MAX]; /* its pages and its feed get no answer */
 	bool blind[TABLE_MAX];	 /* its pages get none */
-	bool cut_worker[WORLD_WORKERS];
+	bool cut_worker[WORLD_WORKERS_MAX];
 	int64_t frozen_until;
 	int64_t tick_at;
 	double cores;
@@ -141,7 +141,7 @@
 	unsigned vm_count;
 	unsigned worker_count;
 	struct world_vm vms[WORLD_VMS];
-	struct world_worker workers[WORLD_WORKERS];
+	struct world_worker workers[WORLD_WORKERS_MAX];
 	struct pending_list pending;
 	struct pending_list waiting; /* feeds and holds */
 	struct world_row rows[ROWS_MAX];
@@ -191,15 +191,15 @@
 	unsigned asker_life; /* of what is being dealt with */
 	unsigned wave_machines;
 	unsigned wave_maximum;
-	unsigned taken_times[WORLD_WORKERS];
-	uint64_t machine_epoch[WORLD_WORKERS]; /* the highest of an order */
+	unsigned taken_times[WORLD_WORKERS_MAX];
+	uint64_t machine_epoch[WORLD_WORKERS_MAX]; /* the highest of an order */
 	bool busy; /* machines can't be maintained now */
 	bool machines_silent;
 	bool second;
-	const char *pools[WORLD_WORKERS]; /* of the machines */
+	const char *pools[WORLD_WORKERS_MAX]; /* of the machines */
 	unsigned moves;
-	bool maintained[WORLD_WORKERS];
-	int64_t maintained_until[WORLD_WORKERS];
+	bool maintained[WORLD_WORKERS_MAX];
+	int64_t maintained_until[WORLD_WORKERS_MAX];
 	char broken[256];
 };
 
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -279,6 +279,15 @@
 	free(name);
 }
 
+/* The number in a worker's address, after its one letter. */
+static unsigned address_number(bstr name)
+{
+	char text[16];
+
+	snprintf(text, sizeof(text), "%.*s", BSTR_ARG(name));
+	return (unsigned)strtoul(text + 1, NULL, 10);
+}
+
 /* Answer a hold: its lists, at once. */
 static void hold_answer(struct world *w, unsigned vm, unsigned n,
 			const struct sched_effect *fx)
@@ -301,7 +310,7 @@
 		if (p->ask->ask.kind != ASK_HOLD)
 			continue;
 		w->asker_life = p->life;
-		n = (unsigned)(p->ask->ask.order.address.bstr_val[1] - '0');
+		n = address_number(p->ask->ask.order.address);
 		k = &w->workers[n];
 		if (w->now < p->give_up_at &&
 		    k->last_end <= p->ask->ask.order.ack_to)
@@ -361,7 +370,7 @@
 void world_worker_take(struct world *w, unsigned vm, struct sched_effect *fx)
 {
 	const struct order *o = &fx->ask.order;
-	unsigned n = (unsigned)(o->address.bstr_val[1] - '0');
+	unsigned n = address_number(o->address);
 	struct sched_event *ev;
 	enum refusal refusal;
 	struct pending *p;
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -14,7 +14,8 @@
 #endif
 
 #define WORLD_VMS 4
-#define WORLD_WORKERS 6
+#define WORLD_WORKERS 6 /* as a rule */
+#define WORLD_WORKERS_MAX 1100
 
 enum world_store_mode {
 	STORE_GOOD,
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -179,3 +179,59 @@
 			     2000 * (int64_t)k + 700, "time %u", k);
 	}
 }
+
+/* Workers that the owner would give work to. */
+static unsigned taking(struct world *w)
+{
+	const struct sched *s = world_sched(w, (unsigned)world_owner(w));
+	const struct worker *k;
+	unsigned n = 0;
+
+	for (k = s->workers; k; k = k->hh.next)
+		n += worker_takes(s, k);
+	return n;
+}
+
+/*
+ * Guards against a large fleet, idle for the most part, that takes the owner's
+ * processor by looks at it; and against workers that seem lost between them.
+ */
+static const struct {
+	const char *name;
+	unsigned workers;
+	unsigned least; /* requests a second, the store's included */
+	unsigned most;
+} idle_rows[] = {
+	{"a few are looked at often", 6, 10, 40},
+	{"many are looked at seldom", 1000, 500, 800},
+};
+Test(load, idle_workers_cost_little)
+{
+	const struct sched *s;
+	unsigned row, k;
+	uint64_t before, asked;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(idle_rows); row++) {
+		w = world_new(1900 + row, WORLD_VMS, idle_rows[row].workers);
+		world_run(w, 5000);
+		s = world_sched(w, (unsigned)world_owner(w));
+		before = s->last_request;
+		for (k = 0; k < 20; k++) {
+			world_run(w, 200);
+			cr_expect_eq(taking(w), idle_rows[row].workers, "%s",
+				     idle_rows[row].name);
+		}
+		asked = (s->last_request - before) / 4;
+		cr_expect_geq(asked, idle_rows[row].least, "%s: %u",
+			      idle_rows[row].name, (unsigned)asked);
+		cr_expect_leq(asked, idle_rows[row].most, "%s: %u",
+			      idle_rows[row].name, (unsigned)asked);
+		for (k = 0; k < WORLD_VMS; k++)
+			world_cut_worker(w, k, 0, true);
+		world_run(w, 2500);
+		cr_expect_eq(taking(w), idle_rows[row].workers - 1, "%s",
+			     idle_rows[row].name);
+		check_free(w, idle_rows[row].name);
+	}
+}
