Small VMs ask for the owner's beats less often

A VM of less than 0.2 cores, which leaves the claim to larger ones, asks for the next 300 ms after an answer; those that claim at once hear each as before.

--- a/sched-follow.c
+++ b/sched-follow.c
@@ -15,6 +15,13 @@
  */
 #define WORKERS_FEED_APART_MS 200
 
+/*
+ * An owner beats as often as a limit or a new worker wants it, and each beat
+ * is sent to all VMs.  One that leaves the claim to larger ones asks for the
+ * next after a pause that is shorter than the time between regular beats.
+ */
+#define OWNER_FEED_APART_MS 300
+
 /*
  * So many parts are read at once.  The answer to an owner's beat comes behind
  * their pages, and the next beat waits for it: behind all sixteen of a long
@@ -254,6 +261,8 @@
 		f->told_at = a->store_clock;
 	if (f->table == TABLE_WORKERS)
 		f->again_at = s->now + WORKERS_FEED_APART_MS;
+	if (f->table == TABLE_OWNER && own_claims_late(s))
+		f->again_at = s->now + OWNER_FEED_APART_MS;
 }
 
 /* Take a page or a feed's answer. */
--- a/sched-own.c
+++ b/sched-own.c
@@ -259,10 +259,16 @@
 	s->own.silent = 0;
 }
 
+/* Does this VM leave it to larger ones to claim first? */
+bool own_claims_late(const struct sched *s)
+{
+	return s->options.cpu_share < CLAIM_CORES;
+}
+
 /* How long a small VM leaves to larger ones. */
 static int64_t claim_small(const struct sched *s)
 {
-	return s->options.cpu_share < CLAIM_CORES ? CLAIM_SMALL_MS : 0;
+	return own_claims_late(s) ? CLAIM_SMALL_MS : 0;
 }
 
 /* How long after others this VM claims. */
@@ -295,7 +301,7 @@
 		return s->now - s->own.heard_at >= spread;
 	/* An earlier life of this VM owned it, and is over. */
 	if (bstr_eq(s->own.holder, s->options.vm) && s->own.life &&
-	    s->own.life != s->options.seed && !claim_small(s))
+	    s->own.life != s->options.seed && !own_claims_late(s))
 		return true;
 	return s->now - s->own.heard_at >= OWNER_SILENT_MS + spread &&
 	       s->own.silent >= 2;
--- a/sched-state.h
+++ b/sched-state.h
@@ -673,6 +673,7 @@
 void own_answered(struct sched *s);
 void own_store_back(struct sched *s);
 void own_may_claim(struct sched *s);
+bool own_claims_late(const struct sched *s);
 void own_answer(struct sched *s, struct request *rq, struct answer *a);
 void own_tick(struct sched *s);
 void own_beat_due(struct sched *s);
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -235,3 +235,45 @@
 		check_free(w, idle_rows[row].name);
 	}
 }
+
+/*
+ * Guards against a store that is asked by every VM for each of an owner's
+ * beats, which come as often as limits are raised and workers join.
+ */
+static const struct {
+	const char *name;
+	double cores; /* of the VM that follows */
+	unsigned least;
+	unsigned most; /* requests a second, beats coming each 20 ms */
+} beat_rows[] = {
+	{"one that claims at once hears each", 0.5, 20, 60},
+	{"one that claims late does not", 0.12, 2, 8},
+};
+Test(load, beats_are_not_asked_for_by_all)
+{
+	uint64_t before, asked;
+	unsigned row, k, n, vm;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(beat_rows); row++) {
+		w = calm(1950 + row);
+		n = (unsigned)world_owner(w);
+		vm = (n + 1) % WORLD_VMS;
+		world_cores(w, vm, beat_rows[row].cores);
+		world_kill(w, vm);
+		world_start(w, vm);
+		world_run(w, 2000);
+		before = world_sched(w, vm)->last_request;
+		for (k = 0; k < 200; k++) {
+			world_sched(w, n)->own.beat_at = 0;
+			world_run(w, 20);
+		}
+		cr_assert_eq(world_owner(w), (int)n);
+		asked = (world_sched(w, vm)->last_request - before) / 4;
+		cr_expect_geq(asked, beat_rows[row].least, "%s: %u",
+			      beat_rows[row].name, (unsigned)asked);
+		cr_expect_leq(asked, beat_rows[row].most, "%s: %u",
+			      beat_rows[row].name, (unsigned)asked);
+		check_free(w, beat_rows[row].name);
+	}
+}
