Final jobs don't space the looks at what waits

The looks are spaced by the jobs that are not final.

Red before: 6 ms between looks with 600 final jobs, 1 is allowed. The small world takes 1,100 workers and jobs by the hundred now; its workers are made as many as there are.

--- a/sched-place.c
+++ b/sched-place.c
@@ -46,6 +46,7 @@
 };
 
 struct placing {
+	unsigned open; /* jobs that are not final */
 	struct candidate *list;
 	struct candidate **order;
 	size_t count;
@@ -152,6 +153,7 @@
 	TAILQ_FOREACH(j, &s->order, entry) {
 		if (j->fate > FATE_RUNNING)
 			continue;
+		p->open++;
 		if (job_is_hidden(s, j))
 			j->hold = HOLD_LEASES;
 		else
@@ -503,13 +505,13 @@
 	/* What can't be placed now is looked at again when it can. */
 	if (!own_starts(s))
 		return;
-	s->place_at = s->now + HASH_COUNT(s->workers) / WORKERS_PER_MS;
-	if (HASH_COUNT(s->jobs) > JOBS_MANY)
-		s->place_at += HASH_COUNT(s->jobs) / JOBS_PER_MS;
 	s->place = s->pauses = s->waits = false;
 	s->load.looks++;
 	pools_make(s);
 	candidates_make(s, &p);
+	s->place_at = s->now + HASH_COUNT(s->workers) / WORKERS_PER_MS;
+	if (p.open > JOBS_MANY)
+		s->place_at += p.open / JOBS_PER_MS;
 	/*
 	 * What waits may wait for a pause to end, or for a worker to be well
 	 * again, which no event tells: it is looked at again with the clock.
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -21,10 +21,10 @@
 #define NOTICE_MS 4500
 #define CONFIG_APPLY_MS 2000
 #define RUNS_MAX 64
-#define ENDS_MAX 512
+#define ENDS_MAX 1024
 #define ENDS_LISTED 500
-#define ROWS_MAX 2048
-#define CALLS_MAX 512
+#define ROWS_MAX 4096
+#define CALLS_MAX 1024
 #define NAMES_MAX 1024
 #define TX_ENTRIES 100
 #define TX_BYTES 1000000
@@ -141,7 +141,7 @@
 	unsigned vm_count;
 	unsigned worker_count;
 	struct world_vm vms[WORLD_VMS];
-	struct world_worker workers[WORLD_WORKERS_MAX];
+	struct world_worker *workers; /* worker_count */
 	struct pending_list pending;
 	struct pending_list waiting; /* feeds and holds */
 	struct world_row rows[ROWS_MAX];
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -404,6 +404,7 @@
 	w->random = seed;
 	w->vm_count = vms;
 	w->worker_count = workers;
+	w->workers = xcalloc(workers, sizeof(*w->workers));
 	w->now = 1000;
 	w->keyed = true;
 	w->config_version = 1;
@@ -443,6 +444,7 @@
 		free(w->rows[i].key);
 		bstr_free(&w->rows[i].value);
 	}
+	free(w->workers);
 	free(w);
 }
 
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -277,3 +277,40 @@
 		check_free(w, beat_rows[row].name);
 	}
 }
+
+/*
+ * Guards against a successor that looks at what waits a tenth as often as it
+ * could: it keeps final jobs until it knows what runs on a silent worker.
+ */
+Test(load, final_jobs_space_no_looks)
+{
+	static const struct world_job tiny = {.tasks = 1, .task_ms = 20};
+	struct world *w = calm(1980);
+	unsigned n = (unsigned)world_owner(w), k;
+	const struct sched *s;
+	int64_t most = 0;
+	char id[20];
+
+	for (k = 0; k < 600; k++) {
+		snprintf(id, sizeof(id), "%016x", k + 1);
+		world_submit(w, (n + 1) % WORLD_VMS, id, &tiny);
+		world_run(w, 20);
+	}
+	world_run(w, 3000);
+	for (k = 0; k < WORLD_VMS; k++)
+		world_cut_worker(w, k, 0, true);
+	world_kill(w, n);
+	for (k = 0; k < 400 && world_owner(w) == -1; k++)
+		world_run(w, 10);
+	s = world_sched(w, (unsigned)world_owner(w));
+	world_run(w, 1000);
+	cr_assert(!s->settled);
+	cr_assert_gt(HASH_COUNT(s->jobs), 500);
+	for (k = 0; k < 500; k++) {
+		world_run(w, 1);
+		if (s->place_at - s->now > most)
+			most = s->place_at - s->now;
+	}
+	cr_expect_leq(most, 1, "%lld ms", (long long)most);
+	check_free(w, "final jobs");
+}
