Machines follow a turn at the pace of the fleet's size

A turn needs some 400 machines, so they came when it was over. Eight in a look are a fortieth of the grown fleets of 350.

Up to a fortieth of the fleet moves in a look, but no more than a twentieth of the calls that the platform takes a second (a new setting). The idle machines are collected once for a look: choosing each went through all machines, with a search for its pool and its worker.

Red before: 80 moves in the first 1.3 s at 1,000 machines, 200 are wanted.

--- a/entry-settings.c
+++ b/entry-settings.c
@@ -8,6 +8,8 @@
 
 /* Final states stay longer than callers may ask, for late askers. */
 #define KEEP_SLACK_MS 30000
+#define MACHINE_CALLS_MAX 100000 /* a second */
+#define MACHINE_CALLS_DEFAULT 64
 
 /* A member on a path like "bounds.stop_ms"; NULL: it is missing. */
 static const json_t *member(const json_t *j, const char *path)
@@ -169,6 +171,9 @@
 	advice = json_string_value(member(j, "advice"));
 	s->platform.advice = advice ? advice : "";
 	s->sched.cpu_share = cores_get(j, e);
+	s->sched.machine_calls_per_s = (unsigned)number_get(
+		j, "machine_calls_per_s", 0, MACHINE_CALLS_MAX,
+		MACHINE_CALLS_DEFAULT, e);
 	s->sched.without = without_get(j, e);
 	bounds_get(j, &s->sched, e);
 	s->log_level = level_get(j, e);
--- a/sched-move.c
+++ b/sched-move.c
@@ -38,8 +38,15 @@
 #define POOL_TOLD_MS 1000
 #define MOVE_TIMEOUT_MS 1500
 #define MOVE_AGAIN_MS 1000
-/* At most so many moves are begun in one look. */
+/*
+ * At most so many moves are begun in one look, or a part of the fleet if that
+ * is more: a turn of one queue moves a third of all machines within seconds.
+ * But no more than a part of what the platform takes in a second, or calls
+ * would be turned away and those of waves with them.
+ */
 #define MOVES_AT_ONCE 8
+#define MOVES_OF_FLEET 40
+#define MOVES_OF_RATE 20
 
 /* What a pool has and has to do. */
 struct balance {
@@ -57,6 +64,12 @@
 	double waiting;	   /* of it, what could run if there were room */
 };
 
+/* An idle machine, and where it is; NULL: it has been chosen. */
+struct idle {
+	struct machine *machine;
+	struct balance *from;
+};
+
 struct balances {
 	struct balance *list;
 	size_t count;
@@ -278,54 +291,93 @@
 	       p->empty > (unsigned)(KEEP_FREE * p->workers) + 1;
 }
 
-/* A machine for a pool: of standby, else of one that can spare it. */
-static struct machine *machine_choose(struct sched *s, struct balances *b,
-				      const struct balance *to, double one)
+/* How many moves may be begun in this look. */
+static unsigned moves_at_once(const struct sched *s)
+{
+	unsigned n = HASH_COUNT(s->machines) / MOVES_OF_FLEET;
+
+	if (n > s->options.machine_calls_per_s / MOVES_OF_RATE)
+		n = s->options.machine_calls_per_s / MOVES_OF_RATE;
+	return n > MOVES_AT_ONCE ? n : MOVES_AT_ONCE;
+}
+
+/* The machines that are idle now; the list is the caller's. */
+static struct idle *idle_collect(struct sched *s, struct balances *b,
+				 size_t *count)
 {
-	struct machine *m, *next, *best = NULL;
+	struct idle *list = xcalloc(HASH_COUNT(s->machines) + 1, sizeof(*list));
+	struct machine *m, *next;
 	struct balance *from;
-	double lent = policy_on(s, POLICY_LENDING) ? LENT_SHARE : 0;
-	bool spare = false;
 
+	*count = 0;
 	HASH_ITER(hh, s->machines, m, next) {
 		from = balance_find(b, m->pool);
-		if (!from || from == to || !machine_is_idle(s, m, 0) ||
-		    !pool_spares(from, one, lent))
+		if (from && machine_is_idle(s, m, 0))
+			list[(*count)++] = (struct idle){m, from};
+	}
+	return list;
+}
+
+/* A machine for a pool: of standby, else of one that can spare it. */
+static struct idle *idle_choose(struct idle *list, size_t count,
+				const struct balance *to, double one,
+				double lent)
+{
+	struct idle *best = NULL;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (!list[i].machine || list[i].from == to ||
+		    !pool_spares(list[i].from, one, lent))
 			continue;
-		if (!best || (from->service->standby && !spare))
-			best = m;
-		spare = spare || from->service->standby;
+		if (list[i].from->service->standby)
+			return &list[i];
+		if (!best)
+			best = &list[i];
 	}
 	return best;
 }
 
+/* The pool that needs longest for its work; NULL: none leads to work. */
+static struct balance *pool_worst(struct balances *b, double one)
+{
+	struct balance *worst = NULL, *p;
+	size_t i;
+
+	for (i = 0; i < b->count; i++) {
+		p = &b->list[i];
+		if (p->routed && !p->service->standby &&
+		    (!worst || drain_ms(p, one) > drain_ms(worst, one)))
+			worst = p;
+	}
+	return worst;
+}
+
 /* Bring machines to the pool that needs them most. */
 static unsigned moves_in(struct sched *s, struct balances *b, double one)
 {
-	struct balance *worst, *from;
-	struct machine *m;
-	unsigned n;
-	size_t i;
+	double lent = policy_on(s, POLICY_LENDING) ? LENT_SHARE : 0;
+	unsigned n, most = moves_at_once(s);
+	struct balance *worst;
+	struct idle *list, *spare;
+	size_t count;
 
-	for (n = 0; n < MOVES_AT_ONCE; n++) {
-		worst = NULL;
-		for (i = 0; i < b->count; i++)
-			if (b->list[i].routed && !b->list[i].service->standby &&
-			    (!worst ||
-			     drain_ms(&b->list[i], one) > drain_ms(worst, one)))
-				worst = &b->list[i];
+	list = idle_collect(s, b, &count);
+	for (n = 0; n < most; n++) {
+		worst = pool_worst(b, one);
 		if (!worst || drain_ms(worst, one) < DRAIN_HIGH_MS)
-			return n;
-		m = machine_choose(s, b, worst, one);
-		if (!m)
-			return n;
-		from = balance_find(b, m->pool);
-		from->empty--;
-		from->workers--;
-		from->cores -= one;
+			break;
+		spare = idle_choose(list, count, worst, one, lent);
+		if (!spare)
+			break;
+		spare->from->empty--;
+		spare->from->workers--;
+		spare->from->cores -= one;
 		worst->coming++;
-		machine_move(s, m, worst, "burst");
+		machine_move(s, spare->machine, worst, "burst");
+		spare->machine = NULL;
 	}
+	free(list);
 	return n;
 }
 
@@ -350,7 +402,7 @@
 	struct machine *m, *next;
 	struct balance *from, *standby = NULL, *to;
 	int64_t stay = policy_on(s, POLICY_IDLE_STAY) ? IDLE_MS : 0;
-	unsigned n = 0;
+	unsigned n = 0, most = moves_at_once(s);
 	size_t i;
 
 	for (i = 0; i < b->count; i++)
@@ -360,7 +412,7 @@
 		return;
 	HASH_ITER(hh, s->machines, m, next) {
 		from = balance_find(b, m->pool);
-		if (n >= MOVES_AT_ONCE || !from || from->service->standby ||
+		if (n >= most || !from || from->service->standby ||
 		    !machine_is_idle(s, m, stay) || !pool_spares(from, one, 0))
 			continue;
 		to = pool_below_home(b);
--- a/scheduler.h
+++ b/scheduler.h
@@ -395,6 +395,7 @@
 	int64_t notice_ms;
 	int64_t maintenance_ms;
 	int64_t move_ms;
+	unsigned machine_calls_per_s; /* that the platform takes from all VMs */
 	double far_factor;
 	double cpu_share; /* cores that this VM may use */
 	unsigned without; /* mechanisms left out, a bit each */
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -314,3 +314,36 @@
 	cr_expect_leq(most, 1, "%lld ms", (long long)most);
 	check_free(w, "final jobs");
 }
+
+/*
+ * Guards against a turn that waits for machines beside hundreds of idle ones:
+ * as many are moved at once in a fleet of a thousand as in one of fifty.
+ */
+static const struct {
+	const char *name;
+	unsigned workers;
+	unsigned least; /* moves in a second */
+} turn_rows[] = {
+	{"a small fleet", 40, 10},
+	{"a large fleet", 1000, 200},
+};
+Test(load, machines_follow_a_turn_at_the_fleets_pace)
+{
+	static const struct world_job heap = {
+		.tasks = 2000, .task_ms = 3000, .second = true};
+	struct world *w;
+	unsigned row, n;
+
+	for (row = 0; row < NELEMS(turn_rows); row++) {
+		n = turn_rows[row].workers;
+		w = world_new(2000 + row, WORLD_VMS, n);
+		world_second_pool(w, n / 20);
+		world_run(w, 5000);
+		n = (unsigned)world_owner(w);
+		world_submit(w, (n + 1) % WORLD_VMS, "00000000000000aa", &heap);
+		world_run(w, 1300);
+		cr_expect_geq(world_moves(w), turn_rows[row].least, "%s: %u",
+			      turn_rows[row].name, world_moves(w));
+		check_free(w, turn_rows[row].name);
+	}
+}
