An owner orders as many starts as it hears the answers of in time

Each that runs out of time costs a connection, its task waits as unsure, workers seem silent and their tasks lapse; it never got out of that, with commits of 20 to 60 ms all the while.

The starts under way have a window: it grows by an eighth with each answer that is dealt with in 150 ms and loses a quarter when they take longer, between 64 and 2,048, from 512.

Tests: the window by the age of answers; that what it holds back is started.

--- a/sched-order.c
+++ b/sched-order.c
@@ -24,6 +24,45 @@
 	return need;
 }
 
+/*
+ * How many starts may be without an answer, in parts of one, and how that
+ * changes with the time until an answer is dealt with.
+ */
+#define WINDOW_LEAST (64 * START_WINDOW_PARTS)
+#define WINDOW_MOST (2048 * START_WINDOW_PARTS)
+#define START_SLOW_MS 150
+#define WINDOW_CUT_MS 150
+
+/*
+ * Are as many starts under way as are answered in time?  An owner short of
+ * processor that orders more finds their answers when they have run out of
+ * time: its tasks run and count as unsure, connections are mistrusted and
+ * opened anew, which costs more processor, and it never gets out of that.  With
+ * the window it orders what it can, and the rest waits to be ordered.
+ */
+bool starts_are_full(const struct sched *s)
+{
+	return s->starts_flying * START_WINDOW_PARTS >= s->start_window;
+}
+
+/* A start was answered by its worker: it took so long with all that waited. */
+void start_window_take(struct sched *s, int64_t ms)
+{
+	if (ms <= START_SLOW_MS) {
+		if (s->start_window < WINDOW_MOST)
+			s->start_window++;
+		return;
+	}
+	if (s->now < s->window_cut_at + WINDOW_CUT_MS)
+		return;
+	s->window_cut_at = s->now;
+	if (s->start_window > s->starts_flying * START_WINDOW_PARTS)
+		s->start_window = s->starts_flying * START_WINDOW_PARTS;
+	s->start_window -= s->start_window / 4;
+	if (s->start_window < WINDOW_LEAST)
+		s->start_window = WINDOW_LEAST;
+}
+
 /* Put a task on a worker. */
 static void task_place(struct sched *s, struct task *t, struct worker *w,
 		       uint64_t run)
@@ -127,6 +166,9 @@
 		o->checkpoint = bstr_copy(t->checkpoint);
 	o->ticket = bstr_copy(advice_ticket(s, t->occ, t->step, w));
 	s->load.starts++;
+	s->starts_flying++;
+	if (s->starts_flying > s->load.most_flying)
+		s->load.most_flying = s->starts_flying;
 	sched_count(s, COUNT_STARTS, 1);
 	sched_log(s, LOG_TASK_START,
 		  "task=%.*s run=%llu worker=%.*s waited_ms=%lld hold=%s "
@@ -283,6 +325,11 @@
 	struct worker *w = rq->worker;
 	struct task *t;
 
+	if (rq->purpose == FOR_START) {
+		s->starts_flying--;
+		if (a->clock)
+			start_window_take(s, s->now - a->sent_at);
+	}
 	if (!w || rq->epoch != s->own.epoch)
 		return;
 	if (a->refusal == REFUSAL_FENCE && rq->purpose != FOR_START)
--- a/sched-place.c
+++ b/sched-place.c
@@ -355,6 +355,8 @@
 	for (i = 0; i < st->count; i++, t++) {
 		if (t->phase != AT_REST || s->now < t->not_before)
 			continue;
+		if (starts_are_full(s))
+			break;
 		limit = limit_hold(s, c->job, st);
 		if (limit) {
 			c->job->hold = limit;
@@ -503,7 +505,7 @@
 	size_t i;
 
 	/* What can't be placed now is looked at again when it can. */
-	if (!own_starts(s))
+	if (!own_starts(s) || starts_are_full(s))
 		return;
 	s->place = s->pauses = s->waits = false;
 	s->load.looks++;
@@ -518,8 +520,10 @@
 	 */
 	s->waits = s->waits || s->pauses;
 	candidates_sort(&p);
-	for (i = 0; i < p.count; i++)
+	for (i = 0; i < p.count && !starts_are_full(s); i++)
 		candidate_place(s, p.order[i]);
+	/* The answers that make room for more come by themselves. */
+	s->place = s->place || starts_are_full(s);
 	free(p.order);
 	free(p.list);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -38,6 +38,9 @@
  */
 #define START_BY_MS 1200
 #define STOP_AGAIN_MS 600
+/* The window of starts under way begins with this, see sched-order.c. */
+#define START_WINDOW_PARTS 8
+#define START_WINDOW (512 * START_WINDOW_PARTS)
 /* Steady clocks of workers may be slow by 2%. */
 #define CLOCK_SLOW 1.02
 /* Store exchanges, far above the usual 5 ms; a slow store answers in 350. */
@@ -274,6 +277,7 @@
 	TAILQ_ENTRY(worker) unacked; /* while seen is above it */
 	struct pool *pool;	     /* of its service */
 	bool unknown;		     /* it counts there as such */
+	bool ends_held;		     /* some of its ends can't be taken yet */
 	bool ends_cut;	/* it has more ends than its last list held */
 	bool sure;	/* it is still the life that these are of */
 	unsigned doubt; /* failures in a row */
@@ -523,6 +527,7 @@
 	unsigned commits;
 	unsigned rows;
 	int64_t commit_ms; /* the longest */
+	unsigned most_flying;
 };
 
 struct sched {
@@ -587,6 +592,9 @@
 	int64_t list_at;
 	bool list_whole;
 	struct wave *waves;
+	unsigned starts_flying; /* starts without an answer yet */
+	unsigned start_window;	/* so many may be, in parts of one */
+	int64_t window_cut_at;
 	int64_t move_at;
 	int64_t told_at;
 	json_t *homes; /* machines of each pool at first, or NULL */
@@ -761,6 +769,8 @@
 
 /* sched-order.c */
 struct size step_room(const struct job_step *st);
+bool starts_are_full(const struct sched *s);
+void start_window_take(struct sched *s, int64_t ms);
 void sched_task_start(struct sched *s, struct task *t, struct worker *w,
 		      uint64_t run);
 void task_adopt(struct sched *s, struct task *t, struct worker *w,
--- a/sched.c
+++ b/sched.c
@@ -374,6 +374,7 @@
 				  0, false);
 	s->notes = follow_make(TABLE_NOTES, FOR_NOTES_GET, PURPOSE_MAX, 0,
 			       false);
+	s->start_window = START_WINDOW;
 	TAILQ_INIT(&s->order);
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->flying);
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -150,6 +150,12 @@
 	w->vanish_percent = percent;
 }
 
+/* Let starts and stops arrive late, as those do that wait in the client. */
+void world_orders_slow(struct world *w, int64_t ms)
+{
+	w->orders_slow_ms = ms;
+}
+
 /* Workers list no more ends at a time than so many, the oldest first. */
 void world_ends_listed(struct world *w, unsigned most)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -156,7 +156,8 @@
 	int64_t row_ms;	    /* that a VM takes for a row of a page */
 	unsigned late_percent;
 	unsigned vanish_percent;
-	unsigned ends_listed; /* at a time */
+	int64_t orders_slow_ms; /* starts and stops, on their way */
+	unsigned ends_listed;	/* at a time */
 	bool old_connections;
 	enum refusal refusal; /* of all starts */
 	int64_t limit;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -211,6 +211,15 @@
 	}
 }
 
+/* How long an order is on its way beyond a look. */
+static int64_t order_slow_ms(const struct world *w,
+			     const struct sched_effect *fx)
+{
+	return fx->ask.kind == ASK_START || fx->ask.kind == ASK_STOP
+		       ? w->orders_slow_ms
+		       : 0;
+}
+
 /* Give an event to a VM's scheduler and send off its effects. */
 static void vm_step(struct world *w, unsigned vm, struct sched_event *ev)
 {
@@ -227,8 +236,9 @@
 	while ((fx = TAILQ_FIRST(&out))) {
 		TAILQ_REMOVE(&out, fx, entry);
 		if (fx->kind == EFFECT_ASK) {
-			p = world_pending_add(w, &w->pending, w->now + WAY_MS,
-					      vm);
+			p = world_pending_add(
+				w, &w->pending,
+				w->now + WAY_MS + order_slow_ms(w, fx), vm);
 			p->ask = fx;
 			continue;
 		}
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -85,6 +85,7 @@
 void world_drain(struct world *w, unsigned worker);
 void world_late(struct world *w, unsigned percent);   /* orders done late */
 void world_vanish(struct world *w, unsigned percent); /* starts are lost */
+void world_orders_slow(struct world *w, int64_t ms);  /* on their way */
 void world_old_connections(struct world *w); /* as old as the workers */
 void world_ends_listed(struct world *w, unsigned most);
 void world_refuse_starts(struct world *w, enum refusal why); /* all workers */
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -347,3 +347,122 @@
 		check_free(w, turn_rows[row].name);
 	}
 }
+
+/*
+ * Guards against an owner short of processor that orders more than it can hear
+ * the answers of: all run out of time, and what they cost keeps it there.
+ */
+static const struct {
+	const char *name;
+	unsigned answers; /* one each ms */
+	int64_t ms;	  /* until each is dealt with */
+	unsigned least;	  /* starts that may be under way then */
+	unsigned most;
+} window_rows[] = {
+	{"answers in time", 4000, 20, 1000, 1100},
+	{"answers come late", 400, 300, 100, 200},
+	{"late for long", 4000, 300, 64, 64},
+};
+Test(load, starts_are_as_many_as_are_answered)
+{
+	struct sched_options o = {.vm = bstr_lit("vm0"),
+				  .zone = bstr_lit("east")};
+	struct sched *s;
+	unsigned row, k;
+
+	for (row = 0; row < NELEMS(window_rows); row++) {
+		s = sched_new(&o);
+		s->now = 1000000;
+		s->starts_flying = 300;
+		for (k = 0; k < window_rows[row].answers; k++) {
+			s->now++;
+			if (s->starts_flying * START_WINDOW_PARTS >
+			    s->start_window)
+				s->starts_flying--;
+			start_window_take(s, window_rows[row].ms);
+		}
+		s->starts_flying = window_rows[row].most;
+		cr_expect(starts_are_full(s), "%s: %u", window_rows[row].name,
+			  s->start_window);
+		s->starts_flying = window_rows[row].least - 1;
+		cr_expect(!starts_are_full(s), "%s: %u", window_rows[row].name,
+			  s->start_window);
+		s->starts_flying = 0;
+		sched_free(s);
+	}
+}
+
+/*
+ * Guards against a start that waits for ever: nobody looks at what waits when
+ * the window has room again.
+ */
+Test(load, what_the_window_held_back_is_started)
+{
+	static const struct world_job wide = {.tasks = 40, .task_ms = 300};
+	struct world *w = calm(2050);
+	unsigned n = (unsigned)world_owner(w), k;
+	struct sched *s = world_sched(w, n);
+
+	world_submit(w, (n + 1) % WORLD_VMS, "00000000000000aa", &wide);
+	for (k = 0; k < 600; k++) {
+		s->start_window = 4 * START_WINDOW_PARTS;
+		cr_expect_leq(s->starts_flying, 5);
+		world_run(w, 5);
+	}
+	cr_expect_eq(world_starts(w), 40);
+	cr_expect_str_eq(world_state(w, "00000000000000aa"), "completed");
+	check_free(w, "a small window");
+}
+
+/* Workers that have told ends which have to wait. */
+static unsigned world_ends_held(struct world *w)
+{
+	const struct sched *s = world_sched(w, (unsigned)world_owner(w));
+	const struct worker *k;
+	unsigned n = 0;
+
+	for (k = s->workers; k; k = k->hh.next)
+		n += k->ends_held;
+	return n;
+}
+
+/*
+ * Guards against a second run of what is done, by an owner whose starts wait in
+ * its client: the task was given up on a silent worker, which lists its end
+ * while the next start is under way.  The seeds shift the looks at it.
+ */
+Test(load, an_end_waits_for_the_start_under_way)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 600};
+	unsigned n, k, vm, worker, seed, held = 0;
+	const struct sched *s;
+	struct world *w;
+
+	for (seed = 2100; seed < 2130; seed++) {
+		w = calm(seed);
+		n = (unsigned)world_owner(w);
+		s = world_sched(w, n);
+		world_run(w, 17 * (seed - 2100));
+		world_submit(w, (n + 1) % WORLD_VMS, "00000000000000aa", &one);
+		world_run(w, 300);
+		for (worker = 0; !world_starts_of(w, worker); worker++)
+			;
+		for (vm = 0; vm < WORLD_VMS; vm++)
+			world_cut_worker(w, vm, worker, true);
+		world_orders_slow(w, 700);
+		for (k = 0; k < 2000 && !s->starts_flying; k++)
+			world_run(w, 5);
+		cr_assert_lt(k, 2000, "given up and started again");
+		for (vm = 0; vm < WORLD_VMS; vm++)
+			world_cut_worker(w, vm, worker, false);
+		for (k = 0; k < 140 && s->starts_flying; k++) {
+			world_run(w, 5);
+			held += world_ends_held(w);
+		}
+		world_run(w, 6000);
+		cr_expect_str_eq(world_state(w, "00000000000000aa"),
+				 "completed", "seed %u", seed);
+		check_free(w, "an end listed late");
+	}
+	cr_expect_gt(held, 0, "no end came while a start was under way");
+}
