An end waits while the next start of its task is under way

At 30.0 the owner took the worker for silent and ordered run 3 elsewhere; the order waited in its client. The worker's list came, the end was made durable and acknowledged, and the start, still on its way with the stop behind it, was carried out at 30.5: a run after an end that was taken note of.

Such an end, and those listed behind it, are not taken until the start's outcome is known; the task is not started again meanwhile, and a list with ends that wait says nothing of what it does not name.

--- a/sched-pool.c
+++ b/sched-pool.c
@@ -34,7 +34,8 @@
 /* Is it known which runs of earlier owners a worker has, or had? */
 static bool worker_is_known(const struct worker *w)
 {
-	return !w->inherited || w->gone || (w->fenced && !w->ends_cut);
+	return !w->inherited || w->gone ||
+	       (w->fenced && !w->ends_cut && !w->ends_held);
 }
 
 /* A worker counts no more. */
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -12,6 +12,9 @@
 #define CLOCK_NONE (-1)
 /* Runs that nobody wants are stopped at most so often on one worker. */
 #define STRAY_AGAIN_MS 300
+/* A task whose end has to wait is not started again for so long: it is listed
+ * again in less. */
+#define END_HELD_MS 1500
 /* The note is written anew for what is left out of it so often at most. */
 #define NOTE_AGAIN_MS 700
 /* While a successor waits for workers it says so once in so long. */
@@ -253,6 +256,7 @@
 	worker_acked(s, w);
 	w->seen = w->acked = 0;
 	w->seen_seq = 0;
+	w->ends_held = false;
 	w->fenced = false;
 	worker_count(s, w);
 	/* What it has taken by a start meant for the old life lasts longer. */
@@ -513,7 +517,8 @@
 /* How long a hold may wait for an end. */
 static uint32_t hold_wait(const struct sched *s, const struct worker *w)
 {
-	if (!w->fenced || !w->clock || !w->sure || w->acked < w->seen)
+	if (!w->fenced || !w->clock || !w->sure || w->acked < w->seen ||
+	    w->ends_held)
 		return 0;
 	return TAILQ_EMPTY(&w->tasks) ? idle_wait(s) : HOLD_WAIT_MS;
 }
@@ -664,7 +669,7 @@
  */
 bool worker_ends_durable(const struct worker *w)
 {
-	return w->acked == w->seen && !w->ends_cut;
+	return w->acked == w->seen && !w->ends_cut && !w->ends_held;
 }
 
 /* Ends up to here are durable: tell the workers with the next hold. */
@@ -765,18 +770,54 @@
 	s->place = true;
 }
 
+/*
+ * Is an end of a task that was given up as lost, and whose next start is under
+ * way?  Were it acknowledged now, that start would be carried out after it: the
+ * task would run again although it is done.  It is taken when the start's
+ * outcome is known, and no other start is ordered before.
+ */
+static bool end_must_wait(struct sched *s, const struct worker *w,
+			  const struct ended *n)
+{
+	struct job *j;
+	struct task *t = task_find(s, n->task, &j);
+
+	if (!t || n->how != END_DONE || t->phase != AT_START ||
+	    (t->worker == w && t->run == n->run))
+		return false;
+	task_pause(t, s->now + END_HELD_MS);
+	return true;
+}
+
+/* The number from which on the ends of a list have to wait. */
+static uint64_t ends_limit(struct sched *s, const struct worker *w,
+			   const struct answer *a)
+{
+	uint64_t limit = UINT64_MAX;
+	size_t i;
+
+	for (i = 0; i < a->ended_count; i++)
+		if (a->ended[i].number > w->seen &&
+		    a->ended[i].number < limit &&
+		    end_must_wait(s, w, &a->ended[i]))
+			limit = a->ended[i].number;
+	return limit;
+}
+
 /*
  * All ends of a list that are new here, in whatever order it has them: one
  * that is passed over would be acknowledged with the highest, and its task
- * would start again although it is done.
+ * would start again although it is done.  So none is taken behind one that has
+ * to wait.
  */
 static void ends_take(struct sched *s, struct worker *w, const struct answer *a)
 {
-	uint64_t known = w->seen;
+	uint64_t known = w->seen, limit = ends_limit(s, w, a);
 	size_t i;
 
+	w->ends_held = limit != UINT64_MAX;
 	for (i = 0; i < a->ended_count; i++) {
-		if (a->ended[i].number <= known)
+		if (a->ended[i].number <= known || a->ended[i].number >= limit)
 			continue;
 		end_take(s, w, &a->ended[i]);
 		worker_saw_end(s, w, a->ended[i].number);
@@ -828,7 +869,7 @@
 {
 	struct task *t, *next;
 
-	if (w->ends_cut)
+	if (w->ends_cut || w->ends_held)
 		return;
 	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
 		next = TAILQ_NEXT(t, on);
@@ -924,8 +965,9 @@
 	w->looking = false;
 	if (a->outcome == OUT_DONE) {
 		hold_take(s, w, rq, a);
-		w->look_at = w->acked < w->seen ? s->now + HOLD_PACE_MS
-						: s->now;
+		w->look_at = s->now;
+		if (w->acked < w->seen || w->ends_held)
+			w->look_at += HOLD_PACE_MS;
 		worker_acknowledge(s);
 		if (!w->looking && s->now >= w->look_at && own_acts(s))
 			worker_hold(s, w);
