--- a/bench/bench-starts.c
+++ b/bench/bench-starts.c
@@ -52,6 +52,8 @@
 	TAILQ_ENTRY(conn) entry; /* of the readers of feeds */
 };
 
+TAILQ_HEAD(conn_list, conn);
+
 /* A run on a worker. */
 struct run {
 	TAILQ_ENTRY(run) entry;
@@ -62,6 +64,8 @@
 	uint64_t end; /* 0: it runs */
 };
 
+TAILQ_HEAD(run_list, run);
+
 struct worker {
 	char id[16];
 	int listener;
@@ -70,7 +74,7 @@
 	uint64_t last_end;
 	unsigned ended; /* in the list, not acknowledged */
 	struct conn *holder;
-	TAILQ_HEAD(, run) runs;
+	struct run_list runs;
 };
 
 /* A row of the store. */
@@ -118,7 +122,7 @@
 static struct table tables[TABLES_MAX];
 static size_t table_count;
 static uint64_t version;
-static TAILQ_HEAD(, conn) readers = TAILQ_HEAD_INITIALIZER(readers);
+static struct conn_list readers = TAILQ_HEAD_INITIALIZER(readers);
 static struct heap run_ends, hold_ends, feed_ends;
 static int loop;
 static uint64_t starts, holds, ends, relisted, calls;
@@ -306,12 +310,9 @@
 	json_t *list = json_array();
 	struct row *r;
 
-	TAILQ_FOREACH_REVERSE(r, all, row_list, entry)
-	{
-		if (r->version <= after)
-			break;
+	for (r = TAILQ_LAST(all, row_list); r && r->version > after;
+	     r = TAILQ_PREV(r, row_list, entry))
 		json_array_insert_new(list, 0, row_json(table, r));
-	}
 	return list;
 }
 
--- a/http-queue.c
+++ b/http-queue.c
@@ -52,17 +52,25 @@
 	TAILQ_INSERT_TAIL(&c->idle, q, entry);
 }
 
+/* Free a queue that is in no list. */
+static void queue_free(struct http_client *c, struct http_queue *q)
+{
+	if (c->queues)
+		HASH_DEL(c->queues, q);
+	http_shard_leave(q->shard);
+	free(q->name);
+	free(q);
+}
+
 /* Forget the queues that have been idle until a time. */
 void http_queues_forget(struct http_client *c, int64_t now)
 {
-	struct http_queue *q;
+	struct http_queue *q, *next;
 
-	while ((q = TAILQ_FIRST(&c->idle)) && q->idle_until <= now) {
+	for (q = TAILQ_FIRST(&c->idle); q && q->idle_until <= now; q = next) {
+		next = TAILQ_NEXT(q, entry);
 		TAILQ_REMOVE(&c->idle, q, entry);
-		HASH_DEL(c->queues, q);
-		http_shard_leave(q->shard);
-		free(q->name);
-		free(q);
+		queue_free(c, q);
 	}
 }
 
