--- a/sched-state.h
+++ b/sched-state.h
@@ -729,14 +729,17 @@
 void commit_answer(struct sched *s, struct request *rq, struct answer *a);
 void sweep_answer(struct sched *s, struct request *rq, struct answer *a);
 
-/* sched-worker.c */
-void worker_row_take(struct sched *s, struct row *r);
-void worker_sweep(struct sched *s); /* after a whole reading */
+/* sched-note.c */
 bool workers_note(struct sched *s);
 void workers_noted(struct sched *s);
 bstr workers_row_write(const struct sched *s);
 void workers_row_read(struct sched *s, bstr row);
 void workers_inherit(struct sched *s);
+
+/* sched-worker.c */
+struct worker *worker_new(struct sched *s, bstr id);
+void worker_row_take(struct sched *s, struct row *r);
+void worker_sweep(struct sched *s); /* after a whole reading */
 void worker_unsure(struct sched *s, struct worker *w);
 void worker_other_life(struct sched *s, struct worker *w);
 struct worker *worker_find(struct sched *s, bstr id);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -15,8 +15,6 @@
 /* A task whose end has to wait is not started again for so long: it is listed
  * again in less. */
 #define END_HELD_MS 1500
-/* The note is written anew for what is left out of it so often at most. */
-#define NOTE_AGAIN_MS 700
 /* While a successor waits for workers it says so once in so long. */
 #define SETTLE_TOLD_MS 500
 
@@ -108,7 +106,7 @@
 }
 
 /* Make a worker that nothing is known of. */
-static struct worker *worker_new(struct sched *s, bstr id)
+struct worker *worker_new(struct sched *s, bstr id)
 {
 	struct worker *w = xcalloc(1, sizeof(*w));
 
@@ -378,129 +376,6 @@
 			worker_unlist(s, w);
 }
 
-/*
- * Does a worker hold nothing, and get nothing?  It is gone, or its machine is
- * about to be taken and none of its tasks is left.
- */
-static bool worker_is_bare(const struct worker *w)
-{
-	return w->gone || (w->leaving && TAILQ_EMPTY(&w->tasks));
-}
-
-/*
- * The workers that may hold leases of this owner are noted in the store
- * before they get work.  A worker's own row may lapse while it is cut off
- * and runs on: a successor would not know of it, and would start its tasks
- * elsewhere.  Those that hold nothing any more are left out in time: a
- * successor would wait for each life of a moved machine until no lease can
- * hold.  True: the note is to be written.  Not while the owner loads: what the
- * one before it noted may not have been read.
- */
-bool workers_note(struct sched *s)
-{
-	bool due = s->now >= s->note_at, any = due && s->note_names_freed;
-	struct worker *w, *next;
-
-	if (s->own.state != OWN_YES)
-		return false;
-	HASH_ITER(hh, s->workers, w, next)
-		any = any || (worker_is_bare(w) ? due && w->noted : !w->noted);
-	HASH_ITER(hh, s->workers, w, next) {
-		w->noting = any && !worker_is_bare(w);
-		/* One that stays after all is noted anew before it gets work.
-		 */
-		if (any && worker_is_bare(w))
-			w->noted = false;
-	}
-	if (any) {
-		s->note_at = s->now + NOTE_AGAIN_MS;
-		s->note_names_freed = false;
-	}
-	return any;
-}
-
-/* What was to be noted is. */
-void workers_noted(struct sched *s)
-{
-	struct worker *w, *next;
-
-	HASH_ITER(hh, s->workers, w, next) {
-		if (!w->noting || w->noted)
-			continue;
-		w->noted = true;
-		s->place = true;
-	}
-}
-
-/*
- * The row that notes them: workers by service.  A row has at most 64 KB, and so
- * room for some 4,000.
- */
-bstr workers_row_write(const struct sched *s)
-{
-	json_t *services = json_object(), *list;
-	const struct worker *w;
-	char *service;
-
-	for (w = s->workers; w; w = w->hh.next) {
-		if (worker_is_bare(w))
-			continue;
-		service = bstr_cstr(w->row.service);
-		list = json_object_get(services, service);
-		if (!list) {
-			list = json_array();
-			json_object_set_new(services, service, list);
-		}
-		json_array_append_new(list, bstr_json(w->id));
-		free(service);
-	}
-	return json_write(services);
-}
-
-/* Read it, as another owner wrote it. */
-void workers_row_read(struct sched *s, bstr row)
-{
-	json_decref(s->own.workers);
-	s->own.workers = json_read(row);
-}
-
-/* Take over one worker that the old owner noted. */
-static void worker_inherit(struct sched *s, bstr id, const char *service)
-{
-	struct worker *w = worker_find(s, id);
-
-	if (!w) {
-		w = worker_new(s, id);
-		w->row.service = bstr_new(service);
-		w->answered_at = w->clock_at = s->now;
-		sched_log(s, LOG_WORKER_SEEN,
-			  "worker=%.*s service=%s address=-", BSTR_ARG(id),
-			  service);
-	}
-	w->inherited = true;
-	worker_count(s, w);
-}
-
-/*
- * Take over the workers that the old owner noted, also those that have no row.
- * Whom it had not noted it had given nothing to.
- */
-void workers_inherit(struct sched *s)
-{
-	const char *service;
-	json_t *list, *v;
-	bstr id;
-	size_t i;
-
-	json_object_foreach(s->own.workers, service, list) {
-		json_array_foreach(list, i, v) {
-			id = json_bstr(v);
-			worker_inherit(s, id, service);
-			bstr_free(&id);
-		}
-	}
-}
-
 /*
  * How long a look at a worker without tasks waits.  Most of a large fleet is
  * idle at a time, and the looks at it would be half of all that the owner does.
