--- a/http-state.h
+++ b/http-state.h
@@ -42,8 +42,7 @@
 	bool idle;
 	int64_t idle_until; /* it is forgotten then */
 	unsigned in_flight;
-	uint64_t silent_serial; /* newest socket when a request ran out of time
-				 */
+	uint64_t silent_serial; /* newest socket at the last time-out */
 	struct http_request_list waiting;
 	UT_hash_handle hh;
 };
@@ -78,8 +77,7 @@
 /* What is known of a socket. */
 struct http_socket {
 	TAILQ_ENTRY(http_socket) entry; /* among the unnamed */
-	uint64_t serial; /* counts sockets opened; 0: not one of ours, or closed
-			  */
+	uint64_t serial; /* counts those opened by us; 0: none of them */
 	int64_t opened_at;
 	int fd;
 	bool used; /* it has carried a request */
--- a/sched-limit.c
+++ b/sched-limit.c
@@ -88,7 +88,7 @@
 	u->told = (struct size){json_integer_value(json_array_get(row, 0)),
 				json_integer_value(json_array_get(row, 1)),
 				json_integer_value(json_array_get(row, 2))};
-	u->inherits = true;
+	u->told_read = true;
 }
 
 /* What an earlier owner may have running that was not found yet. */
@@ -98,7 +98,7 @@
 
 	if (s->settled)
 		return hidden;
-	if (!u->inherits)
+	if (!u->told_read)
 		usage_inherit(s, u);
 	hidden = size_sub(u->told, u->found);
 	return size_sub(hidden, size_min(hidden, zero));
--- a/sched-note.c
+++ b/sched-note.c
@@ -39,8 +39,7 @@
 		any = any || (worker_is_bare(w) ? due && w->noted : !w->noted);
 	HASH_ITER(hh, s->workers, w, next) {
 		w->noting = any && !worker_is_bare(w);
-		/* One that stays after all is noted anew before it gets work.
-		 */
+		/* If it stays, it is noted anew before it gets work. */
 		if (any && worker_is_bare(w))
 			w->noted = false;
 	}
--- a/sched-place.c
+++ b/sched-place.c
@@ -346,9 +346,9 @@
 {
 	const struct job_step *st = &c->job->body->steps[c->step];
 	struct task *t = &c->occ->tasks[c->occ->first[c->step]];
-	size_t at = 0, count = c->pool->count;
+	size_t chosen = 0, count = c->pool->count;
 	double *merits = xcalloc(count + 1, sizeof(*merits));
-	bool all = true; /* merits are to be reckoned, not just that at at */
+	bool stale = true; /* all merits, not only those of the last choice */
 	enum hold limit;
 	unsigned i;
 
@@ -362,19 +362,20 @@
 			c->job->hold = limit;
 			break;
 		}
-		if (all || st->tight || t->avoid)
+		if (stale || st->tight || t->avoid)
 			merits_reckon(s, c, t, merits, 0, count);
 		else
-			merits_reckon(s, c, t, merits, at, at + 1);
-		all = t->avoid;
-		at = merits_best(merits, count);
-		if (at == count) {
+			merits_reckon(s, c, t, merits, chosen, chosen + 1);
+		stale = t->avoid;
+		chosen = merits_best(merits, count);
+		if (chosen == count) {
 			c->job->hold = HOLD_WORKER;
 			if (step_is_plain(c, st))
 				pool_missed(c->pool, step_room(st));
 			break;
 		}
-		sched_task_start(s, t, c->pool->workers[at], run_next(s, t));
+		sched_task_start(s, t, c->pool->workers[chosen],
+				 run_next(s, t));
 	}
 	free(merits);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -494,9 +494,9 @@
 	struct size next;    /* as the beat under way tells it */
 	struct size wanted;  /* by a task that the ceiling holds back */
 	bool telling;
-	bool inherits;	   /* what earlier owners may have running was read */
-	struct size told;  /* it: their ceiling */
-	struct size found; /* of it, what was found */
+	bool told_read;	   /* told is known */
+	struct size told;  /* the ceiling that earlier owners had */
+	struct size found; /* what of it was found running */
 	UT_hash_handle hh;
 };
 
