--- a/heap.h
+++ b/heap.h
@@ -18,6 +18,10 @@
 	size_t room;
 };
 
+/* What a node is embedded in. */
+#define HEAP_ENTRY(node, type, field) \
+	((type *)(void *)((char *)(node)-offsetof(type, field)))
+
 /* Puts a node in, or moves it, to be due at a time. */
 void heap_set(struct heap *h, struct heap_node *n, int64_t at);
 void heap_remove(struct heap *h, struct heap_node *n); /* if it is in */
--- a/http-queue.c
+++ b/http-queue.c
@@ -159,8 +159,7 @@
 	struct http_request *r;
 
 	while ((n = heap_first(&c->due)) && n->at <= now) {
-		r = (struct http_request *)((char *)n -
-					    offsetof(struct http_request, due));
+		r = HEAP_ENTRY(n, struct http_request, due);
 		if (now < r->deadline) {
 			request_due(c, r, now);
 			queue_ready(c, r->waits_in);
@@ -194,8 +193,7 @@
 	struct http_request *r;
 
 	while ((n = heap_first(&c->due))) {
-		r = (struct http_request *)((char *)n -
-					    offsetof(struct http_request, due));
+		r = HEAP_ENTRY(n, struct http_request, due);
 		request_leave(c, r);
 		queue_ready(c, r->waits_in);
 		http_request_not_sent(c, r);
--- a/http-shard.c
+++ b/http-shard.c
@@ -77,8 +77,7 @@
 	int running;
 
 	while ((n = heap_first(&c->timers)) && n->at <= now) {
-		sh = (struct http_shard *)((char *)n -
-					   offsetof(struct http_shard, timer));
+		sh = HEAP_ENTRY(n, struct http_shard, timer);
 		heap_remove(&c->timers, n);
 		curl_multi_socket_action(sh->multi, CURL_SOCKET_TIMEOUT, 0,
 					 &running);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -646,36 +646,43 @@
 }
 
 /*
- * Is an end of a task that was given up as lost, and whose next start is under
- * way?  Were it acknowledged now, that start would be carried out after it: the
- * task would run again although it is done.  It is taken when the start's
- * outcome is known, and no other start is ordered before.
+ * The task of an end that has to wait, or NULL.  It was given up as lost and
+ * its next start is under way: were the end acknowledged now, that start would
+ * be carried out after it, and the task run again although it is done.
  */
-static bool end_must_wait(struct sched *s, const struct worker *w,
-			  const struct ended *n)
+static struct task *end_held_by(struct sched *s, const struct worker *w,
+				const struct ended *n)
 {
 	struct job *j;
 	struct task *t = task_find(s, n->task, &j);
 
 	if (!t || n->how != END_DONE || t->phase != AT_START ||
 	    (t->worker == w && t->run == n->run))
-		return false;
-	task_pause(t, s->now + END_HELD_MS);
-	return true;
+		return NULL;
+	return t;
 }
 
-/* The number from which on the ends of a list have to wait. */
-static uint64_t ends_limit(struct sched *s, const struct worker *w,
-			   const struct answer *a)
+/*
+ * The number from which on the ends of a list have to wait.  Until they are
+ * taken, with the outcome of the start, no other start is ordered.
+ */
+static uint64_t ends_hold(struct sched *s, const struct worker *w,
+			  const struct answer *a)
 {
 	uint64_t limit = UINT64_MAX;
+	struct task *t;
 	size_t i;
 
-	for (i = 0; i < a->ended_count; i++)
-		if (a->ended[i].number > w->seen &&
-		    a->ended[i].number < limit &&
-		    end_must_wait(s, w, &a->ended[i]))
-			limit = a->ended[i].number;
+	for (i = 0; i < a->ended_count; i++) {
+		if (a->ended[i].number <= w->seen ||
+		    a->ended[i].number >= limit)
+			continue;
+		t = end_held_by(s, w, &a->ended[i]);
+		if (!t)
+			continue;
+		task_pause(t, s->now + END_HELD_MS);
+		limit = a->ended[i].number;
+	}
 	return limit;
 }
 
@@ -687,7 +694,7 @@
  */
 static void ends_take(struct sched *s, struct worker *w, const struct answer *a)
 {
-	uint64_t known = w->seen, limit = ends_limit(s, w, a);
+	uint64_t known = w->seen, limit = ends_hold(s, w, a);
 	size_t i;
 
 	w->ends_held = limit != UINT64_MAX;
--- a/tests/soak-entry.c
+++ b/tests/soak-entry.c
@@ -19,6 +19,7 @@
 #include "../bamboofront.h"
 #include "../json-read.h"
 #include "standin.h"
+#include "support-entry.h"
 #include "support-relay.h"
 
 #include <arpa/inet.h>
@@ -200,40 +201,21 @@
 /* Start a VM's process. */
 static void vm_begin(struct soak *s, struct vm *v)
 {
-	char self[PATH_MAX] = "", *path, *file, *log, ip[INET_ADDRSTRLEN];
 	struct sockaddr_in a = vm_address(0);
-	FILE *f;
+	char ip[INET_ADDRSTRLEN];
+	struct entry_process p = {.name = v->name,
+				  .ip = ip,
+				  .callers = v->port,
+				  .readiness = v->readiness,
+				  .store = v->store,
+				  .machines = s->cloud.port,
+				  .life = v->lives++};
 
-	if (readlink("/proc/self/exe", self, sizeof(self) - 1) < 0)
-		abort();
-	path = xasprintf("%s/bamboofront-entryd", dirname(self));
-	file = xasprintf("%s/%s.json", s->dir, v->name);
-	log = xasprintf("%s/%s-%u.log", s->dir, v->name, v->lives++);
-	f = fopen(file, "we");
 	inet_ntop(AF_INET, &a.sin_addr, ip, sizeof(ip));
-	if (!f)
-		abort();
-	fprintf(f,
-		"{\"vm\": \"%s\", \"dc\": \"east\", "
-		"\"callers\": \"%s:%u\", \"readiness\": \"%s:%u\", "
-		"\"store\": \"127.0.0.1:%u\", \"machines\": \"127.0.0.1:%u\", "
-		"\"advice\": \"\", \"bounds\": {\"lease_max_ms\": 6000, "
-		"\"stop_ms\": 400, \"grace_s\": 6}}",
-		v->name, ip, v->port, ip, v->readiness, v->store,
-		s->cloud.port);
-	fclose(f);
 	v->stopping = false;
 	v->began_at = clock_now();
-	v->pid = fork();
-	if (!v->pid) {
-		prctl(PR_SET_PDEATHSIG, SIGKILL);
-		if (freopen(log, "a", stdout) && freopen(log, "a", stderr))
-			execl(path, path, "--settings", file, (char *)NULL);
-		_exit(127);
-	}
-	free(path);
-	free(file);
-	free(log);
+	entry_process_start(&p, s->dir);
+	v->pid = p.pid;
 }
 
 /* Has a VM's process ended?  One that was not killed has to end well. */
--- a/tests/standin-cloud.c
+++ b/tests/standin-cloud.c
@@ -412,7 +412,8 @@
 			continue;
 		for (rq = TAILQ_FIRST(&w->server->held); rq; rq = next) {
 			next = TAILQ_NEXT(rq, entry);
-			if (rq->dispatched && !rq->answered && rq->timer.slot)
+			if (rq->dispatched && !rq->answered &&
+			    rq->timer.due.place)
 				lists_answer(rq, w);
 		}
 	}
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -493,7 +493,7 @@
 	vms_next = json_incref(rq->json);
 	vms_timer.fire = vms_show;
 	/* A burst of changes shows in the end: the first lag runs on. */
-	if (!vms_timer.slot)
+	if (!vms_timer.due.place)
 		timer_set(&vms_timer, clock_now() + list_lag_ms);
 	request_answer(rq, 200, json_object());
 }
--- a/tests/standin-worker.c
+++ b/tests/standin-worker.c
@@ -670,15 +670,15 @@
 	if (!w->server->frozen)
 		return;
 	TAILQ_FOREACH(cell, &w->cells, entry) {
-		if (cell->lease.deadline <= now)
+		if (cell->lease.due.at <= now)
 			cell_lapse(cell);
 		else
-			timer_set(&cell->lease, cell->lease.deadline);
+			timer_set(&cell->lease, cell->lease.due.at);
 	}
 	for (t = TAILQ_FIRST(&w->order); t; t = next) {
 		next = TAILQ_NEXT(t, entry);
 		if (t->state != RUNNING) {
-			timer_set(&t->timer, t->timer.deadline);
+			timer_set(&t->timer, t->timer.due.at);
 			continue;
 		}
 		t->counted = now;
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -8,6 +8,7 @@
 #define STANDIN_H
 
 #include "../bamboofront.h"
+#include "../heap.h"
 
 #include <microhttpd.h>
 
@@ -17,8 +18,7 @@
 
 /* Timers of the loop; deadlines are clock_now() values. */
 struct timer {
-	int64_t deadline;
-	size_t slot; /* in the heap, counted from 1; 0: not set */
+	struct heap_node due;
 	void (*fire)(void *arg);
 	void *arg;
 };
--- /dev/null
+++ b/tests/support-entry.c
@@ -0,0 +1,71 @@
+#include "support-entry.h"
+
+#include <arpa/inet.h>
+#include <libgen.h>
+#include <limits.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A loopback port that nobody has. */
+static uint16_t port_choose(void)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (fd < 0 || bind(fd, (struct sockaddr *)&a, sizeof(a)) ||
+	    getsockname(fd, (struct sockaddr *)&a, &len))
+		abort();
+	close(fd);
+	return ntohs(a.sin_port);
+}
+
+/* Write a process's settings. */
+static void settings_write(const struct entry_process *p, const char *path)
+{
+	const char *ip = p->ip ? p->ip : "127.0.0.1";
+	FILE *f = fopen(path, "we");
+
+	if (!f)
+		abort();
+	fprintf(f,
+		"{\"vm\": \"%s\", \"dc\": \"east\", "
+		"\"callers\": \"%s:%u\", \"readiness\": \"%s:%u\", "
+		"\"store\": \"127.0.0.1:%u\", \"machines\": \"127.0.0.1:%u\", "
+		"\"advice\": \"\", \"bounds\": {\"lease_max_ms\": 6000, "
+		"\"stop_ms\": 400, \"grace_s\": 6}}",
+		p->name, ip, p->callers, ip, p->readiness, p->store,
+		p->machines);
+	fclose(f);
+}
+
+/* Start a process. */
+void entry_process_start(struct entry_process *p, const char *dir)
+{
+	char self[PATH_MAX] = "", *path, *file, *log;
+
+	if (readlink("/proc/self/exe", self, sizeof(self) - 1) < 0)
+		abort();
+	if (!p->callers)
+		p->callers = port_choose();
+	if (!p->readiness)
+		p->readiness = port_choose();
+	path = xasprintf("%s/bamboofront-entryd", dirname(self));
+	file = xasprintf("%s/%s.json", dir, p->name);
+	log = xasprintf("%s/%s-%u.log", dir, p->name, p->life);
+	settings_write(p, file);
+	p->pid = fork();
+	if (!p->pid) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		if (freopen(log, "a", stdout) && freopen(log, "a", stderr))
+			execl(path, path, "--settings", file, (char *)NULL);
+		_exit(127);
+	}
+	free(path);
+	free(file);
+	free(log);
+}
--- a/tests/support-standin.c
+++ b/tests/support-standin.c
@@ -28,8 +28,7 @@
 };
 
 static int loop_epoll = -1;
-static struct timer **heap;
-static size_t heap_count, heap_room;
+static struct heap timers;
 static TAILQ_HEAD(, server) servers = TAILQ_HEAD_INITIALIZER(servers);
 static TAILQ_HEAD(, fault) faults = TAILQ_HEAD_INITIALIZER(faults);
 static uint64_t random_state = 0x9e3779b97f4a7c15;
@@ -48,82 +47,33 @@
 	return below ? (uint32_t)(z % below) : 0;
 }
 
-/* Put a timer into a slot of the heap. */
-static void heap_put(size_t slot, struct timer *t)
-{
-	heap[slot - 1] = t;
-	t->slot = slot;
-}
-
-/* Move the timer of a slot up or down to where it belongs. */
-static void heap_sift(size_t slot)
-{
-	struct timer *t = heap[slot - 1];
-	size_t child;
-
-	while (slot > 1 && heap[slot / 2 - 1]->deadline > t->deadline) {
-		heap_put(slot, heap[slot / 2 - 1]);
-		slot /= 2;
-	}
-	while ((child = slot * 2) <= heap_count) {
-		if (child < heap_count &&
-		    heap[child]->deadline < heap[child - 1]->deadline)
-			child++;
-		if (heap[child - 1]->deadline >= t->deadline)
-			break;
-		heap_put(slot, heap[child - 1]);
-		slot = child;
-	}
-	heap_put(slot, t);
-}
-
 /* Set a timer, or move its deadline. */
 void timer_set(struct timer *t, int64_t deadline)
 {
-	t->deadline = deadline;
-	if (!t->slot) {
-		if (heap_count == heap_room) {
-			heap_room = heap_room ? heap_room * 2 : 64;
-			heap = xrealloc(heap, heap_room,
-					sizeof(struct timer *));
-		}
-		heap[heap_count++] = t;
-		t->slot = heap_count;
-	}
-	heap_sift(t->slot);
+	heap_set(&timers, &t->due, deadline);
 }
 
 /* Take a timer out of the heap. */
 void timer_clear(struct timer *t)
 {
-	size_t slot = t->slot;
-	struct timer *last;
-
-	if (!slot)
-		return;
-	t->slot = 0;
-	last = heap[--heap_count];
-	if (last == t)
-		return;
-	heap_put(slot, last);
-	heap_sift(slot);
+	heap_remove(&timers, &t->due);
 }
 
 /* Fire what is due; the time to the next one, or -1. */
 static int timer_run(void)
 {
 	int64_t now = clock_now();
+	struct heap_node *n;
 	struct timer *t;
 
-	while (heap_count && heap[0]->deadline <= now) {
-		t = heap[0];
+	while ((n = heap_first(&timers)) && n->at <= now) {
+		t = HEAP_ENTRY(n, struct timer, due);
 		timer_clear(t);
 		t->fire(t->arg);
 	}
-	if (!heap_count)
+	if (!n)
 		return -1;
-	return heap[0]->deadline - now > 1000 ? 1000
-					      : (int)(heap[0]->deadline - now);
+	return n->at - now > 1000 ? 1000 : (int)(n->at - now);
 }
 
 /* Let a held request's connection go on. */
