The window of starts is shared by the pools, one candidate each in turn

Cause: a look at what waits goes down one sorted list of all pools' candidates until the window of starts is full, and the next look begins at the top again.

Ruled out: commits (31 to 42 ms), an owner that is still slow (it was not).

Change: what waits is sorted pool by pool; each pool places one candidate in its turn, and the next look goes on behind the pool where the last one ended. The order within a pool is as before.

Test: load the_window_is_shared_by_the_pools, red before in both rows.

--- a/sched-place.c
+++ b/sched-place.c
@@ -51,6 +51,8 @@
 	struct candidate **order;
 	size_t count;
 	size_t room;
+	struct pool **turns; /* pools with candidates that are left */
+	size_t turn_count;
 };
 
 /* Does a step have a task that waits to be placed now? */
@@ -161,12 +163,14 @@
 	}
 }
 
-/* The order among what waits. */
+/* The order among what waits: pool by pool. */
 static int candidate_cmp(const void *a, const void *b)
 {
 	const struct candidate *x = *(struct candidate *const *)a;
 	const struct candidate *y = *(struct candidate *const *)b;
 
+	if (x->pool != y->pool)
+		return x->pool < y->pool ? -1 : 1;
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
 	if (x->late != y->late)
@@ -499,11 +503,69 @@
 	pool_measure(c->pool);
 }
 
+/*
+ * Give each pool its part of the sorted candidates, and find the pools that
+ * have any.
+ */
+static void turns_make(struct sched *s, struct placing *p)
+{
+	struct pool *pool;
+	size_t i;
+
+	p->turns = xcalloc(HASH_COUNT(s->pools) + 1, sizeof(struct pool *));
+	for (pool = s->pools; pool; pool = pool->hh.next)
+		pool->next = pool->end = NULL;
+	for (i = 0; i < p->count; i++) {
+		pool = p->order[i]->pool;
+		if (!pool->next)
+			pool->next = &p->order[i];
+		pool->end = &p->order[i + 1];
+	}
+	for (pool = s->pools; pool; pool = pool->hh.next)
+		if (pool->next)
+			p->turns[p->turn_count++] = pool;
+}
+
+/* The place of the first pool whose turn has not been in this round. */
+static size_t turn_first(const struct sched *s, const struct placing *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->turn_count; i++)
+		if (p->turns[i]->turn > s->turn)
+			return i;
+	return 0;
+}
+
+/*
+ * Place the candidates, one of each pool in turn, and go on there in the next
+ * look.  The window of starts is one for all pools: in one order of all
+ * candidates those of a pool with much to do would take it whole, look for
+ * look, and other pools would stand empty beside their work.
+ */
+static void candidates_place(struct sched *s, struct placing *p)
+{
+	size_t i = turn_first(s, p);
+	struct pool *pool;
+
+	while (p->turn_count && !starts_are_full(s)) {
+		pool = p->turns[i];
+		s->turn = pool->turn;
+		candidate_place(s, *pool->next++);
+		if (pool->next < pool->end)
+			i++;
+		else
+			memmove(&p->turns[i], &p->turns[i + 1],
+				(--p->turn_count - i) * sizeof(*p->turns));
+		if (i >= p->turn_count)
+			i = 0;
+	}
+}
+
 /* Place what can be placed. */
 void place_all(struct sched *s)
 {
 	struct placing p = {0};
-	size_t i;
 
 	/* What can't be placed now is looked at again when it can. */
 	if (!own_starts(s) || starts_are_full(s))
@@ -521,10 +583,11 @@
 	 */
 	s->waits = s->waits || s->pauses;
 	candidates_sort(&p);
-	for (i = 0; i < p.count && !starts_are_full(s); i++)
-		candidate_place(s, p.order[i]);
+	turns_make(s, &p);
+	candidates_place(s, &p);
 	/* The answers that make room for more come by themselves. */
 	s->place = s->place || starts_are_full(s);
+	free(p.turns);
 	free(p.order);
 	free(p.list);
 }
--- a/sched-pool.c
+++ b/sched-pool.c
@@ -16,6 +16,7 @@
 		return p;
 	p = xcalloc(1, sizeof(*p));
 	p->service = bstr_copy(service);
+	p->turn = HASH_COUNT(s->pools) + 1;
 	p->most = (struct size){-1, -1, -1};
 	HASH_ADD_BSTR(s->pools, service, p);
 	return p;
--- a/sched-state.h
+++ b/sched-state.h
@@ -297,9 +297,12 @@
 /* So many needs that found no room are remembered while tasks are placed. */
 #define MISSED_MAX 8
 
-/* The workers of a service.  All but the first two hold for one look only. */
+struct candidate;
+
+/* The workers of a service.  All but the first three hold for one look only. */
 struct pool {
 	bstr service;		 /* empty: of those whose service isn't known */
+	unsigned turn;		 /* its place in the order of the pools */
 	unsigned unknown;	 /* of which it is not known what they run */
 	struct worker **workers; /* those that may get work */
 	size_t count;
@@ -309,6 +312,8 @@
 	struct size promised; /* of it, to jobs that wait for the store */
 	struct size missed[MISSED_MAX]; /* needs that no worker has room for */
 	size_t missed_count;
+	struct candidate **next; /* what waits for it and was not looked at */
+	struct candidate **end;
 	UT_hash_handle hh;
 };
 
@@ -580,6 +585,7 @@
 	int64_t note_at; /* it is not written for what is left out before */
 	bool note_names_freed;	/* a worker that is not known any more */
 	struct pool *pools;	/* by service */
+	unsigned turn;		/* of the pool that was looked at last */
 	unsigned unknown_count; /* workers, of all pools */
 	struct usage *usage;
 	bool settled; /* all workers' lists are known, or their leases over */
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -414,6 +414,50 @@
 	check_free(w, "a small window");
 }
 
+/*
+ * Guards against a pool that stands empty beside its work while another pool's
+ * backlog takes the whole window of starts, look for look.
+ */
+static const struct {
+	const char *name;
+	bool second_first; /* whose backlog came first */
+} share_rows[] = {
+	{"the backlog is the first pool's", false},
+	{"the backlog is the second pool's", true},
+};
+Test(load, the_window_is_shared_by_the_pools)
+{
+	struct world_job heap = {.tasks = 100, .task_ms = 1000};
+	struct world_job few = {.tasks = 3, .task_ms = 1000};
+	struct world *w;
+	struct sched *s;
+	unsigned row, k, n;
+
+	for (row = 0; row < NELEMS(share_rows); row++) {
+		w = world_new(2060 + row, WORLD_VMS, WORLD_WORKERS);
+		world_second_pool(w, 3);
+		world_run(w, 4000);
+		world_orders_slow(w, 100);
+		n = (unsigned)world_owner(w);
+		s = world_sched(w, n);
+		heap.second = share_rows[row].second_first;
+		few.second = !heap.second;
+		for (k = 0; k < 480; k++) {
+			if (k == 0)
+				world_submit(w, (n + 1) % WORLD_VMS,
+					     "00000000000000aa", &heap);
+			if (k == 40)
+				world_submit(w, (n + 1) % WORLD_VMS,
+					     "00000000000000bb", &few);
+			s->start_window = START_WINDOW_PARTS;
+			world_run(w, 5);
+		}
+		cr_expect_str_eq(world_state(w, "00000000000000bb"),
+				 "completed", "%s", share_rows[row].name);
+		check_free(w, share_rows[row].name);
+	}
+}
+
 /* Workers that have told ends which have to wait. */
 static unsigned world_ends_held(struct world *w)
 {
