Logs: OWNER_LOAD tells how many starts were answered late

A window of 200 to 280 starts beside commits of 31 to 42 ms can be the owner's lack of processor or a few slow workers; the count of late answers tells them apart.

--- a/sched-load.c
+++ b/sched-load.c
@@ -50,11 +50,12 @@
 		return;
 	if (s->own.state == OWN_YES && (l->starts || l->ends))
 		sched_log(s, LOG_OWNER_LOAD,
-			  "jobs=%u looks=%u begins=%u starts=%u holds=%u "
+			  "jobs=%u looks=%u begins=%u starts=%u slow=%u "
+			  "holds=%u "
 			  "gap_ms=%lld ends=%u commits=%u rows=%u "
 			  "commit_ms=%lld unwritten=%u flying=%u window=%u",
 			  HASH_COUNT(s->jobs), l->looks, l->begins, l->starts,
-			  l->holds,
+			  l->slow, l->holds,
 			  (long long)(l->gaps ? l->gap_ms / l->gaps : 0),
 			  l->ends, l->commits, l->rows, (long long)l->commit_ms,
 			  dirty_jobs(s), l->most_flying,
--- a/sched-order.c
+++ b/sched-order.c
@@ -48,6 +48,7 @@
 /* A start was answered by its worker: it took so long with all that waited. */
 void start_window_take(struct sched *s, int64_t ms)
 {
+	s->load.slow += ms > START_SLOW_MS;
 	if (ms <= START_SLOW_MS) {
 		if (s->start_window < WINDOW_MOST)
 			s->start_window++;
--- a/sched-state.h
+++ b/sched-state.h
@@ -525,6 +525,7 @@
 	unsigned looks; /* at what waits */
 	unsigned begins;
 	unsigned starts;
+	unsigned slow; /* of them, answered late */
 	unsigned holds;
 	unsigned ends;
 	unsigned gaps; /* between looks at a worker with tasks */
