A request without the time for an exchange with the store is refused at once

What callers saw: a last try sent within 120 ms of its deadline had no answer, or one that came after its caller had gone; in the small world such a job was even stored, and ran for nobody.

Cause: the request went to the store with a deadline that was over.

Ruled out: the store (5 ms); a busy VM alone (tries with 7 ms left lose 6 ms on their two ways).

Change: it is refused when it comes; nothing of it has been sent to the store.

--- a/sched-call.c
+++ b/sched-call.c
@@ -186,6 +186,11 @@
 			    "store-unavailable", id);
 		return;
 	}
+	if (in->deadline - REPLY_MARGIN_MS <= s->now) {
+		call_refuse(s, in->id, 503, COUNT_REFUSED_DEADLINE, "no-time",
+			    id);
+		return;
+	}
 	if (in->kind == VERB_SUBMIT)
 		submit_take(s, in, id, r, t);
 	else
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -178,9 +178,11 @@
 	struct {
 		int status;
 		char text[32];
+		uint32_t retry_after_s;
 		uint64_t waiting;
 	} calls[CALLS_MAX];
 	uint64_t call_count;
+	int64_t patience_ms;	/* of callers */
 	int64_t count_every_ms; /* all VMs are asked so often; 0: not */
 	int64_t count_at;
 	uint64_t count_calls;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -180,6 +180,7 @@
 	if (r->call >= CALLS_MAX)
 		return;
 	w->calls[r->call].status = r->status;
+	w->calls[r->call].retry_after_s = r->retry_after_s;
 	w->calls[r->call].waiting = r->waiting;
 	snprintf(w->calls[r->call].text, sizeof(w->calls[r->call].text), "%s",
 		 r->text ? r->text : "");
@@ -315,7 +316,7 @@
 		.path = bstr_printf("/%s/%s", j && j->second ? "q2" : "q", id),
 		.key = bstr_new(KEY),
 		.body = body,
-		.deadline = w->now + 3000};
+		.deadline = w->now + w->patience_ms};
 	return ev;
 }
 
@@ -418,6 +419,7 @@
 	w->workers = xcalloc(workers, sizeof(*w->workers));
 	w->now = 1000;
 	w->keyed = true;
+	w->patience_ms = 3000;
 	w->config_version = 1;
 	w->ends_listed = ENDS_LISTED;
 	TAILQ_INIT(&w->pending);
@@ -504,6 +506,12 @@
 	return call_make(w, vm, VERB_SUBMIT, id, b);
 }
 
+/* Callers wait so long for their answers, from now on. */
+void world_patience(struct world *w, int64_t ms)
+{
+	w->patience_ms = ms;
+}
+
 /* Another request for a job, or for the queue if id is empty. */
 uint64_t world_call(struct world *w, unsigned vm, enum call_verb verb,
 		    const char *id)
@@ -541,6 +549,12 @@
 	return w->calls[call].text;
 }
 
+/* When its caller may come back; 0: not said. */
+uint32_t world_retry_after(const struct world *w, uint64_t call)
+{
+	return w->calls[call].retry_after_s;
+}
+
 /* The count in its answer. */
 uint64_t world_waiting(const struct world *w, uint64_t call)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -46,8 +46,10 @@
 		      const struct world_job *job);
 uint64_t world_call(struct world *w, unsigned vm, enum call_verb verb,
 		    const char *id);
+void world_patience(struct world *w, int64_t ms); /* of callers */
 int world_status(const struct world *w, uint64_t call);
 const char *world_text(const struct world *w, uint64_t call);
+uint32_t world_retry_after(const struct world *w, uint64_t call); /* seconds */
 uint64_t world_waiting(const struct world *w, uint64_t call);
 
 /*
