What a pool can't do in time is refused at once

A look at what waits cost the owner what the backlog holds: 606 looks a second at 258 jobs, 14 at 6,345.

Cause: nothing bounded what is accepted.

Change: the owner reckons how long each pool needs for what waits for its room. Over two mean objectives of these jobs a share of new ones is refused, over three all, by the id, so that all tries of a job meet one answer. The shares go out with the beat and hold until the pool can have done the excess, without an owner too. Lasting and repeated work and what waits for a limit or a suitable worker doesn't count. 503 with a Retry-After of the time that the queue needs, spread over as much again; before it the store is read, so that an accepted job is never said not to have run.

Callers try again within their three seconds, whatever the Retry-After says; the last of five tries often has no answer in time.

--- a/sched-call.c
+++ b/sched-call.c
@@ -14,8 +14,8 @@
 #define PAYLOAD_MAX 4000
 
 /* Reply to a caller, and log the decision. */
-static void reply(struct sched *s, uint64_t id, int status, const char *text,
-		  const char *job)
+static struct sched_effect *reply(struct sched *s, uint64_t id, int status,
+				  const char *text, const char *job)
 {
 	struct sched_effect *fx = sched_effect_add(s, EFFECT_REPLY);
 
@@ -31,6 +31,7 @@
 		  job, status, text,
 		  (unsigned long long)(s->config ? s->config->version : 0),
 		  (long long)(s->now - s->store_ok_at));
+	return fx;
 }
 
 /* Refuse, and count why. */
@@ -120,6 +121,27 @@
 	c->row = job_row_write(&j);
 }
 
+/*
+ * Read a job's progress for a caller, or the job itself, which has no
+ * progress before its owner has seen it.
+ */
+static void state_send(struct sched *s, struct call *c, enum purpose purpose)
+{
+	bool job = purpose == FOR_STATE_JOB || purpose == FOR_CANCEL_READ_JOB ||
+		   purpose == FOR_SUBMIT_READ;
+	bstr key = bstr_lit(c->job);
+	struct ask *ask;
+	struct request *rq = sched_ask(s, purpose, ASK_GET,
+				       call_try_until(s, c), &ask);
+
+	rq->call = c->id;
+	ask->range.table = job ? TABLE_JOBS : TABLE_PROGRESS;
+	ask->range.part = row_part(ask->range.table, key);
+	ask->range.from = bstr_copy(key);
+	ask->range.limit = 1;
+	sched_count(s, COUNT_TABLE_READS, 1);
+}
+
 /* Is a job within the bounds of the callers' interface? */
 static bool body_is_sane(const struct job_body *b, const char **why)
 {
@@ -150,27 +172,11 @@
 	}
 	c = call_new(s, in, id, t, r->open);
 	submit_row(s, c, in, r);
-	submit_send(s, c);
-}
-
-/*
- * Read a job's progress for a caller, or the job itself, which has no
- * progress before its owner has seen it.
- */
-static void state_send(struct sched *s, struct call *c, enum purpose purpose)
-{
-	bool job = purpose == FOR_STATE_JOB || purpose == FOR_CANCEL_READ_JOB;
-	bstr key = bstr_lit(c->job);
-	struct ask *ask;
-	struct request *rq = sched_ask(s, purpose, ASK_GET,
-				       call_try_until(s, c), &ask);
-
-	rq->call = c->id;
-	ask->range.table = job ? TABLE_JOBS : TABLE_PROGRESS;
-	ask->range.part = row_part(ask->range.table, key);
-	ask->range.from = bstr_copy(key);
-	ask->range.limit = 1;
-	sched_count(s, COUNT_TABLE_READS, 1);
+	c->back_s = admission_refuses(s, r, in->body, id);
+	if (c->back_s)
+		state_send(s, c, FOR_SUBMIT_READ);
+	else
+		submit_send(s, c);
 }
 
 /* Take a request for one job. */
@@ -282,7 +288,7 @@
 	call_free(s, c);
 }
 
-/* Find the job's row of progress in an answer; NULL: there is none. */
+/* Find the job's row in an answer; NULL: there is none. */
 static const struct row *state_row(const struct call *c, const struct answer *a)
 {
 	if (!a->row_count || !bstr_eq_str(a->rows[0].key, c->job))
@@ -290,6 +296,31 @@
 	return &a->rows[0];
 }
 
+/*
+ * Its queue is full: was the job accepted before?  An earlier try of its caller
+ * may have had no answer, and a refusal says that the job has not run and never
+ * will.  When the store doesn't tell, the job is stored like any other.
+ */
+static void submit_read_answer(struct sched *s, struct call *c,
+			       const struct answer *a)
+{
+	struct sched_effect *fx;
+
+	if (a->outcome != OUT_DONE) {
+		submit_send(s, c);
+		return;
+	}
+	if (state_row(c, a)) {
+		reply(s, c->id, 200, "accepted-before", c->job);
+		call_free(s, c);
+		return;
+	}
+	sched_count(s, COUNT_REFUSED_QUEUE_FULL, 1);
+	fx = reply(s, c->id, 503, "queue-full", c->job);
+	fx->reply.retry_after_s = c->back_s;
+	call_free(s, c);
+}
+
 /* Write the row of a cancel. */
 static void cancel_send(struct sched *s, struct call *c)
 {
@@ -387,6 +418,10 @@
 		submit_answer(s, c, a);
 		return;
 	}
+	if (rq->purpose == FOR_SUBMIT_READ) {
+		submit_read_answer(s, c, a);
+		return;
+	}
 	if (a->outcome != OUT_DONE) {
 		call_again(s, c, rq->purpose);
 		return;
--- a/sched-count.c
+++ b/sched-count.c
@@ -20,7 +20,7 @@
 };
 
 /* The store's clock now, by its latest answer; 0: it has not told yet. */
-static int64_t store_clock(const struct sched *s)
+int64_t store_clock(const struct sched *s)
 {
 	return s->store_timed ? s->now + s->store_ahead : 0;
 }
--- a/sched-data.c
+++ b/sched-data.c
@@ -224,6 +224,14 @@
 			     a.gpus + b.gpus};
 }
 
+/* The larger of two sizes in each resource. */
+struct size size_most(struct size a, struct size b)
+{
+	return (struct size){a.cpu > b.cpu ? a.cpu : b.cpu,
+			     a.memory > b.memory ? a.memory : b.memory,
+			     a.gpus > b.gpus ? a.gpus : b.gpus};
+}
+
 /* Subtract sizes. */
 struct size size_sub(struct size a, struct size b)
 {
--- a/sched-due.c
+++ b/sched-due.c
@@ -48,13 +48,25 @@
 	return s->now - (s->wall - b->first_at - o->k * b->interval_ms);
 }
 
+/* How long a job may take, from its time on, by its longest chain. */
+static int64_t objective_ms(const struct sched *s, struct job *j,
+			    int64_t longest)
+{
+	const struct route *r = job_route(s, j);
+
+	return (int64_t)((r ? r->stretch : 1) * (double)longest) +
+	       (r ? r->objective_ms : 0);
+}
+
+/* The same of a job that has been reckoned. */
+int64_t job_objective_ms(const struct sched *s, struct job *j)
+{
+	return objective_ms(s, j, j->reckoned.longest);
+}
+
 /* When the objective of an occurrence ends, by its longest chain. */
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest)
 {
-	const struct route *r = job_route(s, o->job);
-
-	return occurrence_came_at(s, o) +
-	       (int64_t)((r ? r->stretch : 1) * (double)longest) +
-	       (r ? r->objective_ms : 0);
+	return occurrence_came_at(s, o) + objective_ms(s, o->job, longest);
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -51,17 +51,21 @@
 /* What a pool has and has to do. */
 struct balance {
 	const struct service *service;
-	bool routed;	   /* some queue leads to it */
-	unsigned home;	   /* machines that the operator gave it */
-	unsigned stranded; /* lasting tasks that find no worker */
-	unsigned workers;  /* that take work */
-	unsigned coming;   /* machines on their way to it */
-	unsigned empty;	   /* workers without tasks */
-	double cores;	   /* thousandths, of the workers that take work */
-	double used;	   /* of them, by tasks */
-	double lasting;	   /* of them, used by lasting tasks */
-	double work;	   /* waiting and running, in thousandths x ms */
-	double waiting;	   /* of it, what could run if there were room */
+	bool routed;	     /* some queue leads to it */
+	unsigned home;	     /* machines that the operator gave it */
+	unsigned stranded;   /* lasting tasks that find no worker */
+	unsigned workers;    /* that take work */
+	unsigned coming;     /* machines on their way to it */
+	unsigned empty;	     /* workers without tasks */
+	double cores;	     /* thousandths, of the workers that take work */
+	double used;	     /* of them, by tasks */
+	double lasting;	     /* of them, used by lasting tasks */
+	double work;	     /* waiting and running, in thousandths x ms */
+	double waiting;	     /* of it, what could run if there were room */
+	double queued;	     /* of it, what waits for nothing but room */
+	struct size largest; /* what its largest worker has in all */
+	double objectives;   /* of the jobs that queue, in ms, added up */
+	unsigned jobs;	     /* that queue */
 };
 
 /* An idle machine, and where it is; NULL: it has been chosen. */
@@ -110,6 +114,7 @@
 		if (!p || !(worker_is_well(s, w) || worker_may_answer(s, w)))
 			continue;
 		p->workers++;
+		p->largest = size_most(p->largest, w->row.capacity);
 		p->cores += (double)w->row.capacity.cpu;
 		p->used += (double)w->used.cpu;
 		if (w->fenced && TAILQ_EMPTY(&w->tasks))
@@ -140,6 +145,40 @@
 	}
 }
 
+/* Is it room alone that a job's tasks wait for? */
+static bool job_queues(const struct job *j)
+{
+	switch (j->hold) {
+	case HOLD_LIMIT:
+	case HOLD_CEILING:
+	case HOLD_WORKER:
+	case HOLD_TICKET:
+		return false;
+	default:
+		return true;
+	}
+}
+
+/* Add what an occurrence has in the queue for a pool's room. */
+static void balance_queued(struct sched *s, struct balance *p,
+			   const struct occurrence *o)
+{
+	struct job *j = o->job;
+	const struct job_step *st = j->body->steps;
+	double queued = 0;
+	unsigned i;
+
+	for (i = 0; i < j->body->step_count; i++, st++)
+		if (!st->lasts && !st->fills && size_fits(st->need, p->largest))
+			queued += (double)st->need.cpu *
+				  (double)j->reckoned.expected[i] * o->left[i];
+	if (queued <= 0)
+		return;
+	p->queued += queued;
+	p->objectives += (double)job_objective_ms(s, j);
+	p->jobs++;
+}
+
 /* Lasting tasks of an occurrence that have found no worker for a while. */
 static unsigned occurrence_stranded(struct sched *s, const struct occurrence *o)
 {
@@ -174,6 +213,8 @@
 			continue;
 		TAILQ_FOREACH(o, &j->occs, entry) {
 			balance_occurrence(s, p, o);
+			if (job_queues(j))
+				balance_queued(s, p, o);
 			p->stranded += occurrence_stranded(s, o);
 		}
 	}
@@ -448,6 +489,14 @@
 	return (unsigned)n;
 }
 
+/* How long a pool needs for what waits for its room; 0: that is not known. */
+static double queue_ms(const struct balance *p, double one)
+{
+	double cores = p->cores - p->lasting + one * p->coming;
+
+	return cores > one / 8 ? p->queued / cores : 0;
+}
+
 /* Tell how the pools stand, once in a while. */
 static void balances_log(struct sched *s, const struct balances *b, double one)
 {
@@ -465,11 +514,28 @@
 			s, LOG_POOL,
 			"pool=%.*s workers=%u home=%u coming=%u empty=%u "
 			"cores=%.0f used=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
-			"stranded=%u",
+			"stranded=%u queue_ms=%.0f objective_ms=%.0f",
 			BSTR_ARG(p->service->name), p->workers, p->home,
 			p->coming, p->empty, p->cores / 1000, p->used / 1000,
 			p->lasting / 1000, p->work / 1000, drain_ms(p, one),
-			p->stranded);
+			p->stranded, queue_ms(p, one),
+			p->jobs ? p->objectives / p->jobs : 0);
+	}
+}
+
+/* Tell which pools have more in their queues than they can do in time. */
+static void admissions_make(struct sched *s, const struct balances *b,
+			    double one)
+{
+	const struct balance *p;
+	size_t i;
+
+	admissions_free(s);
+	for (i = 0; i < b->count; i++) {
+		p = &b->list[i];
+		if (p->routed && p->jobs && policy_on(s, POLICY_ADMISSION))
+			admission_set(s, p->service->name, queue_ms(p, one),
+				      p->objectives / p->jobs);
 	}
 }
 
@@ -544,6 +610,7 @@
 	one = machine_cores(&b);
 	balances_log(s, &b, one);
 	drains_keep(s, &b, one);
+	admissions_make(s, &b, one);
 	if (!policy_on(s, POLICY_MOVES) || !moves_in(s, &b, one))
 		moves_out(s, &b, one);
 	free(b.list);
--- a/sched-pool.c
+++ b/sched-pool.c
@@ -93,12 +93,7 @@
 	for (i = 0; i < p->count; i++) {
 		r = worker_room(p->workers[i]);
 		p->room = size_add(p->room, r);
-		if (r.cpu > p->most.cpu)
-			p->most.cpu = r.cpu;
-		if (r.memory > p->most.memory)
-			p->most.memory = r.memory;
-		if (r.gpus > p->most.gpus)
-			p->most.gpus = r.gpus;
+		p->most = size_most(p->most, r);
 	}
 }
 
--- a/sched-row.c
+++ b/sched-row.c
@@ -358,10 +358,11 @@
 bstr beat_row_write(struct sched *s)
 {
 	return json_write(json_pack(
-		"{s:I, s:I, s:I, s:o, s:o}", "epoch", (json_int_t)s->own.epoch,
-		"seq", (json_int_t)s->own.beat_seq, "told_at",
-		(json_int_t)book_told_at(s), "waiting", counts_write(s),
-		"ceilings", ceilings_write(s)));
+		"{s:I, s:I, s:I, s:o, s:o, s:o}", "epoch",
+		(json_int_t)s->own.epoch, "seq", (json_int_t)s->own.beat_seq,
+		"told_at", (json_int_t)book_told_at(s), "waiting",
+		counts_write(s), "ceilings", ceilings_write(s), "admit",
+		admissions_write(s)));
 }
 
 /* Read a beat: its epoch, and the counts. */
@@ -377,6 +378,7 @@
 	json_decref(s->own.ceilings);
 	s->own.ceilings = json_incref(json_object_get(row, "ceilings"));
 	counts_read(s, json_object_get(row, "waiting"), int_of(row, "told_at"));
+	admissions_read(s, json_object_get(row, "admit"));
 	json_decref(row);
 	return true;
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -334,6 +334,7 @@
 	FOR_COMMIT,
 	FOR_SWEEP,
 	FOR_SUBMIT,
+	FOR_SUBMIT_READ, /* its queue is full: is the job there already? */
 	FOR_STATE,
 	FOR_CANCEL_READ,
 	FOR_STATE_JOB, /* no progress yet: is there such a job? */
@@ -359,8 +360,9 @@
 	bool open; /* the route needs no key */
 	int64_t deadline;
 	int64_t came_at;
-	bool uncertain; /* a try may have taken effect */
-	bstr row;	/* a submit's, for another try */
+	bool uncertain;	 /* a try may have taken effect */
+	bstr row;	 /* a submit's, for another try */
+	uint32_t back_s; /* its queue is full: come back then; 0: it is not */
 	UT_hash_handle hh;
 };
 
@@ -611,6 +613,7 @@
 	unsigned advice_calls; /* under way */
 	struct drain *drains;
 	size_t drain_count;
+	struct admission *admissions; /* of pools that don't take all jobs */
 	struct load load;
 	struct lesson *lessons;
 };
@@ -672,8 +675,19 @@
 int64_t book_told_at(const struct sched *s);
 void count_take(struct sched *s, const struct call_in *in,
 		const struct route *r);
+int64_t store_clock(const struct sched *s);
 void store_clock_take(struct sched *s, const struct answer *a);
 
+/* sched-admit.c */
+unsigned admission_share(double drain_ms, double objective_ms);
+void admission_set(struct sched *s, bstr service, double drain_ms,
+		   double objective_ms);
+json_t *admissions_write(const struct sched *s);
+void admissions_read(struct sched *s, const json_t *all);
+void admissions_free(struct sched *s);
+uint32_t admission_refuses(struct sched *s, const struct route *r,
+			   const struct job_body *b, const char *id);
+
 /* sched-call.c */
 void call_refuse(struct sched *s, uint64_t id, int status,
 		 enum counter_id reason, const char *text, const char *job);
@@ -826,6 +840,7 @@
 
 /* sched-due.c */
 void job_reckon(struct sched *s, struct job *j);
+int64_t job_objective_ms(const struct sched *s, struct job *j);
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest);
 
--- a/sched.c
+++ b/sched.c
@@ -155,6 +155,7 @@
 		sweep_answer(s, rq, a);
 		break;
 	case FOR_SUBMIT:
+	case FOR_SUBMIT_READ:
 	case FOR_STATE:
 	case FOR_CANCEL_READ:
 	case FOR_STATE_JOB:
@@ -406,6 +407,7 @@
 		free(rq);
 	}
 	counts_free(s);
+	admissions_free(s);
 	for (i = 0; i < NELEMS(s->follows); i++)
 		follow_restart(&s->follows[i]);
 	follow_restart(&s->progress);
--- a/scheduler.h
+++ b/scheduler.h
@@ -416,6 +416,7 @@
 void sched_effect_free(struct sched_effect *fx);
 bool size_fits(struct size need, struct size room);
 struct size size_add(struct size a, struct size b);
+struct size size_most(struct size a, struct size b); /* of each resource */
 struct size size_sub(struct size a, struct size b);
 
 #ifdef __cplusplus
