A planned stop counts the time in which its process stood still

Cause: the grace began when the process saw the signal, which may have waited for as long as the process stood still.

Ruled out: a slow stop (it ended as it does at any other time).

Calls keep the whole grace; where the signal came after the waking nothing is lost but the time in which it would have taken new ones.

--- a/sched-state.h
+++ b/sched-state.h
@@ -565,7 +565,10 @@
 	int64_t store_failed_at;
 	bool store_down; /* as logged */
 	bool ready;
-	int64_t stop_by; /* 0: not stopping */
+	int64_t slept_at; /* when this process last stood still */
+	int64_t woke_at;  /* and ran again */
+	int64_t stop_by;  /* 0: not stopping */
+	int64_t leave_at; /* it ends then if no call is under way */
 	bool ended;
 
 	/* The owner's. */
--- a/sched.c
+++ b/sched.c
@@ -221,6 +221,8 @@
 	if (s->seen_at && gap > SUSPENDED_MS) {
 		sched_log(s, LOG_SUSPENDED, "gap_ms=%lld", (long long)gap);
 		own_doubt(s, "suspended");
+		s->slept_at = s->seen_at;
+		s->woke_at = s->now;
 	}
 	s->seen_at = s->now;
 }
@@ -242,22 +244,29 @@
 /* A planned stop: finish what is under way, then end. */
 static void stop_tick(struct sched *s)
 {
-	bool idle = s->now >= s->stop_by - s->options.grace_ms / 4;
+	bool leaves = s->now >= s->leave_at && !s->calls;
 
 	if (!s->stop_by || s->ended)
 		return;
-	if (s->now < s->stop_by && !(idle && !s->calls))
+	if (s->now < s->stop_by && !leaves)
 		return;
 	s->ended = true;
 	sched_effect_add(s, EFFECT_END);
 }
 
-/* Begin a planned stop. */
+/*
+ * Begin a planned stop.  One that is asked for as the process wakes may have
+ * been asked for while it stood still, and its grace is then as good as over:
+ * it would be killed in the midst of its calls.
+ */
 static void stop_take(struct sched *s)
 {
 	if (s->stop_by)
 		return;
 	s->stop_by = s->now + s->options.grace_ms;
+	s->leave_at = s->stop_by - s->options.grace_ms / 4;
+	if (s->woke_at && s->now - s->woke_at < SUSPENDED_MS)
+		s->leave_at -= s->woke_at - s->slept_at;
 	sched_log(s, LOG_STOPPING, "calls=%u owner=%d", HASH_COUNT(s->calls),
 		  s->own.state == OWN_YES);
 	own_release(s);
