--- a/sched-place.c
+++ b/sched-place.c
@@ -556,7 +556,7 @@
 			i++;
 		else
 			memmove(&p->turns[i], &p->turns[i + 1],
-				(--p->turn_count - i) * sizeof(*p->turns));
+				(--p->turn_count - i) * sizeof(struct pool *));
 		if (i >= p->turn_count)
 			i = 0;
 	}
