--- a/sched-place.c
+++ b/sched-place.c
@@ -514,15 +514,15 @@
 
 	p->turns = xcalloc(HASH_COUNT(s->pools) + 1, sizeof(struct pool *));
 	for (pool = s->pools; pool; pool = pool->hh.next)
-		pool->next = pool->end = NULL;
+		pool->waiting = pool->waiting_end = NULL;
 	for (i = 0; i < p->count; i++) {
 		pool = p->order[i]->pool;
-		if (!pool->next)
-			pool->next = &p->order[i];
-		pool->end = &p->order[i + 1];
+		if (!pool->waiting)
+			pool->waiting = &p->order[i];
+		pool->waiting_end = &p->order[i + 1];
 	}
 	for (pool = s->pools; pool; pool = pool->hh.next)
-		if (pool->next)
+		if (pool->waiting)
 			p->turns[p->turn_count++] = pool;
 }
 
@@ -551,8 +551,8 @@
 	while (p->turn_count && !starts_are_full(s)) {
 		pool = p->turns[i];
 		s->turn = pool->turn;
-		candidate_place(s, *pool->next++);
-		if (pool->next < pool->end)
+		candidate_place(s, *pool->waiting++);
+		if (pool->waiting < pool->waiting_end)
 			i++;
 		else
 			memmove(&p->turns[i], &p->turns[i + 1],
--- a/sched-state.h
+++ b/sched-state.h
@@ -312,8 +312,8 @@
 	struct size promised; /* of it, to jobs that wait for the store */
 	struct size missed[MISSED_MAX]; /* needs that no worker has room for */
 	size_t missed_count;
-	struct candidate **next; /* what waits for it and was not looked at */
-	struct candidate **end;
+	struct candidate **waiting; /* for it, and not looked at yet */
+	struct candidate **waiting_end;
 	UT_hash_handle hh;
 };
 
