--- a/tests/soak-entry.c
+++ b/tests/soak-entry.c
@@ -65,6 +65,8 @@
 	{402, "starts that were turned away counted as begun"},
 	{414, "a VM told the last beat's count, seconds after it"},
 	{417, "a VM that had owned told a count from before it did"},
+	{2001, "stops asked for while the process stood still"},
+	{2016, "the same"},
 };
 
 /* Two queues: one of quick jobs, one of an organisation at its limit. */
