Owner: log the longest wait of each pool and what its work costs

A task that could run and didn't left no trace but its start: hold= of TASK_START is the last reason before it was placed, and a task that is never placed has no line at all. POOL_WAIT names, once a second, the task of each pool that has waited longest for over a second, with the reason of its job, its delay, whether an earlier start of it is awaited, and the room that the owner sees. OWNER_LOAD has the runs in workers' lists, the jobs that placement went through, and the age of the job list; POOL the workers that get no tasks because their machines are to leave.

--- a/sched-load.c
+++ b/sched-load.c
@@ -1,11 +1,14 @@
 /*
  * Logs the activity of the owner each second, to show why tasks waited although
  * workers had room: how often it polled workers and ran placement passes, how
- * much it wrote, and what remains to be written.
+ * much it wrote, what remains to be written, and the task of each pool that has
+ * waited longest, with the reason.
  */
 #include "sched-state.h"
 
 #define LOAD_LOG_INTERVAL_MS 1000
+/* Shorter waits are not logged. */
+#define WAIT_LOG_MIN_MS 1000
 
 /*
  * Counts the answer to a poll, and the time since the previous one if the
@@ -18,6 +21,7 @@
 
 	s->load.polls++;
 	s->load.ends += (unsigned)a->ended_count;
+	s->load.listed_runs += (unsigned)a->running_count;
 	if (w->fenced && !TAILQ_EMPTY(&w->tasks)) {
 		s->load.poll_gaps++;
 		s->load.poll_gap_ms += gap;
@@ -44,6 +48,98 @@
 	return n;
 }
 
+/* Returns the task of a step that has been pending longest, or NULL. */
+static const struct task *step_longest_wait(const struct occurrence *o,
+					    unsigned step_index)
+{
+	const struct task *t = &o->tasks[o->first_task[step_index]];
+	const struct task *longest = NULL;
+	unsigned i;
+
+	if (!o->pending_tasks[step_index].count ||
+	    !step_is_ready(o, step_index))
+		return NULL;
+	for (i = 0; i < o->job->body->steps[step_index].count; i++, t++)
+		if (t->phase == PHASE_PENDING && task_ready_at(t) &&
+		    (!longest || task_ready_at(t) < task_ready_at(longest)))
+			longest = t;
+	return longest;
+}
+
+/* Finds the longest wait of each pool, and counts the jobs that wait. */
+static void waits_collect(struct sched *s)
+{
+	const struct task *t;
+	struct occurrence *o;
+	struct pool *p;
+	struct job *j;
+	unsigned i;
+
+	for (p = s->pools; p; p = p->hh.next) {
+		p->longest_wait = NULL;
+		p->waiting_steps = 0;
+	}
+	TAILQ_FOREACH(j, &s->jobs_by_arrival, entry) {
+		if (j->status > JOB_STATUS_RUNNING)
+			continue;
+		p = job_pool(s, j);
+		TAILQ_FOREACH(o, &j->occs, entry) {
+			for (i = 0; i < j->body->step_count; i++) {
+				t = step_longest_wait(o, i);
+				if (!t)
+					continue;
+				p->waiting_steps++;
+				if (!p->longest_wait ||
+				    task_ready_at(t) <
+					    task_ready_at(p->longest_wait))
+					p->longest_wait = t;
+			}
+		}
+	}
+}
+
+/* Logs the longest wait of each pool. */
+static void waits_log(struct sched *s)
+{
+	const struct task *t;
+	const struct job *j;
+	struct pool *p;
+
+	waits_collect(s);
+	for (p = s->pools; p; p = p->hh.next) {
+		t = p->longest_wait;
+		p->longest_wait = NULL;
+		if (!t || s->now - task_ready_at(t) < WAIT_LOG_MIN_MS)
+			continue;
+		j = t->occ->job;
+		sched_log(
+			s, LOG_POOL_WAIT,
+			"pool=%.*s steps=%u task=%s.%u.%u.%u waited_ms=%lld "
+			"hold=%s delay_ms=%lld awaited=%u run=%llu durable=%d "
+			"settled=%d placed=%u cpu=%lld room=%lld most=%lld "
+			"reserved=%lld workers=%zu unknown=%u",
+			BSTR_ARG(p->service), p->waiting_steps, j->id,
+			t->occ->number, t->step, t->index,
+			(long long)(s->now - task_ready_at(t)),
+			pending_reason_word(j->pending_reason),
+			(long long)(t->not_before > s->now
+					    ? t->not_before - s->now
+					    : 0),
+			t->awaited_worker, (unsigned long long)t->highest_run,
+			j->start_durable, !j->inherited || j->settled,
+			j->placed, (long long)task_step(t)->need.cpu,
+			(long long)p->total_room.cpu,
+			(long long)p->max_room.cpu, (long long)p->reserved.cpu,
+			p->count, p->unknown);
+	}
+}
+
+/* Returns the age of the owner's list of jobs; -1: not known. */
+static int64_t job_list_age_ms(const struct sched *s)
+{
+	return job_list_as_of(s) ? store_clock(s) - job_list_as_of(s) : -1;
+}
+
 /*
  * Logs the activity since the last line, if there was any, and resets the
  * counts.
@@ -54,12 +150,15 @@
 
 	if (s->now < l->log_at)
 		return;
+	if (s->own.state == OWN_OWNER)
+		waits_log(s);
 	if (s->own.state == OWN_OWNER && (l->starts || l->ends))
 		sched_log(s, LOG_OWNER_LOAD,
 			  "jobs=%u looks=%u begins=%u starts=%u slow=%u "
 			  "holds=%u "
 			  "gap_ms=%lld ends=%u commits=%u rows=%u "
-			  "commit_ms=%lld unwritten=%u flying=%u window=%u",
+			  "commit_ms=%lld unwritten=%u flying=%u window=%u "
+			  "listed=%u walked=%u feed_ms=%lld",
 			  HASH_COUNT(s->jobs), l->place_passes, l->job_starts,
 			  l->starts, l->slow_starts, l->polls,
 			  (long long)(l->poll_gaps
@@ -68,6 +167,7 @@
 			  l->ends, l->commits, l->rows,
 			  (long long)l->commit_ms_max, dirty_job_count(s),
 			  l->starts_in_flight_max,
-			  s->start_window / START_WINDOW_UNIT);
+			  s->start_window / START_WINDOW_UNIT, l->listed_runs,
+			  l->walked_jobs, (long long)job_list_age_ms(s));
 	*l = (struct load){.log_at = s->now + LOAD_LOG_INTERVAL_MS};
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -62,14 +62,15 @@
 /* The capacity and the work of a pool. */
 struct pool_load {
 	const struct service *service;
-	bool routed;		   /* some route names it */
-	unsigned home_size;	   /* machines that the operator gave it */
-	unsigned stranded;	   /* long-running tasks that find no worker */
-	unsigned workers;	   /* those that can take tasks */
-	unsigned arriving;	   /* machines being moved to it */
-	unsigned empty;		   /* workers without tasks */
-	double cores;		   /* of its workers, in thousandths */
-	double used_cores;	   /* used by tasks */
+	bool routed;	    /* some route names it */
+	unsigned home_size; /* machines that the operator gave it */
+	unsigned stranded;  /* long-running tasks that find no worker */
+	unsigned workers;   /* those that can take tasks */
+	unsigned arriving;  /* machines being moved to it */
+	unsigned empty;	    /* workers without tasks */
+	unsigned leaving;   /* workers that get no tasks as they are to leave */
+	double cores;	    /* of its workers, in thousandths */
+	double used_cores;  /* used by tasks */
 	double long_running_cores; /* used by long-running tasks */
 	double work; /* pending and running, in thousandths of a core x ms */
 	double ready_work;  /* of it, pending tasks of ready steps */
@@ -124,6 +125,8 @@
 
 	HASH_ITER(hh, s->workers, w, next) {
 		p = pool_load_find(l, w->row.service);
+		if (p && w->listed && !w->gone && w->takedown_pending)
+			p->leaving++;
 		if (!p || !(worker_is_healthy(s, w) || worker_may_answer(s, w)))
 			continue;
 		p->workers++;
@@ -578,14 +581,16 @@
 			s, LOG_POOL,
 			"pool=%.*s workers=%u home=%u coming=%u empty=%u "
 			"cores=%.0f used=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
-			"stranded=%u queue_ms=%.0f objective_ms=%.0f",
+			"stranded=%u queue_ms=%.0f objective_ms=%.0f "
+			"leaving=%u",
 			BSTR_ARG(p->service->name), p->workers, p->home_size,
 			p->arriving, p->empty, p->cores / 1000,
 			p->used_cores / 1000, p->long_running_cores / 1000,
 			p->work / 1000, pool_drain_ms(p, machine_cores),
 			p->stranded, pool_queue_ms(p, machine_cores),
 			p->queued_jobs ? p->objective_sum_ms / p->queued_jobs
-				       : 0);
+				       : 0,
+			p->leaving);
 	}
 }
 
--- a/sched-order.c
+++ b/sched-order.c
@@ -139,8 +139,8 @@
 	return &ask->order;
 }
 
-/* Returns the word for a reason in the log line of a start. */
-static const char *pending_reason_word(enum pending_reason reason)
+/* Returns the word for a reason in log lines. */
+const char *pending_reason_word(enum pending_reason reason)
 {
 	static const char *const words[] = {
 		[PENDING_NONE] = "none",     [PENDING_LEASES] = "leases",
--- a/sched-place.c
+++ b/sched-place.c
@@ -172,6 +172,7 @@
 		if (j->status > JOB_STATUS_RUNNING)
 			continue;
 		p->open_jobs++;
+		s->load.walked_jobs++;
 		if (job_runs_unknown(s, j))
 			j->pending_reason = PENDING_LEASES;
 		else
--- a/sched-state.h
+++ b/sched-state.h
@@ -365,6 +365,8 @@
 	size_t unplaceable_count;
 	struct candidate **waiting; /* not yet considered in this pass */
 	struct candidate **waiting_end;
+	const struct task *longest_wait; /* valid only while it is logged */
+	unsigned waiting_steps;		 /* with pending tasks, when logged */
 	UT_hash_handle hh;
 };
 
@@ -619,6 +621,8 @@
 	unsigned rows;
 	int64_t commit_ms_max;
 	unsigned starts_in_flight_max;
+	unsigned listed_runs; /* in the answers to the polls */
+	unsigned walked_jobs; /* by the placement passes */
 };
 
 struct sched {
@@ -879,6 +883,7 @@
 struct resources worker_free_room(const struct worker *w);
 
 /* sched-order.c: orders to workers */
+const char *pending_reason_word(enum pending_reason reason);
 struct resources step_need(const struct job_step *st);
 bool start_window_is_full(const struct sched *s);
 void start_window_update(struct sched *s, int64_t ms);
