Placement: a waiting job has the reason of the latest pass

pending_reason kept what an earlier pass had set: a job that once waited for a raise of its organisation's ceiling, and then for the window of starts, still said 'ceiling', and one that the last pass didn't reach said whatever came before. There was no word for the window at all.

Now the candidates that a pass leaves, and a step that it breaks off, wait for the window (hold=window), and a step that any worker could run waits for room when none has any; before it was said to wait for a suitable worker.

test-load a_wait_has_the_reason_of_the_latest_pass: red before in the row of the window (ceiling in place of window); the other two rows held.

--- a/sched-order.c
+++ b/sched-order.c
@@ -147,6 +147,7 @@
 		[PENDING_CAPACITY] = "room", [PENDING_CONSTRAINTS] = "worker",
 		[PENDING_LIMIT] = "limit",   [PENDING_CEILING] = "ceiling",
 		[PENDING_STORE] = "store",   [PENDING_TICKET] = "ticket",
+		[PENDING_WINDOW] = "window",
 	};
 
 	return words[reason];
--- a/sched-place.c
+++ b/sched-place.c
@@ -376,6 +376,17 @@
 	return best;
 }
 
+/* Records that no worker can run another task of a step. */
+static void step_no_worker(const struct candidate *c, const struct job_step *st)
+{
+	if (!step_is_unconstrained(c, st)) {
+		c->job->pending_reason = PENDING_CONSTRAINTS;
+		return;
+	}
+	c->job->pending_reason = PENDING_CAPACITY;
+	pool_note_full(c->pool, step_need(st));
+}
+
 /*
  * Places the tasks of a step one by one.  The tasks are equal, so only the
  * score of the worker that got the last task has to be computed again.
@@ -394,8 +405,10 @@
 	for (i = 0; i < st->count; i++, t++) {
 		if (t->phase != PHASE_PENDING || s->now < t->not_before)
 			continue;
-		if (start_window_is_full(s))
+		if (start_window_is_full(s)) {
+			c->job->pending_reason = PENDING_WINDOW;
 			break;
+		}
 		limit = limit_pending_reason(s, c->job, st);
 		if (limit) {
 			c->job->pending_reason = limit;
@@ -408,9 +421,7 @@
 		stale = t->avoided_worker;
 		chosen = scores_best(scores, count);
 		if (chosen == count) {
-			c->job->pending_reason = PENDING_CONSTRAINTS;
-			if (step_is_unconstrained(c, st))
-				pool_note_full(c->pool, step_need(st));
+			step_no_worker(c, st);
 			break;
 		}
 		sched_task_start(s, t, c->pool->workers[chosen],
@@ -588,6 +599,22 @@
 	return 0;
 }
 
+/*
+ * Records that the candidates left wait for the starts in flight.  With the
+ * reason of an earlier pass they would seem to wait for something else, and
+ * their pool's queue would seem shorter than it is.
+ */
+static void candidates_wait_for_window(const struct place_pass *p)
+{
+	struct candidate **c;
+	size_t i;
+
+	for (i = 0; i < p->pools_left_count; i++)
+		for (c = p->pools_left[i]->waiting;
+		     c < p->pools_left[i]->waiting_end; c++)
+			(*c)->job->pending_reason = PENDING_WINDOW;
+}
+
 /*
  * Places candidates of the pools in round-robin order, continuing in the next
  * pass where this one ended.  All pools share the limit of starts in flight.
@@ -612,6 +639,7 @@
 		if (i >= p->pools_left_count)
 			i = 0;
 	}
+	candidates_wait_for_window(p);
 }
 
 /* Runs a placement pass over all jobs. */
--- a/sched-state.h
+++ b/sched-state.h
@@ -220,7 +220,8 @@
 	PENDING_LIMIT,	     /* the organisation's upper limit is reached */
 	PENDING_CEILING,     /* the ceiling recorded in the store is reached */
 	PENDING_STORE,	     /* the start of the job is not durable yet */
-	PENDING_TICKET	     /* no valid placement ticket yet */
+	PENDING_TICKET,	     /* no valid placement ticket yet */
+	PENDING_WINDOW	     /* too many starts are in flight */
 };
 
 /*
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -472,6 +472,49 @@
 	}
 }
 
+/*
+ * Guards against a queue that seems short because its jobs keep the reason of
+ * an earlier wait, or name the suitability of workers when all are full.
+ */
+static const struct {
+	const char *name;
+	unsigned window; /* starts that may be in flight */
+	unsigned max_per_worker;
+	enum pending_reason reason;
+} reason_rows[] = {
+	{"the window is full", 4, 0, PENDING_WINDOW},
+	{"all workers are full", 1000, 0, PENDING_CAPACITY},
+	{"few may run on each worker", 1000, 2, PENDING_CONSTRAINTS},
+};
+Test(load, a_wait_has_the_reason_of_the_latest_pass)
+{
+	struct world_job wide = {.tasks = 100, .task_ms = 4000};
+	const struct job *j;
+	struct world *w;
+	struct sched *s;
+	unsigned row, k, n;
+
+	for (row = 0; row < NELEMS(reason_rows); row++) {
+		w = world_new_settled(2070 + row);
+		n = (unsigned)world_owner(w);
+		s = world_sched(w, n);
+		wide.max_per_worker = reason_rows[row].max_per_worker;
+		world_set_order_delay(w, 400);
+		world_submit(w, (n + 1) % WORLD_VMS, "00000000000000aa", &wide);
+		for (k = 0; k < 160; k++) {
+			s->start_window = reason_rows[row].window *
+					  START_WINDOW_UNIT;
+			world_run(w, 5);
+		}
+		j = TAILQ_FIRST(&s->jobs_by_arrival);
+		cr_assert(j && j->placed);
+		cr_expect_eq(j->pending_reason, reason_rows[row].reason,
+			     "%s: %d", reason_rows[row].name,
+			     j->pending_reason);
+		check_free(w, reason_rows[row].name);
+	}
+}
+
 /* Returns the number of workers with ends that can't be processed yet. */
 static unsigned ends_held_count(struct world *w)
 {
