Admission and moves: count what the owner can start, not only the cores

Cause: an owner of half a core starts 1,300 to 2,500 tasks a second there, whatever the cores of the pools. How long a pool needs for its queue was its work by its cores alone. Moves made it worse: each machine that came made the queue seem shorter, and none of them got tasks.

Now the time that each start takes from its order to its outcome, divided by the window, is averaged; a pool's queue takes at least that for each task that waits, the pools sharing the window. Admission goes by the longer of the two times, and machines move only to pools where room is the shorter supply.

Tests: test-admit what_cannot_be_started_in_time_is_refused, test-load machines_follow_only_work_that_can_start; before, the first accepted the job (200 in place of 503) and the second moved 80 machines in place of none.

--- a/sched-move.c
+++ b/sched-move.c
@@ -73,8 +73,10 @@
 	double used_cores;  /* used by tasks */
 	double long_running_cores; /* used by long-running tasks */
 	double work; /* pending and running, in thousandths of a core x ms */
-	double ready_work;  /* of it, pending tasks of ready steps */
-	double queued_work; /* of it, what waits for nothing but room */
+	double ready_work;	/* of it, pending tasks of ready steps */
+	double queued_work;	/* of it, what waits for nothing but room */
+	unsigned pending_tasks; /* tasks in work that have not started */
+	unsigned queued_tasks;	/* tasks in queued_work that have not started */
 	struct resources max_capacity; /* of its workers, by resource */
 	double objective_sum_ms; /* sum of the objectives of the queued jobs */
 	unsigned queued_jobs;	 /* jobs with work in queued_work */
@@ -91,6 +93,9 @@
 struct pool_loads {
 	struct pool_load *list;
 	size_t count;
+	unsigned pending_tasks; /* of all pools */
+	unsigned pending_pools; /* pools that have some */
+	double start_interval_ms;
 };
 
 /* Returns the load of a service, or NULL if the service is not configured. */
@@ -159,6 +164,7 @@
 		task_work = (double)st->need.cpu *
 			    (double)o->job->estimate.step_ms[i];
 		p->work += task_work * o->unfinished_in_step[i];
+		p->pending_tasks += o->pending_tasks[i].count;
 		if (step_is_ready(o, i))
 			p->ready_work += task_work * o->pending_tasks[i].count;
 	}
@@ -187,12 +193,15 @@
 	double queued = 0;
 	unsigned i;
 
-	for (i = 0; i < j->body->step_count; i++, st++)
-		if (!st->long_running && !st->best_effort &&
-		    resources_fit(st->need, p->max_capacity))
-			queued += (double)st->need.cpu *
-				  (double)j->estimate.step_ms[i] *
-				  o->unfinished_in_step[i];
+	for (i = 0; i < j->body->step_count; i++, st++) {
+		if (st->long_running || st->best_effort ||
+		    !resources_fit(st->need, p->max_capacity))
+			continue;
+		queued += (double)st->need.cpu *
+			  (double)j->estimate.step_ms[i] *
+			  o->unfinished_in_step[i];
+		p->queued_tasks += o->pending_tasks[i].count;
+	}
 	if (queued <= 0)
 		return;
 	p->queued_work += queued;
@@ -244,6 +253,17 @@
 	}
 }
 
+/* Counts the tasks of all pools that have not started. */
+static void pool_loads_count_pending(struct pool_loads *l)
+{
+	size_t i;
+
+	for (i = 0; i < l->count; i++) {
+		l->pending_tasks += l->list[i].pending_tasks;
+		l->pending_pools += l->list[i].pending_tasks != 0;
+	}
+}
+
 /* Counts the machines that are being moved to each pool. */
 static void pool_loads_add_moves(struct sched *s, struct pool_loads *l)
 {
@@ -290,6 +310,33 @@
 	return cores > machine_cores / 8 ? p->work / cores : 1e9;
 }
 
+/*
+ * Returns the time that the owner needs to start tasks of a pool.  The pools
+ * that have any take turns.
+ */
+static double pool_starts_ms(const struct pool_loads *l, unsigned tasks)
+{
+	double all = (double)tasks * l->pending_pools;
+
+	if (all > l->pending_tasks)
+		all = l->pending_tasks;
+	return all * l->start_interval_ms;
+}
+
+/*
+ * Returns how long a pool needs for its work for want of machines; 0 if the
+ * owner takes longer to start its tasks than its workers to run them.  Machines
+ * moved there would stand idle, and the pool would seem ever less loaded.
+ */
+static double pool_lacks_machines_ms(const struct pool_loads *l,
+				     const struct pool_load *p,
+				     double machine_cores)
+{
+	double drain_ms = pool_drain_ms(p, machine_cores);
+
+	return drain_ms > pool_starts_ms(l, p->pending_tasks) ? drain_ms : 0;
+}
+
 /*
  * Returns true if a machine can be moved: it has been without tasks for the
  * given time, or it is in standby.  A standby machine is switched off and has
@@ -427,8 +474,8 @@
 }
 
 /*
- * Returns the pool that needs longest for its work, or NULL if no route names a
- * pool.
+ * Returns the pool that needs longest for its work for want of machines, or
+ * NULL if no route names a pool.
  */
 static struct pool_load *pool_most_loaded(struct pool_loads *l,
 					  double machine_cores)
@@ -439,8 +486,9 @@
 	for (i = 0; i < l->count; i++) {
 		p = &l->list[i];
 		if (p->routed && !p->service->standby &&
-		    (!worst || pool_drain_ms(p, machine_cores) >
-				       pool_drain_ms(worst, machine_cores)))
+		    (!worst ||
+		     pool_lacks_machines_ms(l, p, machine_cores) >
+			     pool_lacks_machines_ms(l, worst, machine_cores)))
 			worst = p;
 	}
 	return worst;
@@ -463,8 +511,8 @@
 	list = idle_machines_collect(s, l, &count);
 	for (n = 0; n < max; n++) {
 		worst = pool_most_loaded(l, machine_cores);
-		if (!worst ||
-		    pool_drain_ms(worst, machine_cores) < DRAIN_HIGH_MS)
+		if (!worst || pool_lacks_machines_ms(l, worst, machine_cores) <
+				      DRAIN_HIGH_MS)
 			break;
 		spare = idle_machine_choose(list, count, worst, machine_cores,
 					    lent_share);
@@ -553,14 +601,22 @@
 
 /*
  * Returns the time that a pool needs for the work that waits for nothing but
- * room; 0 if it has no cores for that, so that the time is not known.
+ * room; 0 if it has no cores for that, so that the time is not known.  If the
+ * owner starts tasks more slowly than the workers run them, its starts decide.
+ * By the cores alone a queue would seem short that an owner short of processor
+ * time can't work off: everything would be accepted, and most of it be late.
  */
-static double pool_queue_ms(const struct pool_load *p, double machine_cores)
+static double pool_queue_ms(const struct pool_loads *l,
+			    const struct pool_load *p, double machine_cores)
 {
 	double cores = p->cores - p->long_running_cores +
 		       machine_cores * p->arriving;
+	double starts_ms = pool_starts_ms(l, p->queued_tasks), room_ms;
 
-	return cores > machine_cores / 8 ? p->queued_work / cores : 0;
+	if (cores <= machine_cores / 8)
+		return 0;
+	room_ms = p->queued_work / cores;
+	return room_ms > starts_ms ? room_ms : starts_ms;
 }
 
 /* Logs the load of each pool, at most once per POOL_LOG_INTERVAL_MS. */
@@ -582,15 +638,16 @@
 			"pool=%.*s workers=%u home=%u coming=%u empty=%u "
 			"cores=%.0f used=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
 			"stranded=%u queue_ms=%.0f objective_ms=%.0f "
-			"leaving=%u",
+			"leaving=%u pending=%u starts_ms=%.0f",
 			BSTR_ARG(p->service->name), p->workers, p->home_size,
 			p->arriving, p->empty, p->cores / 1000,
 			p->used_cores / 1000, p->long_running_cores / 1000,
 			p->work / 1000, pool_drain_ms(p, machine_cores),
-			p->stranded, pool_queue_ms(p, machine_cores),
+			p->stranded, pool_queue_ms(l, p, machine_cores),
 			p->queued_jobs ? p->objective_sum_ms / p->queued_jobs
 				       : 0,
-			p->leaving);
+			p->leaving, p->pending_tasks,
+			pool_starts_ms(l, p->pending_tasks));
 	}
 }
 
@@ -607,7 +664,7 @@
 		if (p->routed && p->queued_jobs &&
 		    policy_is_enabled(s, POLICY_ADMISSION))
 			admission_set(s, p->service->name,
-				      pool_queue_ms(p, machine_cores),
+				      pool_queue_ms(l, p, machine_cores),
 				      p->objective_sum_ms / p->queued_jobs);
 	}
 }
@@ -664,7 +721,7 @@
  */
 void move_tick(struct sched *s)
 {
-	struct pool_loads l = {0};
+	struct pool_loads l = {.start_interval_ms = s->start_interval_ms};
 	double machine_cores;
 	size_t i;
 
@@ -683,6 +740,7 @@
 	}
 	pool_loads_add_workers(s, &l);
 	pool_loads_add_jobs(s, &l);
+	pool_loads_count_pending(&l);
 	pool_loads_add_moves(s, &l);
 	machine_cores = machine_mean_cores(&l);
 	pool_loads_log(s, &l, machine_cores);
--- a/sched-order.c
+++ b/sched-order.c
@@ -42,6 +42,8 @@
 #define START_WINDOW_MAX (2048 * START_WINDOW_UNIT)
 #define START_SLOW_MS 150
 #define START_WINDOW_CUT_INTERVAL_MS 150
+/* Outcomes of starts over which the time between starts is averaged. */
+#define START_INTERVAL_SAMPLES 64
 
 /*
  * Returns true if no more starts may be in flight, as the owner could not
@@ -78,6 +80,19 @@
 		s->start_window = START_WINDOW_MIN;
 }
 
+/*
+ * Updates the mean time between starts after the outcome of one, which took ms:
+ * the owner can send as many starts as the window has in the time that one
+ * takes.
+ */
+static void start_interval_update(struct sched *s, int64_t ms)
+{
+	double interval = (double)ms * START_WINDOW_UNIT / s->start_window;
+
+	s->start_interval_ms += (interval - s->start_interval_ms) /
+				START_INTERVAL_SAMPLES;
+}
+
 /* Assigns a task to a worker, as a new run. */
 static void task_place(struct sched *s, struct task *t, struct worker *w,
 		       uint64_t run)
@@ -354,6 +369,7 @@
 
 	if (rq->purpose == FOR_START) {
 		s->starts_in_flight--;
+		start_interval_update(s, s->now - rq->asked_at);
 		if (a->clock)
 			start_window_update(s, s->now - a->sent_at);
 	}
--- a/sched-state.h
+++ b/sched-state.h
@@ -425,6 +425,7 @@
 struct request {
 	uint64_t id;
 	enum purpose purpose;
+	int64_t asked_at;
 	uint64_t epoch; /* of the owner that sent it; 0: any */
 	uint64_t call;
 	struct worker *worker;
@@ -695,6 +696,8 @@
 	unsigned starts_in_flight;
 	unsigned start_window; /* limit of them, in 1/START_WINDOW_UNIT */
 	int64_t start_window_cut_at;
+	double start_interval_ms; /* mean time between starts, at the rate
+				   * that the window allows */
 	int64_t move_at;
 	int64_t pool_log_at;
 	json_t *home_sizes; /* initial number of machines by pool, or NULL */
--- a/sched.c
+++ b/sched.c
@@ -28,6 +28,7 @@
 
 	rq->id = ++s->last_request;
 	rq->purpose = purpose;
+	rq->asked_at = s->now;
 	rq->epoch = own_may_order(s) || s->own.state == OWN_LOADING
 			    ? s->own.epoch
 			    : 0;
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -102,6 +102,49 @@
 	}
 }
 
+/*
+ * Guards against a backlog that an owner short of processor time can't start,
+ * and that is accepted because the workers have room for it.
+ */
+static const struct {
+	const char *name;
+	unsigned window; /* starts that may be in flight */
+	int status;
+} slow_start_rows[] = {
+	{"the owner starts all at once", 1000, 200},
+	{"the owner starts 160 a second", 32, 503},
+};
+Test(admit, what_cannot_be_started_in_time_is_refused)
+{
+	static const struct world_job backlog = {.tasks = 800, .task_ms = 100};
+	static const struct world_job one = {.tasks = 1, .task_ms = 100};
+	struct world *w;
+	unsigned row, n, vm, k;
+	uint64_t call;
+
+	for (row = 0; row < NELEMS(slow_start_rows); row++) {
+		w = world_new(2360 + row, WORLD_VMS, 200);
+		world_run(w, 4000);
+		n = (unsigned)world_owner(w);
+		vm = (n + 1) % WORLD_VMS;
+		world_set_order_delay(w, 200);
+		world_submit(w, vm, "00000000000000aa", &backlog);
+		for (k = 0; k < 240; k++) {
+			world_sched(w, n)->start_window =
+				slow_start_rows[row].window * START_WINDOW_UNIT;
+			world_run(w, 5);
+		}
+		call = world_submit(w, vm, "00000000000000bb", &one);
+		world_run(w, 100);
+		cr_expect_eq(world_call_status(w, call),
+			     slow_start_rows[row].status, "%s: %d",
+			     slow_start_rows[row].name,
+			     world_call_status(w, call));
+		cr_expect_null(world_violation(w), "%s", world_violation(w));
+		world_free(w);
+	}
+}
+
 /*
  * Guards against a request whose deadline is too close for an exchange with the
  * store: it would be held until its caller has gone, and might still be stored
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -361,6 +361,54 @@
 	}
 }
 
+/*
+ * Guards against machines that move to a pool in which an owner short of
+ * processor time can't start tasks on those that it has.
+ */
+static const struct {
+	const char *name;
+	unsigned window;      /* starts that may be in flight */
+	unsigned least, most; /* moves */
+} slow_start_rows[] = {
+	{"the owner starts all at once", 1000, 40, 1000},
+	{"the owner starts 160 a second", 32, 0, 0},
+};
+Test(load, machines_follow_only_work_that_can_start)
+{
+	static const struct world_job first = {
+		.tasks = 150, .task_ms = 500, .second_queue = true};
+	static const struct world_job backlog = {
+		.tasks = 700, .task_ms = 500, .second_queue = true};
+	unsigned row, n, k, before;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(slow_start_rows); row++) {
+		w = world_new(2020 + row, WORLD_VMS, 400);
+		world_add_second_pool(w, 50);
+		world_run(w, 5000);
+		world_set_order_delay(w, 200);
+		n = (unsigned)world_owner(w);
+		world_submit(w, (n + 1) % WORLD_VMS, "00000000000000aa",
+			     &first);
+		for (k = before = 0; k < 600; k++) {
+			world_sched(w, n)->start_window =
+				slow_start_rows[row].window * START_WINDOW_UNIT;
+			if (k == 400) {
+				before = world_move_count(w);
+				world_submit(w, (n + 1) % WORLD_VMS,
+					     "00000000000000bb", &backlog);
+			}
+			world_run(w, 5);
+		}
+		n = world_move_count(w) - before;
+		cr_expect_geq(n, slow_start_rows[row].least, "%s: %u",
+			      slow_start_rows[row].name, n);
+		cr_expect_leq(n, slow_start_rows[row].most, "%s: %u",
+			      slow_start_rows[row].name, n);
+		check_free(w, slow_start_rows[row].name);
+	}
+}
+
 /*
  * Guards against an owner with little processor time that sends more orders
  * than it can process the answers of: all time out, and the cost of that keeps
