Admission: a queue grows while no owner works it off

The share of new jobs that a pool admits held only until the excess could have been worked off, as if an owner did that.

Now the heartbeat tells the queues of all pools near overload with the time at which they were computed. If that is older than 2 s nobody starts tasks, and each VM takes the queue for longer by the time that has passed since. An owner computes the queues also while it may not move machines: one that can't read their list would seem not to work otherwise. Heartbeats keep the three numbers that older versions read.

test-admit a_queue_grows_while_nobody_works_it_off, red before in the row 'long without an owner' (200 in place of 503).

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -16,21 +16,27 @@
  */
 #define OVERLOAD_START 2.0
 #define OVERLOAD_FULL 3.0
+/* A pool's queue is published from this multiple on. */
+#define OVERLOAD_NEAR 1.0
 /* Shares are given in units of 1/SHARE_UNIT. */
 #define SHARE_UNIT 1000
 /* Upper bound of the Retry-After header of refused jobs. */
 #define RETRY_AFTER_MAX_S 30
+/*
+ * If the owner has not computed the queues for this long, nobody starts tasks,
+ * and each queue is assumed to grow by the time that passes.
+ */
+#define QUEUES_AGE_MAX_MS 2000
 
-/* The share of new jobs that a pool admits.  Times are on the store's clock. */
+/* The queue of a pool that is near overload. */
 struct admission {
 	bstr service;
-	unsigned share;	  /* in units of 1/SHARE_UNIT */
-	int64_t until;	  /* all are admitted from then on */
-	int64_t empty_at; /* when the queued work will be done */
+	int64_t drain_ms;     /* that the pool needs for it */
+	int64_t objective_ms; /* mean of its jobs */
 	UT_hash_handle hh;
 };
 
-/* Frees the published shares. */
+/* Frees the published queues. */
 void admissions_free(struct sched *s)
 {
 	struct admission *a, *next;
@@ -42,16 +48,15 @@
 	}
 }
 
-/* Adds the share of a pool. */
-static void admission_add(struct sched *s, bstr service, unsigned share,
-			  int64_t until, int64_t empty_at)
+/* Adds the queue of a pool. */
+static void admission_add(struct sched *s, bstr service, int64_t drain_ms,
+			  int64_t objective_ms)
 {
 	struct admission *a = xcalloc(1, sizeof(*a));
 
 	a->service = bstr_copy(service);
-	a->share = share;
-	a->until = until;
-	a->empty_at = empty_at;
+	a->drain_ms = drain_ms;
+	a->objective_ms = objective_ms;
 	HASH_ADD_BSTR(s->admissions, service, a);
 }
 
@@ -71,62 +76,92 @@
 	return (unsigned)(SHARE_UNIT * (full - drain_ms) / (full - start));
 }
 
+/* Called by the owner: discards the queues, which are computed anew now. */
+void admissions_begin(struct sched *s)
+{
+	admissions_free(s);
+	s->admissions_as_of = store_clock(s);
+}
+
 /*
- * Called by the owner: computes the share of new jobs that a pool admits, and
- * records it if it is not all of them.
+ * Called by the owner: records the queue of a pool if it is near overload,
+ * given the time that it takes and the mean objective of its jobs.
  */
 void admission_set(struct sched *s, bstr service, double drain_ms,
 		   double objective_ms)
 {
-	unsigned share = admission_share(drain_ms, objective_ms);
-	int64_t excess = (int64_t)(drain_ms - objective_ms * OVERLOAD_START);
-	int64_t now = store_clock(s);
-
-	if (share < SHARE_UNIT && now)
-		admission_add(s, service, share, now + excess,
-			      now + (int64_t)drain_ms);
+	if (s->admissions_as_of && drain_ms >= objective_ms * OVERLOAD_NEAR)
+		admission_add(s, service, (int64_t)drain_ms,
+			      (int64_t)objective_ms);
 }
 
 /*
- * Returns the shares for the heartbeat, of those pools that refuse some jobs.
+ * Returns the queues for the heartbeat.  The first three numbers are the share
+ * and the times until which it holds and the queue lasts, which older versions
+ * read.
  */
 json_t *admissions_write(const struct sched *s)
 {
 	const struct admission *a;
 	json_t *all = json_object();
+	int64_t excess;
 	char *service;
 
 	for (a = s->admissions; a; a = a->hh.next) {
 		service = bstr_cstr(a->service);
-		json_object_set_new(all, service,
-				    json_pack("[I, I, I]", (json_int_t)a->share,
-					      (json_int_t)a->until,
-					      (json_int_t)a->empty_at));
+		excess = a->drain_ms -
+			 (int64_t)(OVERLOAD_START * (double)a->objective_ms);
+		json_object_set_new(
+			all, service,
+			json_pack(
+				"[I, I, I, I, I]",
+				(json_int_t)admission_share(
+					(double)a->drain_ms,
+					(double)a->objective_ms),
+				(json_int_t)(s->admissions_as_of + excess),
+				(json_int_t)(s->admissions_as_of + a->drain_ms),
+				(json_int_t)a->drain_ms,
+				(json_int_t)a->objective_ms));
 		free(service);
 	}
 	return all;
 }
 
 /*
- * Reads the shares from a heartbeat.  Heartbeats of older versions have none.
+ * Reads the queues from a heartbeat, as of a time by the store's clock.
+ * Heartbeats of older versions have none, or no lengths.
  */
-void admissions_read(struct sched *s, const json_t *all)
+void admissions_read(struct sched *s, const json_t *all, int64_t as_of)
 {
+	json_int_t share, until, empty_at, drain_ms, objective_ms;
 	const char *service;
-	json_int_t share, until, empty_at;
 	json_t *v;
 
 	admissions_free(s);
+	s->admissions_as_of = as_of;
 	json_object_foreach((json_t *)all, service, v) {
-		if (json_unpack(v, "[I, I, I]", &share, &until, &empty_at) <
-			    0 ||
-		    share < 0)
+		if (json_unpack(v, "[I, I, I, I, I]", &share, &until, &empty_at,
+				&drain_ms, &objective_ms) < 0 ||
+		    drain_ms < 0 || objective_ms <= 0)
 			continue;
-		admission_add(s, bstr_lit(service), (unsigned)share, until,
-			      empty_at);
+		admission_add(s, bstr_lit(service), drain_ms, objective_ms);
 	}
 }
 
+/*
+ * Returns the time that a queue needs now.  While no owner works it off, it
+ * grows: what is accepted then waits for the next owner, and that may take
+ * seconds, in which everything would be accepted otherwise.
+ */
+static int64_t admission_drain_ms(const struct sched *s,
+				  const struct admission *a)
+{
+	int64_t idle_ms = store_clock(s) - s->admissions_as_of -
+			  QUEUES_AGE_MAX_MS;
+
+	return a->drain_ms + (idle_ms > 0 ? idle_ms : 0);
+}
+
 /*
  * Hashes a job id.  All entry VMs get the same value for all attempts to submit
  * the job, so they decide alike.
@@ -156,31 +191,33 @@
 /*
  * Decides whether a new job is refused.  Returns 0 if it is admitted, else the
  * seconds after which its caller may retry, which differ between jobs so that
- * callers refused together don't return together.  A share is valid until the
- * pool can have worked off the excess; that also holds while there is no owner,
- * when no work is done.
+ * callers refused together don't return together.
  */
 uint32_t admission_refuses(struct sched *s, const struct route *r,
 			   const struct job_body *b, const char *id)
 {
-	int64_t now = store_clock(s), wait_s;
 	const struct admission *a;
-	unsigned hash;
+	int64_t drain_ms, wait_s;
+	unsigned hash, share;
 
 	HASH_FIND_BSTR(s->admissions, r->service, a);
-	if (!a || !now || now >= a->until || !body_has_one_bounded_run(b))
+	if (!a || !store_clock(s) || !body_has_one_bounded_run(b))
 		return 0;
+	drain_ms = admission_drain_ms(s, a);
+	share = admission_share((double)drain_ms, (double)a->objective_ms);
 	hash = job_hash(id);
-	if (hash % SHARE_UNIT < a->share)
+	if (hash % SHARE_UNIT < share)
 		return 0;
-	wait_s = (a->empty_at - now) / 1000 + 1;
+	wait_s = drain_ms / 1000 + 1;
 	wait_s += (hash / SHARE_UNIT) % wait_s;
 	if (wait_s > RETRY_AFTER_MAX_S)
 		wait_s = RETRY_AFTER_MAX_S;
 	sched_log(s, LOG_QUEUE_FULL,
 		  "job=%s queue=%.*s share=%u full_ms=%lld empty_ms=%lld "
 		  "back_s=%lld",
-		  id, BSTR_ARG(r->name), a->share, (long long)(a->until - now),
-		  (long long)(a->empty_at - now), (long long)wait_s);
+		  id, BSTR_ARG(r->name), share,
+		  (long long)(drain_ms - (int64_t)(OVERLOAD_START *
+						   (double)a->objective_ms)),
+		  (long long)drain_ms, (long long)wait_s);
 	return (uint32_t)wait_s;
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -651,14 +651,14 @@
 	}
 }
 
-/* Updates the shares of new jobs that the pools admit. */
+/* Updates the queues by which new jobs are admitted. */
 static void admissions_update(struct sched *s, const struct pool_loads *l,
 			      double machine_cores)
 {
 	const struct pool_load *p;
 	size_t i;
 
-	admissions_free(s);
+	admissions_begin(s);
 	for (i = 0; i < l->count; i++) {
 		p = &l->list[i];
 		if (p->routed && p->queued_jobs &&
@@ -715,9 +715,27 @@
 }
 
 /*
- * Runs a pass over all pools.  No machine is moved until the store has recorded
- * the initial sizes of the pools: a list of machines that is read later shows
- * other sizes, and machines lent to a pool would count as its own from then on.
+ * Moves machines where they are needed.  None is moved until the store has
+ * recorded the initial sizes of the pools: a list of machines that is read
+ * later shows other sizes, and machines lent to a pool would count as its own
+ * from then on.
+ */
+static void machines_move(struct sched *s, struct pool_loads *l,
+			  double machine_cores)
+{
+	if (!own_is_exclusive(s) || !s->machine_list_complete ||
+	    !s->home_sizes_durable)
+		return;
+	backlogs_update(s, l, machine_cores);
+	if (!policy_is_enabled(s, POLICY_MOVES) ||
+	    !moves_to_loaded(s, l, machine_cores))
+		moves_from_idle(s, l, machine_cores);
+}
+
+/*
+ * Runs a pass over all pools.  Their queues are computed also while no machine
+ * may be moved: without that, an owner that can't read the list of machines
+ * would seem not to work, and callers would be refused.
  */
 void move_tick(struct sched *s)
 {
@@ -725,8 +743,7 @@
 	double machine_cores;
 	size_t i;
 
-	if (!own_is_exclusive(s) || !s->machine_list_complete ||
-	    !s->home_sizes_durable || !s->config || s->now < s->move_at)
+	if (!own_may_order(s) || !s->config || s->now < s->move_at)
 		return;
 	s->move_at = s->now + MOVE_INTERVAL_MS;
 	l.count = s->config->service_count;
@@ -744,11 +761,8 @@
 	pool_loads_add_moves(s, &l);
 	machine_cores = machine_mean_cores(&l);
 	pool_loads_log(s, &l, machine_cores);
-	backlogs_update(s, &l, machine_cores);
 	admissions_update(s, &l, machine_cores);
-	if (!policy_is_enabled(s, POLICY_MOVES) ||
-	    !moves_to_loaded(s, &l, machine_cores))
-		moves_from_idle(s, &l, machine_cores);
+	machines_move(s, &l, machine_cores);
 	free(l.list);
 }
 
--- a/sched-state.h
+++ b/sched-state.h
@@ -707,7 +707,8 @@
 	unsigned advice_calls_in_flight;
 	struct backlog *backlogs;
 	size_t backlog_count;
-	struct admission *admissions; /* of pools that refuse some new jobs */
+	struct admission *admissions; /* queues of pools near overload */
+	int64_t admissions_as_of;     /* by the store's clock */
 	struct load load;
 	struct learnt_time *learnt_times;
 };
@@ -778,7 +779,8 @@
 void admission_set(struct sched *s, bstr service, double drain_ms,
 		   double objective_ms);
 json_t *admissions_write(const struct sched *s);
-void admissions_read(struct sched *s, const json_t *all);
+void admissions_begin(struct sched *s);
+void admissions_read(struct sched *s, const json_t *all, int64_t as_of);
 void admissions_free(struct sched *s);
 uint32_t admission_refuses(struct sched *s, const struct route *r,
 			   const struct job_body *b, const char *id);
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -145,6 +145,56 @@
 	}
 }
 
+/*
+ * Guards against seconds without a working owner in which everything is
+ * accepted, and waits for a successor that can't complete it in time.
+ */
+static const struct {
+	const char *name;
+	unsigned queued;  /* tasks, when the owner is lost */
+	int64_t after_ms; /* the job is submitted so long after that */
+	int status;
+} ownerless_rows[] = {
+	{"the owner is just lost", 110, 800, 200},
+	{"long without an owner", 110, 9000, 503},
+	{"long without an owner, nothing queued", 0, 9000, 200},
+};
+Test(admit, a_queue_grows_while_nobody_works_it_off)
+{
+	struct world_job backlog = {.task_ms = 1000};
+	struct world_job one = {.tasks = 1, .task_ms = 1000};
+	struct world *w;
+	unsigned row, n, vm, k;
+	uint64_t call;
+
+	for (row = 0; row < NELEMS(ownerless_rows); row++) {
+		w = world_new(2380 + row, WORLD_VMS, WORLD_WORKERS);
+		world_add_second_pool(w, 3);
+		world_run(w, 4000);
+		n = (unsigned)world_owner(w);
+		vm = (n + 1) % WORLD_VMS;
+		backlog.tasks = ownerless_rows[row].queued;
+		if (backlog.tasks)
+			world_submit(w, vm, "00000000000000aa", &backlog);
+		world_run(w, 600);
+		for (k = 0; k < WORLD_VMS; k++)
+			world_stall_pages(w, k, TABLE_JOBS, true);
+		world_kill_vm(w, n);
+		world_run(w, ownerless_rows[row].after_ms);
+		for (vm = 0; vm == n || (int)vm == world_owner(w); vm++)
+			;
+		world_stall_pages(w, vm, TABLE_JOBS, false);
+		call = world_submit(w, vm, "00000000000000bb", &one);
+		world_run(w, 100);
+		cr_expect_eq(world_call_status(w, call),
+			     ownerless_rows[row].status, "%s: %d",
+			     ownerless_rows[row].name,
+			     world_call_status(w, call));
+		cr_expect_null(world_violation(w), "%s", world_violation(w));
+		world_free(w);
+	}
+}
+
 /*
  * Guards against a request whose deadline is too close for an exchange with the
  * store: it would be held until its caller has gone, and might still be stored
