Admission: a pool without usable workers has a queue, too

The queue of such a pool takes the time that the owner needs to start it. What a worker could hold at the most counts for those that can't take tasks now.

test-admit what_cannot_be_started_in_time_is_refused, row 'then none': 200 in place of 503 before.

--- a/sched-move.c
+++ b/sched-move.c
@@ -77,7 +77,8 @@
 	double queued_work;	/* of it, what waits for nothing but room */
 	unsigned pending_tasks; /* tasks in work that have not started */
 	unsigned queued_tasks;	/* tasks in queued_work that have not started */
-	struct resources max_capacity; /* of its workers, by resource */
+	struct resources max_capacity; /* of its workers, by resource, those
+					* that can't take tasks included */
 	double objective_sum_ms; /* sum of the objectives of the queued jobs */
 	unsigned queued_jobs;	 /* jobs with work in queued_work */
 };
@@ -130,13 +131,14 @@
 
 	HASH_ITER(hh, s->workers, w, next) {
 		p = pool_load_find(l, w->row.service);
+		if (p)
+			p->max_capacity = resources_max(p->max_capacity,
+							w->row.capacity);
 		if (p && w->listed && !w->gone && w->takedown_pending)
 			p->leaving++;
 		if (!p || !(worker_is_healthy(s, w) || worker_may_answer(s, w)))
 			continue;
 		p->workers++;
-		p->max_capacity = resources_max(p->max_capacity,
-						w->row.capacity);
 		p->cores += (double)w->row.capacity.cpu;
 		p->used_cores += (double)w->used.cpu;
 		if (w->fenced && TAILQ_EMPTY(&w->tasks))
@@ -601,10 +603,11 @@
 
 /*
  * Returns the time that a pool needs for the work that waits for nothing but
- * room; 0 if it has no cores for that, so that the time is not known.  If the
- * owner starts tasks more slowly than the workers run them, its starts decide.
- * By the cores alone a queue would seem short that an owner short of processor
- * time can't work off: everything would be accepted, and most of it be late.
+ * room.  If the owner starts tasks more slowly than the workers run them, its
+ * starts decide.  By the cores alone a queue would seem short that an owner
+ * short of processor time can't work off: everything would be accepted, and
+ * most of it be late.  Its starts also decide if the pool has no cores, as an
+ * owner that processes the answers of workers too late takes all for silent.
  */
 static double pool_queue_ms(const struct pool_loads *l,
 			    const struct pool_load *p, double machine_cores)
@@ -614,7 +617,7 @@
 	double starts_ms = pool_starts_ms(l, p->queued_tasks), room_ms;
 
 	if (cores <= machine_cores / 8)
-		return 0;
+		return starts_ms;
 	room_ms = p->queued_work / cores;
 	return room_ms > starts_ms ? room_ms : starts_ms;
 }
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -109,17 +109,19 @@
 static const struct {
 	const char *name;
 	unsigned window; /* starts that may be in flight */
+	bool silent;	 /* the owner has no answers of workers */
 	int status;
 } slow_start_rows[] = {
-	{"the owner starts all at once", 1000, 200},
-	{"the owner starts 160 a second", 32, 503},
+	{"the owner starts all at once", 1000, false, 200},
+	{"the owner starts 160 a second", 32, false, 503},
+	{"the owner starts 160 a second, then none", 32, true, 503},
 };
 Test(admit, what_cannot_be_started_in_time_is_refused)
 {
 	static const struct world_job backlog = {.tasks = 800, .task_ms = 100};
 	static const struct world_job one = {.tasks = 1, .task_ms = 100};
 	struct world *w;
-	unsigned row, n, vm, k;
+	unsigned row, n, vm, k, i;
 	uint64_t call;
 
 	for (row = 0; row < NELEMS(slow_start_rows); row++) {
@@ -134,6 +136,10 @@
 				slow_start_rows[row].window * START_WINDOW_UNIT;
 			world_run(w, 5);
 		}
+		for (i = 0; i < 200 && slow_start_rows[row].silent; i++)
+			world_cut_worker(w, n, i, true);
+		if (slow_start_rows[row].silent)
+			world_run(w, 2500);
 		call = world_submit(w, vm, "00000000000000bb", &one);
 		world_run(w, 100);
 		cr_expect_eq(world_call_status(w, call),
