Tests: one event queue for both simulations

support-fleet and support-sim each had the same binary heap of items ordered by time and order of addition, and freed what was left in it in the same way.

support-queue.c has it once. An item's a and b are now the index of an entry VM or a worker and the generation of the entry VM's process; the end of a lease has its pool and data centre in n, the end of a fault its step.

--- a/tests/support-fleet-entry.c
+++ b/tests/support-fleet-entry.c
@@ -129,8 +129,8 @@
 	e->st = state_new(&s, fleet_random(f, UINT64_MAX), e->name);
 	fleet_queue_put(f, (struct queue_item){.at = f->now,
 					       .kind = Q_TICK,
-					       .a = slot,
-					       .b = e->generation,
+					       .index = slot,
+					       .generation = e->generation,
 					       .n = 1});
 }
 
@@ -149,7 +149,7 @@
 	fleet_fault_begin(f);
 	fleet_queue_put(f, (struct queue_item){.at = f->now + ms,
 					       .kind = Q_BOOT,
-					       .a = slot});
+					       .index = slot});
 }
 
 /* Checks that a VM that ends a planned stop has answered all its calls. */
@@ -204,12 +204,13 @@
 			      BSTR_ARG(fx->effect_u.log.text));
 			break;
 		case FX_WAKE:
-			fleet_queue_put(
-				f, (struct queue_item){.at = fx->effect_u.wake -
-							     e->clock_offset,
-						       .kind = Q_TICK,
-						       .a = slot,
-						       .b = e->generation});
+			fleet_queue_put(f,
+					(struct queue_item){
+						.at = fx->effect_u.wake -
+						      e->clock_offset,
+						.kind = Q_TICK,
+						.index = slot,
+						.generation = e->generation});
 			break;
 		case FX_COMMIT:
 		case FX_READ:
@@ -306,17 +307,17 @@
 /* Runs a tick of an entry VM; a planned stop must end within 12 seconds. */
 void fleet_entry_tick(struct fleet *f, const struct queue_item *q)
 {
-	struct entry *e = &f->entries[q->a];
+	struct entry *e = &f->entries[q->index];
 	struct queue_item again = *q;
 
-	if (!e->up || e->generation != q->b)
+	if (!e->up || e->generation != q->generation)
 		return;
 	again.at = f->now + 100;
 	if (q->n)
 		fleet_queue_put(f, again);
 	if (!e->frozen)
-		entry_handle(f, q->a, event_new(EV_TICK));
-	if (e->up && e->generation == q->b && e->stopping &&
+		entry_handle(f, q->index, event_new(EV_TICK));
+	if (e->up && e->generation == q->generation && e->stopping &&
 	    f->now - 12000 > e->stop_at && !e->frozen) {
 		VIOLATION(f, "stop: %s does not end", e->name);
 		e->stopping = false;
--- a/tests/support-fleet-platform.c
+++ b/tests/support-fleet-platform.c
@@ -248,8 +248,8 @@
 	fleet_queue_put(
 		f, (struct queue_item){.at = f->now + request_ms,
 				       .kind = Q_PLATFORM,
-				       .a = slot,
-				       .b = e->generation,
+				       .index = slot,
+				       .generation = e->generation,
 				       .n = answered ? (uint64_t)reply_ms : 0,
 				       .fx = fx});
 }
@@ -265,7 +265,7 @@
 	ev->body.event_body_u.platform.req = effect_request_id(q->fx);
 	platform_execute(f, q->fx, &ev->body.event_body_u.platform);
 	if (q->n)
-		fleet_entry_post(f, q->a, q->b, (int64_t)q->n, ev);
+		fleet_entry_post(f, q->index, q->generation, (int64_t)q->n, ev);
 	else
 		event_free(ev);
 	effect_free(q->fx);
--- a/tests/support-fleet-state.h
+++ b/tests/support-fleet-state.h
@@ -7,6 +7,7 @@
 
 #include "../rows.h"
 #include "support-fleet.h"
+#include "support-queue.h"
 #include "support-table.h"
 
 #include <stdlib.h>
@@ -28,31 +29,20 @@
 extern const char *const fleet_dc_names[];
 extern const char *const fleet_team_names[];
 
-enum queue_item_kind {
+/* Kinds of items of the queue. */
+enum fleet_item_kind {
 	Q_EVENT,
-	Q_TICK,
-	Q_PLATFORM,
+	Q_TICK,	    /* n: 1 if it repeats, 0 for a wake */
+	Q_PLATFORM, /* n: delay of the reply, or 0 if it is lost */
 	Q_EXCHANGE,
 	Q_EXCHANGE_TIMEOUT,
 	Q_WATCH_TIMEOUT,
 	Q_TASK_END,
-	Q_LEASE_END,
-	Q_FAULT_END,
+	Q_LEASE_END, /* n: 2 * pool + data centre */
+	Q_FAULT_END, /* n: enum fleet_op */
 	Q_BOOT
 };
 
-/* An occurrence at a simulated time; a, b and n depend on its kind. */
-struct queue_item {
-	int64_t at;
-	uint64_t seq;
-	enum queue_item_kind kind;
-	unsigned a, b;
-	uint64_t n;
-	event *ev;
-	effect *fx;
-	struct exchange *x;
-};
-
 /* An entry VM; its generation is the number of its current process. */
 struct entry {
 	struct state *st;
@@ -142,9 +132,8 @@
 
 struct fleet {
 	int64_t now, fault_ended, fault_started;
-	uint64_t random, seq, events;
-	struct queue_item *heap;
-	size_t heap_count, heap_room;
+	uint64_t random, events;
+	struct event_queue queue;
 	struct entry entries[FLEET_ENTRIES];
 	struct fake_worker workers[FLEET_WORKERS];
 	struct fake_table table;
--- a/tests/support-fleet-step.c
+++ b/tests/support-fleet-step.c
@@ -5,15 +5,15 @@
 #include "support-fleet-state.h"
 
 /* Starts a fault that ends after ms milliseconds. */
-static void fault_for(struct fleet *f, enum fleet_op op, unsigned a, unsigned b,
-		      int64_t ms)
+static void fault_for(struct fleet *f, enum fleet_op op, unsigned index,
+		      unsigned generation, int64_t ms)
 {
 	fleet_fault_begin(f);
 	fleet_queue_put(f, (struct queue_item){.at = f->now + ms,
 					       .kind = Q_FAULT_END,
-					       .a = op,
-					       .b = a,
-					       .n = b});
+					       .index = index,
+					       .generation = generation,
+					       .n = op});
 }
 
 /* Freezes, silences or restarts a worker, or makes all its tasks fail. */
@@ -116,8 +116,8 @@
 		/* not counted as a fault, which would suspend its check */
 		fleet_queue_put(f, (struct queue_item){.at = f->now + ms * 2,
 						       .kind = Q_FAULT_END,
-						       .a = FLEET_LEAVE,
-						       .b = i});
+						       .index = i,
+						       .n = FLEET_LEAVE});
 		break;
 	default:
 		break;
@@ -242,22 +242,22 @@
 /* Ends a fault. */
 void fleet_fault_clear(struct fleet *f, const struct queue_item *q)
 {
-	struct fake_worker *w = &f->workers[q->b % FLEET_WORKERS];
-	struct entry *e = &f->entries[q->b % FLEET_ENTRIES];
+	struct fake_worker *w = &f->workers[q->index % FLEET_WORKERS];
+	struct entry *e = &f->entries[q->index % FLEET_ENTRIES];
 
-	if (q->a != FLEET_LEAVE)
+	if (q->n != FLEET_LEAVE)
 		fleet_fault_end(f);
-	switch ((enum fleet_op)q->a) {
+	switch ((enum fleet_op)q->n) {
 	case FLEET_FREEZE:
-		if (e->up && e->frozen && e->generation == q->n)
-			fleet_entry_thaw(f, q->b);
+		if (e->up && e->frozen && e->generation == q->generation)
+			fleet_entry_thaw(f, q->index);
 		break;
 	case FLEET_CUT:
 		f->dc_cut = false;
 		break;
 	case FLEET_CUT_PLATFORM:
-		if (q->b >= FLEET_ENTRIES)
-			f->dc_platform_cut[q->b % 2] = false;
+		if (q->index >= FLEET_ENTRIES)
+			f->dc_platform_cut[q->index % 2] = false;
 		else
 			e->platform_cut = false;
 		break;
--- a/tests/support-fleet-worker.c
+++ b/tests/support-fleet-worker.c
@@ -240,10 +240,10 @@
 	t->ends_at = f->now + (w->fails ? 5 : run_ms);
 	snprintf(t->result, sizeof(t->result), "r:s%u", job);
 	check_start(f, w, t, job);
-	fleet_queue_put(f,
-			(struct queue_item){.at = t->ends_at,
-					    .kind = Q_TASK_END,
-					    .a = (unsigned)(w - f->workers)});
+	fleet_queue_put(
+		f, (struct queue_item){.at = t->ends_at,
+				       .kind = Q_TASK_END,
+				       .index = (unsigned)(w - f->workers)});
 }
 
 /*
@@ -284,12 +284,11 @@
 
 	*lease = f->now + x->lease_ms;
 	if (!armed)
-		fleet_queue_put(
-			f, (struct queue_item){.at = *lease,
-					       .kind = Q_LEASE_END,
-					       .a = (unsigned)(w - f->workers),
-					       .b = pool,
-					       .n = dc});
+		fleet_queue_put(f, (struct queue_item){
+					   .at = *lease,
+					   .kind = Q_LEASE_END,
+					   .index = (unsigned)(w - f->workers),
+					   .n = 2 * pool + dc});
 }
 
 /* Processes a request that has reached its worker. */
@@ -403,10 +402,10 @@
 /* Stops the tasks of an expired lease, or waits if it was extended. */
 void fleet_worker_lease_end(struct fleet *f, const struct queue_item *q)
 {
-	struct fake_worker *w = &f->workers[q->a];
+	struct fake_worker *w = &f->workers[q->index];
 	struct queue_item again = *q;
 
-	again.at = w->lease[q->b][q->n];
+	again.at = w->lease[q->n / 2][q->n % 2];
 	if (again.at > f->now)
 		fleet_queue_put(f, again);
 	else
--- a/tests/support-fleet.c
+++ b/tests/support-fleet.c
@@ -18,47 +18,12 @@
 	return z % below;
 }
 
-/* The event queue of the simulation, a heap ordered by time. */
-static bool queue_item_before(const struct queue_item *a,
-			      const struct queue_item *b)
-{
-	return a->at < b->at || (a->at == b->at && a->seq < b->seq);
-}
-
 /* Adds an item to the queue; one that is overdue is due now. */
 void fleet_queue_put(struct fleet *f, struct queue_item q)
 {
-	size_t i = f->heap_count++, up;
-
-	if (f->heap_count > f->heap_room) {
-		f->heap_room = f->heap_room ? f->heap_room * 2 : 256;
-		f->heap = xrealloc(f->heap, f->heap_room, sizeof(*f->heap));
-	}
 	if (q.at < f->now)
 		q.at = f->now; /* an overdue wake */
-	q.seq = ++f->seq;
-	for (; i && queue_item_before(&q, &f->heap[up = (i - 1) / 2]); i = up)
-		f->heap[i] = f->heap[up];
-	f->heap[i] = q;
-}
-
-/* Removes the first item of the queue and returns it. */
-static struct queue_item queue_take(struct fleet *f)
-{
-	struct queue_item top = f->heap[0], last = f->heap[--f->heap_count];
-	size_t i = 0, k;
-
-	while ((k = 2 * i + 1) < f->heap_count) {
-		if (k + 1 < f->heap_count &&
-		    queue_item_before(&f->heap[k + 1], &f->heap[k]))
-			k++;
-		if (!queue_item_before(&f->heap[k], &last))
-			break;
-		f->heap[i] = f->heap[k];
-		i = k;
-	}
-	f->heap[i] = last;
-	return top;
+	event_queue_put(&f->queue, q);
 }
 
 /*
@@ -70,8 +35,8 @@
 {
 	fleet_queue_put(f, (struct queue_item){.at = f->now + delay,
 					       .kind = Q_EVENT,
-					       .a = slot,
-					       .b = generation,
+					       .index = slot,
+					       .generation = generation,
 					       .ev = ev});
 }
 
@@ -136,12 +101,12 @@
 /* Advances the clock to the next item of the queue and processes it. */
 static void fleet_process_next(struct fleet *f)
 {
-	struct queue_item q = queue_take(f);
+	struct queue_item q = event_queue_take(&f->queue);
 
 	f->now = q.at;
-	switch (q.kind) {
+	switch ((enum fleet_item_kind)q.kind) {
 	case Q_EVENT:
-		fleet_entry_receive(f, q.a, q.b, q.ev);
+		fleet_entry_receive(f, q.index, q.generation, q.ev);
 		break;
 	case Q_TICK:
 		fleet_entry_tick(f, &q);
@@ -162,7 +127,7 @@
 		fleet_watch_timeout(f, q.x);
 		break;
 	case Q_TASK_END:
-		fleet_worker_tick(f, &f->workers[q.a]);
+		fleet_worker_tick(f, &f->workers[q.index]);
 		break;
 	case Q_LEASE_END:
 		fleet_worker_lease_end(f, &q);
@@ -171,7 +136,7 @@
 		fleet_fault_clear(f, &q);
 		break;
 	case Q_BOOT:
-		fleet_entry_boot(f, q.a);
+		fleet_entry_boot(f, q.index);
 		fleet_fault_end(f);
 		break;
 	}
@@ -182,7 +147,8 @@
 {
 	int64_t until = f->now + ms;
 
-	while (f->heap_count && f->heap[0].at <= until && !f->violation[0])
+	while (f->queue.count && f->queue.items[0].at <= until &&
+	       !f->violation[0])
 		fleet_process_next(f);
 	f->now = until;
 }
@@ -368,14 +334,9 @@
 void fleet_free(struct fleet *f)
 {
 	struct exchange *x;
-	struct queue_item q;
 	unsigned i, k;
 
-	while (f->heap_count) {
-		q = queue_take(f);
-		event_free(q.ev);
-		effect_free(q.fx);
-	}
+	event_queue_free(&f->queue);
 	for (i = 0; i < FLEET_ENTRIES; i++) {
 		state_free(f->entries[i].st);
 		while (f->entries[i].inbox_count)
@@ -393,7 +354,6 @@
 		for (k = 0; k < FLEET_KEYS; k++)
 			bstr_free(&f->digests[i][k]);
 	json_decref(f->doc);
-	free(f->heap);
 	free(f);
 }
 
--- a/tests/support-sim.c
+++ b/tests/support-sim.c
@@ -1,4 +1,5 @@
 #include "support-sim.h"
+#include "support-queue.h"
 #include "support-table.h"
 
 #include <stdlib.h>
@@ -7,7 +8,8 @@
 #define LATENCY_MS 1
 #define TIMEOUT_MS 1000 /* of an exchange without an answer */
 
-enum queue_item_kind {
+/* Kinds of items of the queue. */
+enum sim_item_kind {
 	IT_EVENT,
 	IT_TICK,
 	IT_PLATFORM,
@@ -16,16 +18,6 @@
 	IT_TASK_END,
 	IT_BOOT
 };
-struct queue_item {
-	int64_t at;
-	uint64_t seq;
-	enum queue_item_kind kind;
-	unsigned entry,
-		generation; /* entry: an entry VM or, for workers, a worker */
-	uint64_t n;
-	event *ev;
-	effect *fx;
-};
 struct sim_task {
 	struct sim_task *next;
 	char id[96];
@@ -42,9 +34,8 @@
 	uint64_t req, id, since;
 };
 struct sim_fabric {
-	struct queue_item *heap;
-	size_t count, room;
-	uint64_t seq, random, ids;
+	struct event_queue queue;
+	uint64_t random, ids;
 	struct fake_table table;
 	bstr digests[SIM_TEAMS];
 	uint64_t *calls; /* index of the job of each call */
@@ -59,54 +50,16 @@
 	return below ? z % below : z;
 }
 
-static bool queue_item_before(const struct queue_item *a,
-			      const struct queue_item *b)
-{
-	return a->at < b->at || (a->at == b->at && a->seq < b->seq);
-}
-
-/* The event queue of the simulation, a heap ordered by time. */
-static void queue_put(struct sim *s, struct queue_item it)
-{
-	struct sim_fabric *f = s->fabric;
-	size_t i = f->count++, up;
-
-	if (f->count > f->room) {
-		f->room = f->room ? f->room * 2 : 256;
-		f->heap = xrealloc(f->heap, f->room, sizeof(*f->heap));
-	}
-	it.seq = ++f->seq;
-	for (; i && queue_item_before(&it, &f->heap[up = (i - 1) / 2]); i = up)
-		f->heap[i] = f->heap[up];
-	f->heap[i] = it;
-}
-
-static struct queue_item queue_take(struct sim_fabric *f)
-{
-	struct queue_item top = f->heap[0], last = f->heap[--f->count];
-	size_t i = 0, k;
-
-	while ((k = 2 * i + 1) < f->count) {
-		if (k + 1 < f->count &&
-		    queue_item_before(&f->heap[k + 1], &f->heap[k]))
-			k++;
-		if (!queue_item_before(&f->heap[k], &last))
-			break;
-		f->heap[i] = f->heap[k];
-		i = k;
-	}
-	f->heap[i] = last;
-	return top;
-}
-
+/* Delivers an event to an entry VM after ms milliseconds. */
 static void entry_post(struct sim *s, unsigned entry, unsigned generation,
 		       int64_t ms, event *ev)
 {
-	queue_put(s, (struct queue_item){.at = s->now + ms,
-					 .kind = IT_EVENT,
-					 .entry = entry,
-					 .generation = generation,
-					 .ev = ev});
+	event_queue_put(&s->fabric->queue,
+			(struct queue_item){.at = s->now + ms,
+					    .kind = IT_EVENT,
+					    .index = entry,
+					    .generation = generation,
+					    .ev = ev});
 }
 
 /* Returns the number in a name like p3, or count if it isn't below count. */
@@ -170,10 +123,12 @@
 		w->reboots++;
 		sim_worker_kill(s, w);
 		if (!w->never_returns)
-			queue_put(s, (struct queue_item){
-					     .at = s->now + s->plan.reboot_ms,
-					     .kind = IT_BOOT,
-					     .n = (uint64_t)(w - s->workers)});
+			event_queue_put(
+				&s->fabric->queue,
+				(struct queue_item){
+					.at = s->now + s->plan.reboot_ms,
+					.kind = IT_BOOT,
+					.n = (uint64_t)(w - s->workers)});
 	}
 	bstr_free(&boot);
 }
@@ -207,7 +162,7 @@
 		p->outcome = PLATFORM_UNKNOWN;
 	}
 	p->req = effect_request_id(it->fx);
-	entry_post(s, it->entry, it->generation,
+	entry_post(s, it->index, it->generation,
 		   p->outcome == PLATFORM_UNKNOWN ? TIMEOUT_MS : LATENCY_MS,
 		   ev);
 	effect_free(it->fx);
@@ -333,12 +288,13 @@
 				j->started_at = s->now;
 			if (s->hooks.started)
 				s->hooks.started(s, t->job, w);
-			queue_put(s,
-				  (struct queue_item){
-					  .at = s->now + j->run_ms - t->elapsed,
-					  .kind = IT_TASK_END,
-					  .entry = (unsigned)(w - s->workers),
-					  .n = t->end_id});
+			event_queue_put(
+				&s->fabric->queue,
+				(struct queue_item){
+					.at = s->now + j->run_ms - t->elapsed,
+					.kind = IT_TASK_END,
+					.index = (unsigned)(w - s->workers),
+					.n = t->end_id});
 		}
 	}
 	free(payload);
@@ -421,7 +377,7 @@
 		if (x->watch) {
 			h = xcalloc(1, sizeof(*h));
 			*h = (struct sim_watch){
-				NULL,	it->entry,	  it->generation, pool,
+				NULL,	it->index,	  it->generation, pool,
 				x->req, ++s->fabric->ids, x->since};
 			event_free(ev);
 			if (!x->wait_ms || w->seq > x->since) {
@@ -429,12 +385,12 @@
 			} else {
 				h->next = w->watches;
 				w->watches = h;
-				queue_put(
-					s,
+				event_queue_put(
+					&s->fabric->queue,
 					(struct queue_item){
 						.at = s->now + x->wait_ms,
 						.kind = IT_WATCH_TIMEOUT,
-						.entry = (unsigned)(w -
+						.index = (unsigned)(w -
 								    s->workers),
 						.n = h->id});
 			}
@@ -443,14 +399,14 @@
 		}
 		command_execute(s, w, x, pool, ev);
 	}
-	entry_post(s, it->entry, it->generation, ms, ev);
+	entry_post(s, it->index, it->generation, ms, ev);
 	effect_free(it->fx);
 }
 
 /* Answers a watch whose time is over. */
 static void watch_timeout(struct sim *s, const struct queue_item *it)
 {
-	struct sim_worker *w = &s->workers[it->entry];
+	struct sim_worker *w = &s->workers[it->index];
 	struct sim_watch **at, *h;
 
 	for (at = &w->watches; (h = *at); at = &h->next) {
@@ -465,7 +421,7 @@
 /* Completes the task whose run time is over, unless it was stopped. */
 static void task_complete(struct sim *s, const struct queue_item *it)
 {
-	struct sim_worker *w = &s->workers[it->entry];
+	struct sim_worker *w = &s->workers[it->index];
 	struct sim_task *t;
 
 	for (t = w->tasks; t; t = t->next) {
@@ -548,11 +504,12 @@
 	o.dc = bstr_lit(dc);
 	o.timing.tick_ms = (uint32_t)(s->plan.tick_ms ? s->plan.tick_ms : 100);
 	s->entries[entry] = state_new(&o, sim_random(s, 0), name);
-	queue_put(s, (struct queue_item){.at = s->now,
-					 .kind = IT_TICK,
-					 .entry = entry,
-					 .generation = s->generation[entry],
-					 .n = 1});
+	event_queue_put(&s->fabric->queue,
+			(struct queue_item){.at = s->now,
+					    .kind = IT_TICK,
+					    .index = entry,
+					    .generation = s->generation[entry],
+					    .n = 1});
 }
 
 void sim_entry_kill(struct sim *s, unsigned entry)
@@ -605,7 +562,7 @@
 static void effect_execute(struct sim *s, unsigned entry, effect *fx)
 {
 	struct queue_item it = {.at = s->now + LATENCY_MS,
-				.entry = entry,
+				.index = entry,
 				.generation = s->generation[entry]};
 
 	switch (fx->kind) {
@@ -628,7 +585,7 @@
 	case FX_WAKE:
 		it.at = fx->effect_u.wake > s->now ? fx->effect_u.wake : s->now;
 		it.kind = IT_TICK;
-		queue_put(s, it);
+		event_queue_put(&s->fabric->queue, it);
 		return;
 	case FX_LOG:
 		if (getenv("SIM_TRACE"))
@@ -649,7 +606,7 @@
 	it.fx = xmalloc(sizeof(*it.fx));
 	*it.fx = *fx;
 	fx->kind = FX_EXIT;
-	queue_put(s, it);
+	event_queue_put(&s->fabric->queue, it);
 }
 
 /* Runs the reducer of an entry VM on an event and executes the effects. */
@@ -669,13 +626,13 @@
 
 static void queue_item_process(struct sim *s, struct queue_item *it)
 {
-	bool here = it->kind < IT_PLATFORM && s->entries[it->entry] &&
-		    s->generation[it->entry] == it->generation;
+	bool here = it->kind < IT_PLATFORM && s->entries[it->index] &&
+		    s->generation[it->index] == it->generation;
 
-	switch (it->kind) {
+	switch ((enum sim_item_kind)it->kind) {
 	case IT_EVENT:
 		if (here)
-			entry_reduce(s, it->entry, it->ev);
+			entry_reduce(s, it->index, it->ev);
 		else
 			event_free(it->ev);
 		break;
@@ -684,9 +641,9 @@
 			break;
 		if (it->n) { /* the periodic tick, not a wake */
 			it->at += s->plan.tick_ms ? s->plan.tick_ms : 100;
-			queue_put(s, *it);
+			event_queue_put(&s->fabric->queue, *it);
 		}
-		entry_reduce(s, it->entry, event_new(EV_TICK));
+		entry_reduce(s, it->index, event_new(EV_TICK));
 		break;
 	case IT_PLATFORM:
 		platform_receive(s, it);
@@ -711,8 +668,9 @@
 	int64_t until = s->now + ms;
 	struct queue_item it;
 
-	while (s->fabric->count && s->fabric->heap[0].at <= until) {
-		it = queue_take(s->fabric);
+	while (s->fabric->queue.count &&
+	       s->fabric->queue.items[0].at <= until) {
+		it = event_queue_take(&s->fabric->queue);
 		s->now = it.at;
 		queue_item_process(s, &it);
 	}
@@ -975,23 +933,17 @@
 void sim_free(struct sim *s)
 {
 	struct sim_fabric *f = s->fabric;
-	struct queue_item it;
 	unsigned i;
 
 	for (i = 0; i < s->worker_count; i++)
 		sim_worker_kill(s, &s->workers[i]);
-	while (f->count) {
-		it = queue_take(f);
-		event_free(it.ev);
-		effect_free(it.fx);
-	}
+	event_queue_free(&f->queue);
 	for (i = 0; i < s->plan.entries; i++)
 		state_free(s->entries[i]);
 	fake_table_free(&f->table);
 	for (i = 0; i < s->team_count; i++)
 		bstr_free(&f->digests[i]);
 	xdr_free(XDR_PROC(xdr_op_reply), (char *)&s->reply);
-	free(f->heap);
 	free(f->calls);
 	free(f);
 	free(s->workers);
