Tests: one set-up of key, configuration and VM rows for both simulations

support-fleet and support-sim each made a team's key, stored the first configuration with its head row, and wrote the rows of VMs and the head of their list, in the same way.

support-table has fake_key_new(), fake_config_set(), fake_vm_set() and fake_vms_head_set() for it. support-fleet checks the first head after it is written instead of before; that check reads only the stored object.

--- a/tests/support-fleet.c
+++ b/tests/support-fleet.c
@@ -4,8 +4,6 @@
  */
 #include "support-fleet-state.h"
 
-#include "../config.h"
-
 const char *const fleet_pool_names[] = {"p", "q"};
 const char *const fleet_dc_names[] = {"d0", "d1"};
 const char *const fleet_team_names[] = {"a", "b"};
@@ -237,33 +235,17 @@
 		"{s:{s:{s:[s,s],s:i,s:b},s:{s:[s],s:i,s:b}},s:{}}", "pools",
 		"p", "dcs", "d0", "d1", "budget", 2, "spare", 0, "q", "dcs",
 		"d0", "budget", 1, "spare", 0, "teams");
-	json_t *teams = json_object_get(doc, "teams"), *keys, *head;
-	bstr id, secret, salt, hash, s, h, text;
+	json_t *teams = json_object_get(doc, "teams"), *keys;
 	unsigned t, k;
-	char *name;
+	char id[16];
 
 	for (t = 0; t < FLEET_TEAMS; t++) {
 		keys = json_object();
 		for (k = 0; k < FLEET_KEYS; k++) {
-			id = bstr_printf("%s%u", fleet_team_names[t], k);
-			secret_new(id, &secret, &salt, &hash);
-			bstr_free(&id);
-			secret_split(secret, &id, &f->digests[t][k]);
-			s = base64_encode(salt);
-			h = base64_encode(hash);
-			name = bstr_cstr(id);
-			json_object_set_new(keys, name,
-					    json_pack("{s:o,s:o,s:b}", "salt",
-						      bstr_to_json(s), "hash",
-						      bstr_to_json(h),
-						      "withdrawn", 0));
-			free(name);
-			bstr_free(&id);
-			bstr_free(&secret);
-			bstr_free(&salt);
-			bstr_free(&hash);
-			bstr_free(&s);
-			bstr_free(&h);
+			snprintf(id, sizeof(id), "%s%u", fleet_team_names[t],
+				 k);
+			json_object_set_new(
+				keys, id, fake_key_new(id, &f->digests[t][k]));
 		}
 		json_object_set_new(teams, fleet_team_names[t],
 				    json_pack("{s:i,s:i,s:i,s:o}", "share",
@@ -271,25 +253,16 @@
 					      3 + 3 * (int)t, "grace_ms", 0,
 					      "keys", keys));
 	}
-	text = config_canonical_text(doc);
-	fake_object_set(&f->table, bstr_lit("config-1"), text);
-	bstr_free(&text);
+	fake_config_set(&f->table, doc);
 	json_decref(doc);
-	head = json_pack("{s:i,s:s,s:[]}", "revision", 1, "object", "config-1",
-			 "history");
-	text = config_canonical_text(head);
-	fleet_head_check(f, text);
-	fake_row_set(&f->table, bstr_lit("config/head"), text);
-	bstr_free(&text);
-	json_decref(head);
+	fleet_head_check(
+		f, fake_row_get(f->table.rows, bstr_lit("config/head"))->value);
 }
 
 /* Creates the workers and their rows. */
 static void fleet_populate(struct fleet *f)
 {
-	vms_head head = {.generation = FLEET_WORKERS};
 	unsigned i;
-	bstr key, value;
 
 	for (i = 0; i < FLEET_WORKERS; i++) {
 		struct fake_worker *w = &f->workers[i];
@@ -302,15 +275,9 @@
 		row.pool = bstr_lit(fleet_pool_names[w->pool]);
 		row.dc = bstr_lit(fleet_dc_names[w->dc]);
 		row.address = bstr_lit("w");
-		key = bstr_printf("vm/%s", w->name);
-		value = xdr_encode(XDR_PROC(xdr_vm_row), &row);
-		fake_row_set(&f->table, key, value);
-		bstr_free(&key);
-		bstr_free(&value);
+		fake_vm_set(&f->table, &row);
 	}
-	value = xdr_encode(XDR_PROC(xdr_vms_head), &head);
-	fake_row_set(&f->table, bstr_lit("vms/head"), value);
-	bstr_free(&value);
+	fake_vms_head_set(&f->table, FLEET_WORKERS);
 }
 
 /* Creates a fleet and runs it until its entry VMs are ready. */
--- a/tests/support-sim.c
+++ b/tests/support-sim.c
@@ -813,50 +813,27 @@
 /* Adds a team with one key. */
 static void doc_add_team(struct sim *s, json_t *doc, unsigned i)
 {
-	bstr id = bstr_printf("k%u", i), secret, salt, hash, sa, ha, got;
 	char team[16], key[16];
 
-	secret_new(id, &secret, &salt, &hash);
-	secret_split(secret, &got, &s->fabric->digests[i]);
-	sa = base64_encode(salt);
-	ha = base64_encode(hash);
 	snprintf(team, sizeof(team), "t%u", i);
 	snprintf(key, sizeof(key), "k%u", i);
-	json_object_set_new(json_object_get(doc, "teams"), team,
-			    json_pack("{s:i,s:i,s:i,s:{s:{s:o,s:o,s:b}}}",
-				      "share", (int)s->plan.teams[i].share,
-				      "limit", (int)s->plan.teams[i].limit,
-				      "grace_ms", 0, "keys", key, "salt",
-				      bstr_to_json(sa), "hash",
-				      bstr_to_json(ha), "withdrawn", 0));
-	bstr_free(&id);
-	bstr_free(&secret);
-	bstr_free(&salt);
-	bstr_free(&hash);
-	bstr_free(&sa);
-	bstr_free(&ha);
-	bstr_free(&got);
+	json_object_set_new(
+		json_object_get(doc, "teams"), team,
+		json_pack("{s:i,s:i,s:i,s:{s:o}}", "share",
+			  (int)s->plan.teams[i].share, "limit",
+			  (int)s->plan.teams[i].limit, "grace_ms", 0, "keys",
+			  key, fake_key_new(key, &s->fabric->digests[i])));
 }
 
 /* Stores the first configuration. */
 static void sim_configure(struct sim *s)
 {
-	struct sim_fabric *f = s->fabric;
-	json_t *doc = doc_new(s), *head;
-	bstr text;
+	json_t *doc = doc_new(s);
 	unsigned i;
 
 	for (i = 0; i < s->team_count; i++)
 		doc_add_team(s, doc, i);
-	text = config_canonical_text(doc);
-	fake_object_set(&f->table, bstr_lit("config-1"), text);
-	bstr_free(&text);
-	head = json_pack("{s:i,s:s,s:[]}", "revision", 1, "object", "config-1",
-			 "history");
-	text = config_canonical_text(head);
-	fake_row_set(&f->table, bstr_lit("config/head"), text);
-	bstr_free(&text);
-	json_decref(head);
+	fake_config_set(&s->fabric->table, doc);
 	json_decref(doc);
 }
 
@@ -870,7 +847,6 @@
 			 s->plan.per_rack;
 	unsigned rack = s->plan.interleaved ? in_dc % racks
 					    : in_dc / s->plan.per_rack;
-	bstr key, value;
 	vm_row row = {.slots = s->plan.slots};
 
 	w->up = true;
@@ -883,19 +859,13 @@
 	row.dc = bstr_lit(w->dc);
 	row.rack = bstr_lit(w->rack);
 	row.address = bstr_lit("w");
-	key = bstr_printf("vm/%s", w->name);
-	value = xdr_encode(XDR_PROC(xdr_vm_row), &row);
-	fake_row_set(&s->fabric->table, key, value);
-	bstr_free(&key);
-	bstr_free(&value);
+	fake_vm_set(&s->fabric->table, &row);
 }
 
 /* Creates the workers of all pools and the head of the list of VMs. */
 static void sim_populate(struct sim *s)
 {
-	vms_head head = {.generation = 1};
 	unsigned i, k, n = 0;
-	bstr value;
 
 	for (i = 0; i < s->pool_count; i++)
 		n += s->plan.pools[i].workers;
@@ -903,9 +873,7 @@
 	for (i = 0; i < s->pool_count; i++)
 		for (k = 0; k < s->plan.pools[i].workers; k++)
 			worker_add(s, i, k);
-	value = xdr_encode(XDR_PROC(xdr_vms_head), &head);
-	fake_row_set(&s->fabric->table, bstr_lit("vms/head"), value);
-	bstr_free(&value);
+	fake_vms_head_set(&s->fabric->table, 1);
 }
 
 struct sim *sim_new(const struct sim_plan *plan)
--- a/tests/support-table.c
+++ b/tests/support-table.c
@@ -1,4 +1,5 @@
 #include "support-table.h"
+#include "../config.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -54,6 +55,66 @@
 	row_put(&t->objects, name, 1, body);
 }
 
+/*
+ * Makes a key of a team, as its configuration has it.  digest gets what a
+ * caller's request has.
+ */
+json_t *fake_key_new(const char *id, bstr *digest)
+{
+	bstr secret, salt, hash, key_id, salt_text, hash_text;
+	json_t *key;
+
+	secret_new(bstr_lit(id), &secret, &salt, &hash);
+	secret_split(secret, &key_id, digest);
+	salt_text = base64_encode(salt);
+	hash_text = base64_encode(hash);
+	key = json_pack("{s:o,s:o,s:b}", "salt", bstr_to_json(salt_text),
+			"hash", bstr_to_json(hash_text), "withdrawn", 0);
+	bstr_free(&secret);
+	bstr_free(&salt);
+	bstr_free(&hash);
+	bstr_free(&key_id);
+	bstr_free(&salt_text);
+	bstr_free(&hash_text);
+	return key;
+}
+
+/* Stores a document as the first configuration, with its head row. */
+void fake_config_set(struct fake_table *t, const json_t *doc)
+{
+	json_t *head = json_pack("{s:i,s:s,s:[]}", "revision", 1, "object",
+				 "config-1", "history");
+	bstr text = config_canonical_text(doc);
+
+	fake_object_set(t, bstr_lit("config-1"), text);
+	bstr_free(&text);
+	text = config_canonical_text(head);
+	fake_row_set(t, bstr_lit("config/head"), text);
+	bstr_free(&text);
+	json_decref(head);
+}
+
+/* Writes the row of a VM. */
+void fake_vm_set(struct fake_table *t, const vm_row *row)
+{
+	bstr key = bstr_printf("vm/%.*s", BSTR_ARG(row->vm));
+	bstr value = xdr_encode(XDR_PROC(xdr_vm_row), row);
+
+	fake_row_set(t, key, value);
+	bstr_free(&key);
+	bstr_free(&value);
+}
+
+/* Writes the head of the list of VMs. */
+void fake_vms_head_set(struct fake_table *t, uint64_t generation)
+{
+	vms_head head = {.generation = generation};
+	bstr value = xdr_encode(XDR_PROC(xdr_vms_head), &head);
+
+	fake_row_set(t, bstr_lit("vms/head"), value);
+	bstr_free(&value);
+}
+
 /* Adds a row to an answer; version 0 if it doesn't exist. */
 static void answer_row(ev_platform *p, bstr key, const struct fake_row *r)
 {
--- a/tests/support-table.h
+++ b/tests/support-table.h
@@ -6,6 +6,7 @@
 #define SUPPORT_TABLE_H
 
 #include "../bamboofront.h"
+#include "../rows.h"
 
 #include <uthash.h>
 
@@ -32,6 +33,19 @@
 void fake_row_set(struct fake_table *t, bstr key, bstr value);
 void fake_object_set(struct fake_table *t, bstr name, bstr body);
 
+/*
+ * Makes a key of a team, as its configuration has it.  digest gets what a
+ * caller's request has.
+ */
+json_t *fake_key_new(const char *id, bstr *digest);
+
+/* Stores a document as the first configuration, with its head row. */
+void fake_config_set(struct fake_table *t, const json_t *doc);
+
+/* Writes the row of a VM, or the head of the list of VMs. */
+void fake_vm_set(struct fake_table *t, const vm_row *row);
+void fake_vms_head_set(struct fake_table *t, uint64_t generation);
+
 /*
  * Applies a transaction and fills in its answer.  Returns false if a check
  * fails, or if the id was applied before: p is then the answer of that time.
