Tests: split the simulated workers off support-sim

support-sim.c had 1,000 lines. Its workers, a third of it, are now support-sim-worker.c, as in support-fleet; support-sim-state.h has what both files share. struct sim_fabric, the fakes and the event queue, is sim_fakes. sim_task lost a member that nothing used, and functions without a comment got one.

--- a/tests/support-sim.c
+++ b/tests/support-sim.c
@@ -1,60 +1,21 @@
-#include "support-sim.h"
-#include "support-queue.h"
-#include "support-table.h"
-
-#include <stdlib.h>
-#include <string.h>
-
-#define LATENCY_MS 1
-#define TIMEOUT_MS 1000 /* of an exchange without an answer */
-
-/* Kinds of items of the queue. */
-enum sim_item_kind {
-	IT_EVENT,
-	IT_TICK,
-	IT_PLATFORM,
-	IT_WORKER,
-	IT_WATCH_TIMEOUT,
-	IT_TASK_END,
-	IT_BOOT
-};
-struct sim_task {
-	struct sim_task *next;
-	char id[96];
-	unsigned pool, job;
-	task_state state;
-	const char *reason;
-	int64_t started_at;
-	int64_t elapsed, left; /* elapsed: run time, with earlier starts */
-	uint64_t seq, end_id;  /* end_id: of the queue item that ends it */
-};
-struct sim_watch {
-	struct sim_watch *next;
-	unsigned entry, generation, pool;
-	uint64_t req, id, since;
-};
-struct sim_fabric {
-	struct event_queue queue;
-	uint64_t random, ids;
-	struct fake_table table;
-	bstr digests[SIM_TEAMS];
-	uint64_t *calls; /* index of the job of each call */
-	size_t call_count;
-};
+/*
+ * The simulated fleet: its queue, platform, entry VMs, requests and set-up.
+ */
+#include "support-sim-state.h"
 
 /* Returns a random number below a bound, or any for 0 (splitmix64). */
 uint64_t sim_random(struct sim *s, uint64_t below)
 {
-	uint64_t z = random_next(&s->fabric->random);
+	uint64_t z = random_next(&s->fakes->random);
 
 	return below ? z % below : z;
 }
 
 /* Delivers an event to an entry VM after ms milliseconds. */
-static void entry_post(struct sim *s, unsigned entry, unsigned generation,
-		       int64_t ms, event *ev)
+void sim_entry_post(struct sim *s, unsigned entry, unsigned generation,
+		    int64_t ms, event *ev)
 {
-	event_queue_put(&s->fabric->queue,
+	event_queue_put(&s->fakes->queue,
 			(struct queue_item){.at = s->now + ms,
 					    .kind = IT_EVENT,
 					    .index = entry,
@@ -63,7 +24,7 @@
 }
 
 /* Returns the number in a name like p3, or count if it isn't below count. */
-static unsigned name_number(bstr b, unsigned count)
+unsigned sim_name_number(bstr b, unsigned count)
 {
 	char *text = bstr_cstr(b);
 	unsigned n = *text ? (unsigned)strtoul(text + 1, NULL, 10) : count;
@@ -98,7 +59,7 @@
 {
 	u_int i;
 
-	if (!fake_table_commit(&s->fabric->table, c, p))
+	if (!fake_table_commit(&s->fakes->table, c, p))
 		return;
 	/* The hook runs after the whole transaction is written. */
 	for (i = 0; s->hooks.written && i < c->writes.writes_len; i++)
@@ -124,7 +85,7 @@
 		sim_worker_kill(s, w);
 		if (!w->never_returns)
 			event_queue_put(
-				&s->fabric->queue,
+				&s->fakes->queue,
 				(struct queue_item){
 					.at = s->now + s->plan.reboot_ms,
 					.kind = IT_BOOT,
@@ -141,7 +102,7 @@
 	else if (fx->kind == FX_REBOOT)
 		platform_reboot(s, &fx->effect_u.reboot, p);
 	else
-		fake_table_request(&s->fabric->table, fx, p);
+		fake_table_request(&s->fakes->table, fx, p);
 }
 
 /* Processes a request to the platform, with the fault that the hook chooses. */
@@ -162,323 +123,19 @@
 		p->outcome = PLATFORM_UNKNOWN;
 	}
 	p->req = effect_request_id(it->fx);
-	entry_post(s, it->index, it->generation,
-		   p->outcome == PLATFORM_UNKNOWN ? TIMEOUT_MS : LATENCY_MS,
-		   ev);
-	effect_free(it->fx);
-}
-
-struct sim_worker *sim_worker_find(struct sim *s, bstr name)
-{
-	unsigned i = name_number(name, s->worker_count);
-
-	return i < s->worker_count ? &s->workers[i] : NULL;
-}
-
-static struct sim_task *task_find(struct sim_worker *w, bstr id)
-{
-	struct sim_task *t;
-
-	for (t = w->tasks; t; t = t->next)
-		if (bstr_eq_str(id, t->id))
-			return t;
-	return NULL;
-}
-
-static void report_add(ev_worker *r, const struct sim_task *t)
-{
-	u_int n = r->tasks.tasks_len++;
-	task_report *k;
-
-	r->tasks.tasks_val = xrealloc(r->tasks.tasks_val, n + 1, sizeof(*k));
-	k = &r->tasks.tasks_val[n];
-	memset(k, 0, sizeof(*k));
-	k->task = bstr_new(t->id);
-	k->state = t->state;
-	k->reason = bstr_new(t->reason);
-	k->ran_ms = (uint32_t)t->elapsed;
-	if (t->state == TASK_CHECKPOINTED)
-		k->result = bstr_printf("%lld", (long long)t->elapsed);
-}
-
-/* Returns a worker's answer to a request, without tasks. */
-static event *answer_new(struct sim_worker *w, uint64_t req)
-{
-	event *ev = event_new(EV_WORKER);
-	ev_worker *r = &ev->body.event_body_u.worker;
-
-	r->req = req;
-	r->vm = bstr_new(w->name);
-	r->boot_id = bstr_printf("%s-%u", w->name, w->boot);
-	r->seq = w->seq;
-	return ev;
-}
-
-/* Answers a watch with the tasks that have changed. */
-static void watch_answer(struct sim *s, struct sim_worker *w,
-			 struct sim_watch *h)
-{
-	event *ev = answer_new(w, h->req);
-	struct sim_task *t;
-
-	ev->body.event_body_u.worker.epoch = w->epochs[h->pool];
-	for (t = w->tasks; t; t = t->next)
-		if (t->pool == h->pool && t->seq > h->since)
-			report_add(&ev->body.event_body_u.worker, t);
-	entry_post(s, h->entry, h->generation, LATENCY_MS, ev);
-	free(h);
-}
-
-/* Answers all watches of a worker, after a change. */
-static void worker_answer_watches(struct sim *s, struct sim_worker *w)
-{
-	struct sim_watch *h, *next = w->watches;
-
-	w->watches = NULL;
-	while ((h = next)) {
-		next = h->next;
-		watch_answer(s, w, h);
-	}
-}
-
-/* Ends a run of a task and answers the watches. */
-static void task_end(struct sim *s, struct sim_worker *w, struct sim_task *t,
-		     task_state state, const char *reason)
-{
-	int64_t ran = s->now - t->started_at;
-
-	t->state = state;
-	t->reason = reason;
-	t->elapsed += ran;
-	t->seq = ++w->seq;
-	w->running--;
-	s->jobs[t->job].total_run_ms += ran;
-	if (s->hooks.ended)
-		s->hooks.ended(s, t->job, w);
-	worker_answer_watches(s, w);
-}
-
-/* Starts a task, at its checkpoint if it has one; refused without free slot. */
-static void task_begin(struct sim *s, struct sim_worker *w, const task_start *x,
-		       unsigned pool)
-{
-	struct sim_task *t = task_find(w, x->task);
-	char *payload = bstr_cstr(x->payload), *ck = bstr_cstr(x->checkpoint);
-	struct sim_job *j = &s->jobs[strtoul(payload, NULL, 10)];
-
-	if (!t) {
-		t = xcalloc(1, sizeof(*t));
-		snprintf(t->id, sizeof(t->id), "%.*s", BSTR_ARG(x->task));
-		t->pool = pool;
-		t->job = (unsigned)(j - s->jobs);
-		t->reason = "";
-		t->seq = ++w->seq;
-		t->next = w->tasks;
-		w->tasks = t;
-		if (w->running >= s->plan.slots) {
-			t->state = TASK_REFUSED;
-			t->reason = "no-slot";
-		} else {
-			t->elapsed = strtoll(ck, NULL, 10);
-			t->started_at = s->now;
-			t->end_id = ++s->fabric->ids;
-			w->running++;
-			j->starts++;
-			if (!j->started_at)
-				j->started_at = s->now;
-			if (s->hooks.started)
-				s->hooks.started(s, t->job, w);
-			event_queue_put(
-				&s->fabric->queue,
-				(struct queue_item){
-					.at = s->now + j->run_ms - t->elapsed,
-					.kind = IT_TASK_END,
-					.index = (unsigned)(w - s->workers),
-					.n = t->end_id});
-		}
-	}
-	free(payload);
-	free(ck);
-}
-
-/*
- * Carries out an order.  A stop of an unknown task leaves a tombstone, which
- * refuses a start that arrives later.
- */
-static void task_order_apply(struct sim *s, struct sim_worker *w,
-			     const task_order *o, unsigned pool)
-{
-	struct sim_task *t = task_find(w, o->task), **at;
-
-	if (!t && o->verb == TASK_STOP) {
-		t = xcalloc(1, sizeof(*t));
-		snprintf(t->id, sizeof(t->id), "%.*s", BSTR_ARG(o->task));
-		t->pool = pool;
-		t->state = TASK_REFUSED;
-		t->reason = "tombstone";
-		t->seq = ++w->seq;
-		t->next = w->tasks;
-		w->tasks = t;
-	} else if (t && o->verb == TASK_FORGET && t->state != TASK_RUNNING) {
-		for (at = &w->tasks; *at != t; at = &(*at)->next)
-			;
-		*at = t->next;
-		free(t);
-	} else if (t && t->state == TASK_RUNNING && o->verb == TASK_STOP) {
-		task_end(s, w, t, TASK_STOPPED, "stopped");
-	} else if (t && t->state == TASK_RUNNING &&
-		   o->verb == TASK_CHECKPOINT) {
-		s->checkpoints++;
-		task_end(s, w, t, TASK_CHECKPOINTED, "");
-	}
-}
-
-/* Executes a command and reports the tasks that it names. */
-static void command_execute(struct sim *s, struct sim_worker *w,
-			    const fx_worker *x, unsigned pool, event *ev)
-{
-	ev_worker *r = &ev->body.event_body_u.worker;
-	struct sim_task *t;
-	u_int i;
-
-	for (i = 0; i < x->starts.starts_len; i++)
-		task_begin(s, w, &x->starts.starts_val[i], pool);
-	for (i = 0; i < x->orders.orders_len; i++)
-		task_order_apply(s, w, &x->orders.orders_val[i], pool);
-	for (i = 0; i < x->starts.starts_len; i++)
-		if ((t = task_find(w, x->starts.starts_val[i].task)))
-			report_add(r, t);
-	for (i = 0; i < x->orders.orders_len; i++)
-		if ((t = task_find(w, x->orders.orders_val[i].task)))
-			report_add(r, t);
-	if (x->starts.starts_len)
-		worker_answer_watches(s, w);
-}
-
-/* Processes a request that has reached its worker. */
-static void worker_receive(struct sim *s, struct queue_item *it)
-{
-	const fx_worker *x = &it->fx->effect_u.worker;
-	struct sim_worker *w = sim_worker_find(s, x->vm);
-	unsigned pool = name_number(x->cell.pool, SIM_POOLS);
-	event *ev = answer_new(w, x->req);
-	ev_worker *r = &ev->body.event_body_u.worker;
-	struct sim_watch *h;
-	int64_t ms = LATENCY_MS;
-
-	if (!w->up) {
-		r->outcome = WORKER_NO_ANSWER;
-		ms = TIMEOUT_MS;
-	} else if (x->epoch < w->epochs[pool]) {
-		r->outcome = WORKER_STALE;
-		r->epoch = w->epochs[pool];
-	} else {
-		r->epoch = w->epochs[pool] = x->epoch;
-		if (x->watch) {
-			h = xcalloc(1, sizeof(*h));
-			*h = (struct sim_watch){
-				NULL,	it->index,	  it->generation, pool,
-				x->req, ++s->fabric->ids, x->since};
-			event_free(ev);
-			if (!x->wait_ms || w->seq > x->since) {
-				watch_answer(s, w, h);
-			} else {
-				h->next = w->watches;
-				w->watches = h;
-				event_queue_put(
-					&s->fabric->queue,
-					(struct queue_item){
-						.at = s->now + x->wait_ms,
-						.kind = IT_WATCH_TIMEOUT,
-						.index = (unsigned)(w -
-								    s->workers),
-						.n = h->id});
-			}
-			effect_free(it->fx);
-			return;
-		}
-		command_execute(s, w, x, pool, ev);
-	}
-	entry_post(s, it->index, it->generation, ms, ev);
+	sim_entry_post(s, it->index, it->generation,
+		       p->outcome == PLATFORM_UNKNOWN ? TIMEOUT_MS : LATENCY_MS,
+		       ev);
 	effect_free(it->fx);
 }
 
-/* Answers a watch whose time is over. */
-static void watch_timeout(struct sim *s, const struct queue_item *it)
-{
-	struct sim_worker *w = &s->workers[it->index];
-	struct sim_watch **at, *h;
-
-	for (at = &w->watches; (h = *at); at = &h->next) {
-		if (h->id != it->n)
-			continue;
-		*at = h->next;
-		watch_answer(s, w, h);
-		return;
-	}
-}
-
-/* Completes the task whose run time is over, unless it was stopped. */
-static void task_complete(struct sim *s, const struct queue_item *it)
-{
-	struct sim_worker *w = &s->workers[it->index];
-	struct sim_task *t;
-
-	for (t = w->tasks; t; t = t->next) {
-		if (t->end_id != it->n || t->state != TASK_RUNNING)
-			continue;
-		task_end(s, w, t, TASK_DONE, "");
-		return;
-	}
-}
-
-/* Shuts a worker down, with its tasks and watches. */
-void sim_worker_kill(struct sim *s, struct sim_worker *w)
-{
-	struct sim_task *t, *next = w->tasks;
-	struct sim_watch *h;
-	event *ev;
-
-	w->tasks = NULL;
-	while ((t = next)) {
-		next = t->next;
-		if (t->state == TASK_RUNNING) {
-			w->kills++;
-			s->jobs[t->job].total_run_ms += s->now - t->started_at;
-			if (s->hooks.ended)
-				s->hooks.ended(s, t->job, w);
-		}
-		free(t);
-	}
-	while ((h = w->watches)) {
-		w->watches = h->next;
-		ev = answer_new(w, h->req);
-		ev->body.event_body_u.worker.outcome = WORKER_NO_ANSWER;
-		entry_post(s, h->entry, h->generation, TIMEOUT_MS, ev);
-		free(h);
-	}
-	w->up = false;
-	w->down_at = s->now;
-	w->running = 0;
-}
-
-void sim_worker_boot(struct sim *s, struct sim_worker *w)
-{
-	(void)s;
-	if (w->up)
-		return;
-	w->up = true;
-	w->boot++;
-	w->seq = 0;
-	memset(w->epochs, 0, sizeof(w->epochs));
-}
-
 /* Writes the name of an entry VM's current process. */
 static void entry_name(struct sim *s, unsigned entry, char *name, size_t size)
 {
 	snprintf(name, size, "e%u-%u", entry, s->generation[entry]);
 }
 
+/* Starts a new process of an entry VM. */
 void sim_entry_boot(struct sim *s, unsigned entry)
 {
 	struct settings o = {.workers.watch_ms = 5000,
@@ -504,7 +161,7 @@
 	o.dc = bstr_lit(dc);
 	o.timing.tick_ms = (uint32_t)(s->plan.tick_ms ? s->plan.tick_ms : 100);
 	s->entries[entry] = state_new(&o, sim_random(s, 0), name);
-	event_queue_put(&s->fabric->queue,
+	event_queue_put(&s->fakes->queue,
 			(struct queue_item){.at = s->now,
 					    .kind = IT_TICK,
 					    .index = entry,
@@ -512,6 +169,7 @@
 					    .n = 1});
 }
 
+/* Kills the process of an entry VM. */
 void sim_entry_kill(struct sim *s, unsigned entry)
 {
 	state_free(s->entries[entry]);
@@ -533,7 +191,7 @@
 	ev = event_new(i < s->plan.entries ? EV_PEER : EV_PEER_LOST);
 	if (i == s->plan.entries) {
 		ev->body.event_body_u.lost = bstr_copy(p->to);
-		entry_post(s, from, s->generation[from], TIMEOUT_MS, ev);
+		sim_entry_post(s, from, s->generation[from], TIMEOUT_MS, ev);
 		return;
 	}
 	entry_name(s, from, name, sizeof(name));
@@ -541,13 +199,13 @@
 	xdr_copy(XDR_PROC(xdr_peer_message),
 		 &ev->body.event_body_u.peer.message, &p->message,
 		 sizeof(p->message));
-	entry_post(s, i, s->generation[i], LATENCY_MS, ev);
+	sim_entry_post(s, i, s->generation[i], LATENCY_MS, ev);
 }
 
 /* Records the answer to a caller. */
 static void call_record_answer(struct sim *s, const fx_answer *x)
 {
-	struct sim_job *j = &s->jobs[s->fabric->calls[x->call]];
+	struct sim_job *j = &s->jobs[s->fakes->calls[x->call]];
 
 	j->http_status = x->answer.http;
 	j->ended_at = s->now;
@@ -585,7 +243,7 @@
 	case FX_WAKE:
 		it.at = fx->effect_u.wake > s->now ? fx->effect_u.wake : s->now;
 		it.kind = IT_TICK;
-		event_queue_put(&s->fabric->queue, it);
+		event_queue_put(&s->fakes->queue, it);
 		return;
 	case FX_LOG:
 		if (getenv("SIM_TRACE"))
@@ -606,7 +264,7 @@
 	it.fx = xmalloc(sizeof(*it.fx));
 	*it.fx = *fx;
 	fx->kind = FX_EXIT;
-	event_queue_put(&s->fabric->queue, it);
+	event_queue_put(&s->fakes->queue, it);
 }
 
 /* Runs the reducer of an entry VM on an event and executes the effects. */
@@ -624,6 +282,7 @@
 	event_free(ev);
 }
 
+/* Processes an item of the queue that is due. */
 static void queue_item_process(struct sim *s, struct queue_item *it)
 {
 	bool here = it->kind < IT_PLATFORM && s->entries[it->index] &&
@@ -641,7 +300,7 @@
 			break;
 		if (it->n) { /* the periodic tick, not a wake */
 			it->at += s->plan.tick_ms ? s->plan.tick_ms : 100;
-			event_queue_put(&s->fabric->queue, *it);
+			event_queue_put(&s->fakes->queue, *it);
 		}
 		entry_reduce(s, it->index, event_new(EV_TICK));
 		break;
@@ -649,13 +308,13 @@
 		platform_receive(s, it);
 		break;
 	case IT_WORKER:
-		worker_receive(s, it);
+		sim_worker_receive(s, it);
 		break;
 	case IT_WATCH_TIMEOUT:
-		watch_timeout(s, it);
+		sim_watch_timeout(s, it);
 		break;
 	case IT_TASK_END:
-		task_complete(s, it);
+		sim_task_complete(s, it);
 		break;
 	case IT_BOOT:
 		sim_worker_boot(s, &s->workers[it->n]);
@@ -663,20 +322,21 @@
 	}
 }
 
+/* Advances the clock by ms milliseconds. */
 void sim_run(struct sim *s, int64_t ms)
 {
 	int64_t until = s->now + ms;
 	struct queue_item it;
 
-	while (s->fabric->queue.count &&
-	       s->fabric->queue.items[0].at <= until) {
-		it = event_queue_take(&s->fabric->queue);
+	while (s->fakes->queue.count && s->fakes->queue.items[0].at <= until) {
+		it = event_queue_take(&s->fakes->queue);
 		s->now = it.at;
 		queue_item_process(s, &it);
 	}
 	s->now = until;
 }
 
+/* Runs until done() returns true; returns false after ms milliseconds. */
 bool sim_run_until(struct sim *s, bool (*done)(struct sim *s), int64_t ms)
 {
 	int64_t until = s->now + ms;
@@ -692,7 +352,7 @@
  */
 unsigned sim_submit(struct sim *s, unsigned entry, const struct sim_job *job)
 {
-	struct sim_fabric *f = s->fabric;
+	struct sim_fakes *f = s->fakes;
 	event *ev = event_new(EV_CALL);
 	caller_request *r = &ev->body.event_body_u.call.request;
 	job_spec *p = &r->body.caller_body_u.spec;
@@ -716,26 +376,29 @@
 	f->calls = xrealloc(f->calls, f->call_count + 1, sizeof(*f->calls));
 	f->calls[f->call_count] = n;
 	ev->body.event_body_u.call.call = f->call_count++;
-	entry_post(s, entry, s->generation[entry], LATENCY_MS, ev);
+	sim_entry_post(s, entry, s->generation[entry], LATENCY_MS, ev);
 	return n;
 }
 
+/* Sends an operator's request without waiting for the reply. */
 void sim_operate_begin(struct sim *s, unsigned entry, const op_request *rq)
 {
 	event *ev = event_new(EV_OPERATE);
 
 	xdr_copy(XDR_PROC(xdr_op_request),
 		 &ev->body.event_body_u.operate.request, rq, sizeof(*rq));
-	ev->body.event_body_u.operate.call = ++s->fabric->ids;
+	ev->body.event_body_u.operate.call = ++s->fakes->ids;
 	s->replied = false;
-	entry_post(s, entry, s->generation[entry], LATENCY_MS, ev);
+	sim_entry_post(s, entry, s->generation[entry], LATENCY_MS, ev);
 }
 
+/* Returns true if the last operator's request is replied to. */
 static bool sim_replied(struct sim *s)
 {
 	return s->replied;
 }
 
+/* Sends an operator's request and returns the status of its reply. */
 op_status sim_operate(struct sim *s, unsigned entry, const op_request *rq)
 {
 	sim_operate_begin(s, entry, rq);
@@ -753,6 +416,7 @@
 	return i;
 }
 
+/* Sends an operator's request about a wave. */
 op_status sim_wave(struct sim *s, op_kind kind, const char *wave,
 		   const char *pool, uint32_t deadline_ms)
 {
@@ -763,6 +427,7 @@
 	return sim_operate(s, entry_first_up(s), &rq);
 }
 
+/* Sends an operator's request about a VM. */
 op_status sim_vm(struct sim *s, op_kind kind, const char *vm, const char *pool,
 		 uint32_t deadline_ms)
 {
@@ -774,16 +439,18 @@
 	return sim_operate(s, entry_first_up(s), &rq);
 }
 
+/* Returns the body of the last reply. */
 json_t *sim_reply_json(const struct sim *s)
 {
 	return json_loadb(s->reply.body.bstr_val, s->reply.body.bstr_len, 0,
 			  NULL);
 }
 
+/* Decodes a row of the table; returns false if there is none. */
 bool sim_row_get(struct sim *s, const char *key, xdrproc_t proc, void *out,
 		 size_t size)
 {
-	struct fake_row *r = fake_row_get(s->fabric->table.rows, bstr_lit(key));
+	struct fake_row *r = fake_row_get(s->fakes->table.rows, bstr_lit(key));
 
 	return r && xdr_decode(proc, r->value, out, size);
 }
@@ -822,7 +489,7 @@
 		json_pack("{s:i,s:i,s:i,s:{s:o}}", "share",
 			  (int)s->plan.teams[i].share, "limit",
 			  (int)s->plan.teams[i].limit, "grace_ms", 0, "keys",
-			  key, fake_key_new(key, &s->fabric->digests[i])));
+			  key, fake_key_new(key, &s->fakes->digests[i])));
 }
 
 /* Stores the first configuration. */
@@ -833,7 +500,7 @@
 
 	for (i = 0; i < s->team_count; i++)
 		doc_add_team(s, doc, i);
-	fake_config_set(&s->fabric->table, doc);
+	fake_config_set(&s->fakes->table, doc);
 	json_decref(doc);
 }
 
@@ -859,7 +526,7 @@
 	row.dc = bstr_lit(w->dc);
 	row.rack = bstr_lit(w->rack);
 	row.address = bstr_lit("w");
-	fake_vm_set(&s->fabric->table, &row);
+	fake_vm_set(&s->fakes->table, &row);
 }
 
 /* Creates the workers of all pools and the head of the list of VMs. */
@@ -873,19 +540,20 @@
 	for (i = 0; i < s->pool_count; i++)
 		for (k = 0; k < s->plan.pools[i].workers; k++)
 			worker_add(s, i, k);
-	fake_vms_head_set(&s->fabric->table, 1);
+	fake_vms_head_set(&s->fakes->table, 1);
 }
 
+/* Creates a fleet and runs it until its entry VMs are ready. */
 struct sim *sim_new(const struct sim_plan *plan)
 {
 	struct sim *s = xcalloc(1, sizeof(*s));
 	unsigned i;
 
 	s->plan = *plan;
-	s->fabric = xcalloc(1, sizeof(*s->fabric));
-	s->fabric->table.before_write = vm_row_written;
-	s->fabric->table.arg = s;
-	s->fabric->random = plan->seed;
+	s->fakes = xcalloc(1, sizeof(*s->fakes));
+	s->fakes->table.before_write = vm_row_written;
+	s->fakes->table.arg = s;
+	s->fakes->random = plan->seed;
 	while (s->pool_count < SIM_POOLS && plan->pools[s->pool_count].workers)
 		s->pool_count++;
 	while (s->team_count < SIM_TEAMS && plan->teams[s->team_count].share)
@@ -898,9 +566,10 @@
 	return s;
 }
 
+/* Frees a fleet with the items of its queue. */
 void sim_free(struct sim *s)
 {
-	struct sim_fabric *f = s->fabric;
+	struct sim_fakes *f = s->fakes;
 	unsigned i;
 
 	for (i = 0; i < s->worker_count; i++)
--- a/tests/support-sim.h
+++ b/tests/support-sim.h
@@ -96,7 +96,7 @@
 	uint64_t reboots, checkpoints;
 	op_reply reply; /* to the last operator's request, if replied */
 	bool replied;
-	struct sim_fabric *fabric; /* event queue and fakes */
+	struct sim_fakes *fakes; /* with the event queue */
 };
 
 struct sim *sim_new(const struct sim_plan *plan);
