Tests: drop what the simulated fleet records and never reads

fake_job.cancelled, fake_call.check with the parameter of fleet_job_request() that set it, fake_task.started_at and fake_worker.frozen_at were only written.

--- a/tests/support-fleet-caller.c
+++ b/tests/support-fleet-caller.c
@@ -222,7 +222,7 @@
 
 /* Gets or cancels a job, with a key of its team. */
 void fleet_job_request(struct fleet *f, caller_kind kind, unsigned job,
-		       uint32_t wait_ms, bool check)
+		       uint32_t wait_ms)
 {
 	struct fake_job *j = &f->jobs[job];
 	struct fake_call *c;
@@ -233,13 +233,11 @@
 	ev = call_event_new(f, kind, j->team, 0);
 	ev->body.event_body_u.call.request.body.caller_body_u.job =
 		(caller_job){bstr_new(j->id), wait_ms};
-	j->cancelled |= kind == CALL_CANCEL;
 	c = call_new(f, (unsigned)fleet_random(f, FLEET_ENTRIES), ev);
 	if (!c)
 		return;
 	c->kind = CALL_OF_JOB;
 	c->job = job;
-	c->check = check;
 }
 
 /* Cancels the jobs of a team that have a label. */
--- a/tests/support-fleet-state.h
+++ b/tests/support-fleet-state.h
@@ -71,7 +71,7 @@
 	task_state state;
 	const char *reason;
 	char result[64];
-	int64_t started_at, ends_at;
+	int64_t ends_at;
 	uint64_t seq;
 	bool fails, used;
 };
@@ -81,7 +81,6 @@
 	unsigned dc, boot;
 	bool frozen, silent, fails, leaving;
 	int64_t leaving_at;
-	int64_t frozen_at;
 	uint64_t epoch[POOLS], seq;
 	int64_t lease[POOLS][2];
 	struct fake_task tasks[TASKS_MAX];
@@ -98,7 +97,7 @@
 	bool may_repeat, wait, urgent;
 	bool memory_only; /* not in the journal: may_repeat and wait */
 	unsigned team, pool, key, run_ms, timeout_ms;
-	bool fails, cancelled;
+	bool fails;
 	char id[96];
 	unsigned start_count, checkpoints, submit_count;
 	bool not_run, refused, accepted, final;
@@ -109,7 +108,7 @@
 	unsigned slot, generation, job;
 	int64_t sent_at;
 	enum { CALL_NONE, CALL_OF_JOB, CALL_OF_LABEL, CALL_OF_OPERATOR } kind;
-	bool submit, received, answered, check;
+	bool submit, received, answered;
 	op_kind op;
 	unsigned a, b;
 };
@@ -257,7 +256,7 @@
 
 /* Gets or cancels a job, with a key of its team. */
 void fleet_job_request(struct fleet *f, caller_kind kind, unsigned job,
-		       uint32_t wait_ms, bool check);
+		       uint32_t wait_ms);
 
 void fleet_label_cancel(struct fleet *f, unsigned team, unsigned label);
 
--- a/tests/support-fleet-step.c
+++ b/tests/support-fleet-step.c
@@ -26,7 +26,6 @@
 	switch (how % 4) {
 	case 0:
 		w->frozen = true;
-		w->frozen_at = f->now;
 		break;
 	case 1:
 		w->silent = true;
@@ -205,12 +204,12 @@
 	case FLEET_GET:
 		if (n)
 			fleet_job_request(f, CALL_GET, s.arg1 % n,
-					  s.arg2 % 2 ? 2000 : 0, false);
+					  s.arg2 % 2 ? 2000 : 0);
 		break;
 	case FLEET_CANCEL:
 		for (i = 0; n && i <= s.arg2 % 8; i++)
 			fleet_job_request(f, CALL_CANCEL,
-					  (n - 1 - (s.arg1 + i) % n), 0, false);
+					  n - 1 - (s.arg1 + i) % n, 0);
 		break;
 	case FLEET_CANCEL_LABEL:
 		fleet_label_cancel(f, s.arg1 % FLEET_TEAMS, s.arg2 % 8);
--- a/tests/support-fleet-worker.c
+++ b/tests/support-fleet-worker.c
@@ -234,7 +234,6 @@
 		t->reason = "no-slot";
 		return;
 	}
-	t->started_at = f->now;
 	t->job = job;
 	t->fails = fails || w->fails;
 	t->ends_at = f->now + (w->fails ? 5 : run_ms);
--- a/tests/support-fleet.c
+++ b/tests/support-fleet.c
@@ -213,7 +213,7 @@
 	for (i = 0; i < f->job_count; i++)
 		if (f->jobs[i].accepted && !f->jobs[i].memory_only) {
 			f->jobs[i].final = false;
-			fleet_job_request(f, CALL_GET, i, 0, true);
+			fleet_job_request(f, CALL_GET, i, 0);
 		}
 	fleet_run(f, 5000);
 	for (i = from; i < f->call_count && !f->violation[0]; i++) {
