Tests: one start and one check of a finished wave in test-wave

Six tests planned and started the wave "w" by the same two calls, and two expected the same of it once it has finished.

wave_w_start() and expect_wave_w_finishes() do it, with the same calls, bounds and messages. run_until, reboots and rack_out_max are checked per case as before.

Checked: test-wave passes (11). As a trial, with two reboots expected instead of one, both tests that use the check fail, 450 times: 75 cases of 6 VMs.

--- a/tests/test-wave.c
+++ b/tests/test-wave.c
@@ -278,6 +278,30 @@
 	sim_free(s);
 }
 
+/* Plans a wave "w" of the pool p0 and starts it. */
+static void wave_w_start(struct sim *s, uint32_t deadline_ms)
+{
+	sim_wave(s, OP_WAVE_PLAN, "w", "p0", deadline_ms);
+	sim_wave(s, OP_WAVE_START, "w", "", 0);
+}
+
+/*
+ * Expects that the wave "w" finishes, has rebooted each VM of the pool p0 once
+ * and has kept the budget.
+ */
+static void expect_wave_w_finishes(struct sim *s, unsigned row)
+{
+	unsigned i;
+
+	cr_expect(sim_run_until(s, wave_w_is_finished, WAVE_MS), "case %u",
+		  row);
+	for (i = 0; i < 6; i++)
+		cr_expect_eq(s->workers[i].reboots, 1, "case %u: %s %u", row,
+			     s->workers[i].name, s->workers[i].reboots);
+	cr_expect(watch.rack_out_max <= 3, "case %u: %u", row,
+		  watch.rack_out_max);
+}
+
 /*
  * Pause and cancel at various moments of a wave. After a pause, VMs in progress
  * are finished and no others are begun. After a cancel, draining VMs become
@@ -295,8 +319,7 @@
 		s = start(&small);
 		watch = (struct watch){0};
 		submit_load(s, 8, 3000);
-		sim_wave(s, OP_WAVE_PLAN, "w", "p0", 1000);
-		sim_wave(s, OP_WAVE_START, "w", "", 0);
+		wave_w_start(s, 1000);
 		sim_run(s, moments[i / 2]);
 		while (sim_wave(s, asks[i % 2], "w", "", 0) == OP_CONFLICT)
 			continue;
@@ -342,27 +365,19 @@
 	};
 	static const enum sim_fault faults[] = {SIM_DROP_REQUEST,
 						SIM_DROP_ANSWER, SIM_REFUSE};
-	unsigned i, k;
+	unsigned i;
 	struct sim *s;
 
 	for (i = 0; i < 3 * NELEMS(cases); i++) {
 		s = start(&small);
 		submit_load(s, 6, 3000);
-		sim_wave(s, OP_WAVE_PLAN, "w", "p0", 1000);
-		sim_wave(s, OP_WAVE_START, "w", "", 0);
+		wave_w_start(s, 1000);
 		watch = (struct watch){.kind = cases[i / 3].kind,
 				       .key = cases[i / 3].key,
 				       .fault = faults[i % 3],
 				       .from = cases[i / 3].from,
 				       .count = cases[i / 3].count};
-		cr_expect(sim_run_until(s, wave_w_is_finished, WAVE_MS),
-			  "case %u", i);
-		for (k = 0; k < 6; k++)
-			cr_expect_eq(s->workers[k].reboots, 1, "case %u: %s %u",
-				     i, s->workers[k].name,
-				     s->workers[k].reboots);
-		cr_expect(watch.rack_out_max <= 3, "case %u: %u", i,
-			  watch.rack_out_max);
+		expect_wave_w_finishes(s, i);
 		cr_expect_eq(watch.count, 0, "case %u: fault not injected", i);
 		sim_run(s, 10000);
 		cr_expect_eq(active_count(s), 8, "case %u", i);
@@ -377,27 +392,19 @@
  */
 Test(wave, entry_vm_dies_at_each_step)
 {
-	unsigned i, k;
+	unsigned i;
 	struct sim *s;
 
 	for (i = 0; i < 3 * 14; i++) {
 		s = start(&small);
 		watch = (struct watch){0};
 		submit_load(s, 6, 3000);
-		sim_wave(s, OP_WAVE_PLAN, "w", "p0", 1000);
-		sim_wave(s, OP_WAVE_START, "w", "", 0);
+		wave_w_start(s, 1000);
 		sim_run(s, 1300 * (i / 3) + 50);
 		sim_entry_kill(s, i % 3);
 		sim_run(s, 3000);
 		sim_entry_boot(s, i % 3);
-		cr_expect(sim_run_until(s, wave_w_is_finished, WAVE_MS),
-			  "case %u", i);
-		for (k = 0; k < 6; k++)
-			cr_expect_eq(s->workers[k].reboots, 1, "case %u: %s %u",
-				     i, s->workers[k].name,
-				     s->workers[k].reboots);
-		cr_expect(watch.rack_out_max <= 3, "case %u: %u", i,
-			  watch.rack_out_max);
+		expect_wave_w_finishes(s, i);
 		cr_expect_eq(wave_show_integer(s, "w", "skipped"), 0, "case %u",
 			     i);
 		sim_free(s);
@@ -460,8 +467,7 @@
 		watch = (struct watch){0};
 		submit_load(s, 6, 8000);
 		s->workers[cases[i].victim].never_returns = cases[i].in_reboot;
-		sim_wave(s, OP_WAVE_PLAN, "w", "p0", 4000);
-		sim_wave(s, OP_WAVE_START, "w", "", 0);
+		wave_w_start(s, 4000);
 		sim_run(s, cases[i].at);
 		if (!cases[i].in_reboot)
 			sim_worker_kill(s, &s->workers[cases[i].victim]);
@@ -535,8 +541,7 @@
 	watch = (struct watch){0};
 	submit_load(s, 2, 1000);
 	sim_vm(s, OP_VM_DRAIN, "w5", "", 0);
-	sim_wave(s, OP_WAVE_PLAN, "w", "p0", 1000);
-	sim_wave(s, OP_WAVE_START, "w", "", 0);
+	wave_w_start(s, 1000);
 	sim_run(s, 5000);
 	cr_expect_eq(wave_show_integer(s, "w", "waiting"), 6);
 	sim_wave(s, OP_WAVE_SHOW, "w", "", 0);
@@ -564,8 +569,7 @@
 
 	watch = (struct watch){0};
 	submit_load(s, 12, 6000);
-	sim_wave(s, OP_WAVE_PLAN, "w", "p0", 20000);
-	sim_wave(s, OP_WAVE_START, "w", "", 0);
+	wave_w_start(s, 20000);
 	sim_run(s, 2000);
 	cr_expect_eq(s->workers[0].state, VM_DRAINING);
 	cr_expect_eq(sim_vm(s, OP_VM_RETURN, "w0", "", 0), OP_OK);
