Admission: a long queue spreads the retries, too

The wait is bounded at half of the upper bound, then spread.

test-admit a_long_queue_spreads_the_retries: red before (40 of 40 retry at once).

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -209,9 +209,9 @@
 	if (hash % SHARE_UNIT < share)
 		return 0;
 	wait_s = drain_ms / 1000 + 1;
+	if (wait_s > RETRY_AFTER_MAX_S / 2)
+		wait_s = RETRY_AFTER_MAX_S / 2;
 	wait_s += (hash / SHARE_UNIT) % wait_s;
-	if (wait_s > RETRY_AFTER_MAX_S)
-		wait_s = RETRY_AFTER_MAX_S;
 	sched_log(s, LOG_QUEUE_FULL,
 		  "job=%s queue=%.*s share=%u full_ms=%lld empty_ms=%lld "
 		  "back_s=%lld",
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -242,6 +242,39 @@
 	}
 }
 
+/*
+ * Guards against callers refused by a queue of minutes that are all told the
+ * longest time, and return together.
+ */
+Test(admit, a_long_queue_spreads_the_retries)
+{
+	static const struct world_job backlog = {.tasks = 800, .task_ms = 9000};
+	static const struct world_job one = {.tasks = 1, .task_ms = 200};
+	unsigned seen[31] = {0}, k, vm, most = 0;
+	uint64_t calls[40];
+	struct world *w = world_new(2370, WORLD_VMS, WORLD_WORKERS);
+	char id[20];
+
+	world_run(w, 4000);
+	vm = ((unsigned)world_owner(w) + 1) % WORLD_VMS;
+	world_submit(w, vm, "00000000000000aa", &backlog);
+	world_run(w, 1500);
+	for (k = 0; k < NELEMS(calls); k++) {
+		snprintf(id, sizeof(id), "%016x", 1000 + 77 * k);
+		calls[k] = world_submit(w, vm, id, &one);
+	}
+	world_run(w, 100);
+	for (k = 0; k < NELEMS(calls); k++) {
+		cr_assert_eq(world_call_status(w, calls[k]), 503, "call %u", k);
+		cr_assert_lt(world_call_retry_after(w, calls[k]), NELEMS(seen));
+		seen[world_call_retry_after(w, calls[k])]++;
+	}
+	for (k = 0; k < NELEMS(seen); k++)
+		most = seen[k] > most ? seen[k] : most;
+	cr_expect_leq(most, NELEMS(calls) / 4, "%u retry at once", most);
+	world_free(w);
+}
+
 /*
  * Guards against refused callers that all retry at the same moment, or while
  * the queue is still as full, or in vain.
