Admission: a pool waits for as many starts of others as it has itself

Three or more pools: each was charged its own pending tasks times the number of pools with any, at most all pending tasks.

Now each other pool counts with as many of its pending tasks as the pool itself has, which is what taking turns brings, computed once a pass for each pool.

--- a/sched-move.c
+++ b/sched-move.c
@@ -77,6 +77,8 @@
 	double queued_work;	/* of it, what waits for nothing but room */
 	unsigned pending_tasks; /* tasks in work that have not started */
 	unsigned queued_tasks;	/* tasks in queued_work that have not started */
+	double starts_ms;	/* the owner needs to start pending_tasks */
+	double queue_starts_ms; /* the owner needs to start queued_tasks */
 	struct resources max_capacity; /* of its workers, by resource, those
 					* that can't take tasks included */
 	double objective_sum_ms; /* sum of the objectives of the queued jobs */
@@ -94,9 +96,7 @@
 struct pool_loads {
 	struct pool_load *list;
 	size_t count;
-	unsigned pending_tasks; /* of all pools */
-	unsigned pending_pools; /* pools that have some */
-	double start_interval_ms;
+	double start_interval_ms; /* see struct sched */
 };
 
 /* Returns the load of a service, or NULL if the service is not configured. */
@@ -255,14 +255,33 @@
 	}
 }
 
-/* Counts the tasks of all pools that have not started. */
-static void pool_loads_count_pending(struct pool_loads *l)
+/*
+ * Returns the time that the owner needs to start a number of tasks of a pool.
+ * The pools take turns, so each of the others has as many started meanwhile, as
+ * far as it has pending tasks.
+ */
+static double pool_loads_starts_ms(const struct pool_loads *l, unsigned tasks)
 {
+	unsigned n, all = 0;
 	size_t i;
 
 	for (i = 0; i < l->count; i++) {
-		l->pending_tasks += l->list[i].pending_tasks;
-		l->pending_pools += l->list[i].pending_tasks != 0;
+		n = l->list[i].pending_tasks;
+		all += n < tasks ? n : tasks;
+	}
+	return all * l->start_interval_ms;
+}
+
+/* Computes how long the owner needs to start the tasks of each pool. */
+static void pool_loads_set_starts(struct pool_loads *l)
+{
+	struct pool_load *p;
+	size_t i;
+
+	for (i = 0; i < l->count; i++) {
+		p = &l->list[i];
+		p->starts_ms = pool_loads_starts_ms(l, p->pending_tasks);
+		p->queue_starts_ms = pool_loads_starts_ms(l, p->queued_tasks);
 	}
 }
 
@@ -312,31 +331,17 @@
 	return cores > machine_cores / 8 ? p->work / cores : 1e9;
 }
 
-/*
- * Returns the time that the owner needs to start tasks of a pool.  The pools
- * that have any take turns.
- */
-static double pool_starts_ms(const struct pool_loads *l, unsigned tasks)
-{
-	double all = (double)tasks * l->pending_pools;
-
-	if (all > l->pending_tasks)
-		all = l->pending_tasks;
-	return all * l->start_interval_ms;
-}
-
 /*
  * Returns how long a pool needs for its work for want of machines; 0 if the
  * owner takes longer to start its tasks than its workers to run them.  Machines
  * moved there would stand idle, and the pool would seem ever less loaded.
  */
-static double pool_lacks_machines_ms(const struct pool_loads *l,
-				     const struct pool_load *p,
+static double pool_lacks_machines_ms(const struct pool_load *p,
 				     double machine_cores)
 {
 	double drain_ms = pool_drain_ms(p, machine_cores);
 
-	return drain_ms > pool_starts_ms(l, p->pending_tasks) ? drain_ms : 0;
+	return drain_ms > p->starts_ms ? drain_ms : 0;
 }
 
 /*
@@ -489,8 +494,8 @@
 		p = &l->list[i];
 		if (p->routed && !p->service->standby &&
 		    (!worst ||
-		     pool_lacks_machines_ms(l, p, machine_cores) >
-			     pool_lacks_machines_ms(l, worst, machine_cores)))
+		     pool_lacks_machines_ms(p, machine_cores) >
+			     pool_lacks_machines_ms(worst, machine_cores)))
 			worst = p;
 	}
 	return worst;
@@ -513,7 +518,7 @@
 	list = idle_machines_collect(s, l, &count);
 	for (n = 0; n < max; n++) {
 		worst = pool_most_loaded(l, machine_cores);
-		if (!worst || pool_lacks_machines_ms(l, worst, machine_cores) <
+		if (!worst || pool_lacks_machines_ms(worst, machine_cores) <
 				      DRAIN_HIGH_MS)
 			break;
 		spare = idle_machine_choose(list, count, worst, machine_cores,
@@ -609,17 +614,16 @@
  * most of it be late.  Its starts also decide if the pool has no cores, as an
  * owner that processes the answers of workers too late takes all for silent.
  */
-static double pool_queue_ms(const struct pool_loads *l,
-			    const struct pool_load *p, double machine_cores)
+static double pool_queue_ms(const struct pool_load *p, double machine_cores)
 {
 	double cores = p->cores - p->long_running_cores +
 		       machine_cores * p->arriving;
-	double starts_ms = pool_starts_ms(l, p->queued_tasks), room_ms;
+	double room_ms;
 
 	if (cores <= machine_cores / 8)
-		return starts_ms;
+		return p->queue_starts_ms;
 	room_ms = p->queued_work / cores;
-	return room_ms > starts_ms ? room_ms : starts_ms;
+	return room_ms > p->queue_starts_ms ? room_ms : p->queue_starts_ms;
 }
 
 /* Logs the load of each pool, at most once per POOL_LOG_INTERVAL_MS. */
@@ -646,11 +650,10 @@
 			p->arriving, p->empty, p->cores / 1000,
 			p->used_cores / 1000, p->long_running_cores / 1000,
 			p->work / 1000, pool_drain_ms(p, machine_cores),
-			p->stranded, pool_queue_ms(l, p, machine_cores),
+			p->stranded, pool_queue_ms(p, machine_cores),
 			p->queued_jobs ? p->objective_sum_ms / p->queued_jobs
 				       : 0,
-			p->leaving, p->pending_tasks,
-			pool_starts_ms(l, p->pending_tasks));
+			p->leaving, p->pending_tasks, p->starts_ms);
 	}
 }
 
@@ -667,7 +670,7 @@
 		if (p->routed && p->queued_jobs &&
 		    policy_is_enabled(s, POLICY_ADMISSION))
 			admission_set(s, p->service->name,
-				      pool_queue_ms(l, p, machine_cores),
+				      pool_queue_ms(p, machine_cores),
 				      p->objective_sum_ms / p->queued_jobs);
 	}
 }
@@ -760,7 +763,7 @@
 	}
 	pool_loads_add_workers(s, &l);
 	pool_loads_add_jobs(s, &l);
-	pool_loads_count_pending(&l);
+	pool_loads_set_starts(&l);
 	pool_loads_add_moves(s, &l);
 	machine_cores = machine_mean_cores(&l);
 	pool_loads_log(s, &l, machine_cores);
