Admission: a pool that nobody works off has a queue that grows

- 'A pool without usable workers has a queue, too' held only if the owner had been slow before: without cores the queue was the time of the owner's starts, from an interval that changes only with outcomes. 600 tasks queued, then all workers cut off from the owner: jobs were accepted after 2 s.
- Its largest capacity counted gone workers that are still listed: tasks that only such a one could hold were queued for ever, and a job of one core got 503 in 4 of 4 tries beside an empty pool.

Now each queue is published with the time at which it was computed, and a pool without usable workers keeps the latest computation, so that it grows after 2 s as it does without an owner. What workers that can't take tasks could hold counts only while no worker of the pool can.

test-admit what_cannot_be_started_in_time_is_refused, row 'then none for long': 200 in place of 503 before; the row of 1.5 s (200) guards the other side. The large gone worker has no test: workers of the simulated world are alike.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -23,40 +23,47 @@
 /* Upper bound of the Retry-After header of refused jobs. */
 #define RETRY_AFTER_MAX_S 30
 /*
- * If the owner has not computed the queues for this long, nobody starts tasks,
- * and each queue is assumed to grow by the time that passes.
+ * If a queue is as of longer ago than this, nobody starts its tasks, and it is
+ * assumed to grow by the time that passes.
  */
-#define QUEUES_AGE_MAX_MS 2000
+#define QUEUE_AGE_MAX_MS 2000
 
 /* The queue of a pool that is near overload. */
 struct admission {
 	bstr service;
 	int64_t drain_ms;     /* that the pool needs for it */
 	int64_t objective_ms; /* mean of its jobs */
+	int64_t as_of;	      /* by the store's clock */
 	UT_hash_handle hh;
 };
 
-/* Frees the published queues. */
+/* Frees the queue of a pool. */
+static void admission_free(struct sched *s, struct admission *a)
+{
+	HASH_DEL(s->admissions, a);
+	bstr_free(&a->service);
+	free(a);
+}
+
+/* Frees all queues. */
 void admissions_free(struct sched *s)
 {
 	struct admission *a, *next;
 
-	HASH_ITER(hh, s->admissions, a, next) {
-		HASH_DEL(s->admissions, a);
-		bstr_free(&a->service);
-		free(a);
-	}
+	HASH_ITER(hh, s->admissions, a, next)
+		admission_free(s, a);
 }
 
 /* Adds the queue of a pool. */
 static void admission_add(struct sched *s, bstr service, int64_t drain_ms,
-			  int64_t objective_ms)
+			  int64_t objective_ms, int64_t as_of)
 {
 	struct admission *a = xcalloc(1, sizeof(*a));
 
 	a->service = bstr_copy(service);
 	a->drain_ms = drain_ms;
 	a->objective_ms = objective_ms;
+	a->as_of = as_of;
 	HASH_ADD_BSTR(s->admissions, service, a);
 }
 
@@ -76,11 +83,14 @@
 	return (unsigned)(SHARE_UNIT * (full - drain_ms) / (full - start));
 }
 
-/* Called by the owner: discards the queues, which are computed anew now. */
-void admissions_begin(struct sched *s)
+/* Called by the owner: records that a pool has no queue. */
+void admission_clear(struct sched *s, bstr service)
 {
-	admissions_free(s);
-	s->admissions_as_of = store_clock(s);
+	struct admission *a;
+
+	HASH_FIND_BSTR(s->admissions, service, a);
+	if (a)
+		admission_free(s, a);
 }
 
 /*
@@ -90,74 +100,102 @@
 void admission_set(struct sched *s, bstr service, double drain_ms,
 		   double objective_ms)
 {
-	if (s->admissions_as_of && drain_ms >= objective_ms * OVERLOAD_NEAR)
+	admission_clear(s, service);
+	if (store_clock(s) && drain_ms >= objective_ms * OVERLOAD_NEAR)
+		admission_add(s, service, (int64_t)drain_ms,
+			      (int64_t)objective_ms, store_clock(s));
+}
+
+/*
+ * Called by the owner: records that nobody works off the queue of a pool.  It
+ * keeps the time of the latest computation, so that it grows from then on.
+ */
+void admission_hold(struct sched *s, bstr service, double drain_ms,
+		    double objective_ms)
+{
+	struct admission *a;
+
+	HASH_FIND_BSTR(s->admissions, service, a);
+	if (!a && store_clock(s))
 		admission_add(s, service, (int64_t)drain_ms,
-			      (int64_t)objective_ms);
+			      (int64_t)objective_ms, store_clock(s));
+}
+
+/* Called by the owner: drops the queues of services that were removed. */
+void admissions_drop_unconfigured(struct sched *s)
+{
+	struct admission *a, *next;
+
+	HASH_ITER(hh, s->admissions, a, next)
+		if (!service_named(s, a->service))
+			admission_free(s, a);
+}
+
+/* Returns the row of a queue for the heartbeat. */
+static json_t *admission_write(const struct admission *a)
+{
+	double drain_ms = (double)a->drain_ms;
+	double objective_ms = (double)a->objective_ms;
+	int64_t excess_ms = (int64_t)(drain_ms - OVERLOAD_START * objective_ms);
+
+	return json_pack("[I, I, I, I, I, I]",
+			 (json_int_t)admission_share(drain_ms, objective_ms),
+			 (json_int_t)(a->as_of + excess_ms),
+			 (json_int_t)(a->as_of + a->drain_ms),
+			 (json_int_t)a->drain_ms, (json_int_t)a->objective_ms,
+			 (json_int_t)a->as_of);
 }
 
 /*
- * Returns the queues for the heartbeat.  The first three numbers are the share
- * and the times until which it holds and the queue lasts, which older versions
- * read.
+ * Returns the queues for the heartbeat.  The first three numbers of each are
+ * the share and the times until which it holds and the queue lasts, which older
+ * versions read.
  */
 json_t *admissions_write(const struct sched *s)
 {
 	const struct admission *a;
 	json_t *all = json_object();
-	int64_t excess;
 	char *service;
 
 	for (a = s->admissions; a; a = a->hh.next) {
 		service = bstr_cstr(a->service);
-		excess = a->drain_ms -
-			 (int64_t)(OVERLOAD_START * (double)a->objective_ms);
-		json_object_set_new(
-			all, service,
-			json_pack(
-				"[I, I, I, I, I]",
-				(json_int_t)admission_share(
-					(double)a->drain_ms,
-					(double)a->objective_ms),
-				(json_int_t)(s->admissions_as_of + excess),
-				(json_int_t)(s->admissions_as_of + a->drain_ms),
-				(json_int_t)a->drain_ms,
-				(json_int_t)a->objective_ms));
+		json_object_set_new(all, service, admission_write(a));
 		free(service);
 	}
 	return all;
 }
 
 /*
- * Reads the queues from a heartbeat, as of a time by the store's clock.
- * Heartbeats of older versions have none, or no lengths.
+ * Reads the queues from a heartbeat.  Heartbeats of older versions have none,
+ * or no lengths.
  */
-void admissions_read(struct sched *s, const json_t *all, int64_t as_of)
+void admissions_read(struct sched *s, const json_t *all)
 {
-	json_int_t share, until, empty_at, drain_ms, objective_ms;
+	json_int_t share, until, empty_at, drain_ms, objective_ms, as_of;
 	const char *service;
 	json_t *v;
 
 	admissions_free(s);
-	s->admissions_as_of = as_of;
 	json_object_foreach((json_t *)all, service, v) {
-		if (json_unpack(v, "[I, I, I, I, I]", &share, &until, &empty_at,
-				&drain_ms, &objective_ms) < 0 ||
+		if (json_unpack(v, "[I, I, I, I, I, I]", &share, &until,
+				&empty_at, &drain_ms, &objective_ms,
+				&as_of) < 0 ||
 		    drain_ms < 0 || objective_ms <= 0)
 			continue;
-		admission_add(s, bstr_lit(service), drain_ms, objective_ms);
+		admission_add(s, bstr_lit(service), drain_ms, objective_ms,
+			      as_of);
 	}
 }
 
 /*
- * Returns the time that a queue needs now.  While no owner works it off, it
- * grows: what is accepted then waits for the next owner, and that may take
- * seconds, in which everything would be accepted otherwise.
+ * Returns the time that a queue needs now.  While nobody works it off, it
+ * grows: what is accepted then waits for the next owner, or for workers, and
+ * that may take seconds, in which everything would be accepted otherwise.
  */
 static int64_t admission_drain_ms(const struct sched *s,
 				  const struct admission *a)
 {
-	int64_t idle_ms = store_clock(s) - s->admissions_as_of -
-			  QUEUES_AGE_MAX_MS;
+	int64_t idle_ms = store_clock(s) - a->as_of - QUEUE_AGE_MAX_MS;
 
 	return a->drain_ms + (idle_ms > 0 ? idle_ms : 0);
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -79,8 +79,9 @@
 	unsigned queued_tasks;	/* tasks in queued_work that have not started */
 	double starts_ms;	/* the owner needs to start pending_tasks */
 	double queue_starts_ms; /* the owner needs to start queued_tasks */
-	struct resources max_capacity; /* of its workers, by resource, those
-					* that can't take tasks included */
+	struct resources max_capacity; /* of its workers, by resource */
+	struct resources max_listed;   /* the same, with those that can't take
+					* tasks now */
 	double objective_sum_ms; /* sum of the objectives of the queued jobs */
 	unsigned queued_jobs;	 /* jobs with work in queued_work */
 };
@@ -131,14 +132,16 @@
 
 	HASH_ITER(hh, s->workers, w, next) {
 		p = pool_load_find(l, w->row.service);
-		if (p)
-			p->max_capacity = resources_max(p->max_capacity,
-							w->row.capacity);
+		if (p && w->listed)
+			p->max_listed = resources_max(p->max_listed,
+						      w->row.capacity);
 		if (p && w->listed && !w->gone && w->takedown_pending)
 			p->leaving++;
 		if (!p || !(worker_is_healthy(s, w) || worker_may_answer(s, w)))
 			continue;
 		p->workers++;
+		p->max_capacity = resources_max(p->max_capacity,
+						w->row.capacity);
 		p->cores += (double)w->row.capacity.cpu;
 		p->used_cores += (double)w->used.cpu;
 		if (w->fenced && TAILQ_EMPTY(&w->tasks))
@@ -151,6 +154,17 @@
 	}
 }
 
+/*
+ * Returns true if a need fits on some worker of a pool.  If none can take tasks
+ * now, those that may again count: the owner may be too slow to process their
+ * answers, and the pool would seem to have no queue.
+ */
+static bool pool_load_can_fit(const struct pool_load *p, struct resources need)
+{
+	return resources_fit(need,
+			     p->workers ? p->max_capacity : p->max_listed);
+}
+
 /* Adds the remaining work of an occurrence. */
 static void pool_load_add_work(struct sched *s, struct pool_load *p,
 			       const struct occurrence *o)
@@ -197,7 +211,7 @@
 
 	for (i = 0; i < j->body->step_count; i++, st++) {
 		if (st->long_running || st->best_effort ||
-		    !resources_fit(st->need, p->max_capacity))
+		    !pool_load_can_fit(p, st->need))
 			continue;
 		queued += (double)st->need.cpu *
 			  (double)j->estimate.step_ms[i] *
@@ -661,17 +675,26 @@
 static void admissions_update(struct sched *s, const struct pool_loads *l,
 			      double machine_cores)
 {
+	double queue_ms, objective_ms;
 	const struct pool_load *p;
 	size_t i;
 
-	admissions_begin(s);
+	admissions_drop_unconfigured(s);
 	for (i = 0; i < l->count; i++) {
 		p = &l->list[i];
-		if (p->routed && p->queued_jobs &&
-		    policy_is_enabled(s, POLICY_ADMISSION))
-			admission_set(s, p->service->name,
-				      pool_queue_ms(p, machine_cores),
-				      p->objective_sum_ms / p->queued_jobs);
+		if (!p->routed || !p->queued_jobs ||
+		    !policy_is_enabled(s, POLICY_ADMISSION)) {
+			admission_clear(s, p->service->name);
+			continue;
+		}
+		queue_ms = pool_queue_ms(p, machine_cores);
+		objective_ms = p->objective_sum_ms / p->queued_jobs;
+		if (p->workers)
+			admission_set(s, p->service->name, queue_ms,
+				      objective_ms);
+		else
+			admission_hold(s, p->service->name, queue_ms,
+				       objective_ms);
 	}
 }
 
--- a/sched-row.c
+++ b/sched-row.c
@@ -375,12 +375,11 @@
 bstr heartbeat_row_write(struct sched *s)
 {
 	return json_write(json_pack(
-		"{s:I, s:I, s:I, s:o, s:o, s:o, s:I}", "epoch",
+		"{s:I, s:I, s:I, s:o, s:o, s:o}", "epoch",
 		(json_int_t)s->own.epoch, "seq",
 		(json_int_t)s->own.heartbeat_seq, "told_at",
 		(json_int_t)job_list_as_of(s), "waiting", counts_write(s),
-		"ceilings", ceilings_write(s), "admit", admissions_write(s),
-		"admit_at", (json_int_t)s->admissions_as_of));
+		"ceilings", ceilings_write(s), "admit", admissions_write(s)));
 }
 
 /*
@@ -400,8 +399,7 @@
 	s->own.ceilings = json_incref(json_object_get(row, "ceilings"));
 	counts_read(s, json_object_get(row, "waiting"),
 		    int_member(row, "told_at"));
-	admissions_read(s, json_object_get(row, "admit"),
-			int_member(row, "admit_at"));
+	admissions_read(s, json_object_get(row, "admit"));
 	json_decref(row);
 	return true;
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -708,7 +708,6 @@
 	struct backlog *backlogs;
 	size_t backlog_count;
 	struct admission *admissions; /* queues of pools near overload */
-	int64_t admissions_as_of;     /* by the store's clock */
 	struct load load;
 	struct learnt_time *learnt_times;
 };
@@ -779,8 +778,11 @@
 void admission_set(struct sched *s, bstr service, double drain_ms,
 		   double objective_ms);
 json_t *admissions_write(const struct sched *s);
-void admissions_begin(struct sched *s);
-void admissions_read(struct sched *s, const json_t *all, int64_t as_of);
+void admission_hold(struct sched *s, bstr service, double drain_ms,
+		    double objective_ms);
+void admission_clear(struct sched *s, bstr service);
+void admissions_drop_unconfigured(struct sched *s);
+void admissions_read(struct sched *s, const json_t *all);
 void admissions_free(struct sched *s);
 uint32_t admission_refuses(struct sched *s, const struct route *r,
 			   const struct job_body *b, const char *id);
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -109,37 +109,41 @@
 static const struct {
 	const char *name;
 	unsigned window; /* starts that may be in flight */
-	bool silent;	 /* the owner has no answers of workers */
+	unsigned task_ms;
+	int64_t silent_ms; /* the owner has no answers of workers; 0: it has */
 	int status;
 } slow_start_rows[] = {
-	{"the owner starts all at once", 1000, false, 200},
-	{"the owner starts 160 a second", 32, false, 503},
-	{"the owner starts 160 a second, then none", 32, true, 503},
+	{"the owner starts all at once", 1000, 100, 0, 200},
+	{"the owner starts 160 a second", 32, 100, 0, 503},
+	{"the owner starts 160 a second, then none", 32, 100, 2500, 503},
+	{"the owner starts all at once, then none", 1000, 400, 1500, 200},
+	{"the owner starts all at once, then none for long", 1000, 400, 8000,
+	 503},
 };
 Test(admit, what_cannot_be_started_in_time_is_refused)
 {
-	static const struct world_job backlog = {.tasks = 800, .task_ms = 100};
-	static const struct world_job one = {.tasks = 1, .task_ms = 100};
+	struct world_job backlog = {.tasks = 800};
+	struct world_job one = {.tasks = 1};
 	struct world *w;
 	unsigned row, n, vm, k, i;
 	uint64_t call;
 
 	for (row = 0; row < NELEMS(slow_start_rows); row++) {
-		w = world_new(2360 + row, WORLD_VMS, 200);
+		w = world_new(2360 + row, WORLD_VMS, 20);
 		world_run(w, 4000);
 		n = (unsigned)world_owner(w);
 		vm = (n + 1) % WORLD_VMS;
 		world_set_order_delay(w, 200);
+		backlog.task_ms = one.task_ms = slow_start_rows[row].task_ms;
 		world_submit(w, vm, "00000000000000aa", &backlog);
 		for (k = 0; k < 240; k++) {
 			world_sched(w, n)->start_window =
 				slow_start_rows[row].window * START_WINDOW_UNIT;
 			world_run(w, 5);
 		}
-		for (i = 0; i < 200 && slow_start_rows[row].silent; i++)
+		for (i = 0; i < 20 && slow_start_rows[row].silent_ms; i++)
 			world_cut_worker(w, n, i, true);
-		if (slow_start_rows[row].silent)
-			world_run(w, 2500);
+		world_run(w, slow_start_rows[row].silent_ms);
 		call = world_submit(w, vm, "00000000000000bb", &one);
 		world_run(w, 100);
 		cr_expect_eq(world_call_status(w, call),
