Admission: what waits for a ceiling's raise is queued, what is limited is not

A job that waits for the raise of its organisation's ceiling waits for the owner's heartbeat, and was not counted as queued; one at its organisation's upper limit was, once a pass had filled the window before it.

Now the first counts, and the second keeps its reason. The mean time between starts begins anew with each ownership, and outcomes of an earlier one don't count.

--- a/sched-move.c
+++ b/sched-move.c
@@ -186,12 +186,14 @@
 	}
 }
 
-/* Returns true if a job's tasks wait for nothing but room. */
+/*
+ * Returns true if a job's tasks wait for nothing but room or the owner: for
+ * starts in flight, the store, or the raise of a ceiling.
+ */
 static bool job_waits_for_room(const struct job *j)
 {
 	switch (j->pending_reason) {
 	case PENDING_LIMIT:
-	case PENDING_CEILING:
 	case PENDING_CONSTRAINTS:
 	case PENDING_TICKET:
 		return false;
--- a/sched-order.c
+++ b/sched-order.c
@@ -369,7 +369,8 @@
 
 	if (rq->purpose == FOR_START) {
 		s->starts_in_flight--;
-		start_interval_update(s, s->now - rq->asked_at);
+		if (rq->epoch == s->own.epoch)
+			start_interval_update(s, s->now - rq->asked_at);
 		if (a->clock)
 			start_window_update(s, s->now - a->sent_at);
 	}
--- a/sched-own.c
+++ b/sched-own.c
@@ -127,6 +127,7 @@
 	s->commit_in_flight = false;
 	s->advice_calls_in_flight = 0;
 	s->settled = false;
+	s->start_interval_ms = 0;
 	s->follows[FOLLOW_WORKERS].wanted = s->follows[FOLLOW_JOBS].wanted =
 		false;
 	s->progress.wanted = s->notes.wanted = false;
--- a/sched-place.c
+++ b/sched-place.c
@@ -602,7 +602,8 @@
 /*
  * Records that the candidates left wait for the starts in flight.  With the
  * reason of an earlier pass they would seem to wait for something else, and
- * their pool's queue would seem shorter than it is.
+ * their pool's queue would seem shorter than it is.  Jobs of an organisation at
+ * its upper limit are not queued for room, so they keep that reason.
  */
 static void candidates_wait_for_window(const struct place_pass *p)
 {
@@ -612,7 +613,8 @@
 	for (i = 0; i < p->pools_left_count; i++)
 		for (c = p->pools_left[i]->waiting;
 		     c < p->pools_left[i]->waiting_end; c++)
-			(*c)->job->pending_reason = PENDING_WINDOW;
+			if ((*c)->previous_reason != PENDING_LIMIT)
+				(*c)->job->pending_reason = PENDING_WINDOW;
 }
 
 /*
