Moves and maintenance: a late answer spares the next worker

What callers see: a worker that has just joined after a move or maintenance is taken for gone, and gets no tasks until its row changes; tasks that it runs already would be started again elsewhere.

Cause: the answer to a move or to a call for maintenance was applied to the worker that the list of machines shows when the answer is processed. If the answer takes longer than the next list, as with a slow platform or an owner that processes its answers late, that is the machine's next worker.

Ruled out: the lists' order; one is in flight at a time.

Change: the request of a move refers to the worker it was ordered for, and maintenance goes by the noted one. The world's orders about machines have modes (slow, silent, answers lost, late, busy, no such machine), also for moves, which it carried out whatever the mode; a move of a machine that is in the pool already does nothing, as on the platform, and one that ends a task breaks an invariant. No check was relaxed.

--- a/sched-move.c
+++ b/sched-move.c
@@ -323,6 +323,9 @@
 	rq = sched_ask(s, FOR_MOVE, ASK_MOVE,
 		       own_exclusive_until(s, s->now + MOVE_TIMEOUT_MS), &ask);
 	rq->name = bstr_copy(m->id);
+	rq->worker = w;
+	if (w)
+		w->requests++;
 	ask->order.machine = bstr_copy(m->id);
 	ask->order.pool = bstr_copy(to->service->name);
 	ask->order.holder = bstr_copy(s->options.vm);
@@ -694,16 +697,19 @@
 	free(l.list);
 }
 
-/* Handles the platform's answer to a move. */
+/*
+ * Handles the platform's answer to a move.  It concerns the worker that the
+ * machine had when the move was ordered: the list of machines may show the next
+ * one already.  If that one were given up, its tasks would run twice.
+ */
 void move_answer(struct sched *s, struct request *rq, struct answer *a)
 {
+	struct worker *w = rq->worker;
 	struct machine *m;
-	struct worker *w;
 
 	HASH_FIND_BSTR(s->machines, rq->name, m);
 	if (!m || rq->epoch != s->own.epoch)
 		return;
-	w = m->worker.bstr_len ? worker_find(s, m->worker) : NULL;
 	if (a->outcome == OUT_DONE) {
 		m->moving_until = s->now + s->options.move_ms + MOVE_RETRY_MS;
 		m->state = MACHINE_MOVING;
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -766,10 +766,11 @@
 }
 
 /*
- * Handles a successful call for maintenance.  The runs on the machine have
- * ended.  But if its worker was restarted since it was noted, the call may have
- * been carried out earlier, and the new process may still be running; its lease
- * decides.
+ * Handles a successful call for maintenance.  The runs of the noted worker have
+ * ended.  The list of machines may show the machine's next worker already,
+ * which goes on.  But if the worker was restarted before the call was sent, the
+ * call may have been carried out earlier, and the new process may still be
+ * running; its lease decides.
  */
 static void maintenance_done(struct sched *s, struct wave *v,
 			     struct wave_machine *wm)
@@ -779,7 +780,10 @@
 	wm->done = true;
 	wm->down_until = s->now + s->options.maintenance_ms + DOWN_MARGIN_MS;
 	v->dirty = true;
-	wave_machine_lookup(s, wm->id, &w);
+	if (wm->call_is_for_noted_process)
+		w = worker_find(s, wm->worker);
+	else
+		wave_machine_lookup(s, wm->id, &w);
 	if (w && !wm->call_is_for_noted_process) {
 		/*
 		 * Its tasks count as unavailable until it answers again.  If
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -123,16 +123,10 @@
 	world_machine_restart(w, worker, 300);
 }
 
-/* Lets orders about machines have no effect and no answer. */
-void world_silence_machines(struct world *w, bool silent)
+/* Sets how the platform treats orders about machines. */
+void world_set_machine_mode(struct world *w, enum world_machine_mode mode)
 {
-	w->machines_silent = silent;
-}
-
-/* Lets machines refuse maintenance because they are busy. */
-void world_set_maintenance_busy(struct world *w, bool busy)
-{
-	w->maintenance_busy = busy;
+	w->machine_mode = mode;
 }
 
 /* Restarts a worker under the same id; it loses its runs. */
--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -134,76 +134,187 @@
 	return bstr_eq_str(name, SECOND) ? SECOND : SERVICE;
 }
 
+/* Returns the index of the machine that an order names. */
+static unsigned machine_index(const struct order *o)
+{
+	char *name = bstr_cstr(o->machine);
+	unsigned n = (unsigned)strtoul(name + 2, NULL, 10);
+
+	free(name);
+	return n;
+}
+
+/* Carries out the move of a machine, unless it is in the pool already. */
+void world_move_apply(struct world *w, const struct order *o)
+{
+	unsigned n = machine_index(o);
+	const char *pool = pool_find(o->pool);
+
+	if (!strcmp(w->pools[n], pool))
+		return;
+	if (w->workers[n].run_count)
+		world_report_violation(w, "a move ended a task",
+				       w->workers[n].runs[0].name);
+	w->moves++;
+	w->pools[n] = pool;
+	dropped_ends_check(w, n);
+	world_machine_restart(w, n, 300);
+	if (machine_is_standby(w, n))
+		world_unlist_worker(w, n, true);
+}
+
+/* Carries out the maintenance of a machine, unless it has been. */
+static void maintenance_apply(struct world *w, unsigned n)
+{
+	unsigned i, down = 0;
+
+	if (w->maintained[n])
+		return;
+	for (i = 0; i < w->worker_count; i++)
+		down += w->now < w->maintained_until[i];
+	if (down >= w->wave_maximum)
+		world_report_violation(w, "too many machines down", "");
+	maintenance_check(w, n);
+	dropped_ends_check(w, n);
+	w->maintained[n] = true;
+	w->maintained_until[n] = w->now + MAINTENANCE_MS;
+	world_machine_restart(w, n, MAINTENANCE_MS);
+}
+
+/* Adds the rows of all machines to an answer. */
+static void machines_list(const struct world *w, struct answer *a)
+{
+	unsigned i;
+
+	a->machines = xcalloc(w->worker_count, sizeof(*a->machines));
+	for (i = 0; i < w->worker_count; i++)
+		a->machines[a->machine_count++] = (struct machine_row){
+			.machine = bstr_printf("m-%u", i),
+			.pool = bstr_new(w->pools[i]),
+			.worker = machine_is_standby(w, i)
+					  ? BSTR_NONE
+					  : world_worker_id(w, i),
+			.state = w->now < w->maintained_until[i]
+					 ? MACHINE_MAINTENANCE
+					 : MACHINE_UP};
+}
+
+/* Adds the tickets of the advice service to an answer. */
+static void advice_list(const struct world *w, struct answer *a)
+{
+	unsigned i;
+
+	a->valid_ms = 1000;
+	a->tickets = xcalloc(w->worker_count, sizeof(*a->tickets));
+	for (i = 0; i < w->worker_count; i += 2) {
+		a->tickets[a->ticket_count].worker = world_worker_id(w, i);
+		a->tickets[a->ticket_count++].text = bstr_new("ticket");
+	}
+}
+
+/* Carries out an order about a machine at once. */
+static void machine_order_apply(struct world *w, const struct ask *ask)
+{
+	if (ask->kind == ASK_MOVE)
+		world_move_apply(w, &ask->order);
+	else
+		maintenance_apply(w, machine_index(&ask->order));
+}
+
+/* Carries out the move of a machine later; its answer has timed out. */
+static void move_delay(struct world *w, unsigned vm, struct sched_effect *fx)
+{
+	struct pending *p = world_pending_add(w, &w->pending,
+					      w->now + LATE_MOVE_MS, vm);
+
+	p->effect = fx;
+	p->is_late_move = true;
+}
+
+/*
+ * Lets an order about a machine time out.  A late move is carried out all the
+ * same.
+ */
+static void machine_order_timeout(struct world *w, unsigned vm,
+				  struct sched_effect *fx)
+{
+	world_answer_timeout(w, vm, fx);
+	if (w->machine_mode == WORLD_MACHINES_LATE && fx->ask.kind == ASK_MOVE)
+		move_delay(w, vm, fx);
+	else
+		sched_effect_free(fx);
+}
+
+/* Answers an order about a machine. */
+static void machine_order_answer(struct world *w, unsigned vm,
+				 struct sched_effect *fx, enum refusal refusal)
+{
+	int64_t delay_ms = w->machine_mode == WORLD_MACHINES_SLOW
+				   ? SLOW_MACHINES_MS
+				   : ONE_WAY_MS;
+	struct sched_event *ev = world_answer_make(
+		fx, refusal ? OUT_REFUSED : OUT_DONE, w->now);
+
+	ev->answer.refusal = refusal;
+	world_answer_send(w, vm, ev, w->now + delay_ms);
+	sched_effect_free(fx);
+}
+
+/* Notes the epoch of an order for maintenance; it must not go back. */
+static void maintenance_epoch_check(struct world *w, const struct order *o)
+{
+	unsigned n = machine_index(o);
+
+	if (o->epoch < w->machine_epoch[n])
+		world_report_violation(w, "a machine has two owners", "");
+	w->machine_epoch[n] = o->epoch;
+}
+
+/* Handles an order about a machine. */
+static void machine_order_receive(struct world *w, unsigned vm,
+				  struct sched_effect *fx)
+{
+	if (fx->ask.kind == ASK_MAINTENANCE)
+		maintenance_epoch_check(w, &fx->ask.order);
+	switch (w->machine_mode) {
+	case WORLD_MACHINES_OK:
+	case WORLD_MACHINES_SLOW:
+		machine_order_apply(w, &fx->ask);
+		machine_order_answer(w, vm, fx, REFUSAL_NONE);
+		break;
+	case WORLD_MACHINES_BUSY:
+		machine_order_answer(w, vm, fx, REFUSAL_BUSY);
+		break;
+	case WORLD_MACHINES_INVALID:
+		machine_order_answer(w, vm, fx, REFUSAL_INVALID);
+		break;
+	case WORLD_MACHINES_LOSE_ANSWERS:
+		machine_order_apply(w, &fx->ask);
+		machine_order_timeout(w, vm, fx);
+		break;
+	case WORLD_MACHINES_SILENT:
+	case WORLD_MACHINES_LATE:
+		machine_order_timeout(w, vm, fx);
+		break;
+	}
+}
+
 /* Handles a request about machines. */
 void world_machine_receive(struct world *w, unsigned vm,
 			   struct sched_effect *fx)
 {
-	struct sched_event *ev = world_answer_make(fx, OUT_DONE, w->now);
-	struct answer *a = &ev->answer;
-	unsigned i, n, down = 0;
-	char *name;
+	struct sched_event *ev;
 
 	machine_order_check(w, vm, &fx->ask);
-	if (fx->ask.kind == ASK_MACHINES) {
-		a->machines = xcalloc(w->worker_count, sizeof(*a->machines));
-		for (i = 0; i < w->worker_count; i++)
-			a->machines[a->machine_count++] = (struct machine_row){
-				.machine = bstr_printf("m-%u", i),
-				.pool = bstr_new(w->pools[i]),
-				.worker = machine_is_standby(w, i)
-						  ? BSTR_NONE
-						  : world_worker_id(w, i),
-				.state = w->now < w->maintained_until[i]
-						 ? MACHINE_MAINTENANCE
-						 : MACHINE_UP};
-	} else if (fx->ask.kind == ASK_ADVICE) {
-		a->valid_ms = 1000;
-		a->tickets = xcalloc(w->worker_count, sizeof(*a->tickets));
-		for (i = 0; i < w->worker_count; i += 2) {
-			a->tickets[a->ticket_count].worker = world_worker_id(w,
-									     i);
-			a->tickets[a->ticket_count++].text = bstr_new("ticket");
-		}
-	} else if (fx->ask.kind == ASK_MOVE) {
-		name = bstr_cstr(fx->ask.order.machine);
-		n = (unsigned)strtoul(name + 2, NULL, 10);
-		free(name);
-		w->moves++;
-		w->pools[n] = pool_find(fx->ask.order.pool);
-		dropped_ends_check(w, n);
-		world_machine_restart(w, n, 300);
-		if (machine_is_standby(w, n))
-			world_unlist_worker(w, n, true);
-	} else if (fx->ask.kind == ASK_MAINTENANCE) {
-		name = bstr_cstr(fx->ask.order.machine);
-		n = (unsigned)strtoul(name + 2, NULL, 10);
-		free(name);
-		if (fx->ask.order.epoch < w->machine_epoch[n])
-			world_report_violation(w, "a machine has two owners",
-					       "");
-		w->machine_epoch[n] = fx->ask.order.epoch;
-		if (w->machines_silent) {
-			sched_event_free(ev);
-			world_answer_timeout(w, vm, fx);
-			sched_effect_free(fx);
-			return;
-		}
-		for (i = 0; i < w->worker_count; i++)
-			down += w->now < w->maintained_until[i];
-		if (w->maintenance_busy) {
-			a->outcome = OUT_REFUSED;
-			a->refusal = REFUSAL_BUSY;
-		} else if (!w->maintained[n]) {
-			if (down >= w->wave_maximum)
-				world_report_violation(
-					w, "too many machines down", "");
-			maintenance_check(w, n);
-			dropped_ends_check(w, n);
-			w->maintained[n] = true;
-			w->maintained_until[n] = w->now + MAINTENANCE_MS;
-			world_machine_restart(w, n, MAINTENANCE_MS);
-		}
+	if (fx->ask.kind == ASK_MOVE || fx->ask.kind == ASK_MAINTENANCE) {
+		machine_order_receive(w, vm, fx);
+		return;
 	}
+	ev = world_answer_make(fx, OUT_DONE, w->now);
+	if (fx->ask.kind == ASK_MACHINES)
+		machines_list(w, &ev->answer);
+	else
+		advice_list(w, &ev->answer);
 	world_answer_send(w, vm, ev, w->now + ONE_WAY_MS);
 	sched_effect_free(fx);
 }
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -19,6 +19,8 @@
 #define LEASE_MAX_MS 6000
 #define STOP_MS 200
 #define MAINTENANCE_MS 2000
+#define SLOW_MACHINES_MS 1400
+#define LATE_MOVE_MS 6000
 #define NOTICE_MS 4500
 #define CONFIG_APPLY_MS 2000
 
@@ -134,6 +136,7 @@
 	struct sched_effect *effect; /* a request; NULL for an answer */
 	struct sched_event *event; /* an answer to the VM; NULL for a request */
 	bool is_late_write;	   /* its answer has timed out already */
+	bool is_late_move;	   /* likewise */
 	int64_t deadline;	   /* of a long poll */
 };
 TAILQ_HEAD(pending_list, pending);
@@ -209,8 +212,7 @@
 	unsigned wave_maximum;
 	unsigned machine_restarts[WORLD_WORKERS_MAX];
 	uint64_t machine_epoch[WORLD_WORKERS_MAX]; /* highest of an order */
-	bool maintenance_busy; /* machines refuse maintenance */
-	bool machines_silent;
+	enum world_machine_mode machine_mode;
 	bool has_second_pool;
 	const char *pools[WORLD_WORKERS_MAX]; /* of each machine */
 	unsigned moves;
@@ -286,4 +288,7 @@
 void world_machine_receive(struct world *w, unsigned vm,
 			   struct sched_effect *fx);
 
+/* Carries out the move of a machine, unless it is in the pool already. */
+void world_move_apply(struct world *w, const struct order *o);
+
 #endif
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -294,6 +294,9 @@
 		world_tx_apply(w, &p->effect->ask.tx);
 		sched_effect_free(p->effect);
 		world_feeds_wake(w);
+	} else if (p->is_late_move) {
+		world_move_apply(w, &p->effect->ask.order);
+		sched_effect_free(p->effect);
 	} else if (p->effect && p->generation == UINT32_MAX) {
 		unsigned n =
 			(unsigned)(p->effect->ask.order.address.bstr_val[1] -
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -27,6 +27,17 @@
 	WORLD_STORE_LATE /* does writes 0.5 to 3.5 s later, doesn't answer */
 };
 
+/* How the platform treats orders about machines. */
+enum world_machine_mode {
+	WORLD_MACHINES_OK,
+	WORLD_MACHINES_SLOW,	     /* does them, answers 1.4 s later */
+	WORLD_MACHINES_SILENT,	     /* does nothing, doesn't answer */
+	WORLD_MACHINES_LOSE_ANSWERS, /* does them, doesn't answer */
+	WORLD_MACHINES_LATE,	     /* does moves 6 s later, doesn't answer */
+	WORLD_MACHINES_BUSY,	     /* does nothing, refuses as busy */
+	WORLD_MACHINES_INVALID	     /* does nothing, knows no such machine */
+};
+
 struct world_job {
 	unsigned tasks;	     /* in the first step */
 	unsigned more_tasks; /* in a second step after it; 0: no such step */
@@ -137,11 +148,8 @@
 /* Sets the most ends in one answer of a worker; it lists the oldest first. */
 void world_set_ends_listed(struct world *w, unsigned most);
 
-/* Lets machines refuse maintenance because they are busy. */
-void world_set_maintenance_busy(struct world *w, bool busy);
-
-/* Lets orders about machines have no effect and no answer. */
-void world_silence_machines(struct world *w, bool silent);
+/* Sets how the platform treats orders about machines. */
+void world_set_machine_mode(struct world *w, enum world_machine_mode mode);
 
 /*
  * Set the share of orders to workers that get no answer and are carried out
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -819,7 +819,7 @@
 		world_submit(w, 0, JOB_A, &long_lived);
 		world_submit(w, 0, JOB_B, &long_lived);
 		world_run(w, 500);
-		world_set_maintenance_busy(w, true);
+		world_set_machine_mode(w, WORLD_MACHINES_BUSY);
 		world_start_wave(w, 6, 5);
 		world_run(w, 2000);
 		for (i = 0; i < 6; i++) {
@@ -829,7 +829,7 @@
 		world_submit(w, 0, JOB_C, &long_lived);
 		world_run(w, 5000);
 		world_kill_vm(w, owner(w));
-		world_set_maintenance_busy(w, false);
+		world_set_machine_mode(w, WORLD_MACHINES_OK);
 		world_run(w, 25000);
 		cr_expect_eq(world_maintained_count(w), 6, "seed %u", seed);
 		cr_expect(world_wave_is_completed(w), "seed %u", seed);
@@ -852,7 +852,7 @@
 		w = world_new_settled(300 + row);
 		world_submit(w, 0, JOB_A, &long_lived);
 		world_run(w, 500);
-		world_silence_machines(w, true);
+		world_set_machine_mode(w, WORLD_MACHINES_SILENT);
 		world_start_wave(w, 6, 6);
 		world_run(w, 1700 + 90 * row);
 		n = owner(w);
@@ -860,7 +860,7 @@
 		for (i = 0; i < 6; i++)
 			world_cut_worker(w, n, i, true);
 		world_run(w, 15000);
-		world_silence_machines(w, false);
+		world_set_machine_mode(w, WORLD_MACHINES_OK);
 		world_run(w, 15000);
 		check_free(w);
 	}
