Moves: repeat a call without an answer, then use the worker again

What callers see: after a move whose call got no answer and was not carried out, the machine stays in its pool with a worker that gets no tasks and no further move until the owner changes. Its capacity counts as free.

Cause: takedown_pending was taken back on a refusal only. Without an answer the machine may have been moved, may be moved seconds later, or stays.

Change: an unanswered move is repeated for up to 6 s, every second after the timeout. The answer decides, as the call also succeeds if the move was done earlier. If none comes, or the call is refused, the worker is used again 12.5 s after the latest unanswered call (ORDER_LIFETIME_MAX_MS), so within 20 s of the order whatever the platform does. Using it at once would cost the tasks of a late move. The repetition ends if the list of machines shows the machine moved or with another worker, and waits while a late start runs on the worker or its ends are not durable. Until no unanswered call can be carried out any more, a machine that was moved after all is not moved on: the late call would move it back and end what runs on it.

Evidence: test-move no_answer_and_the_worker_is_used_again, 13 rows.

Ruled out by a row: answers lost, carried out late, a takeover between.

Not covered: a successor doesn't know of an unanswered move of its predecessor, so a late one can end tasks that it started there.

--- a/sched-move.c
+++ b/sched-move.c
@@ -47,6 +47,8 @@
 #define POOL_LOG_INTERVAL_MS 1000
 #define MOVE_TIMEOUT_MS 1500
 #define MOVE_RETRY_MS 1000
+/* An unanswered move is repeated for this long. */
+#define MOVE_REPEAT_MS 6000
 /*
  * Limit of the moves begun in one pass: MOVES_LIMIT_MIN, or the fleet size
  * divided by MOVES_FLEET_DIVISOR if that is more, as a change of load can
@@ -302,7 +304,7 @@
 	const struct service *pool = service_named(s, m->pool);
 
 	if (m->state != MACHINE_UP || s->now < m->moving_until ||
-	    s->now < m->retry_at)
+	    s->now < m->retry_at || m->move_unanswered)
 		return false;
 	if (pool && pool->standby)
 		return true;
@@ -311,12 +313,9 @@
 	       !w->takedown_pending && s->now - w->idle_since >= since;
 }
 
-/* Orders the move of a machine. */
-static void machine_move(struct sched *s, struct machine *m,
-			 const struct pool_load *to, const char *why)
+/* Calls the platform to move a machine to the pool in its moving_to. */
+static void move_send(struct sched *s, struct machine *m, struct worker *w)
 {
-	struct worker *w = m->worker.bstr_len ? worker_find(s, m->worker)
-					      : NULL;
 	struct request *rq;
 	struct ask *ask;
 
@@ -327,19 +326,119 @@
 	if (w)
 		w->requests++;
 	ask->order.machine = bstr_copy(m->id);
-	ask->order.pool = bstr_copy(to->service->name);
+	ask->order.pool = bstr_copy(m->moving_to);
 	ask->order.holder = bstr_copy(s->options.vm);
 	ask->order.epoch = s->own.epoch;
-	bstr_set(&m->moving_to, to->service->name);
 	m->moving_until = s->now + MOVE_TIMEOUT_MS + s->options.move_ms;
+	m->move_unanswered = false;
+}
+
+/* Orders the move of a machine. */
+static void machine_move(struct sched *s, struct machine *m,
+			 const struct pool_load *to, const char *why)
+{
+	struct worker *w = m->worker.bstr_len ? worker_find(s, m->worker)
+					      : NULL;
+
+	bstr_set(&m->moving_to, to->service->name);
+	bstr_set(&m->moving_worker, m->worker);
+	m->move_repeat_until = s->now + MOVE_REPEAT_MS;
+	m->late_move_until = 0;
 	if (w)
 		w->takedown_pending = true;
+	move_send(s, m, w);
 	sched_log(s, LOG_MACHINE_MOVED,
 		  "machine=%.*s worker=%.*s from=%.*s to=%.*s why=%s",
 		  BSTR_ARG(m->id), BSTR_ARG(m->worker), BSTR_ARG(m->pool),
 		  BSTR_ARG(to->service->name), why);
 }
 
+/* Returns the worker that a machine had when its move was ordered, or NULL. */
+static struct worker *move_worker(struct sched *s, const struct machine *m)
+{
+	return m->moving_worker.bstr_len ? worker_find(s, m->moving_worker)
+					 : NULL;
+}
+
+/*
+ * Ends an ordered move that was not carried out: the worker of its machine is
+ * used again, unless maintenance takes it.
+ */
+static void move_abandon(struct sched *s, struct machine *m)
+{
+	struct worker *w = move_worker(s, m);
+
+	m->move_unanswered = false;
+	m->moving_until = 0;
+	m->retry_at = s->now + MOVE_RETRY_MS;
+	if (w && !w->takedown_in_flight)
+		w->takedown_pending = false;
+	s->place_due = true;
+}
+
+/*
+ * Ends an unanswered move if the list of machines shows that the machine was
+ * moved, or has another worker, whose tasks a repeated call would end.  An
+ * unanswered call may still be carried out after the machine has been moved on,
+ * and would end the tasks there, so the machine stays where it is until then.
+ */
+void move_check_listed(struct sched *s, struct machine *m)
+{
+	bool has_other_worker = m->worker.bstr_len &&
+				!bstr_eq(m->worker, m->moving_worker);
+
+	if (!m->move_unanswered ||
+	    !(has_other_worker || bstr_eq(m->pool, m->moving_to)))
+		return;
+	m->move_unanswered = false;
+	m->retry_at = m->late_move_until;
+	s->place_due = true;
+}
+
+/*
+ * Repeats the move of a machine, or ends it.  A worker whose tasks or ends
+ * would be lost, as a late start was carried out on it, is not moved.
+ */
+static void move_repeat(struct sched *s, struct machine *m)
+{
+	struct worker *w = move_worker(s, m);
+
+	if (s->now >= m->late_move_until) {
+		move_abandon(s, m);
+		return;
+	}
+	if (s->now < m->retry_at || s->now >= m->move_repeat_until)
+		return;
+	if (w && !w->gone &&
+	    (!TAILQ_EMPTY(&w->tasks) || !worker_ends_durable(w)))
+		return;
+	move_send(s, m, w);
+	sched_log(s, LOG_MACHINE_MOVED,
+		  "machine=%.*s worker=%.*s from=%.*s to=%.*s why=repeat",
+		  BSTR_ARG(m->id), BSTR_ARG(m->moving_worker),
+		  BSTR_ARG(m->pool), BSTR_ARG(m->moving_to));
+}
+
+/*
+ * Repeats unanswered moves.  Without an answer it is not known whether the
+ * machine was moved, is moved seconds later, or stays: its worker would be out
+ * of use until the owner changes if it stays, and a late move would end the
+ * tasks of a worker used again at once, also of long-running steps beyond their
+ * max_unavailable.  The answer to the repeated call decides, as the platform
+ * reports success too if the machine was moved earlier.  If there is none
+ * within MOVE_REPEAT_MS, or the call is refused, the worker is used again
+ * ORDER_LIFETIME_MAX_MS after the latest unanswered call, when none can be
+ * carried out any more.
+ */
+static void moves_repeat(struct sched *s)
+{
+	struct machine *m, *next;
+
+	HASH_ITER(hh, s->machines, m, next)
+		if (m->move_unanswered)
+			move_repeat(s, m);
+}
+
 /* Returns true if ready tasks of a pool would be late with one machine less. */
 static bool pool_late_with_one_less(const struct pool_load *p,
 				    double machine_cores)
@@ -684,6 +783,7 @@
 		l.list[i].home_size = pool_home_size(s,
 						     l.list[i].service->name);
 	}
+	moves_repeat(s);
 	pool_loads_add_workers(s, &l);
 	pool_loads_add_jobs(s, &l);
 	pool_loads_add_moves(s, &l);
@@ -713,6 +813,7 @@
 	if (a->outcome == OUT_DONE) {
 		m->moving_until = s->now + s->options.move_ms + MOVE_RETRY_MS;
 		m->state = MACHINE_MOVING;
+		m->retry_at = m->late_move_until;
 		if (w) {
 			worker_lost(s, w, "moved");
 			worker_set_gone(s, w);
@@ -721,10 +822,10 @@
 		return;
 	}
 	m->retry_at = s->now + MOVE_RETRY_MS;
-	/* The machine may have been moved, or may be moved later. */
 	if (a->outcome == OUT_UNKNOWN)
-		return;
-	m->moving_until = 0;
-	if (w)
-		w->takedown_pending = false;
+		m->late_move_until = s->now + ORDER_LIFETIME_MAX_MS;
+	if (s->now < m->late_move_until)
+		m->move_unanswered = true;
+	else
+		move_abandon(s, m);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -533,6 +533,11 @@
 	enum machine_state state;
 	bstr moving_to; /* a pool; valid until moving_until */
 	int64_t moving_until;
+	bstr moving_worker; /* its worker when its move was ordered, or empty */
+	bool move_unanswered;	   /* no call of that move has an answer */
+	int64_t move_repeat_until; /* that move is repeated until then */
+	int64_t late_move_until; /* an unanswered call may be carried out until
+				  * then; 0: none */
 	int64_t retry_at;
 	UT_hash_handle hh;
 };
@@ -915,6 +920,7 @@
 
 /* sched-move.c: moving machines between pools */
 void move_tick(struct sched *s);
+void move_check_listed(struct sched *s, struct machine *m);
 bool pool_is_busy(const struct sched *s, bstr pool);
 void backlogs_free(struct sched *s);
 void move_answer(struct sched *s, struct request *rq, struct answer *a);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -173,6 +173,7 @@
 		bstr_free(&m->pool);
 		bstr_free(&m->worker);
 		bstr_free(&m->moving_to);
+		bstr_free(&m->moving_worker);
 		free(m);
 	}
 	s->machine_list_complete = false;
@@ -713,6 +714,7 @@
 		m->state = r->state;
 	if (r->state == MACHINE_UP && bstr_eq(r->pool, m->moving_to))
 		m->moving_until = 0;
+	move_check_listed(s, m);
 }
 
 /*
--- a/tests/test-move.c
+++ b/tests/test-move.c
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
 
 /* Work of the second pool that its machines can't finish soon. */
 static const struct world_job burst = {
@@ -48,6 +49,18 @@
 	return n;
 }
 
+/* Returns the number of machines whose move is ordered and not answered. */
+static unsigned moving_count(struct world *w)
+{
+	const struct sched *s = world_sched(w, owner(w));
+	const struct machine *m;
+	unsigned n = 0;
+
+	for (m = s->machines; m; m = m->hh.next)
+		n += s->now < m->moving_until;
+	return n;
+}
+
 /*
  * Guards against an owner that takes the machine's next worker for the one that
  * the move or the maintenance ended, because the answer is processed when the
@@ -82,3 +95,97 @@
 		check_free(w, answer_rows[row].name);
 	}
 }
+
+/* What else happens while a move has no answer. */
+enum meanwhile {
+	NOTHING,
+	CRASH,	 /* the workers of the first pool restart under their ids */
+	REPLACE, /* they restart under new ids */
+	TAKEOVER /* the owner is lost */
+};
+
+/* Lets something happen to the workers of the first pool, or to the owner. */
+static void meanwhile_apply(struct world *w, enum meanwhile what)
+{
+	unsigned k;
+
+	for (k = 0; k < 3; k++) {
+		if (what == CRASH)
+			world_crash_worker(w, k);
+		if (what == REPLACE)
+			world_replace_worker(w, k);
+	}
+	if (what == TAKEOVER)
+		world_kill_vm(w, owner(w));
+}
+
+/*
+ * Guards against workers that get no tasks until the owner changes, because the
+ * move of their machine got no answer; and against late or repeated moves that
+ * end the tasks of workers that are used again.
+ */
+static const struct {
+	const char *name;
+	enum world_machine_mode mode;
+	int64_t ms;
+	enum meanwhile meanwhile;
+	enum world_machine_mode then; /* the platform's next mode */
+	int64_t then_ms;
+	int64_t within_ms; /* from then on, until all workers are in use */
+} silent_rows[] = {
+	{"answered at once", WORLD_MACHINES_OK, 0, NOTHING, WORLD_MACHINES_OK,
+	 0, 9000},
+	{"one call gets no answer", WORLD_MACHINES_SILENT, 1000, NOTHING,
+	 WORLD_MACHINES_OK, 0, 9000},
+	{"none for ten seconds", WORLD_MACHINES_SILENT, 10000, NOTHING,
+	 WORLD_MACHINES_OK, 0, 11000},
+	{"none for long", WORLD_MACHINES_SILENT, 20500, NOTHING,
+	 WORLD_MACHINES_OK, 0, 9000},
+	{"no answer, then busy", WORLD_MACHINES_SILENT, 1000, NOTHING,
+	 WORLD_MACHINES_BUSY, 14000, 9000},
+	{"no answer, then no such machine", WORLD_MACHINES_SILENT, 1000,
+	 NOTHING, WORLD_MACHINES_INVALID, 14000, 9000},
+	{"the answers are lost", WORLD_MACHINES_LOSE_ANSWERS, 3000, NOTHING,
+	 WORLD_MACHINES_OK, 0, 9000},
+	{"carried out late", WORLD_MACHINES_LATE, 1000, NOTHING,
+	 WORLD_MACHINES_OK, 0, 9000},
+	{"carried out late, meanwhile busy", WORLD_MACHINES_LATE, 1000, NOTHING,
+	 WORLD_MACHINES_BUSY, 3000, 9000},
+	{"carried out late, but the first pool needs it", WORLD_MACHINES_LATE,
+	 1000, NOTHING, WORLD_MACHINES_OK, 3500, 9000},
+	{"the workers restart", WORLD_MACHINES_SILENT, 1000, CRASH,
+	 WORLD_MACHINES_OK, 2000, 9000},
+	{"the workers are replaced", WORLD_MACHINES_SILENT, 1000, REPLACE,
+	 WORLD_MACHINES_OK, 1200, 9000},
+	{"a takeover", WORLD_MACHINES_SILENT, 1000, TAKEOVER, WORLD_MACHINES_OK,
+	 0, 13000},
+};
+Test(move, no_answer_and_the_worker_is_used_again)
+{
+	static const struct world_job wide = {.tasks = 40, .task_ms = 2500};
+	struct world *w;
+	unsigned row, k, vm;
+
+	for (row = 0; row < NELEMS(silent_rows); row++) {
+		w = world_new_pools(2200 + row);
+		vm = (owner(w) + 1) % WORLD_VMS;
+		world_set_machine_mode(w, silent_rows[row].mode);
+		world_submit(w, vm, JOB_A, &burst);
+		for (k = 0; k < 100 && !moving_count(w); k++)
+			world_run(w, 5);
+		cr_assert_gt(moving_count(w), 0, "%s", silent_rows[row].name);
+		world_run(w, silent_rows[row].ms);
+		meanwhile_apply(w, silent_rows[row].meanwhile);
+		world_set_machine_mode(w, silent_rows[row].then);
+		world_run(w, silent_rows[row].then_ms);
+		world_submit(w, vm, JOB_B, &wide);
+		world_run(w, silent_rows[row].within_ms);
+		cr_expect_eq(eligible_count(w), WORLD_WORKERS, "%s: %u",
+			     silent_rows[row].name, eligible_count(w));
+		cr_expect_str_eq(world_job_state(w, JOB_A), "completed", "%s",
+				 silent_rows[row].name);
+		cr_expect_str_eq(world_job_state(w, JOB_B), "completed", "%s",
+				 silent_rows[row].name);
+		check_free(w, silent_rows[row].name);
+	}
+}
