Waves: a worker stays in use if the call is refused for good

What callers see: after a wave with a machine that the platform doesn't know, or that isn't of the wave, the machine's worker gets no tasks until the owner changes.

Cause: such a refusal ends the machine's part in the wave, but the mark that its worker is about to be taken down stayed. Other refusals and missing answers are followed by a repeated call, which keeps the mark for good reason.

Change: the mark is taken back with that refusal.

Looked at for the same fault: a wave that is done or withdrawn (each machine ends by success or by this refusal; a removed row is ignored), a takeover (the marks go with the old owner's state).

--- a/sched-wave.c
+++ b/sched-wave.c
@@ -847,9 +847,16 @@
 	else if (!wm->call_outcome_unknown)
 		wave_machine_discard_note(v, wm);
 	if (a->refusal == REFUSAL_INVALID || a->refusal == REFUSAL_WAVE) {
-		/* No such machine any more, or not part of the wave. */
+		/*
+		 * No such machine any more, or not part of the wave.  Its
+		 * worker, if it has one, stays and is used again; an earlier
+		 * call without an answer was refused for the same reason.
+		 */
 		wm->done = true;
 		v->dirty = true;
+		if (w)
+			w->takedown_pending = w->takedown_in_flight = false;
+		s->place_due = true;
 	}
 }
 
--- a/tests/test-move.c
+++ b/tests/test-move.c
@@ -96,6 +96,32 @@
 	}
 }
 
+/*
+ * Guards against a worker that gets no tasks until the owner changes, because
+ * the platform answers that its machine is unknown or not of the wave.
+ */
+Test(move, worker_stays_in_use_if_its_wave_is_refused)
+{
+	static const enum world_machine_mode before[] = {WORLD_MACHINES_INVALID,
+							 WORLD_MACHINES_BUSY,
+							 WORLD_MACHINES_SILENT};
+	struct world *w;
+	unsigned row;
+
+	for (row = 0; row < NELEMS(before); row++) {
+		w = world_new_pools(2240 + row);
+		world_set_machine_mode(w, before[row]);
+		world_start_wave(w, 2, 1);
+		world_run(w, 6000);
+		world_set_machine_mode(w, WORLD_MACHINES_INVALID);
+		world_run(w, 20000);
+		cr_expect(world_wave_is_completed(w), "row %u", row);
+		cr_expect_eq(eligible_count(w), WORLD_WORKERS, "row %u: %u",
+			     row, eligible_count(w));
+		check_free(w, "a refused wave");
+	}
+}
+
 /* What else happens while a move has no answer. */
 enum meanwhile {
 	NOTHING,
