Tests: an owner that processes the answers of workers late

The simulated world delays the answers of one VM that aren't the store's, in their order of arrival and with the time of sending as it was, as the two inboxes of an entry VM do when it is short of processor time; and it carries out starts whose answers are lost. prop-sched has both as operations (added at the end, the kept sequences read as before) and a mix of its own; test-load has a table.

--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -46,6 +46,9 @@
 	OP_WRITES_LATE, /* for a while, writes of one VM are carried out
 			   seconds later */
 	OP_PAGES_SLOW,	/* of one table */
+	OP_INBOX,	/* answers of workers are processed late, and
+			   orders leave late */
+	OP_UNHEARD,	/* starts are carried out without an answer */
 	OPS
 };
 static const char *const names[OPS] = {
@@ -54,7 +57,8 @@
 	"CUT_WORKER", "STORE",	"STORE_VM", "COMPACT",	   "UNLIST",
 	"CRASH",      "LATE",	"FAILS",    "LIMIT",	   "WAVE",
 	"HEAL",	      "ASK",	"SLOW",	    "PAGES",	   "STALL",
-	"REFUSE",     "VANISH", "LONG",	    "WRITES_LATE", "PAGES_SLOW"};
+	"REFUSE",     "VANISH", "LONG",	    "WRITES_LATE", "PAGES_SLOW",
+	"INBOX",      "UNHEARD"};
 
 struct operation {
 	op what;
@@ -102,12 +106,15 @@
 		world_set_page_delay(p.w, (table)i, 0);
 	world_refuse_starts(p.w, REFUSAL_NONE);
 	world_set_lost_starts(p.w, 0);
+	world_lose_start_answers(p.w, false);
+	world_set_order_delay(p.w, 0);
 	world_set_late_orders(p.w, 0);
 	world_set_limit(p.w, 0);
 	for (i = 0; i < 4; i++) {
 		world_cut_store(p.w, i, false);
 		world_set_vm_store_mode(p.w, i, WORLD_STORE_OK);
 		world_set_vm_store_delay(p.w, i, 0);
+		world_set_inbox_delay(p.w, i, 0);
 		world_stall_reads(p.w, i, TABLE_JOBS, false);
 		world_stall_reads(p.w, i, TABLE_OWNER, false);
 		world_start_vm(p.w, i);
@@ -257,6 +264,16 @@
 		world_set_page_delay(p.w, (table)(s.a % TABLE_MAX),
 				     s.b % 3 ? s.b * 3 : 0);
 		break;
+	case OP_INBOX:
+		for (i = 0; i < 4; i++)
+			world_set_inbox_delay(p.w, i,
+					      s.b % 3 ? 500 + s.b * 12 : 0);
+		world_set_order_delay(p.w, s.b % 3 == 1 ? 700 : 0);
+		world_run(p.w, s.a * 12);
+		break;
+	case OP_UNHEARD:
+		world_lose_start_answers(p.w, s.b % 2);
+		break;
 	case OPS:
 		break;
 	}
@@ -360,6 +377,10 @@
 	  OP_SLOW, OP_CUT_STORE, OP_CUT_WORKER, OP_UNLIST, OP_COMPACT, OP_LIMIT,
 	  OP_WAVE, OP_CANCEL, OP_STOP, OP_HEAL, OP_LONG},
 	 true},
+	{"answers of workers processed late",
+	 {OP_INBOX, OP_INBOX, OP_INBOX, OP_UNHEARD, OP_UNHEARD, OP_VANISH,
+	  OP_CUT_WORKER, OP_LATE, OP_CRASH, OP_SLOW, OP_LIMIT, OP_REFUSE,
+	  OP_KILL, OP_FREEZE, OP_HEAL, OP_LONG}},
 };
 
 /* Generates operations: work, and faults of the mix. */
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -4,6 +4,18 @@
  */
 #include "support-world-state.h"
 
+/* Delays the processing of answers that aren't the store's. */
+void world_set_inbox_delay(struct world *w, unsigned vm, int64_t ms)
+{
+	w->vms[vm].inbox_delay_ms = ms;
+}
+
+/* Lets starts be carried out without an answer. */
+void world_lose_start_answers(struct world *w, bool lost)
+{
+	w->start_answers_lost = lost;
+}
+
 /* Sets the number of cores of a VM's next process. */
 void world_set_cores(struct world *w, unsigned vm, double n)
 {
--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -256,7 +256,7 @@
 		fx, refusal ? OUT_REFUSED : OUT_DONE, w->now);
 
 	ev->answer.refusal = refusal;
-	world_answer_send(w, vm, ev, w->now + delay_ms);
+	world_inbox_send(w, vm, ev, w->now + delay_ms);
 	sched_effect_free(fx);
 }
 
@@ -315,6 +315,6 @@
 		machines_list(w, &ev->answer);
 	else
 		advice_list(w, &ev->answer);
-	world_answer_send(w, vm, ev, w->now + ONE_WAY_MS);
+	world_inbox_send(w, vm, ev, w->now + ONE_WAY_MS);
 	sched_effect_free(fx);
 }
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -119,6 +119,8 @@
 	bool reads_stalled[TABLE_MAX]; /* no answers to pages and feeds */
 	bool pages_stalled[TABLE_MAX]; /* no answers to pages */
 	bool cut_worker[WORLD_WORKERS_MAX];
+	int64_t inbox_delay_ms; /* of answers that aren't the store's */
+	int64_t inbox_at;	/* the latest of them is processed then */
 	int64_t frozen_until;
 	int64_t tick_at;
 	double cores;
@@ -137,6 +139,7 @@
 	struct sched_event *event; /* an answer to the VM; NULL for a request */
 	bool is_late_write;	   /* its answer has timed out already */
 	bool is_late_move;	   /* likewise */
+	bool waits_in_inbox;	   /* an answer that isn't the store's */
 	int64_t deadline;	   /* of a long poll */
 };
 TAILQ_HEAD(pending_list, pending);
@@ -172,6 +175,7 @@
 	int64_t row_delay_ms;  /* that a VM spends on each row it reads */
 	unsigned late_percent; /* orders that are carried out late */
 	unsigned lost_starts_percent;
+	bool start_answers_lost;
 	int64_t order_delay_ms; /* of starts and stops */
 	unsigned ends_listed;	/* most ends in one answer of a worker */
 	bool old_connections;	/* timeouts report an old connection */
@@ -250,6 +254,10 @@
 void world_answer_send(struct world *w, unsigned vm, struct sched_event *ev,
 		       int64_t at);
 
+/* Sends an answer of a worker or about a machine: it waits in the inbox. */
+void world_inbox_send(struct world *w, unsigned vm, struct sched_event *ev,
+		      int64_t at);
+
 /* Lets a request time out at the VM: its outcome is unknown. */
 void world_answer_timeout(struct world *w, unsigned vm,
 			  struct sched_effect *fx);
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -316,7 +316,7 @@
 	struct sched_event *ev = world_answer_make(fx, OUT_DONE, w->now);
 
 	lists_copy(w, n, fx->ask.order.ack_through, &ev->answer);
-	world_answer_send(w, vm, ev, w->now + ONE_WAY_MS);
+	world_inbox_send(w, vm, ev, w->now + ONE_WAY_MS);
 }
 
 /* Answers the long polls that have new ends or have reached their deadline. */
@@ -429,6 +429,8 @@
 	}
 	if (refusal == REFUSAL_NONE && fx->ask.kind == ASK_POLL) {
 		poll_answer(w, vm, n, fx);
+	} else if (w->start_answers_lost && fx->ask.kind == ASK_START) {
+		world_answer_timeout(w, vm, fx);
 	} else {
 		ev = world_answer_make(fx, refusal ? OUT_REFUSED : OUT_DONE,
 				       w->now);
@@ -436,7 +438,7 @@
 		ev->answer.clock = world_worker_now(w, n);
 		ev->answer.worker_started_at = WALL_BASE +
 					       w->workers[n].started_at;
-		world_answer_send(w, vm, ev, w->now + ONE_WAY_MS);
+		world_inbox_send(w, vm, ev, w->now + ONE_WAY_MS);
 	}
 	sched_effect_free(fx);
 }
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -124,6 +124,20 @@
 	p->generation = w->sender_generation;
 }
 
+/*
+ * Sends an answer that isn't the store's.  When it has arrived it waits in the
+ * VM's inbox behind those that arrived before it; answers of the store have an
+ * inbox of their own, which comes first.
+ */
+void world_inbox_send(struct world *w, unsigned vm, struct sched_event *ev,
+		      int64_t at)
+{
+	struct pending *p = world_pending_add(w, &w->pending, at, vm);
+
+	p->event = ev;
+	p->waits_in_inbox = true;
+}
+
 /*
  * Lets a request time out: the VM's client reports an unknown outcome at the
  * deadline.
@@ -132,10 +146,13 @@
 {
 	struct sched_event *ev = world_answer_make(fx, OUT_UNKNOWN, w->now);
 
+	int64_t at = fx->ask.deadline > w->now ? fx->ask.deadline : w->now;
+
 	ev->answer.connected_at = w->old_connections;
-	world_answer_send(w, vm, ev,
-			  fx->ask.deadline > w->now ? fx->ask.deadline
-						    : w->now);
+	if (fx->ask.kind <= ASK_FEED)
+		world_answer_send(w, vm, ev, at);
+	else
+		world_inbox_send(w, vm, ev, at);
 }
 
 /* Passes a request that has arrived to the store, a machine or a worker. */
@@ -284,6 +301,22 @@
 	       next->vm == p->vm && next->generation == p->generation;
 }
 
+/*
+ * Puts an answer that has arrived into the VM's inbox.  Returns false if it
+ * doesn't have to wait there.
+ */
+static bool inbox_put(struct world *w, struct pending *p)
+{
+	struct world_vm *v = &w->vms[p->vm];
+
+	if (!p->waits_in_inbox || (!v->inbox_delay_ms && v->inbox_at <= w->now))
+		return false;
+	if (v->inbox_at < w->now + v->inbox_delay_ms)
+		v->inbox_at = w->now + v->inbox_delay_ms;
+	world_answer_send(w, p->vm, p->event, v->inbox_at);
+	return true;
+}
+
 /* Delivers a message that is due. */
 static void pending_deliver(struct world *w, struct pending *p)
 {
@@ -308,7 +341,9 @@
 	} else if (p->effect) {
 		request_deliver(w, p->vm, p->effect);
 	} else if (v->sched && p->generation == v->generation) {
-		if (w->now < v->frozen_until) {
+		if (inbox_put(w, p)) {
+			/* It is processed later. */
+		} else if (w->now < v->frozen_until) {
 			world_answer_send(w, p->vm, p->event, v->frozen_until);
 		} else {
 			p->event->more_follow = pending_has_more(w, p);
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -158,6 +158,15 @@
 void world_set_late_orders(struct world *w, unsigned percent);
 void world_set_lost_starts(struct world *w, unsigned percent);
 
+/*
+ * Lets a VM process each answer that isn't the store's this much later, in the
+ * order of arrival, as if it were short of processor time.
+ */
+void world_set_inbox_delay(struct world *w, unsigned vm, int64_t ms);
+
+/* Lets starts be carried out without an answer. */
+void world_lose_start_answers(struct world *w, bool lost);
+
 /* Delays starts and stops, as if they waited in the VM's HTTP client. */
 void world_set_order_delay(struct world *w, int64_t ms);
 
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -524,3 +524,52 @@
 	}
 	cr_expect_gt(held, 0, "no end came while a start was in flight");
 }
+
+/*
+ * Guards against an owner that starts tasks again, or no more, because it
+ * processes the answers of workers late: it takes sound workers for silent,
+ * while the store's answers come at once.
+ */
+static const struct {
+	const char *name;
+	int64_t ms; /* that each answer waits */
+	bool answers_lost;
+} inbox_rows[] = {
+	{"in time", 0, false},
+	{"half a second", 500, false},
+	{"longer than a worker may be silent", 1500, false},
+	{"nearly as long as a lease", 3200, false},
+	{"longer than a lease", 3500, false},
+	{"half a second, starts had no answer", 500, true},
+	{"longer than a lease, starts had no answer", 3500, true},
+};
+Test(load, answers_wait_in_the_owners_inbox)
+{
+	static const struct world_job few = {.tasks = 20, .task_ms = 700};
+	struct world *w;
+	unsigned row, k, n;
+	char id[20];
+
+	for (row = 0; row < NELEMS(inbox_rows); row++) {
+		w = world_new_settled(2400 + row);
+		n = (unsigned)world_owner(w);
+		for (k = 0; k < 6; k++) {
+			snprintf(id, sizeof(id), "%016x", k + 1);
+			world_submit(w, (n + 1) % WORLD_VMS, id, &few);
+			world_run(w, 300);
+			world_set_inbox_delay(w, n, inbox_rows[row].ms);
+			world_lose_start_answers(w,
+						 inbox_rows[row].answers_lost);
+			world_run(w, 400);
+		}
+		world_set_inbox_delay(w, n, 0);
+		world_lose_start_answers(w, false);
+		world_run(w, 20000);
+		for (k = 0; k < 6; k++) {
+			snprintf(id, sizeof(id), "%016x", k + 1);
+			cr_expect_str_eq(world_job_state(w, id), "completed",
+					 "%s", inbox_rows[row].name);
+		}
+		check_free(w, inbox_rows[row].name);
+	}
+}
