Owner: no start of a task whose end waits behind another

What callers see: TWICE by one owner. A worker is given up as silent while its answers wait to be processed; its next list calls off the wait for a start without an answer (START_AWAITED), and the task starts again although the list has its end as done.

Cause: one of the tasks given up has been started elsewhere at once, and that start is in flight when the list is processed. Its end in the list is deferred, and with it all later ends, since an acknowledgement covers all numbers up to the highest. The tasks of those later ends were not held back: the wait for an unanswered start was called off before the ends were looked at, and a task pending for want of room or of the window of starts was not delayed at all. A list without room for all ends hides ends the same way.

Change: a worker with runs that were given up is remembered. While one of its lists is not processed in full, these tasks are delayed as the task of the deferred end is, and the wait for an unanswered start goes on. The first list that is processed in full ends both.

Ruled out: the row of the trace isn't an answer made before the start was carried out (the test against the start's deadline is on the worker's clock), nor an end skipped as seen (its number is higher than any acknowledged).

Not mended: a worker is given up although an answer of it is in the inbox.

--- a/sched-order.c
+++ b/sched-order.c
@@ -87,6 +87,7 @@
 	t->worker = w;
 	t->run = run;
 	t->last_list = 0;
+	t->lost_worker = 0;
 	if (run > t->highest_run)
 		t->highest_run = run;
 	t->stopping = false;
--- a/sched-state.h
+++ b/sched-state.h
@@ -158,6 +158,8 @@
 				  * order; 0: not known */
 	uint32_t awaited_worker; /* serial of a worker that may still carry out
 				  * an earlier start; 0: none */
+	uint32_t lost_worker;	 /* serial of the worker on which its latest run
+				  * was given up; 0: none */
 	int64_t ready_at;
 	int64_t not_before; /* delayed until then */
 	unsigned failure_count;
@@ -310,8 +312,10 @@
 	int64_t answered_at;
 	int64_t poll_due_by; /* deadline of the long poll in flight; 0: none */
 	int64_t alive_at;    /* the known process existed then or later */
-	bool late_starts_possible;   /* tasks wait because a later process may
-				      * still carry out their starts */
+	bool late_starts_possible; /* tasks wait because a later process may
+				    * still carry out their starts */
+	bool lost_runs; /* runs on it were given up, and it has not listed all
+			 * of its ends since */
 	int64_t later_process_until; /* a later process may hold a lease */
 	int64_t stray_at;	     /* when stray runs may be stopped next */
 	bool strays_due;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -232,9 +232,11 @@
 	unsigned n = 0;
 
 	while ((t = TAILQ_FIRST(&w->tasks))) {
+		t->lost_worker = w->serial;
 		task_unplace(s, t);
 		n++;
 	}
+	w->lost_runs = w->lost_runs || n;
 	sched_log(s, LOG_WORKER_LOST,
 		  "worker=%.*s why=%s tasks=%u quiet_ms=%lld", BSTR_ARG(w->id),
 		  why, n, (long long)(s->now - w->answered_at));
@@ -285,7 +287,8 @@
 	w->later_process_until = 0;
 	w->alive_at = 0;
 	w->late_starts_possible = false;
-	w->clock = 0; /* it was reset as well */
+	w->lost_runs = false; /* it has none of their ends */
+	w->clock = 0;	      /* it was reset as well */
 	w->clock_at = s->now;
 	w->poll_at = s->now;
 	w->failure_streak = 0;
@@ -790,6 +793,47 @@
 		bstr_set(&t->checkpoint, r->checkpoint);
 }
 
+/*
+ * Returns true if all ends of a worker up to its latest list were processed.
+ */
+static bool worker_ends_are_known(const struct worker *w)
+{
+	return !w->ends_truncated && !w->ends_deferred;
+}
+
+/*
+ * Delays the tasks whose runs on a worker were given up, until all of its ends
+ * are processed.  A worker that was silent only because its answers waited in
+ * the inbox lists ends of these runs.  If such an end waits behind a deferred
+ * one, or has no room in the list, its task would be started again although it
+ * is done.  The worker lists the rest sooner than the delay ends.
+ */
+static void lost_runs_process(struct sched *s, struct worker *w)
+{
+	struct occurrence *o;
+	struct job *j;
+	struct task *t;
+	unsigned i;
+
+	if (!w->lost_runs)
+		return;
+	w->lost_runs = !worker_ends_are_known(w);
+	if (!w->lost_runs)
+		return;
+	TAILQ_FOREACH(j, &s->jobs_by_arrival, entry) {
+		TAILQ_FOREACH(o, &j->occs, entry) {
+			for (i = 0; i < o->task_count; i++) {
+				t = &o->tasks[i];
+				if (t->lost_worker == w->serial &&
+				    t->phase == PHASE_PENDING)
+					task_delay(
+						t,
+						s->now + DEFERRED_END_DELAY_MS);
+			}
+		}
+	}
+}
+
 /*
  * Releases tasks that are missing from a list.  If the list has no room for all
  * ends it proves nothing: a task that is done, but whose end is not listed yet,
@@ -802,7 +846,7 @@
 {
 	struct task *t, *next;
 
-	if (w->ends_truncated || w->ends_deferred)
+	if (!worker_ends_are_known(w))
 		return;
 	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
 		next = TAILQ_NEXT(t, worker_entry);
@@ -869,8 +913,6 @@
 	w->answered_at = s->now;
 	if (a->worker_started_at && a->sent_at > w->alive_at)
 		w->alive_at = a->sent_at;
-	if (w->late_starts_possible && a->worker_started_at)
-		starts_end_delay(s, w);
 	if (w->gone && !w->noted)
 		s->own.heartbeat_at = s->now; /* to note it */
 	w->gone = false;
@@ -887,6 +929,10 @@
 	for (i = 0; i < a->running_count; i++)
 		running_process(s, w, &a->running[i]);
 	missing_process(s, w, a);
+	lost_runs_process(s, w);
+	if (w->late_starts_possible && a->worker_started_at &&
+	    worker_ends_are_known(w))
+		starts_end_delay(s, w);
 	pace_worker_tasks(s, w);
 	worker_update_unknown(s, w);
 }
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -525,6 +525,80 @@
 	cr_expect_gt(held, 0, "no end came while a start was in flight");
 }
 
+/*
+ * Guards against a second run of a completed task whose end is in a worker's
+ * list behind one that waits for a start in flight: a given-up worker answers
+ * again, and the task is started before its end is processed. The window lets
+ * one start be in flight, so all given-up tasks but the first wait for it.
+ */
+static const struct {
+	const char *name;
+	bool answers_lost; /* those of all starts but the first */
+	unsigned listed;   /* most ends in a list */
+} behind_rows[] = {
+	{"the starts were answered", false, 500},
+	{"starts had no answer", true, 500},
+	{"short lists", false, 2},
+	{"short lists, starts had no answer", true, 2},
+};
+
+/* Runs a world in which one start can be in flight. */
+static void one_start_run(struct world *w, struct sched *s, int64_t ms)
+{
+	int64_t until = s->now + ms;
+
+	while (s->now < until) {
+		s->start_window = START_WINDOW_UNIT;
+		world_run(w, 5);
+	}
+}
+
+Test(load, no_start_of_a_task_whose_end_waits_behind_another)
+{
+	static const struct world_job first = {.tasks = 1, .task_ms = 400};
+	static const struct world_job others = {.tasks = 5, .task_ms = 900};
+	unsigned n, k, vm, worker, row, seed;
+	struct world *w;
+	struct sched *s;
+
+	for (row = 0; row < NELEMS(behind_rows) * 10; row++) {
+		seed = row % 10;
+		w = world_new(2300 + seed, WORLD_VMS, 2);
+		world_run(w, 2000 + 17 * (int64_t)seed);
+		world_set_ends_listed(w, behind_rows[row / 10].listed);
+		n = (unsigned)world_owner(w);
+		s = world_sched(w, n);
+		world_submit(w, (n + 1) % WORLD_VMS, "00000000000000aa",
+			     &first);
+		for (k = 0; k < 100 && !world_starts(w); k++)
+			world_run(w, 1);
+		world_run(w, 5);
+		world_lose_start_answers(w, behind_rows[row / 10].answers_lost);
+		worker = !world_starts_of(w, 0);
+		world_submit(w, (n + 1) % WORLD_VMS, "00000000000000bb",
+			     &others);
+		for (k = 0; k < 100 && world_starts(w) < 6; k++)
+			world_run(w, 1);
+		for (vm = 0; vm < WORLD_VMS; vm++)
+			world_cut_worker(w, vm, worker, true);
+		world_run(w, 900);
+		world_lose_start_answers(w, false);
+		world_set_order_delay(w, 700);
+		for (k = 0; k < 1000 && !s->starts_in_flight; k++)
+			one_start_run(w, s, 5);
+		cr_assert_lt(k, 1000, "given up and started again");
+		for (vm = 0; vm < WORLD_VMS; vm++)
+			world_cut_worker(w, vm, worker, false);
+		one_start_run(w, s, 9000);
+		cr_expect_leq(world_starts(w), 7, "%s, seed %u: %u",
+			      behind_rows[row / 10].name, seed,
+			      world_starts(w));
+		cr_expect_str_eq(world_job_state(w, "00000000000000bb"),
+				 "completed", "%s", behind_rows[row / 10].name);
+		check_free(w, behind_rows[row / 10].name);
+	}
+}
+
 /*
  * Guards against an owner that starts tasks again, or no more, because it
  * processes the answers of workers late: it takes sound workers for silent,
