--- a/sched-state.h
+++ b/sched-state.h
@@ -158,6 +158,8 @@
 				  * order; 0: not known */
 	uint32_t awaited_worker; /* serial of a worker that may still carry out
 				  * an earlier start; 0: none */
+	uint32_t lost_worker;	 /* serial of the worker on which its latest run
+				  * was given up; 0: none */
 	int64_t ready_at;
 	int64_t not_before; /* delayed until then */
 	unsigned failure_count;
@@ -311,8 +313,10 @@
 	int64_t answered_at;
 	int64_t poll_due_by; /* deadline of the long poll in flight; 0: none */
 	int64_t alive_at;    /* the known process existed then or later */
-	bool late_starts_possible;   /* tasks wait because a later process may
-				      * still carry out their starts */
+	bool late_starts_possible; /* tasks wait because a later process may
+				    * still carry out their starts */
+	bool lost_runs; /* runs on it were given up, and it has not listed all
+			 * of its ends since */
 	int64_t later_process_until; /* a later process may hold a lease */
 	int64_t stray_at;	     /* when stray runs may be stopped next */
 	bool strays_due;
@@ -535,6 +539,11 @@
 	enum machine_state state;
 	bstr moving_to; /* a pool; valid until moving_until */
 	int64_t moving_until;
+	bstr moving_worker; /* its worker when its move was ordered, or empty */
+	bool move_unanswered;	   /* no call of that move has an answer */
+	int64_t move_repeat_until; /* that move is repeated until then */
+	int64_t late_move_until; /* an unanswered call may be carried out until
+				  * then; 0: none */
 	int64_t retry_at;
 	UT_hash_handle hh;
 };
@@ -923,6 +932,7 @@
 
 /* sched-move.c: moving machines between pools */
 void move_tick(struct sched *s);
+void move_check_listed(struct sched *s, struct machine *m);
 bool pool_is_busy(const struct sched *s, bstr pool);
 void backlogs_free(struct sched *s);
 void move_answer(struct sched *s, struct request *rq, struct answer *a);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -173,6 +173,7 @@
 		bstr_free(&m->pool);
 		bstr_free(&m->worker);
 		bstr_free(&m->moving_to);
+		bstr_free(&m->moving_worker);
 		free(m);
 	}
 	s->machine_list_complete = false;
@@ -713,6 +714,7 @@
 		m->state = r->state;
 	if (r->state == MACHINE_UP && bstr_eq(r->pool, m->moving_to))
 		m->moving_until = 0;
+	move_check_listed(s, m);
 }
 
 /*
@@ -766,10 +768,11 @@
 }
 
 /*
- * Handles a successful call for maintenance.  The runs on the machine have
- * ended.  But if its worker was restarted since it was noted, the call may have
- * been carried out earlier, and the new process may still be running; its lease
- * decides.
+ * Handles a successful call for maintenance.  The runs of the noted worker have
+ * ended.  The list of machines may show the machine's next worker already,
+ * which goes on.  But if the worker was restarted before the call was sent, the
+ * call may have been carried out earlier, and the new process may still be
+ * running; its lease decides.
  */
 static void maintenance_done(struct sched *s, struct wave *v,
 			     struct wave_machine *wm)
@@ -779,7 +782,10 @@
 	wm->done = true;
 	wm->down_until = s->now + s->options.maintenance_ms + DOWN_MARGIN_MS;
 	v->dirty = true;
-	wave_machine_lookup(s, wm->id, &w);
+	if (wm->call_is_for_noted_process)
+		w = worker_find(s, wm->worker);
+	else
+		wave_machine_lookup(s, wm->id, &w);
 	if (w && !wm->call_is_for_noted_process) {
 		/*
 		 * Its tasks count as unavailable until it answers again.  If
@@ -841,9 +847,16 @@
 	else if (!wm->call_outcome_unknown)
 		wave_machine_discard_note(v, wm);
 	if (a->refusal == REFUSAL_INVALID || a->refusal == REFUSAL_WAVE) {
-		/* No such machine any more, or not part of the wave. */
+		/*
+		 * No such machine any more, or not part of the wave.  Its
+		 * worker, if it has one, stays and is used again; an earlier
+		 * call without an answer was refused for the same reason.
+		 */
 		wm->done = true;
 		v->dirty = true;
+		if (w)
+			w->takedown_pending = w->takedown_in_flight = false;
+		s->place_due = true;
 	}
 }
 
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -4,6 +4,18 @@
  */
 #include "support-world-state.h"
 
+/* Delays the processing of answers that aren't the store's. */
+void world_set_inbox_delay(struct world *w, unsigned vm, int64_t ms)
+{
+	w->vms[vm].inbox_delay_ms = ms;
+}
+
+/* Lets starts be carried out without an answer. */
+void world_lose_start_answers(struct world *w, bool lost)
+{
+	w->start_answers_lost = lost;
+}
+
 /* Sets the number of cores of a VM's next process. */
 void world_set_cores(struct world *w, unsigned vm, double n)
 {
@@ -123,16 +135,10 @@
 	world_machine_restart(w, worker, 300);
 }
 
-/* Lets orders about machines have no effect and no answer. */
-void world_silence_machines(struct world *w, bool silent)
-{
-	w->machines_silent = silent;
-}
-
-/* Lets machines refuse maintenance because they are busy. */
-void world_set_maintenance_busy(struct world *w, bool busy)
+/* Sets how the platform treats orders about machines. */
+void world_set_machine_mode(struct world *w, enum world_machine_mode mode)
 {
-	w->maintenance_busy = busy;
+	w->machine_mode = mode;
 }
 
 /* Restarts a worker under the same id; it loses its runs. */
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -19,6 +19,8 @@
 #define LEASE_MAX_MS 6000
 #define STOP_MS 200
 #define MAINTENANCE_MS 2000
+#define SLOW_MACHINES_MS 1400
+#define LATE_MOVE_MS 6000
 #define NOTICE_MS 4500
 #define CONFIG_APPLY_MS 2000
 
@@ -117,6 +119,8 @@
 	bool reads_stalled[TABLE_MAX]; /* no answers to pages and feeds */
 	bool pages_stalled[TABLE_MAX]; /* no answers to pages */
 	bool cut_worker[WORLD_WORKERS_MAX];
+	int64_t inbox_delay_ms; /* of answers that aren't the store's */
+	int64_t inbox_at;	/* the latest of them is processed then */
 	int64_t frozen_until;
 	int64_t tick_at;
 	double cores;
@@ -134,6 +138,8 @@
 	struct sched_effect *effect; /* a request; NULL for an answer */
 	struct sched_event *event; /* an answer to the VM; NULL for a request */
 	bool is_late_write;	   /* its answer has timed out already */
+	bool is_late_move;	   /* likewise */
+	bool waits_in_inbox;	   /* an answer that isn't the store's */
 	int64_t deadline;	   /* of a long poll */
 };
 TAILQ_HEAD(pending_list, pending);
@@ -169,6 +175,7 @@
 	int64_t row_delay_ms;  /* that a VM spends on each row it reads */
 	unsigned late_percent; /* orders that are carried out late */
 	unsigned lost_starts_percent;
+	bool start_answers_lost;
 	int64_t order_delay_ms; /* of starts and stops */
 	unsigned ends_listed;	/* most ends in one answer of a worker */
 	bool old_connections;	/* timeouts report an old connection */
@@ -209,8 +216,7 @@
 	unsigned wave_maximum;
 	unsigned machine_restarts[WORLD_WORKERS_MAX];
 	uint64_t machine_epoch[WORLD_WORKERS_MAX]; /* highest of an order */
-	bool maintenance_busy; /* machines refuse maintenance */
-	bool machines_silent;
+	enum world_machine_mode machine_mode;
 	bool has_second_pool;
 	const char *pools[WORLD_WORKERS_MAX]; /* of each machine */
 	unsigned moves;
@@ -248,6 +254,10 @@
 void world_answer_send(struct world *w, unsigned vm, struct sched_event *ev,
 		       int64_t at);
 
+/* Sends an answer of a worker or about a machine: it waits in the inbox. */
+void world_inbox_send(struct world *w, unsigned vm, struct sched_event *ev,
+		      int64_t at);
+
 /* Lets a request time out at the VM: its outcome is unknown. */
 void world_answer_timeout(struct world *w, unsigned vm,
 			  struct sched_effect *fx);
@@ -286,4 +296,7 @@
 void world_machine_receive(struct world *w, unsigned vm,
 			   struct sched_effect *fx);
 
+/* Carries out the move of a machine, unless it is in the pool already. */
+void world_move_apply(struct world *w, const struct order *o);
+
 #endif
