--- a/bstr.c
+++ b/bstr.c
@@ -41,19 +41,19 @@
 	return bstr_from_bytes(b.bstr_val, b.bstr_len);
 }
 
-/* Formats into a new string. */
+/* Formats into a new string; an empty string owns no memory. */
 bstr bstr_vprintf(const char *fmt, va_list ap)
 {
-	bstr b;
 	char *s;
 	int n;
 
 	n = vasprintf(&s, fmt, ap);
 	if (n < 0)
 		abort();
-	b = bstr_from_bytes(s, (size_t)n);
+	if (n)
+		return (bstr){(u_int)n, s};
 	free(s);
-	return b;
+	return BSTR_NONE;
 }
 
 /* Formats into a new string. */
--- a/json-read.c
+++ b/json-read.c
@@ -1,5 +1,6 @@
 #include "json-read.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /*
@@ -95,6 +96,40 @@
 	return text ? (bstr){(u_int)strlen(text), text} : BSTR_NONE;
 }
 
+/* Returns true if a text is the same within the quotes of a JSON string. */
+static bool text_is_plain(bstr text)
+{
+	u_int i;
+
+	for (i = 0; i < text.bstr_len; i++) {
+		char c = text.bstr_val[i];
+
+		if (c < 0x20 || c > 0x7e || c == '"' || c == '\\')
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Returns text as a JSON string with its quotes.  Plain text, which nearly all
+ * texts are, is copied without the JSON library.  If text is not UTF-8, all its
+ * non-ASCII bytes become '?'.
+ */
+bstr json_quote(bstr text)
+{
+	json_t *j;
+	char *quoted;
+
+	if (text_is_plain(text))
+		return bstr_printf("\"%.*s\"", BSTR_ARG(text));
+	j = bstr_to_json(text);
+	quoted = json_dumps(j, JSON_COMPACT | JSON_ENCODE_ANY);
+	json_decref(j);
+	if (!quoted)
+		abort(); /* out of memory */
+	return (bstr){(u_int)strlen(quoted), quoted};
+}
+
 /* Sets a number, or omits it if it is 0. */
 void json_set_nonzero(json_t *j, const char *key, int64_t n)
 {
--- a/json-read.h
+++ b/json-read.h
@@ -22,6 +22,8 @@
 /* Set a member, or omit it if its value is 0 or empty. */
 void json_set_nonzero(json_t *j, const char *key, int64_t n);
 void json_set_nonempty(json_t *j, const char *key, bstr text);
+/* Returns text as a JSON string with its quotes. */
+bstr json_quote(bstr text);
 /* Serializes j and drops the reference; empty if a string is not UTF-8. */
 bstr json_write(json_t *j);
 
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -1,3 +1,4 @@
+#include "../json-read.h"
 #include "../platform/platform.h"
 
 #include <criterion/criterion.h>
@@ -43,3 +44,43 @@
 		json_decref(j);
 	}
 }
+
+/*
+ * Guards against a start whose body is no JSON, or has another specification
+ * than the caller gave: bodies are formatted without the JSON library.
+ */
+static const struct {
+	const char *text;
+	size_t len;
+	const char *quoted;
+} quote_rows[] = {
+	{"", 0, "\"\""},
+	{"plain text, 1 / 2 = {0.5}", 25, "\"plain text, 1 / 2 = {0.5}\""},
+	{"a \"quote\"", 9, "\"a \\\"quote\\\"\""},
+	{"back\\slash", 10, "\"back\\\\slash\""},
+	{"line\nand\ttab", 12, "\"line\\nand\\ttab\""},
+	{"nul\0nul", 7, "\"nul\\u0000nul\""},
+	{"\x1f\x7f", 2, "\"\\u001F\x7f\""},
+	{"gr\xc3\xbc\xc3\x9f", 6, "\"gr\xc3\xbc\xc3\x9f\""},
+	{"not \xff\xfe UTF-8", 12, "\"not ?? UTF-8\""},
+};
+Test(decode, a_text_is_quoted_as_the_library_does)
+{
+	size_t row;
+
+	for (row = 0; row < NELEMS(quote_rows); row++) {
+		bstr text = bstr_ref(quote_rows[row].text, quote_rows[row].len);
+		bstr quoted = json_quote(text);
+		json_t *given = bstr_to_json(text);
+		json_t *j = json_loadb(quoted.bstr_val, quoted.bstr_len,
+				       JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
+
+		cr_expect(bstr_eq_str(quoted, quote_rows[row].quoted),
+			  "row %zu: %.*s", row, BSTR_ARG(quoted));
+		cr_expect(json_equal(j, given), "row %zu: %.*s", row,
+			  BSTR_ARG(quoted));
+		json_decref(j);
+		json_decref(given);
+		bstr_free(&quoted);
+	}
+}
