Pause between polls of busy workers while starts are answered late

Cause: a worker with many tasks is polled again as soon as its ends are durable, so at 1,100 workers about each end costs a poll, also while the owner is short of processor time and can't send starts that have room.

Ruled out: a longer wait of idle workers' polls (leases); a pause by the window of starts, which also falls with a few slow workers.

Change: while starts are answered later than START_PROMPT_MS on average, the next poll of a worker that listed ends waits, at most POLL_PAUSE_MAX_MS, and the poll itself that much shorter, so leases are renewed as often. No pause while tasks may be unknown, a machine is to be taken down, or no start was answered for 1 s. The pause is stored as its end.

--- a/sched-order.c
+++ b/sched-order.c
@@ -40,8 +40,11 @@
  */
 #define START_WINDOW_MIN (64 * START_WINDOW_UNIT)
 #define START_WINDOW_MAX (2048 * START_WINDOW_UNIT)
-#define START_SLOW_MS 150
 #define START_WINDOW_CUT_INTERVAL_MS 150
+/* An answer's weight in the smoothed time until starts are answered. */
+#define START_ANSWER_DIVISOR 16
+/* Without an answer for this long, the smoothed time is not known. */
+#define START_ANSWER_VALID_MS 1000
 
 /*
  * Returns true if no more starts may be in flight, as the owner could not
@@ -56,12 +59,27 @@
 	return s->starts_in_flight * START_WINDOW_UNIT >= s->start_window;
 }
 
+/*
+ * Updates the smoothed time until starts are answered.  Longer times count as
+ * START_SLOW_MS, so that a few slow workers don't look like a slow owner.
+ */
+static void start_answer_update(struct sched *s, int64_t ms)
+{
+	int64_t us = 1000 * (ms < START_SLOW_MS ? ms : START_SLOW_MS);
+
+	if (s->now >= s->start_answer_expires)
+		s->start_answer_us = 0;
+	s->start_answer_us += (us - s->start_answer_us) / START_ANSWER_DIVISOR;
+	s->start_answer_expires = s->now + START_ANSWER_VALID_MS;
+}
+
 /*
  * Adjusts the window after a worker's answer to a start.  The time includes
  * that in which the answer waited to be processed.
  */
 void start_window_update(struct sched *s, int64_t ms)
 {
+	start_answer_update(s, ms);
 	s->load.slow_starts += ms > START_SLOW_MS;
 	if (ms <= START_SLOW_MS) {
 		if (s->start_window < START_WINDOW_MAX)
--- a/sched-state.h
+++ b/sched-state.h
@@ -41,6 +41,19 @@
  * answer.
  */
 #define POLL_RETRY_MS 300
+/*
+ * Longest pause before the next poll of a worker that has listed ends, while
+ * the owner is short of processor time.  Shorter than POLL_RETRY_MS, so that no
+ * worker is polled later than one with unacknowledged ends.
+ */
+#define POLL_PAUSE_MAX_MS 250
+/*
+ * The pause grows from 0, if starts are answered in START_PROMPT_MS, to the
+ * longest, if they are answered in START_SLOW_MS.  An answer from another
+ * region takes 40 ms.
+ */
+#define START_PROMPT_MS 50
+#define START_SLOW_MS 150
 /* A request to a worker takes at most this long beyond its wait. */
 #define ORDER_TIMEOUT_MS 800
 /*
@@ -307,6 +320,8 @@
 	bool noted;   /* the store's note of workers with leases has it */
 	bool polling; /* a poll is in flight */
 	int64_t poll_at;
+	int64_t poll_paused_until; /* collects ends; at most POLL_PAUSE_MAX_MS
+				    * after answered_at */
 	int64_t answered_at;
 	int64_t poll_due_by; /* deadline of the long poll in flight; 0: none */
 	int64_t alive_at;    /* the known process existed then or later */
@@ -694,6 +709,8 @@
 	unsigned starts_in_flight;
 	unsigned start_window; /* limit of them, in 1/START_WINDOW_UNIT */
 	int64_t start_window_cut_at;
+	int64_t start_answer_us;      /* smoothed time until an answer */
+	int64_t start_answer_expires; /* start_answer_us is valid until then */
 	int64_t move_at;
 	int64_t pool_log_at;
 	json_t *home_sizes; /* initial number of machines by pool, or NULL */
@@ -857,6 +874,7 @@
 struct worker *worker_find(struct sched *s, bstr id);
 void worker_tick(struct sched *s);
 void worker_answer(struct sched *s, struct request *rq, struct answer *a);
+int64_t poll_pause_end(const struct sched *s, const struct worker *w);
 void worker_acknowledge(struct sched *s);
 bool worker_ends_durable(const struct worker *w);
 void worker_lost(struct sched *s, struct worker *w, const char *why);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -422,7 +422,36 @@
 	if (!w->fenced || !w->clock || !w->same_process ||
 	    w->durable_end < w->last_end || w->ends_deferred)
 		return 0;
-	return TAILQ_EMPTY(&w->tasks) ? poll_idle_wait(s) : POLL_WAIT_MAX_MS;
+	if (TAILQ_EMPTY(&w->tasks))
+		return poll_idle_wait(s);
+	/* After a pause, the next answer comes as soon as without it. */
+	if (w->poll_paused_until > w->answered_at)
+		return POLL_WAIT_MAX_MS -
+		       (uint32_t)(w->poll_paused_until - w->answered_at);
+	return POLL_WAIT_MAX_MS;
+}
+
+/*
+ * Returns the end of the pause before the next poll of a worker that has just
+ * listed ends, or now if it is to be polled at once.
+ *
+ * An owner short of processor time answers late, and a poll for each end then
+ * takes processor time from the starts that free workers wait for.  During the
+ * pause more tasks end, and one poll lists them all.  The pause is at most
+ * POLL_PAUSE_MAX_MS, and the next poll waits that much shorter, so leases are
+ * renewed as often as without it.  A worker whose tasks are not all known, or
+ * whose machine is to be taken down, is polled at once.
+ */
+int64_t poll_pause_end(const struct sched *s, const struct worker *w)
+{
+	int64_t late_us = s->start_answer_us - 1000 * START_PROMPT_MS;
+
+	if (s->now >= s->start_answer_expires || late_us <= 0 || !s->settled ||
+	    w->ends_truncated || w->takedown_pending || w->row.draining ||
+	    TAILQ_EMPTY(&w->tasks))
+		return s->now;
+	return s->now + late_us * POLL_PAUSE_MAX_MS /
+				(1000 * (START_SLOW_MS - START_PROMPT_MS));
 }
 
 /* Polls a worker: renews its lease and asks for its running and ended runs. */
@@ -587,7 +616,10 @@
 	       !w->ends_deferred;
 }
 
-/* Acknowledges the ends that became durable, with the workers' next polls. */
+/*
+ * Acknowledges the ends that became durable, with the workers' next polls,
+ * which are sent now or when their pause ends.
+ */
 void worker_acknowledge(struct sched *s)
 {
 	uint64_t durable = commit_durable(s);
@@ -595,8 +627,12 @@
 
 	while ((w = TAILQ_FIRST(&s->unacked)) && w->last_end_seq <= durable) {
 		worker_clear_unacked(s, w);
-		if (!w->polling && own_may_order(s))
+		if (w->polling || !own_may_order(s))
+			continue;
+		if (s->now >= w->poll_paused_until)
 			worker_poll(s, w);
+		else if (w->poll_at > w->poll_paused_until)
+			w->poll_at = w->poll_paused_until;
 	}
 }
 
@@ -902,6 +938,8 @@
 	if (a->outcome == OUT_DONE) {
 		poll_process(s, w, rq, a);
 		w->poll_at = s->now;
+		if (w->durable_end < w->last_end)
+			w->poll_paused_until = poll_pause_end(s, w);
 		if (w->durable_end < w->last_end || w->ends_deferred)
 			w->poll_at += POLL_RETRY_MS;
 		worker_acknowledge(s);
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -524,3 +524,130 @@
 	}
 	cr_expect_gt(held, 0, "no end came while a start was in flight");
 }
+
+/*
+ * Guards against an owner short of processor time that polls a busy worker for
+ * each end, against pauses while answers come in time, and against a pause
+ * where tasks may be unknown or a machine is waited for.
+ */
+static const struct {
+	const char *name;
+	int64_t ms; /* time until each start is answered */
+	unsigned answers;
+	int64_t silence_ms; /* since the last answer */
+	bool unsettled, truncated, takedown, draining, idle;
+	int64_t least, most; /* of the pause, in ms */
+} pause_rows[] = {
+	{.name = "no start yet"},
+	{.name = "prompt", .ms = 3, .answers = 400},
+	{.name = "another region", .ms = 45, .answers = 400},
+	{.name = "one late answer", .ms = 700, .answers = 1},
+	{.name = "late", .ms = 100, .answers = 400, .least = 120, .most = 125},
+	{.name = "later", .ms = 149, .answers = 400, .least = 240, .most = 250},
+	{.name = "timeouts",
+	 .ms = 790,
+	 .answers = 400,
+	 .least = 240,
+	 .most = POLL_PAUSE_MAX_MS},
+	{.name = "long ago", .ms = 790, .answers = 400, .silence_ms = 1000},
+	{.name = "not settled", .ms = 790, .answers = 400, .unsettled = true},
+	{.name = "ends cut", .ms = 790, .answers = 400, .truncated = true},
+	{.name = "takedown", .ms = 790, .answers = 400, .takedown = true},
+	{.name = "draining", .ms = 790, .answers = 400, .draining = true},
+	{.name = "idle", .ms = 790, .answers = 400, .idle = true},
+};
+Test(load, a_late_owner_pauses_between_polls)
+{
+	struct sched_options o = {.vm = bstr_lit("vm0"),
+				  .zone = bstr_lit("east")};
+	struct task task = {.phase = PHASE_RUNNING};
+	struct worker w;
+	struct sched *s;
+	unsigned row, k;
+	int64_t pause;
+
+	for (row = 0; row < NELEMS(pause_rows); row++) {
+		s = sched_new(&o);
+		s->now = 1000000;
+		s->settled = !pause_rows[row].unsettled;
+		w = (struct worker){
+			.ends_truncated = pause_rows[row].truncated,
+			.takedown_pending = pause_rows[row].takedown};
+		w.row.draining = pause_rows[row].draining;
+		TAILQ_INIT(&w.tasks);
+		if (!pause_rows[row].idle)
+			TAILQ_INSERT_TAIL(&w.tasks, &task, worker_entry);
+		for (k = 0; k < pause_rows[row].answers; k++, s->now++)
+			start_window_update(s, pause_rows[row].ms);
+		s->now += pause_rows[row].silence_ms;
+		pause = poll_pause_end(s, &w) - s->now;
+		cr_expect_geq(pause, pause_rows[row].least, "%s: %lld",
+			      pause_rows[row].name, (long long)pause);
+		cr_expect_leq(pause, pause_rows[row].most, "%s: %lld",
+			      pause_rows[row].name, (long long)pause);
+		sched_free(s);
+	}
+}
+
+/* Returns the number of lists that an owner received. */
+static uint64_t lists_count(const struct sched *s)
+{
+	const struct worker *k;
+	uint64_t n = 0;
+
+	for (k = s->workers; k; k = k->hh.next)
+		n += k->list_count;
+	return n;
+}
+
+/*
+ * Runs 300 jobs with a task each, of different lengths, while starts seem to be
+ * answered in answer_ms. Returns the number of polls that were answered.
+ */
+static uint64_t paused_world_polls(int64_t answer_ms, const char *name)
+{
+	struct world_job job = {.tasks = 1};
+	struct world *w = world_new_settled(2080);
+	unsigned n = (unsigned)world_owner(w), k;
+	struct sched *s = world_sched(w, n);
+	const struct worker *v;
+	uint64_t before = lists_count(s);
+	char id[24];
+
+	for (k = 0; k < 1200; k++) {
+		if (k % 2 == 0 && k < 600) {
+			snprintf(id, sizeof(id), "%x000000000000%03x",
+				 k / 2 % 16, k / 2);
+			job.task_ms = 100 + 37 * (k / 2 % 16);
+			world_submit(w, (n + 1) % WORLD_VMS, id, &job);
+		}
+		s->start_answer_us = 1000 * answer_ms;
+		s->start_answer_expires = s->now + 1000;
+		world_run(w, 5);
+		for (v = s->workers; v; v = v->hh.next)
+			cr_expect_lt(s->now - v->answered_at,
+				     POLL_WAIT_MAX_MS + 200, "%s", name);
+	}
+	for (k = 0; k < 300; k++) {
+		snprintf(id, sizeof(id), "%x000000000000%03x", k % 16, k);
+		cr_expect_str_eq(world_job_state(w, id), "completed", "%s %s",
+				 name, id);
+	}
+	cr_expect_eq(world_starts(w), 300, "%s: %u", name, world_starts(w));
+	before = lists_count(s) - before;
+	check_free(w, name);
+	return before;
+}
+
+/*
+ * Guards against a pause that saves no polls, that loses ends, or at whose
+ * expense leases are renewed later.
+ */
+Test(load, a_late_owner_polls_less_and_renews_leases)
+{
+	uint64_t prompt = paused_world_polls(3, "prompt");
+	uint64_t late = paused_world_polls(START_SLOW_MS, "late");
+
+	cr_expect_lt(4 * late, 3 * prompt, "%llu polls, %llu",
+		     (unsigned long long)late, (unsigned long long)prompt);
+}
