Run half as many placement passes in a large fleet

Cause: a pass goes through all workers, to list those that are eligible and measure the room of their pools, and scores all workers of a pool for each step. With 1,100 workers and 2,000 starts a second, where 300 passes a second ran, place_all took 14.7% of the samples of an owner, the largest part of its scheduler's thread.

Ruled out: measuring a pool only when its pass placed something; that is 0.9% of the samples, most goes to each pass once.

Change: 1 ms between passes for each 250 workers, not 500: 4 ms at 1,100 and 12 ms at 3,000. Fleets of less than 250 workers are as before.

--- a/sched-place.c
+++ b/sched-place.c
@@ -33,7 +33,7 @@
  * would be delayed.
  */
 #define PASS_JOBS_PER_MS 100
-#define PASS_WORKERS_PER_MS 500
+#define PASS_WORKERS_PER_MS 250
 #define PASS_JOBS_MIN 500
 
 /* A step with pending tasks. */
