tests: simulated tasks that crash their workers, and capacity that shrinks

Cause: the users' platform has tasks that crash each worker that starts them, and workers whose capacity shrinks while they run. The simulated world had neither, so nothing showed that the owner starts such a task without end.

Ruled out: using the operation that crashes a worker at random; no task is the cause there, and the same task meets it three times only by chance.

Change: a job whose first task crashes its workers, at once or later; workers that are back under the same id or a new one; a capacity that shrinks and grows; rules for starts after three crashes, for a job that is shown as failed without a reason, and for a start above a capacity reduced 4 s before. test-crash is new.

--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -11,6 +11,7 @@
 	unsigned generation = k->generation, starts = k->starts;
 	bool listed = k->listed, fails = k->fails;
 	bool draining = k->draining;
+	int64_t capacity = k->capacity, shrunk_at = k->shrunk_at;
 
 	memset(k, 0, sizeof(*k));
 	k->generation = generation + 1;
@@ -18,6 +19,8 @@
 	k->listed = listed;
 	k->fails = fails;
 	k->draining = draining;
+	k->capacity = capacity;
+	k->shrunk_at = shrunk_at;
 	k->started_at = w->now + down_ms;
 	k->down_until = w->now + down_ms;
 }
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -105,6 +105,17 @@
 	return "";
 }
 
+/* Returns how many workers have crashed under tasks of a job. */
+unsigned world_crashes_under(const struct world *w, const char *id)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < w->task_record_count; i++)
+		if (!strncmp(w->task_records[i].name, id, JOB_ID_BYTES))
+			n += w->task_records[i].crashes;
+	return n;
+}
+
 /* Returns the first violated invariant, or NULL. */
 const char *world_violation(const struct world *w)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -21,6 +21,16 @@
 #define MAINTENANCE_MS 2000
 #define NOTICE_MS 4500
 #define CONFIG_APPLY_MS 2000
+#define CONTACT_MS 3000		 /* until a reduced capacity counts */
+#define WORKER_HEARTBEAT_MS 1000 /* and this much longer */
+/*
+ * A task under which this many workers have crashed may be started again at
+ * most LATE_STARTS_MAX times, and only a task under which this many have
+ * crashed, one of them while it ran alone there, may be given up.
+ */
+#define POISON_CRASHES 3
+#define LATE_STARTS_MAX 2
+#define ATTEMPTS 3 /* of a task, in the configuration */
 
 #define RUNS_MAX 64
 #define ENDS_MAX 1024
@@ -70,6 +80,7 @@
 	bool fails;
 	int64_t stop_at;     /* 0: not stopping */
 	unsigned started_by; /* entry VM */
+	int64_t crash_at;    /* it crashes its worker then; 0: never */
 };
 
 /* The end of a run, which a worker lists until it is acknowledged. */
@@ -105,6 +116,9 @@
 	} closed[ENDS_MAX];
 	unsigned closed_count;
 	unsigned starts;
+	int64_t capacity;  /* thousandths of a core */
+	int64_t shrunk_at; /* when capacity was reduced last; 0: never */
+	int64_t new_id_at; /* a new id is listed then; 0: never */
 };
 
 /* An entry VM. */
@@ -145,6 +159,10 @@
 	bool ended_by_order; /* by a stop, or by maintenance of its machine */
 	int64_t last_run_at; /* last time it was seen running */
 	unsigned runs;
+	unsigned failed_runs;
+	unsigned crashes;	/* of workers that ran it */
+	unsigned crashes_alone; /* of them, while nothing else ran there */
+	unsigned late_starts;	/* after POISON_CRASHES crashes under it */
 };
 
 struct world {
@@ -212,6 +230,9 @@
 	bool maintenance_busy; /* machines refuse maintenance */
 	bool machines_silent;
 	bool has_second_pool;
+	bool unguarded; /* workers start tasks above their capacity */
+	enum world_crash_mode crash_mode;
+	int64_t crash_down_ms;
 	const char *pools[WORLD_WORKERS_MAX]; /* of each machine */
 	unsigned moves;
 	bool maintained[WORLD_WORKERS_MAX];
@@ -272,6 +293,15 @@
 
 void world_polls_wake(struct world *w);
 
+/* Ends a worker's process; what ran there counts the crash. */
+void world_worker_crash(struct world *w, unsigned n, int64_t down_ms);
+
+/* Crashes a worker whose time for that has come, and lists a new id of it. */
+void world_crash_step(struct world *w, unsigned n);
+
+/* Checks that a job which is stored as failed has a reason to be. */
+void world_failed_check(struct world *w, const char *id);
+
 enum refusal world_order_apply(struct world *w, unsigned vm, unsigned n,
 			       const struct ask *ask);
 void world_worker_receive(struct world *w, unsigned vm,
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -36,6 +36,8 @@
 	unsigned max_per_worker; /* tasks of a step; 0: no limit */
 	unsigned may_miss; /* tasks that planned work may have away at once */
 	bool second_queue; /* submitted to the queue of the second pool */
+	bool crashes;	   /* its first task crashes each worker that runs it */
+	unsigned crash_ms; /* after its start */
 };
 
 struct world;
@@ -125,6 +127,26 @@
 void world_crash_worker(struct world *w, unsigned worker);
 void world_replace_worker(struct world *w, unsigned worker);
 
+/* What a worker does after a crash. */
+enum world_crash_mode {
+	WORLD_CRASH_SAME_ID, /* it is back under the same id */
+	WORLD_CRASH_NEW_ID   /* it is back with a new id at its address */
+};
+
+/* Sets how workers are back after a task has crashed them, and when. */
+void world_set_crash_mode(struct world *w, enum world_crash_mode mode,
+			  int64_t down_ms);
+
+/*
+ * Sets the cores of a worker, in thousandths; what runs there goes on.  An
+ * unguarded worker starts tasks also above its capacity.
+ */
+void world_set_capacity(struct world *w, unsigned worker, int64_t cpu);
+void world_set_unguarded(struct world *w);
+
+/* Returns how many workers have crashed under tasks of a job. */
+unsigned world_crashes_under(const struct world *w, const char *id);
+
 /* Marks a worker as draining: it is about to leave. */
 void world_drain_worker(struct world *w, unsigned worker);
 
--- /dev/null
+++ b/tests/test-crash.c
@@ -0,0 +1,246 @@
+/*
+ * Tests of tasks that crash each worker that runs them, and of workers whose
+ * capacity shrinks.
+ */
+#include "world-calm.h"
+
+#define POISON "00000000000000aa"
+#define FIRST "10000000000000bb"
+#define SECOND "f0000000000000cc"
+
+static const struct world_job poison = {
+	.tasks = 1, .task_ms = 400, .crashes = true};
+static const struct world_job slow_poison = {
+	.tasks = 1, .task_ms = 4000, .crashes = true, .crash_ms = 700};
+static const struct world_job lasting_poison = {
+	.tasks = 2, .long_running = true, .crashes = true, .crash_ms = 100};
+static const struct world_job innocent = {.tasks = 8, .task_ms = 3000};
+static const struct world_job lasting = {.tasks = 6, .long_running = true};
+static const struct world_job packed = {.tasks = 8, .task_ms = 60000};
+static const struct world_job filling = {.tasks = 60, .task_ms = 900};
+
+/* Checks that no invariant was violated, and frees the world. */
+static void check_free(struct world *w)
+{
+	cr_expect_null(world_violation(w), "%s", world_violation(w));
+	world_free(w);
+}
+
+/* Checks the states of the job that crashes its workers and of another. */
+static void check_states(struct world *w, const char *state)
+{
+	cr_expect_str_eq(world_job_state(w, POISON), "failed");
+	cr_expect_str_eq(world_job_state(w, FIRST), state);
+	cr_expect_leq(world_crashes_under(w, POISON), 5);
+}
+
+/* How a worker is back after a crash. */
+static const struct {
+	enum world_crash_mode mode;
+	int64_t down_ms;
+} backs[] = {
+	{WORLD_CRASH_SAME_ID, 300},  {WORLD_CRASH_SAME_ID, 2500},
+	{WORLD_CRASH_SAME_ID, 6000}, {WORLD_CRASH_NEW_ID, 300},
+	{WORLD_CRASH_NEW_ID, 2500},  {WORLD_CRASH_NEW_ID, 6000},
+};
+
+/* A task that crashes its workers at once was started again without end. */
+Test(crash, alone)
+{
+	struct world *w;
+	unsigned i;
+
+	for (i = 0; i < NELEMS(backs); i++) {
+		w = world_new_settled(10 + i);
+		world_set_crash_mode(w, backs[i].mode, backs[i].down_ms);
+		world_submit(w, other(w), POISON, &poison);
+		world_run(w, 45000);
+		cr_expect_str_eq(world_job_state(w, POISON), "failed", "row %u",
+				 i);
+		check_free(w);
+	}
+}
+
+/* Such a task took the tasks beside it down each time, also with a delay. */
+Test(crash, beside_others)
+{
+	struct world *w;
+	unsigned i;
+
+	for (i = 0; i < 2 * NELEMS(backs); i++) {
+		w = world_new_settled(20 + i);
+		world_set_crash_mode(w, backs[i / 2].mode,
+				     backs[i / 2].down_ms);
+		world_submit(w, other(w), FIRST, &innocent);
+		world_submit(w, other(w), POISON,
+			     i % 2 ? &slow_poison : &poison);
+		world_submit(w, other(w), SECOND, &innocent);
+		world_run(w, 60000);
+		check_states(w, "completed");
+		cr_expect_str_eq(world_job_state(w, SECOND), "completed");
+		check_free(w);
+	}
+}
+
+/* A count that is lost with its owner lets the task start again from none. */
+Test(crash, takeovers)
+{
+	struct world *w;
+	unsigned i, k, vm;
+
+	for (i = 0; i < 6; i++) {
+		w = world_new_settled(40 + i);
+		world_submit(w, other(w), FIRST, &innocent);
+		world_submit(w, other(w), POISON, &poison);
+		for (k = 0; k < 3; k++) {
+			world_run(w, 1500 + 700 * i);
+			vm = owner(w);
+			world_kill_vm(w, vm);
+			world_run(w, 5000);
+			world_start_vm(w, vm);
+		}
+		world_run(w, 40000);
+		check_states(w, "completed");
+		check_free(w);
+	}
+}
+
+/* A start before the count is in the store begins anew at a second failure. */
+Test(crash, store_away)
+{
+	struct world *w;
+	unsigned crashes, i;
+
+	for (i = 0; i < 4; i++) {
+		w = world_new_settled(50 + i);
+		world_set_crash_mode(w, WORLD_CRASH_NEW_ID, 300);
+		world_submit(w, other(w), POISON, &poison);
+		world_run(w, 60);
+		world_set_store_mode(w, i % 2 ? WORLD_STORE_REFUSES
+					      : WORLD_STORE_NO_ANSWER);
+		crashes = world_crashes_under(w, POISON);
+		world_run(w, 2500);
+		cr_expect_leq(world_crashes_under(w, POISON), crashes + 1);
+		if (i > 1)
+			world_kill_vm(w, owner(w));
+		world_set_store_mode(w, WORLD_STORE_OK);
+		world_run(w, 40000);
+		cr_expect_str_eq(world_job_state(w, POISON), "failed");
+		check_free(w);
+	}
+}
+
+/* Long-running tasks have no limit of failed runs, but one of crashes. */
+Test(crash, long_running)
+{
+	struct world *w;
+	unsigned i;
+
+	for (i = 0; i < NELEMS(backs); i++) {
+		w = world_new_settled(60 + i);
+		world_set_crash_mode(w, backs[i].mode, backs[i].down_ms);
+		world_submit(w, other(w), FIRST, &lasting);
+		world_submit(w, other(w), POISON, &lasting_poison);
+		world_run(w, 60000);
+		check_states(w, "running");
+		check_free(w);
+	}
+}
+
+/* In a pool without an empty worker a suspect must neither wait for ever nor
+ * be started beside others without end. */
+Test(crash, full_pool)
+{
+	struct world *w;
+	char id[17];
+	unsigned i;
+
+	for (i = 0; i < NELEMS(backs); i++) {
+		w = world_new_settled(70 + i);
+		world_set_crash_mode(w, backs[i].mode, backs[i].down_ms);
+		world_submit(w, other(w), FIRST, &lasting);
+		world_submit(w, other(w), POISON, &poison);
+		for (unsigned k = 0; k < 6; k++) {
+			snprintf(id, sizeof(id), "%016x", 0x3000000 + k);
+			world_submit(w, other(w), id, &filling);
+			world_run(w, 2000);
+		}
+		world_run(w, 30000);
+		check_states(w, "running");
+		for (unsigned k = 0; k < 6; k++) {
+			snprintf(id, sizeof(id), "%016x", 0x3000000 + k);
+			cr_expect_str_eq(world_job_state(w, id), "completed");
+		}
+		check_free(w);
+	}
+}
+
+/* Workers that leave by plan must not count against their tasks. */
+Test(crash, planned_work)
+{
+	struct world *w = world_new_settled(80);
+	static const struct world_job spread = {.tasks = 6,
+						.long_running = true,
+						.max_per_worker = 1,
+						.may_miss = 2};
+	unsigned i;
+
+	world_submit(w, other(w), FIRST, &spread);
+	world_run(w, 300);
+	world_start_wave(w, 6, 2);
+	for (i = 0; i < 3; i++) {
+		world_run(w, 5000);
+		world_kill_vm(w, owner(w));
+		world_run(w, 100);
+		world_start_vm(w, 0);
+		world_start_vm(w, 1);
+		world_start_vm(w, 2);
+		world_start_vm(w, 3);
+	}
+	world_run(w, 30000);
+	cr_expect(world_wave_is_completed(w));
+	cr_expect_str_eq(world_job_state(w, FIRST), "running");
+	check_free(w);
+}
+
+/* A start brought a worker over its capacity after that had shrunk. */
+Test(crash, capacity_shrinks)
+{
+	struct world *w = world_new_settled(90);
+	char id[17];
+	unsigned i;
+
+	world_set_unguarded(w);
+	for (i = 0; i < 12; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x4000000 + i);
+		world_submit(w, other(w), id, &innocent);
+		world_run(w, 700);
+		world_set_capacity(w, i % 6, i < 6 ? 2000 * (i % 3) : 16000);
+	}
+	world_run(w, 40000);
+	for (i = 0; i < 12; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x4000000 + i);
+		cr_expect_str_eq(world_job_state(w, id), "completed");
+	}
+	check_free(w);
+}
+
+/* One shrunk worker made the room of the others seem taken. */
+Test(crash, others_keep_their_room)
+{
+	struct world *w = world_new_settled(91);
+	unsigned i, full = 0;
+
+	world_submit(w, other(w), FIRST, &packed);
+	world_run(w, 300);
+	for (i = 0; i < 6; i++) {
+		full += world_starts_of(w, i) == packed.tasks;
+		world_set_capacity(w, i, world_starts_of(w, i) ? 0 : 2000);
+	}
+	cr_assert_eq(full, 1, "one worker runs all tasks of the first job");
+	world_run(w, 300);
+	world_submit(w, other(w), SECOND, &innocent);
+	world_run(w, 15000);
+	cr_expect_str_eq(world_job_state(w, SECOND), "completed");
+	check_free(w);
+}
