Owner: a worker over its capacity takes no room from others

Cause: a worker's capacity may shrink below what it runs. Its free room is then negative, and pool_measure added it to the pool's total, from which jobs get their turn to be recorded as started: with 12 cores too much on one worker and 2 cores free on each of five others, no job was started at all.

Ruled out: clamping worker_free_room itself: a task that needs none of the exceeded resource would be started on a worker that is over its capacity.

Change: the sum counts a negative amount as none.

Measured: test-crash others_keep_their_room failed before, passes now; capacity_shrinks passes before and after. All objects were built anew for both.

--- a/sched-pool.c
+++ b/sched-pool.c
@@ -78,7 +78,10 @@
 				     !pool_of(s, BSTR_NONE)->unknown);
 }
 
-/* Returns the free resources of a worker. */
+/*
+ * Returns the free resources of a worker.  They are negative if its capacity
+ * has shrunk below what it runs.
+ */
 struct resources worker_free_room(const struct worker *w)
 {
 	return resources_sub(w->row.capacity, w->used);
@@ -86,10 +89,13 @@
 
 /*
  * Computes the free resources of a pool: the sum, and the most of each resource
- * that any worker has.
+ * that any worker has.  A worker whose capacity has shrunk below what it runs
+ * has a negative amount, which doesn't reduce the sum: the others still have
+ * their room, and jobs that fit there would wait.
  */
 void pool_measure(struct pool *p)
 {
+	const struct resources none = {0, 0, 0};
 	struct resources r;
 	size_t i;
 
@@ -97,7 +103,8 @@
 	p->total_room = (struct resources){0, 0, 0};
 	for (i = 0; i < p->count; i++) {
 		r = worker_free_room(p->workers[i]);
-		p->total_room = resources_add(p->total_room, r);
+		p->total_room = resources_add(p->total_room,
+					      resources_max(r, none));
 		p->max_room = resources_max(p->max_room, r);
 	}
 }
