Owner: give up a task that crashes its workers

Cause: nothing counted crashes. worker_restarted and worker_lost released the tasks of a worker, so a task that crashes each worker went on from one to the next, and took the tasks beside it down each time.

Ruled out: counting a silent worker whose row is gone: with a cut between owner and worker the task would be given up though no process ended (cut_is_no_crash is red with it). Isolation at the first crash: each of the 7 to 20 tasks beside it would need an empty worker. One place for a worker's loss in each task: the loss before is forgotten where workers are back after 6 s (long_running is red with it).

Change: sched-crash.c counts the crashes under each task by run number, proven by another process under the worker's id or at its address. The count is in the progress row before the next start; rows without it are read as before. One crash: apart from others with crashes. Two: alone on a worker that the pool keeps free, or after 2 s beside tasks without crashes. The job fails at the third crash if that run was confirmed and alone, or at the fourth if it was one of the two. A takeover that doesn't find the run of a task with one crash isolates it. A long-running task that has run for 10 s loses its count.

--- a/sched-job.c
+++ b/sched-job.c
@@ -353,7 +353,7 @@
 }
 
 /* Gives a job its final state, unless it has one. */
-static void job_finish(struct sched *s, struct job *j, enum job_status status)
+void job_finish(struct sched *s, struct job *j, enum job_status status)
 {
 	if (j->status > JOB_STATUS_RUNNING)
 		return;
--- a/sched-move.c
+++ b/sched-move.c
@@ -308,7 +308,8 @@
 		return true;
 	return w && w->fenced && TAILQ_EMPTY(&w->tasks) &&
 	       worker_ends_durable(w) && w->listed && !w->row.draining &&
-	       !w->takedown_pending && s->now - w->idle_since >= since;
+	       !w->takedown_pending && s->now >= w->reserved_until &&
+	       s->now - w->idle_since >= since;
 }
 
 /* Orders the move of a machine. */
--- a/sched-order.c
+++ b/sched-order.c
@@ -96,6 +96,8 @@
 	t->started_at = s->now;
 	TAILQ_INSERT_TAIL(&w->tasks, t, worker_entry);
 	w->used = resources_add(w->used, step_need(task_step(t)));
+	crash_task_placed(t);
+	t->crash_inherited = false;
 	usage_add(s, t, 1);
 	j->placed++;
 	if (!j->starts++ && !j->inherited)
@@ -110,6 +112,7 @@
 	if (!w)
 		return;
 	TAILQ_REMOVE(&w->tasks, t, worker_entry);
+	crash_task_unplaced(t, w);
 	w->used = resources_sub(w->used, step_need(task_step(t)));
 	w->idle_since = s->now;
 	usage_add(s, t, -1);
@@ -147,6 +150,7 @@
 		[PENDING_CAPACITY] = "room", [PENDING_CONSTRAINTS] = "worker",
 		[PENDING_LIMIT] = "limit",   [PENDING_CEILING] = "ceiling",
 		[PENDING_STORE] = "store",   [PENDING_TICKET] = "ticket",
+		[PENDING_CRASH] = "crash",   [PENDING_ISOLATION] = "isolation",
 	};
 
 	return words[reason];
--- a/sched-place.c
+++ b/sched-place.c
@@ -154,7 +154,8 @@
 			if (!step_is_placeable(s, o, i))
 				continue;
 			s->has_pending_tasks = true;
-			if (resources_fit(step_need(&j->body->steps[i]),
+			if (j->has_crashes ||
+			    resources_fit(step_need(&j->body->steps[i]),
 					  pool->max_room))
 				candidate_add(s, p, r, pool, o, i);
 			else
@@ -275,7 +276,7 @@
 	double score, idle;
 	bool spread;
 
-	if (!resources_fit(step_need(st), room) ||
+	if (!resources_fit(step_need(st), room) || !crash_allows(s, w, t) ||
 	    !worker_has_label(w, st->required_label))
 		return -1;
 	if (st->max_per_worker &&
@@ -312,6 +313,7 @@
 					 : (double)worker_long_running(w)) +
 			 SCORE_SPREAD * (4 - (double)step_tasks_on_worker(
 						     w, t->occ, t->step));
+	score += crash_score(w, t);
 	return score > 0 ? score : 0;
 }
 
@@ -401,12 +403,22 @@
 			c->job->pending_reason = limit;
 			break;
 		}
-		if (stale || st->same_rack || t->avoided_worker)
+		if (crash_delays_start(s, t)) {
+			c->job->pending_reason = PENDING_CRASH;
+			continue;
+		}
+		if (stale || st->same_rack || t->avoided_worker ||
+		    t->crash_count)
 			scores_compute(s, c, t, scores, 0, count);
 		else
 			scores_compute(s, c, t, scores, chosen, chosen + 1);
-		stale = t->avoided_worker;
+		stale = t->avoided_worker || t->crash_count;
 		chosen = scores_best(scores, count);
+		if (chosen == count && t->crash_count) {
+			c->job->pending_reason = PENDING_ISOLATION;
+			crash_reserve_worker(s, c->pool, t);
+			continue;
+		}
 		if (chosen == count) {
 			c->job->pending_reason = PENDING_CONSTRAINTS;
 			if (step_is_unconstrained(c, st))
@@ -429,6 +441,8 @@
 
 	for (i = 0; i < n; i++) {
 		chosen[i]->used = resources_sub(chosen[i]->used, st->need);
+		if (chosen[i]->isolated_task == &t[i])
+			chosen[i]->isolated_task = NULL;
 		u->used = resources_sub(u->used, st->need);
 	}
 }
@@ -451,10 +465,14 @@
 		chosen[i] = NULL;
 		if (first[i].phase == PHASE_PENDING &&
 		    s->now >= first[i].not_before &&
+		    !crash_delays_start(s, &first[i]) &&
 		    limit_allows(s, c->job, st))
 			chosen[i] = worker_choose(s, c, &first[i]);
-		if (!chosen[i])
+		if (!chosen[i]) {
+			crash_reserve_worker(s, c->pool, &first[i]);
 			break;
+		}
+		crash_gang_reserve(&first[i], chosen[i]);
 		chosen[i]->used = resources_add(chosen[i]->used, st->need);
 		u->used = resources_add(u->used, st->need);
 		if (task_next_run(s, &first[i]) > run)
@@ -526,8 +544,9 @@
 {
 	enum pending_reason reason;
 
-	if (!resources_fit(c->need, c->pool->max_room) ||
-	    pool_is_known_full(c->pool, c->need)) {
+	if (!c->job->has_crashes &&
+	    (!resources_fit(c->need, c->pool->max_room) ||
+	     pool_is_known_full(c->pool, c->need))) {
 		if (c->previous_reason != PENDING_CAPACITY)
 			c->job->pending_reason = PENDING_CAPACITY;
 		return;
@@ -547,7 +566,7 @@
 		gang_place(s, c);
 	else
 		step_place(s, c);
-	pool_measure(c->pool);
+	pool_measure(s, c->pool);
 }
 
 /*
--- a/sched-pool.c
+++ b/sched-pool.c
@@ -93,7 +93,7 @@
  * has a negative amount, which doesn't reduce the sum: the others still have
  * their room, and jobs that fit there would wait.
  */
-void pool_measure(struct pool *p)
+void pool_measure(const struct sched *s, struct pool *p)
 {
 	const struct resources none = {0, 0, 0};
 	struct resources r;
@@ -102,6 +102,8 @@
 	p->max_room = (struct resources){-1, -1, -1};
 	p->total_room = (struct resources){0, 0, 0};
 	for (i = 0; i < p->count; i++) {
+		if (crash_closes_worker(s, p->workers[i]))
+			continue;
 		r = worker_free_room(p->workers[i]);
 		p->total_room = resources_add(p->total_room,
 					      resources_max(r, none));
@@ -159,7 +161,7 @@
 		if (worker_is_eligible(s, w))
 			pool_add(w->pool, w);
 	for (p = s->pools; p; p = p->hh.next)
-		pool_measure(p);
+		pool_measure(s, p);
 }
 
 /* Frees the pools.  No worker and no job may refer to them. */
--- a/sched-row.c
+++ b/sched-row.c
@@ -196,6 +196,37 @@
 	return runs;
 }
 
+/* Encodes the numbers of a task's runs under which workers have crashed. */
+static json_t *crashed_runs_write(const struct task *t)
+{
+	json_t *runs = json_array();
+	unsigned i;
+
+	for (i = 0; i < t->crash_count; i++)
+		json_array_append_new(
+			runs, json_integer((json_int_t)t->crashed_runs[i]));
+	return runs;
+}
+
+/* Decodes these numbers; rows of earlier versions have none. */
+static void crashed_runs_read(const json_t *runs, struct task *t)
+{
+	size_t i;
+	json_t *v;
+
+	json_array_foreach(runs, i, v) {
+		if (t->crash_count == CRASHED_RUNS_MAX)
+			return;
+		t->crashed_runs[t->crash_count] = (uint64_t)json_integer_value(
+			v);
+		if (t->crashed_runs[t->crash_count] > t->highest_run)
+			t->highest_run = t->crashed_runs[t->crash_count];
+		t->crash_count++;
+		t->crash_inherited = true;
+		t->occ->job->has_crashes = true;
+	}
+}
+
 /* Decodes the numbers of a task's failed runs. */
 static void failed_runs_read(const json_t *runs, struct task *t)
 {
@@ -213,10 +244,14 @@
 	}
 }
 
-/* Encodes an occurrence's completed tasks, failed runs and checkpoints. */
+/*
+ * Encodes an occurrence's completed tasks, failed runs, crashes and
+ * checkpoints.
+ */
 static json_t *occurrence_write(const struct occurrence *o)
 {
 	json_t *fails = json_object(), *saved = json_object();
+	json_t *crashes = json_object(), *row;
 	const struct task *t;
 	char number[16];
 	unsigned i;
@@ -229,13 +264,20 @@
 		if (t->failure_count && !task_step(t)->long_running)
 			json_object_set_new(fails, number,
 					    failed_runs_write(t));
+		if (t->crash_count)
+			json_object_set_new(crashes, number,
+					    crashed_runs_write(t));
 		if (t->checkpoint.bstr_len)
 			json_object_set_new(saved, number,
 					    bstr_to_json(t->checkpoint));
 	}
-	return json_pack("{s:I, s:o, s:o, s:o}", "k", (json_int_t)o->number,
-			 "done", done_tasks_write(o), "fails", fails, "saved",
-			 saved);
+	row = json_pack("{s:I, s:o, s:o, s:o}", "k", (json_int_t)o->number,
+			"done", done_tasks_write(o), "fails", fails, "saved",
+			saved);
+	if (json_object_size(crashes))
+		json_object_set(row, "crashes", crashes);
+	json_decref(crashes);
+	return row;
 }
 
 /* Returns the row of a job's progress. */
@@ -308,6 +350,8 @@
 		snprintf(number, sizeof(number), "%u", i);
 		v = json_object_get(json_object_get(j, "fails"), number);
 		failed_runs_read(v, t);
+		v = json_object_get(json_object_get(j, "crashes"), number);
+		crashed_runs_read(v, t);
 		v = json_object_get(json_object_get(j, "saved"), number);
 		bstr_free(&t->checkpoint);
 		t->checkpoint = bstr_from_json(v);
--- a/sched-state.h
+++ b/sched-state.h
@@ -137,6 +137,19 @@
 
 /* Exceeds the attempts that any configuration allows. */
 #define FAILED_RUNS_MAX 8
+/* A job fails at the latest after this many crashes under one task. */
+#define CRASHED_RUNS_MAX 4
+
+/* Losses of a task's workers that may turn out to be crashes. */
+#define LOSSES_MAX 3
+
+/* A run whose worker was lost. */
+struct loss {
+	uint32_t worker; /* serial; 0: unused */
+	uint64_t run;
+	bool confirmed; /* the worker had started it */
+	bool alone;	/* nothing else was there */
+};
 
 struct task {
 	TAILQ_ENTRY(task) worker_entry;
@@ -168,6 +181,14 @@
 	int64_t load_figure;	 /* see struct running */
 	uint32_t avoided_worker; /* serial of the worker where it failed; 0:
 				  * none */
+	unsigned crash_count;	 /* see sched-crash.c */
+	uint64_t crashed_runs[CRASHED_RUNS_MAX]; /* worker crashed under them */
+	uint64_t crash_seq;   /* dirty_seq of the latest change of the count */
+	bool crash_counted;   /* in its worker's crash_tasks */
+	bool crash_inherited; /* the count was read at a takeover */
+	struct loss losses[LOSSES_MAX]; /* of its workers, not yet explained */
+	int64_t evidence_until; /* not started again before, unless it is known
+				 * whether that worker has crashed */
 	bstr checkpoint;
 };
 TAILQ_HEAD(worker_task_list, task);
@@ -220,7 +241,9 @@
 	PENDING_LIMIT,	     /* the organisation's upper limit is reached */
 	PENDING_CEILING,     /* the ceiling recorded in the store is reached */
 	PENDING_STORE,	     /* the start of the job is not durable yet */
-	PENDING_TICKET	     /* no valid placement ticket yet */
+	PENDING_TICKET,	     /* no valid placement ticket yet */
+	PENDING_CRASH,	  /* a crash under it is not durable or not certain */
+	PENDING_ISOLATION /* no empty worker for a task that runs alone */
 };
 
 /*
@@ -259,6 +282,7 @@
 	bool start_durable; /* the store records that its tasks may run */
 	bool start_was_durable; /* an earlier owner recorded that */
 	bool run_seen;		/* a worker has started one of its tasks */
+	bool has_crashes;	/* workers have crashed under its tasks */
 	struct job_estimate estimate;
 	enum pending_reason pending_reason; /* the latest */
 	int64_t due; /* end of its objective; 0: nothing was placed yet */
@@ -330,7 +354,14 @@
 	char failure_streak_job[JOB_ID_BYTES + 1];
 	int64_t suspect_until;
 	int64_t idle_since;
-	bool takedown_pending;	 /* its machine is about to be taken away */
+	unsigned crash_tasks;	    /* tasks with crashes on it */
+	struct task *isolated_task; /* runs alone on it, or NULL */
+	int64_t reserved_until;	    /* for a task that runs alone */
+	int64_t late_starts_until;  /* the known process may carry out starts
+				     * sent to an earlier one */
+	int64_t evidence_until; /* its loss may still turn out to be a crash; 0:
+				 * none */
+	bool takedown_pending;	/* its machine is about to be taken away */
 	bool takedown_in_flight; /* the call that takes it is in flight */
 	unsigned requests;
 	struct resources used;
@@ -817,6 +848,7 @@
 void job_tick(struct sched *s);
 void job_task_done(struct sched *s, struct task *t);
 void job_task_failed(struct sched *s, struct task *t, uint64_t run);
+void job_finish(struct sched *s, struct job *j, enum job_status status);
 void job_unretire(struct sched *s, struct retired *r);
 void job_retire_if_done(struct sched *s, struct job *j);
 bool job_is_waiting(const struct job *j);
@@ -876,7 +908,7 @@
 void worker_clear_unknown(struct sched *s, struct worker *w);
 bool pool_is_settled(struct sched *s, bstr service);
 void pools_refresh(struct sched *s);
-void pool_measure(struct pool *p);
+void pool_measure(const struct sched *s, struct pool *p);
 bool pool_is_known_full(const struct pool *p, struct resources need);
 void pool_note_full(struct pool *p, struct resources need);
 void pools_free(struct sched *s);
@@ -897,6 +929,22 @@
 void task_pace(struct sched *s, struct task *t, unsigned percent);
 void order_answer(struct sched *s, struct request *rq, struct answer *a);
 
+/* sched-crash.c: tasks that crash their workers */
+bool crash_delays_start(struct sched *s, struct task *t);
+bool crash_allows(const struct sched *s, const struct worker *w,
+		  const struct task *t);
+double crash_score(const struct worker *w, const struct task *t);
+bool crash_closes_worker(const struct sched *s, const struct worker *w);
+void crash_reserve_worker(struct sched *s, struct pool *p,
+			  const struct task *t);
+void crash_gang_reserve(struct task *t, struct worker *w);
+void crash_task_placed(struct task *t);
+void crash_task_unplaced(struct task *t, struct worker *w);
+void crash_worker_lost(struct sched *s, struct worker *w, bool same_id);
+bool crash_needs_evidence(const struct sched *s, const struct worker *w);
+void crash_settle(struct sched *s, struct worker *w, bool crashed);
+void crash_check_outlived(struct sched *s, struct task *t);
+
 /* sched-limit.c: upper limits of organisations */
 struct usage *job_usage(struct sched *s, struct job *j);
 void usage_add(struct sched *s, const struct task *t, int sign);
@@ -960,5 +1008,6 @@
 void waves_reset_owner_state(struct sched *s);
 void sched_waves_free(struct sched *s);
 bool wave_may_take_worker(struct sched *s, const struct worker *w);
+bool wave_takes_worker(const struct sched *s, const struct worker *w);
 
 #endif
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -19,6 +19,11 @@
 #define MACHINE_LIST_INTERVAL_MS 900
 #define PLATFORM_TIMEOUT_MS 1500
 #define PLATFORM_RETRY_MS 500
+/*
+ * A loss of a worker this long after its maintenance may still be due to it:
+ * its lease has to expire first.
+ */
+#define LATE_LOSS_MS 8000
 /* A machine counts as down this much longer than its maintenance takes. */
 #define DOWN_MARGIN_MS 400
 /*
@@ -53,6 +58,47 @@
 	return NULL;
 }
 
+/* Returns the machine of a worker, or NULL if the list does not show it yet. */
+static const struct machine *worker_machine(const struct sched *s,
+					    const struct worker *w)
+{
+	const struct machine *m;
+
+	for (m = s->machines; m; m = m->hh.next)
+		if (bstr_eq(m->worker, w->id))
+			return m;
+	return NULL;
+}
+
+/*
+ * Returns true if a worker's process may have been taken down for a wave: this
+ * owner has called for it, or an earlier one may have.  The worker may be a
+ * later one than the noted one, and the list of machines older than it; then
+ * any recent call counts.
+ */
+bool wave_takes_worker(const struct sched *s, const struct worker *w)
+{
+	const struct machine *m = worker_machine(s, w);
+	const struct wave_machine *wm;
+	const struct wave *v;
+	size_t i;
+
+	for (v = s->waves; v; v = v->hh.next) {
+		for (i = 0; i < v->count; i++) {
+			wm = &v->machines[i];
+			if (!wm->call_in_flight && !wm->call_outcome_unknown &&
+			    !wm->done)
+				continue;
+			if (wm->noted && bstr_eq(wm->worker, w->id))
+				return true;
+			if (s->now < wm->down_until + LATE_LOSS_MS &&
+			    (!m || bstr_eq(m->id, wm->id)))
+				return true;
+		}
+	}
+	return false;
+}
+
 /* Returns the wave with a number, and adds it if it is new. */
 static struct wave *wave_get(struct sched *s, uint64_t number)
 {
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -260,6 +260,7 @@
 				 (int64_t)((double)a->clock *
 					   CLOCK_DRIFT_FACTOR) -
 				 ORDER_TIMEOUT_MS;
+	int64_t late_starts_until = w->late_starts_until;
 	struct task *t;
 
 	/*
@@ -268,10 +269,16 @@
 	 */
 	TAILQ_FOREACH(t, &w->tasks, worker_entry)
 		if (t->phase == PHASE_STARTING &&
-		    t->started_at >= earliest_start)
+		    t->started_at >= earliest_start) {
 			task_delay(t, t->started_at + ORDER_LIFETIME_MAX_MS);
-	if (w->started_at)
+			late_starts_until = t->not_before;
+		}
+	if (w->started_at) {
+		crash_worker_lost(s, w, true);
 		worker_lost(s, w, "restarted");
+		crash_settle(s, w, true);
+	}
+	w->late_starts_until = late_starts_until;
 	w->started_at = started_at;
 	worker_clear_unacked(s, w);
 	w->last_end = w->durable_end = 0;
@@ -494,11 +501,14 @@
 	if (!w->gone && worker_has_expired(s, w)) {
 		worker_set_gone(s, w);
 		starts_delay(s, w);
+		crash_worker_lost(s, w, false);
 		if (!TAILQ_EMPTY(&w->tasks))
 			worker_lost(s, w, "silent");
 	}
+	if (!crash_needs_evidence(s, w))
+		crash_settle(s, w, false);
 	if (w->gone && !w->listed && !w->polling && !w->requests &&
-	    TAILQ_EMPTY(&w->tasks)) {
+	    TAILQ_EMPTY(&w->tasks) && !crash_needs_evidence(s, w)) {
 		sched_worker_free(s, w);
 		return;
 	}
@@ -506,6 +516,7 @@
 		next = TAILQ_NEXT(t, worker_entry);
 		if (t->stopping && s->now >= t->stop_retry_at)
 			task_stop(s, t);
+		crash_check_outlived(s, t);
 	}
 	if (!w->polling && s->now >= w->poll_at && own_may_order(s) &&
 	    w->row.address.bstr_len)
@@ -682,6 +693,7 @@
 			task_unplace(s, t);
 		job_task_done(s, t);
 	} else {
+		t->crash_inherited = false;
 		if (n->run > t->highest_run)
 			t->highest_run = n->run;
 		if (n->kind == END_FAILED)
@@ -869,6 +881,7 @@
 	w->answered_at = s->now;
 	if (a->worker_started_at && a->sent_at > w->alive_at)
 		w->alive_at = a->sent_at;
+	crash_settle(s, w, false);
 	if (w->late_starts_possible && a->worker_started_at)
 		starts_end_delay(s, w);
 	if (w->gone && !w->noted)
@@ -918,8 +931,10 @@
 		/* Another process answers here: the known one ended. */
 		worker_set_gone(s, w);
 		worker_set_overdue(s, w);
+		crash_worker_lost(s, w, false);
 		if (!TAILQ_EMPTY(&w->tasks))
 			worker_lost(s, w, "replaced");
+		crash_settle(s, w, true);
 	} else if (a->outcome == OUT_REFUSED) {
 		w->unhealthy_until = s->now + POLL_RETRY_MS;
 	}
--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -46,15 +46,19 @@
 	OP_WRITES_LATE, /* for a while, writes of one VM are carried out
 			   seconds later */
 	OP_PAGES_SLOW,	/* of one table */
+	OP_POISON,	/* a job that crashes its workers */
+	OP_CRASH_MODE,	/* how they are back */
+	OP_SHRINK,	/* a worker's capacity changes */
 	OPS
 };
 static const char *const names[OPS] = {
-	"RUN",	      "QUICK",	"CHAIN",    "LASTING",	   "RETRY",
-	"CANCEL",     "KILL",	"STOP",	    "FREEZE",	   "CUT_STORE",
-	"CUT_WORKER", "STORE",	"STORE_VM", "COMPACT",	   "UNLIST",
-	"CRASH",      "LATE",	"FAILS",    "LIMIT",	   "WAVE",
-	"HEAL",	      "ASK",	"SLOW",	    "PAGES",	   "STALL",
-	"REFUSE",     "VANISH", "LONG",	    "WRITES_LATE", "PAGES_SLOW"};
+	"RUN",	      "QUICK",	    "CHAIN",	"LASTING",     "RETRY",
+	"CANCEL",     "KILL",	    "STOP",	"FREEZE",      "CUT_STORE",
+	"CUT_WORKER", "STORE",	    "STORE_VM", "COMPACT",     "UNLIST",
+	"CRASH",      "LATE",	    "FAILS",	"LIMIT",       "WAVE",
+	"HEAL",	      "ASK",	    "SLOW",	"PAGES",       "STALL",
+	"REFUSE",     "VANISH",	    "LONG",	"WRITES_LATE", "PAGES_SLOW",
+	"POISON",     "CRASH_MODE", "SHRINK"};
 
 struct operation {
 	op what;
@@ -65,6 +69,10 @@
 static const world_job quick = {3, 0, 300, 0, false, 0, 0};
 static const world_job two_steps = {3, 2, 400, 1, false, 0, 0};
 static const world_job long_lived = {3, 0, 0, 0, true, 1, 1};
+static const world_job poisons[] = {
+	{1, 0, 300, 0, false, 0, 0, false, true, 0},
+	{3, 0, 2000, 0, false, 0, 0, false, true, 700},
+	{2, 0, 0, 0, true, 0, 0, false, true, 40}};
 
 struct submitted_job {
 	char id[17];
@@ -117,6 +125,7 @@
 	for (k = 0; k < WORLD_WORKERS; k++) {
 		world_unlist_worker(p.w, k, false);
 		world_fail_tasks(p.w, k, false);
+		world_set_capacity(p.w, k, 16000);
 	}
 }
 
@@ -257,6 +266,17 @@
 		world_set_page_delay(p.w, (table)(s.a % TABLE_MAX),
 				     s.b % 3 ? s.b * 3 : 0);
 		break;
+	case OP_POISON:
+		submit(p, vm, &poisons[s.b % 3]);
+		break;
+	case OP_CRASH_MODE:
+		world_set_crash_mode(
+			p.w, s.a % 2 ? WORLD_CRASH_NEW_ID : WORLD_CRASH_SAME_ID,
+			200 + s.b * 20);
+		break;
+	case OP_SHRINK:
+		world_set_capacity(p.w, worker, 2000 * (s.a % 9));
+		break;
 	case OPS:
 		break;
 	}
@@ -360,6 +380,16 @@
 	  OP_SLOW, OP_CUT_STORE, OP_CUT_WORKER, OP_UNLIST, OP_COMPACT, OP_LIMIT,
 	  OP_WAVE, OP_CANCEL, OP_STOP, OP_HEAL, OP_LONG},
 	 true},
+	{"tasks that crash their workers, and capacity that shrinks",
+	 {OP_POISON, OP_CRASH_MODE, OP_SHRINK, OP_LONG, OP_LONG, OP_CANCEL,
+	  OP_STORE}},
+	/*
+	 * Without OP_CRASH: a task that runs alone on a worker that crashes by
+	 * chance can't be told from one that is the cause.
+	 */
+	{"tasks that crash their workers, VMs stopped, workers cut off and late",
+	 {OP_POISON, OP_CRASH_MODE, OP_SHRINK, OP_LONG, OP_STOP, OP_CUT_WORKER,
+	  OP_UNLIST, OP_LATE, OP_WAVE, OP_HEAL}},
 };
 
 /* Generates operations: work, and faults of the mix. */
@@ -604,6 +634,17 @@
 	 "{STOP 148 109} {RUN 85 37} {RUN 98 44} {RUN 131 71} "
 	 "{STOP 36 93} {CANCEL 98 61} {LIMIT 78 35} {STOP 57 71} "
 	 "{LIMIT 43 132} {LONG 79 122} {RUN 49 56} {QUICK 151 12}"},
+	{"a crash of a worker that a wave had noted was not counted",
+	 "seed 152081: {RUN 150 140} {POISON 152 97} {QUICK 143 63} "
+	 "{RUN 102 0} {QUICK 81 101} {WAVE 78 18} {WAVE 57 137} "
+	 "{LATE 109 50} {CRASH_MODE 26 127} {POISON 21 11} "
+	 "{CUT_WORKER 108 26} {RETRY 81 141} {POISON 92 127} "
+	 "{HEAL 84 53} {RUN 61 98} {STOP 121 67} {CUT_WORKER 4 151} "
+	 "{QUICK 94 117} {HEAL 114 103} {STOP 106 25} {LATE 21 134} "
+	 "{SHRINK 131 100} {STOP 56 58} {HEAL 3 121} {POISON 111 42} "
+	 "{LASTING 140 20} {LASTING 54 100} {CUT_WORKER 42 28} "
+	 "{RETRY 134 122} {LONG 49 28} {RETRY 103 40} {HEAL 120 34} "
+	 "{POISON 1 6}"},
 };
 
 int main(int argc, char **argv)
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -116,6 +116,22 @@
 	return n;
 }
 
+/* Returns how many crashes a job's progress row has, of all its tasks. */
+unsigned world_stored_crashes(struct world *w, const char *id)
+{
+	const struct world_row *r = world_row_get(w, TABLE_PROGRESS, id);
+	json_t *row = r->removed ? NULL : json_read(r->value), *time, *runs;
+	unsigned n = 0;
+	const char *key;
+	size_t i;
+
+	json_array_foreach(json_object_get(row, "times"), i, time)
+		json_object_foreach(json_object_get(time, "crashes"), key, runs)
+			n += (unsigned)json_array_size(runs);
+	json_decref(row);
+	return n;
+}
+
 /* Returns the first violated invariant, or NULL. */
 const char *world_violation(const struct world *w)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -147,6 +147,9 @@
 /* Returns how many workers have crashed under tasks of a job. */
 unsigned world_crashes_under(const struct world *w, const char *id);
 
+/* Returns how many crashes a job's row in the store has. */
+unsigned world_stored_crashes(struct world *w, const char *id);
+
 /* Marks a worker as draining: it is about to leave. */
 void world_drain_worker(struct world *w, unsigned worker);
 
--- a/tests/test-crash.c
+++ b/tests/test-crash.c
@@ -4,6 +4,8 @@
  */
 #include "world-calm.h"
 
+#include <string.h>
+
 #define POISON "00000000000000aa"
 #define FIRST "10000000000000bb"
 #define SECOND "f0000000000000cc"
@@ -175,6 +177,87 @@
 	}
 }
 
+/*
+ * An owner that fails between a start and the write of the count forgets it.
+ * The store refuses writes for most of the time, so that some crashes are seen
+ * while it does.
+ */
+Test(crash, durable_before_the_start)
+{
+	struct world *w;
+	unsigned i, k, crashes;
+
+	for (k = 0; k < 8; k++) {
+		w = world_new_settled(100 + k);
+		world_set_crash_mode(w, WORLD_CRASH_SAME_ID, 300);
+		world_submit(w, other(w), POISON, &poison);
+		world_run(w, 60);
+		for (i = 0; i < 9000; i++) {
+			world_set_store_mode(w, (i + 90 * k) % 900 < 200
+							? WORLD_STORE_OK
+							: WORLD_STORE_REFUSES);
+			world_run(w, 1);
+			crashes = world_crashes_under(w, POISON);
+			if (crashes &&
+			    strcmp(world_job_state(w, POISON), "failed") != 0)
+				cr_assert_geq(world_stored_crashes(w, POISON) +
+						      1,
+					      crashes, "row %u, %u ms", k, i);
+		}
+		world_set_store_mode(w, WORLD_STORE_OK);
+		world_run(w, 20000);
+		cr_expect_str_eq(world_job_state(w, POISON), "failed");
+		check_free(w);
+	}
+}
+
+/* Workers that the owner can't reach must not count against their tasks. */
+Test(crash, cut_is_no_crash)
+{
+	struct world *w = world_new_settled(57);
+	unsigned i, k;
+
+	world_submit(w, other(w), FIRST, &lasting);
+	for (i = 0; i < 3; i++) {
+		world_run(w, 500);
+		for (k = 0; k < 3; k++) {
+			world_cut_worker(w, owner(w), (i + k) % 6, true);
+			world_unlist_worker(w, (i + k) % 6, i % 2);
+		}
+		for (k = 0; k < 30; k++) {
+			world_run(w, 200);
+			cr_expect_eq(world_stored_crashes(w, FIRST), 0);
+		}
+		for (k = 0; k < 6; k++) {
+			world_cut_worker(w, owner(w), k, false);
+			world_unlist_worker(w, k, false);
+		}
+	}
+	world_run(w, 3000);
+	cr_expect_eq(world_stored_crashes(w, FIRST), 0);
+	check_free(w);
+}
+
+/* Workers that drain and leave must not count against their tasks. */
+Test(crash, drained_worker_leaves)
+{
+	struct world *w = world_new_settled(58);
+	unsigned i;
+
+	world_submit(w, other(w), FIRST, &lasting);
+	world_run(w, 300);
+	for (i = 0; i < 3; i++)
+		world_drain_worker(w, i);
+	world_run(w, 1000);
+	for (i = 0; i < 3; i++)
+		world_crash_worker(w, i);
+	for (i = 0; i < 30; i++) {
+		world_run(w, 100);
+		cr_expect_eq(world_stored_crashes(w, FIRST), 0);
+	}
+	check_free(w);
+}
+
 /* Workers that leave by plan must not count against their tasks. */
 Test(crash, planned_work)
 {
@@ -183,13 +266,16 @@
 						.long_running = true,
 						.max_per_worker = 1,
 						.may_miss = 2};
-	unsigned i;
+	unsigned i, k;
 
 	world_submit(w, other(w), FIRST, &spread);
 	world_run(w, 300);
 	world_start_wave(w, 6, 2);
 	for (i = 0; i < 3; i++) {
-		world_run(w, 5000);
+		for (k = 0; k < 25; k++) {
+			world_run(w, 200);
+			cr_expect_eq(world_stored_crashes(w, FIRST), 0);
+		}
 		world_kill_vm(w, owner(w));
 		world_run(w, 100);
 		world_start_vm(w, 0);
