--- a/sched-move.c
+++ b/sched-move.c
@@ -195,6 +195,8 @@
 static bool job_waits_for_room(const struct job *j)
 {
 	switch (j->pending_reason) {
+	case PENDING_CRASH:
+	case PENDING_ISOLATION:
 	case PENDING_LIMIT:
 	case PENDING_CONSTRAINTS:
 	case PENDING_TICKET:
@@ -380,7 +382,8 @@
 		return true;
 	return w && w->fenced && TAILQ_EMPTY(&w->tasks) &&
 	       worker_ends_durable(w) && w->listed && !w->row.draining &&
-	       !w->takedown_pending && s->now - w->idle_since >= since;
+	       !w->takedown_pending && s->now >= w->reserved_until &&
+	       s->now - w->idle_since >= since;
 }
 
 /* Calls the platform to move a machine to the pool in its moving_to. */
