Owner that workers don't answer hands over to another VM

Cause: the owner is replaced only if its heartbeats stop. A VM slowed 5 to 8 times still writes them, but processes the workers' answers too late, so that it takes all workers for silent and starts nothing.

Ruled out: "no worker answers" as the rule, as a few answers still arrive; a release marked settled, as a start without an answer may have reached a later process of its worker, which has the longest lease.

Change: an owner that fewer than an eighth of its listed workers have answered in time for 2.5 s, while the store serves it, releases the ownership, not settled, logs OWNER_HANDOVER (2020) and lets others claim first for 1.5 s. The owner's row counts hand-overs: after two in a row the third owner keeps the ownership until half of the workers have answered it. A VM hands over at most once in 15 s. With fewer than three workers nobody does. Workers that leave don't count. An epoch that this process released is not taken up again when an old row is read once more; no test shows that case (a test tried for it stayed green without the check and was left out).

Tests: test-takeover owner_that_reaches_no_workers_hands_over and successor_that_reaches_no_workers_hands_over. Before: red in the rows slow owner, slow owner of many, owner cut off from all and from nearly all, and in all four rows of the successor; the other rows guard against too many hand-overs and were green. After: all green. With a constant or condition changed on a scratch copy they fail: no bound (epoch 14), one worker is enough, leaving workers count, no deferral, store not considered. The row of the suspended owner was not tried so.

Run after: test-takeover, -sched, -load, -waiting, -stop, -join, -catalogue and prop-sched (sanitizers), check-format, tidy.

--- a/sched-own.c
+++ b/sched-own.c
@@ -44,6 +44,33 @@
  */
 #define LOAD_TIMEOUTS_MAX 8
 
+/*
+ * An owner hands over if for UNRESPONSIVE_MS fewer than one in
+ * RESPONSIVE_DIVISOR of its workers have answered in time although the store
+ * serves it: it has too little processor time, or is cut off from them.  Its
+ * heartbeats would continue, no task would start, and nobody would replace it.
+ * With fewer workers than UNRESPONSIVE_WORKERS_MIN the failure is more likely
+ * theirs.
+ */
+#define UNRESPONSIVE_MS 2500
+#define RESPONSIVE_DIVISOR 8
+#define UNRESPONSIVE_WORKERS_MIN 3
+#define RESPONSES_CHECK_INTERVAL_MS 200
+/*
+ * If no VM can reach the workers, a hand-over is of no use and costs a reading
+ * of all tables.  So at most HANDOVERS_MAX follow each other without an owner
+ * in between that at least one in REACHED_DIVISOR of its workers answered, and
+ * a VM hands over at most once in HANDOVER_INTERVAL_MS.
+ */
+#define HANDOVERS_MAX 2
+#define REACHED_DIVISOR 2
+#define HANDOVER_INTERVAL_MS 15000
+/*
+ * During that interval it also leaves other VMs this much time to claim first.
+ * If none does, it claims, as a slow owner is better than none.
+ */
+#define HANDOVER_DEFERRAL_MS 1500
+
 /*
  * Returns true if this VM may start tasks now.  An owner that has not confirmed
  * its ownership for a while starts nothing whose lease it could not renew.
@@ -127,6 +154,8 @@
 	s->commit_in_flight = false;
 	s->advice_calls_in_flight = 0;
 	s->settled = false;
+	s->own.reached_workers = false;
+	s->own.unresponsive_by = 0;
 	s->follows[FOLLOW_WORKERS].wanted = s->follows[FOLLOW_JOBS].wanted =
 		false;
 	s->progress.wanted = s->notes.wanted = false;
@@ -159,6 +188,7 @@
 {
 	s->own.silent_since = s->now;
 	s->own.answers_without_heartbeat = 0;
+	s->own.unresponsive_by = 0;
 	if (s->own.state == OWN_NONE || s->own.check_required)
 		return;
 	s->own.check_required = true;
@@ -286,10 +316,17 @@
 	return s->options.cpu_share < CLAIM_CORES_MIN;
 }
 
-/* Returns how long this VM lets larger ones claim first. */
+/*
+ * Returns how long this VM lets others claim first: larger ones, and all if it
+ * has handed over lately.
+ */
 static int64_t claim_deferral(const struct sched *s)
 {
-	return own_defers_claim(s) ? CLAIM_DEFERRAL_MS : 0;
+	int64_t deferral = own_defers_claim(s) ? CLAIM_DEFERRAL_MS : 0;
+
+	if (s->now < s->own.handover_not_before)
+		deferral += HANDOVER_DEFERRAL_MS;
+	return deferral;
 }
 
 /*
@@ -345,6 +382,7 @@
 	struct ownership next = {.epoch = s->own.epoch + 1,
 				 .holder = s->options.vm,
 				 .holder_seed = s->options.seed};
+	bool released = !s->own.holder.bstr_len;
 	bstr key = bstr_lit(KEY_EPOCH);
 	struct request *rq;
 	struct tx *t;
@@ -358,6 +396,7 @@
 	tx_expect(t, TABLE_OWNER, key, s->own.revision);
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT),
 		  s->own.heartbeat_revision);
+	next.handovers = s->own.handovers = released ? s->own.handovers : 0;
 	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
 	rq->number = next.epoch;
 	s->own.claimed_at = s->now;
@@ -368,7 +407,7 @@
 	 * Such a release counts as none; otherwise the tasks with those leases
 	 * would run twice.
 	 */
-	s->own.previous_released = !s->own.holder.bstr_len && s->own.settled;
+	s->own.previous_released = released && s->own.settled;
 	s->own.state = OWN_CLAIMING;
 }
 
@@ -578,30 +617,112 @@
 
 /*
  * Returns true if the owner row names this process although it is not the owner
- * yet: a claim without an answer was carried out.
+ * yet: a claim without an answer was carried out.  An epoch that it released
+ * doesn't count.  The release may not have been carried out, and the row is
+ * read again when the feed's history is discarded; runs of tasks would get
+ * numbers that this process has used in this epoch.
  */
 static bool own_claim_was_done(const struct sched *s)
 {
-	return s->own.state == OWN_NONE && own_is_self(s) && !s->stop_by;
+	return s->own.state == OWN_NONE && own_is_self(s) && !s->stop_by &&
+	       s->own.epoch != s->own.released_epoch;
 }
 
-/* Releases the ownership, so that another VM can claim at once. */
-void own_release(struct sched *s)
+/* Writes a row without a holder, so that another VM can claim at once. */
+static void own_write_release(struct sched *s, bool settled, unsigned handovers)
 {
 	struct ownership released = {.epoch = s->own.epoch,
-				     .settled = s->settled};
+				     .settled = settled,
+				     .handovers = handovers};
 	struct request *rq;
 	struct tx *t;
 
-	if (s->own.state != OWN_OWNER && s->own.state != OWN_LOADING)
-		return;
 	t = sched_tx(s, FOR_RELEASE, s->now + STORE_TIMEOUT_MS, &rq);
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
 		 owner_row_write(&released, true));
+	s->own.released_epoch = s->own.epoch;
 	own_lose(s, "released");
 }
 
+/* Releases the ownership in a planned stop, or if the tables can't be read. */
+void own_release(struct sched *s)
+{
+	if (s->own.state != OWN_OWNER && s->own.state != OWN_LOADING)
+		return;
+	own_write_release(s, s->settled,
+			  s->own.reached_workers ? 0 : s->own.handovers);
+}
+
+/*
+ * Counts the workers that should answer this owner, and those of them of which
+ * no answer is overdue.  Returns how many have answered it before.
+ */
+static unsigned responses_count(const struct sched *s, unsigned *expected,
+				unsigned *responsive)
+{
+	const struct worker *w;
+	unsigned reached = 0;
+
+	*expected = *responsive = 0;
+	for (w = s->workers; w; w = w->hh.next) {
+		if (!w->listed || w->row.draining || w->takedown_pending)
+			continue;
+		++*expected;
+		*responsive += !worker_is_overdue(s, w);
+		reached += w->fenced && !worker_is_overdue(s, w);
+	}
+	return reached;
+}
+
+/*
+ * Releases the ownership because hardly any worker answers this VM.  The
+ * release doesn't say that all runs are known: a start without an answer may
+ * have reached a later process of a worker, which holds the longest lease.
+ */
+static void own_hand_over(struct sched *s, unsigned expected,
+			  unsigned responsive)
+{
+	sched_log(
+		s, LOG_OWNER_HANDOVER,
+		"epoch=%llu workers=%u responsive=%u reached=%d ready_ms=%lld",
+		(unsigned long long)s->own.epoch, expected, responsive,
+		s->own.reached_workers, (long long)(s->now - s->own.ready_at));
+	s->own.handover_not_before = s->now + HANDOVER_INTERVAL_MS;
+	own_write_release(s, false,
+			  s->own.reached_workers ? 1 : s->own.handovers + 1);
+}
+
+/*
+ * Hands over if hardly any worker has answered for a while.  That time starts
+ * anew while the store doesn't serve this VM, as the failure may be one of the
+ * whole network, and after a suspension, during which nobody was polled.
+ */
+static void responses_check(struct sched *s)
+{
+	unsigned expected, responsive, reached;
+
+	if (s->now < s->own.responses_check_at)
+		return;
+	s->own.responses_check_at = s->now + RESPONSES_CHECK_INTERVAL_MS;
+	reached = responses_count(s, &expected, &responsive);
+	if (expected && reached * REACHED_DIVISOR >= expected)
+		s->own.reached_workers = true;
+	if (expected < UNRESPONSIVE_WORKERS_MIN ||
+	    responsive * RESPONSIVE_DIVISOR >= expected ||
+	    !sched_store_is_up(s) || !own_may_start(s)) {
+		s->own.unresponsive_by = 0;
+		return;
+	}
+	if (!s->own.unresponsive_by)
+		s->own.unresponsive_by = s->now + UNRESPONSIVE_MS;
+	if (s->now < s->own.unresponsive_by ||
+	    s->now < s->own.handover_not_before || s->stop_by ||
+	    (!s->own.reached_workers && s->own.handovers >= HANDOVERS_MAX))
+		return;
+	own_hand_over(s, expected, responsive);
+}
+
 /* Returns true if readings of the store fail although heartbeats succeed. */
 static bool own_load_stalled(const struct sched *s)
 {
@@ -629,6 +750,7 @@
 		break;
 	case OWN_OWNER:
 		own_heartbeat_if_due(s);
+		responses_check(s);
 		break;
 	case OWN_CLAIMING:
 	case OWN_RELEASING:
--- a/sched-row.c
+++ b/sched-row.c
@@ -346,9 +346,10 @@
 bstr owner_row_write(const struct ownership *o, bool release)
 {
 	return json_write(json_pack(
-		"{s:I, s:o, s:I, s:b}", "epoch", (json_int_t)o->epoch, "vm",
-		bstr_to_json(release ? BSTR_NONE : o->holder), "life",
-		(json_int_t)o->holder_seed, "settled", o->settled));
+		"{s:I, s:o, s:I, s:b, s:I}", "epoch", (json_int_t)o->epoch,
+		"vm", bstr_to_json(release ? BSTR_NONE : o->holder), "life",
+		(json_int_t)o->holder_seed, "settled", o->settled, "handovers",
+		(json_int_t)o->handovers));
 }
 
 /* Decodes the owner row.  Returns false if it is malformed. */
@@ -363,6 +364,7 @@
 		bstr_free(&o->holder);
 		o->holder = bstr_from_json(json_object_get(row, "vm"));
 		o->settled = json_is_true(json_object_get(row, "settled"));
+		o->handovers = (unsigned)int_member(row, "handovers");
 	}
 	json_decref(row);
 	return ok;
--- a/sched-state.h
+++ b/sched-state.h
@@ -518,6 +518,14 @@
 	int64_t load_progress_at; /* start of the reading, or latest page */
 	unsigned load_timeouts;	  /* in a row */
 	bool check_required;	  /* read the owner row before the next order */
+	uint64_t released_epoch;  /* this process released it; 0: none */
+	unsigned handovers; /* in a row, by owners whose workers did not answer
+			     * them */
+	bool reached_workers;	    /* in this epoch */
+	int64_t responses_check_at; /* of the workers, next */
+	int64_t unresponsive_by; /* hands over if few answer until then; 0: many
+				  * do */
+	int64_t handover_not_before; /* until then it also claims later */
 	bool known; /* the owner row was read, or does not exist */
 };
 
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -264,3 +264,12 @@
 	w->wave_maximum = maximum;
 	world_row_write(w, TABLE_OPERATOR, "wave/1", -1);
 }
+
+/*
+ * Lets a VM handle the answers of workers later, as if it had too little
+ * processor time. The workers carry out its orders in time.
+ */
+void world_set_worker_delay(struct world *w, unsigned vm, int64_t ms)
+{
+	w->vms[vm].worker_delay_ms = ms;
+}
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -121,6 +121,7 @@
 	int64_t tick_at;
 	double cores;
 	bool exited;
+	int64_t worker_delay_ms; /* of workers' answers to it */
 };
 
 /* A message in flight, or a long poll at its target. */
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -309,14 +309,31 @@
 	return (unsigned)strtoul(text + 1, NULL, 10);
 }
 
+/*
+ * Sends a worker's answer to a VM. A VM that handles it only after the
+ * request's deadline gets a timeout.
+ */
+static void worker_answer_send(struct world *w, unsigned vm,
+			       struct sched_effect *fx, struct sched_event *ev)
+{
+	int64_t at = w->now + ONE_WAY_MS + w->vms[vm].worker_delay_ms;
+
+	if (w->vms[vm].worker_delay_ms && at > fx->ask.deadline) {
+		sched_event_free(ev);
+		world_answer_timeout(w, vm, fx);
+		return;
+	}
+	world_answer_send(w, vm, ev, at);
+}
+
 /* Answers a poll with the worker's lists. */
 static void poll_answer(struct world *w, unsigned vm, unsigned n,
-			const struct sched_effect *fx)
+			struct sched_effect *fx)
 {
 	struct sched_event *ev = world_answer_make(fx, OUT_DONE, w->now);
 
 	lists_copy(w, n, fx->ask.order.ack_through, &ev->answer);
-	world_answer_send(w, vm, ev, w->now + ONE_WAY_MS);
+	worker_answer_send(w, vm, fx, ev);
 }
 
 /* Answers the long polls that have new ends or have reached their deadline. */
@@ -436,7 +453,7 @@
 		ev->answer.clock = world_worker_now(w, n);
 		ev->answer.worker_started_at = WALL_BASE +
 					       w->workers[n].started_at;
-		world_answer_send(w, vm, ev, w->now + ONE_WAY_MS);
+		worker_answer_send(w, vm, fx, ev);
 	}
 	sched_effect_free(fx);
 }
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -178,6 +178,9 @@
 void world_add_standby_pool(struct world *w, unsigned machines);
 void world_add_second_pool(struct world *w, unsigned machines);
 
+/* Delays the workers' answers to a VM; late ones time out. */
+void world_set_worker_delay(struct world *w, unsigned vm, int64_t ms);
+
 /* Returns the running VM that the owner's row names, or -1. */
 int world_owner(const struct world *w);
 
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -631,3 +631,153 @@
 	for (i = 0; i < NELEMS(settle_rows); i++)
 		settles_in_time(i);
 }
+
+/* Cuts a VM off from the first workers, or reconnects it. */
+static void cut_workers(struct world *w, unsigned vm, unsigned workers,
+			bool cut)
+{
+	unsigned i;
+
+	for (i = 0; i < workers; i++)
+		world_cut_worker(w, vm, i, cut);
+}
+
+/* Cuts all VMs off from the first workers, or reconnects them. */
+static void cut_workers_of_all(struct world *w, unsigned workers, bool cut)
+{
+	unsigned k;
+
+	for (k = 0; k < 4; k++)
+		cut_workers(w, k, workers, cut);
+}
+
+/*
+ * Tasks wait and callers are refused while other VMs could serve them. The
+ * owner's heartbeats succeed, but it gets the workers' answers too late, or
+ * none. It must hand over to a VM that can reach the workers, and must not
+ * where that is of no use: each hand-over costs a reading of all tables.
+ */
+static const struct {
+	const char *name;
+	unsigned vms, workers;
+	int64_t late_ms;   /* the owner gets answers this much later */
+	unsigned cut;	   /* workers that the owner can't reach */
+	unsigned silent;   /* workers that no VM can reach */
+	bool store_down;   /* the store answers nobody */
+	int64_t freeze_ms; /* the owner is suspended and nobody claims */
+	int64_t fault_ms;
+	unsigned drained; /* workers that are about to leave */
+	bool replaced;	  /* another VM owns before the faults end */
+	unsigned epoch_max;
+} unreached_rows[] = {
+	{"slow owner", 4, 6, 3000, 0, 0, false, 0, 9000, 0, true, 2},
+	{"slow owner of many", 4, 60, 3000, 0, 0, false, 0, 9000, 0, true, 2},
+	{"owner cut off from all", 4, 6, 0, 6, 0, false, 0, 9000, 0, true, 2},
+	{"owner cut off from nearly all", 4, 20, 0, 19, 0, false, 0, 9000, 0,
+	 true, 2},
+	{"owner cut off from half", 4, 6, 0, 3, 0, false, 0, 9000, 0, false, 1},
+	{"all workers dead", 4, 6, 0, 0, 6, false, 0, 20000, 0, false, 3},
+	{"all workers dead for longer", 4, 6, 0, 0, 6, false, 0, 60000, 0,
+	 false, 3},
+	{"one worker dead", 4, 6, 0, 0, 1, false, 0, 20000, 0, false, 1},
+	{"the only worker dead", 4, 1, 0, 0, 1, false, 0, 20000, 0, false, 1},
+	{"no worker", 4, 0, 0, 0, 0, false, 0, 20000, 0, false, 1},
+	{"store down too", 4, 6, 0, 0, 6, true, 0, 9000, 0, false, 1},
+	{"owner suspended", 4, 6, 0, 0, 0, false, 5000, 5000, 0, false, 1},
+	{"one VM, slow", 1, 6, 3000, 0, 0, false, 0, 20000, 0, false, 3},
+	{"workers that leave", 4, 6, 0, 0, 6, false, 0, 9000, 6, false, 1},
+};
+
+/* Begins the faults of a row, or ends them. */
+static void unreached_fault(struct world *w, unsigned row, unsigned n, bool on)
+{
+	unsigned k;
+
+	world_set_worker_delay(w, n, on ? unreached_rows[row].late_ms : 0);
+	cut_workers(w, n, unreached_rows[row].cut, on);
+	for (k = 0; on && k < unreached_rows[row].drained; k++)
+		world_drain_worker(w, k);
+	if (unreached_rows[row].silent)
+		cut_workers_of_all(w, unreached_rows[row].silent, on);
+	if (unreached_rows[row].store_down)
+		world_set_store_mode(w, on ? WORLD_STORE_NO_ANSWER
+					   : WORLD_STORE_OK);
+	if (!unreached_rows[row].freeze_ms)
+		return;
+	if (on)
+		world_freeze_vm(w, n, unreached_rows[row].freeze_ms);
+	for (k = 0; k < unreached_rows[row].vms; k++)
+		world_cut_store(w, k, on && k != n);
+}
+static void workers_unreached(unsigned row)
+{
+	struct world *w = world_new(900 + row, unreached_rows[row].vms,
+				    unreached_rows[row].workers);
+	const char *name = unreached_rows[row].name;
+	unsigned n;
+
+	world_run(w, 3000);
+	n = owner(w);
+	cr_assert_eq(world_epoch(w), 1, "%s", name);
+	unreached_fault(w, row, n, true);
+	world_run(w, 1500);
+	world_submit(w, (n + 1) % unreached_rows[row].vms, JOB_A, &quick);
+	world_run(w, unreached_rows[row].fault_ms - 1500);
+	if (unreached_rows[row].replaced) {
+		cr_expect_neq(owner(w), n, "%s: not replaced", name);
+		cr_expect_str_eq(world_job_state(w, JOB_A), "completed", "%s",
+				 name);
+	}
+	cr_expect_leq(world_epoch(w), unreached_rows[row].epoch_max,
+		      "%s: epoch %u", name, world_epoch(w));
+	unreached_fault(w, row, n, false);
+	world_run(w, 9000);
+	if (unreached_rows[row].workers && !unreached_rows[row].store_down &&
+	    !unreached_rows[row].freeze_ms && !unreached_rows[row].drained)
+		cr_expect_str_eq(world_job_state(w, JOB_A), "completed", "%s",
+				 name);
+	cr_expect_leq(world_epoch(w), unreached_rows[row].epoch_max,
+		      "%s: epoch %u afterwards", name, world_epoch(w));
+	check_free(w, name, row);
+}
+Test(takeover, owner_that_reaches_no_workers_hands_over)
+{
+	unsigned i;
+
+	for (i = 0; i < NELEMS(unreached_rows); i++)
+		workers_unreached(i);
+}
+
+/*
+ * Tasks wait although other VMs could start them. The VM that takes over gets
+ * the workers' answers too late from the start, so no worker has ever answered
+ * it. It must hand over as well.
+ */
+Test(takeover, successor_that_reaches_no_workers_hands_over)
+{
+	struct world *w;
+	unsigned row, n, next, k;
+
+	for (row = 0; row < 4; row++) {
+		w = world_new_settled(940 + row);
+		n = owner(w);
+		for (k = 0; k < 4; k++)
+			world_set_worker_delay(w, k, 3000);
+		world_kill_vm(w, n);
+		for (k = 0; k < 300 && world_owner(w) == -1; k++)
+			world_run(w, 10);
+		next = owner(w);
+		for (k = 0; k < 4; k++)
+			if (k != next)
+				world_set_worker_delay(w, k, 0);
+		world_submit(w, other(w) == n ? (n + 1) % 4 : other(w), JOB_A,
+			     &quick);
+		world_run(w, 9000);
+		cr_expect_neq(owner(w), next, "row %u", row);
+		cr_expect_eq(world_epoch(w), 3, "row %u: epoch %u", row,
+			     world_epoch(w));
+		cr_expect_str_eq(world_job_state(w, JOB_A), "completed",
+				 "row %u", row);
+		check_free(w, "slow successor", row);
+	}
+}
