Owner: crashes after a maintenance count again

Change: a worker keeps the machine on which the list has shown it; a process that was alive after the maintenance was not ended by it.

--- a/sched-state.h
+++ b/sched-state.h
@@ -318,6 +318,7 @@
 	uint32_t serial;
 	struct worker_row row;
 	bstr rack;
+	bstr machine;	       /* empty: no list has shown it yet */
 	bool listed;	       /* it has a row in the store */
 	unsigned last_reading; /* serial of the last reading that had its row */
 	bool gone;	       /* nothing runs on it any more */
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -58,27 +58,14 @@
 	return NULL;
 }
 
-/* Returns the machine of a worker, or NULL if the list does not show it yet. */
-static const struct machine *worker_machine(const struct sched *s,
-					    const struct worker *w)
-{
-	const struct machine *m;
-
-	for (m = s->machines; m; m = m->hh.next)
-		if (bstr_eq(m->worker, w->id))
-			return m;
-	return NULL;
-}
-
 /*
  * Returns true if a worker's process may have been taken down for a wave: this
  * owner has called for it, or an earlier one may have.  The worker may be a
- * later one than the noted one, and the list of machines older than it; then
- * any recent call counts.
+ * later one than the noted one; its machine is known once the list has shown
+ * it, and until then any recent call counts.
  */
 bool wave_takes_worker(const struct sched *s, const struct worker *w)
 {
-	const struct machine *m = worker_machine(s, w);
 	const struct wave_machine *wm;
 	const struct wave *v;
 	size_t i;
@@ -91,8 +78,14 @@
 				continue;
 			if (wm->noted && bstr_eq(wm->worker, w->id))
 				return true;
+			/* It was alive after the maintenance. */
+			if (wm->done &&
+			    w->alive_at > wm->down_until - DOWN_MARGIN_MS -
+						  s->options.maintenance_ms)
+				continue;
 			if (s->now < wm->down_until + LATE_LOSS_MS &&
-			    (!m || bstr_eq(m->id, wm->id)))
+			    (!w->machine.bstr_len ||
+			     bstr_eq(w->machine, wm->id)))
 				return true;
 		}
 	}
@@ -745,6 +738,7 @@
 static void machine_row_apply(struct sched *s, struct machine_row *r)
 {
 	struct machine *m;
+	struct worker *w;
 
 	HASH_FIND_BSTR(s->machines, r->machine, m);
 	if (!m) {
@@ -754,6 +748,9 @@
 	}
 	bstr_set(&m->pool, r->pool);
 	bstr_set(&m->worker, r->worker);
+	w = worker_find(s, r->worker);
+	if (w)
+		bstr_set(&w->machine, m->id);
 	/* A list requested before a move doesn't show it yet. */
 	if (s->now >= m->moving_until || r->state != MACHINE_UP)
 		m->state = r->state;
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -138,6 +138,7 @@
 	HASH_DEL(s->workers, w);
 	worker_row_free(&w->row);
 	bstr_free(&w->rack);
+	bstr_free(&w->machine);
 	bstr_free(&w->id);
 	free(w);
 }
