--- a/sched-move.c
+++ b/sched-move.c
@@ -68,6 +68,7 @@
 	unsigned home_size; /* machines that the operator gave it */
 	unsigned stranded;  /* long-running tasks that find no worker */
 	unsigned workers;   /* those that can take tasks */
+	unsigned answered;  /* of workers, those that answered this owner */
 	unsigned arriving;  /* machines being moved to it */
 	unsigned empty;	    /* workers without tasks */
 	unsigned leaving;   /* workers that get no tasks as they are to leave */
@@ -142,6 +143,7 @@
 		if (!p || !(worker_is_healthy(s, w) || worker_may_answer(s, w)))
 			continue;
 		p->workers++;
+		p->answered += worker_is_healthy(s, w);
 		p->max_capacity = resources_max(p->max_capacity,
 						w->row.capacity);
 		p->cores += (double)w->row.capacity.cpu;
@@ -195,9 +197,9 @@
 static bool job_waits_for_room(const struct job *j)
 {
 	switch (j->pending_reason) {
+	case PENDING_LIMIT:
 	case PENDING_CRASH:
 	case PENDING_ISOLATION:
-	case PENDING_LIMIT:
 	case PENDING_CONSTRAINTS:
 	case PENDING_TICKET:
 		return false;
@@ -796,7 +798,7 @@
 		}
 		queue_ms = pool_queue_ms(p, machine_cores);
 		objective_ms = p->objective_sum_ms / p->queued_jobs;
-		if (p->workers)
+		if (p->answered)
 			admission_set(s, p->service->name, queue_ms,
 				      objective_ms);
 		else
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -110,7 +110,7 @@
 	const char *name;
 	unsigned window; /* starts that may be in flight */
 	unsigned task_ms;
-	int64_t silent_ms; /* the owner has no answers of workers; 0: it has */
+	int64_t silent_ms; /* no VM has answers of workers; 0: all have */
 	int status;
 } slow_start_rows[] = {
 	{"the owner starts all at once", 1000, 100, 0, 200},
@@ -141,9 +141,11 @@
 				slow_start_rows[row].window * START_WINDOW_UNIT;
 			world_run(w, 5);
 		}
-		for (i = 0; i < 20 && slow_start_rows[row].silent_ms; i++)
-			world_cut_worker(w, n, i, true);
+		for (i = 0; i < 80 && slow_start_rows[row].silent_ms; i++)
+			world_cut_worker(w, i / 20, i % 20, true);
 		world_run(w, slow_start_rows[row].silent_ms);
+		for (vm = 0; (int)vm == world_owner(w); vm++)
+			;
 		call = world_submit(w, vm, "00000000000000bb", &one);
 		world_run(w, 100);
 		cr_expect_eq(world_call_status(w, call),
