Admission: an unsettled owner counts what seems to be at an upper limit

Until the runs of earlier owners are known, an organisation is assumed to use all that its ceilings allowed, so its jobs waited for its upper limit and didn't count as queued.

Now such jobs count while the owner is not settled.

--- a/sched-move.c
+++ b/sched-move.c
@@ -192,12 +192,15 @@
 
 /*
  * Returns true if a job's tasks wait for nothing but room or the owner: for
- * starts in flight, the store, or the raise of a ceiling.
+ * starts in flight, the store, or the raise of a ceiling.  Until all runs of
+ * earlier owners are known, an organisation may seem to be at its upper limit
+ * because they are assumed to use what their ceilings allowed.
  */
-static bool job_waits_for_room(const struct job *j)
+static bool job_waits_for_room(const struct sched *s, const struct job *j)
 {
 	switch (j->pending_reason) {
 	case PENDING_LIMIT:
+		return !s->settled;
 	case PENDING_CRASH:
 	case PENDING_ISOLATION:
 	case PENDING_CONSTRAINTS:
@@ -270,7 +273,7 @@
 			continue;
 		TAILQ_FOREACH(o, &j->occs, entry) {
 			pool_load_add_work(s, p, o);
-			if (job_waits_for_room(j))
+			if (job_waits_for_room(s, j))
 				pool_load_add_queued(s, p, o);
 			p->stranded += occurrence_stranded(s, o);
 		}
