Crashes: a silent worker that a wave takes may have crashed

One worker had been silent for 2.3 s when maintenance took its machine, another was given up as silent after a call for maintenance; both counted as planned work, which leaves nothing that could show the crash.

A task that is known to have a crash now takes the loss of a worker that was overdue when planned work took it for a second one. That isolates it; it is no proof, so an innocent job isn't given up for it.

--- a/sched-crash.c
+++ b/sched-crash.c
@@ -189,9 +189,9 @@
 }
 
 /*
- * Counts a crash for a task that an earlier owner knew to have one, if its next
- * run is not found after the takeover: it was most likely started, and has
- * crashed its worker unseen.  This only makes it run alone; it is no proof.
+ * Counts a crash for a task that is known to have one, if its next run is lost
+ * without evidence: it was most likely started, and has crashed its worker
+ * unseen.  This only makes it run alone; it is no proof.
  */
 static void crash_assume_unseen(struct sched *s, struct task *t)
 {
@@ -286,6 +286,23 @@
 	return i > 0;
 }
 
+/*
+ * Notes that a worker was taken by plan, before its tasks are taken from it.
+ * If it was silent by then, it may have crashed, and nothing can show that any
+ * more: without a count its tasks would crash one worker after another while a
+ * wave runs.
+ */
+void crash_worker_taken(struct sched *s, struct worker *w)
+{
+	struct task *t;
+
+	if (!worker_is_overdue(s, w))
+		return;
+	TAILQ_FOREACH(t, &w->tasks, worker_entry)
+		if (t->crash_count)
+			crash_assume_unseen(s, t);
+}
+
 /*
  * Notes the tasks of a worker that is lost, before they are taken from it.
  * Whether the worker has crashed may not be known yet.  Tasks of a worker that
@@ -296,8 +313,12 @@
 	struct loss loss = {.worker = w->serial};
 	struct task *t;
 
-	if (w->row.draining || (!same_id && wave_takes_worker(s, w)))
+	if (w->row.draining)
 		return;
+	if (!same_id && wave_takes_worker(s, w)) {
+		crash_worker_taken(s, w);
+		return;
+	}
 	loss.alone = TAILQ_FIRST(&w->tasks) ==
 			     TAILQ_LAST(&w->tasks, worker_task_list) &&
 		     s->now >= w->late_starts_until;
--- a/sched-state.h
+++ b/sched-state.h
@@ -984,6 +984,7 @@
 void crash_gang_reserve(struct task *t, struct worker *w);
 void crash_task_placed(struct task *t);
 void crash_task_unplaced(struct task *t, struct worker *w);
+void crash_worker_taken(struct sched *s, struct worker *w);
 void crash_worker_lost(struct sched *s, struct worker *w, bool same_id);
 bool crash_needs_evidence(const struct sched *s, const struct worker *w);
 void crash_settle(struct sched *s, struct worker *w, bool crashed);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -838,6 +838,7 @@
 		w->takedown_pending = w->takedown_in_flight = false;
 		worker_set_overdue(s, w);
 	} else if (w) {
+		crash_worker_taken(s, w);
 		worker_lost(s, w, "maintenance");
 		worker_set_gone(s, w);
 		w->listed = false;
--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -665,6 +665,18 @@
 	 "{LASTING 140 20} {LASTING 54 100} {CUT_WORKER 42 28} "
 	 "{RETRY 134 122} {LONG 49 28} {RETRY 103 40} {HEAL 120 34} "
 	 "{POISON 1 6}"},
+	{"a wave took silent workers that a task had crashed",
+	 "seed 4650: {CRASH_MODE 91 120} {UNLIST 106 94} {RUN 59 92} "
+	 "{POISON 137 117} {RUN 150 129} {CHAIN 5 83} {STOP 142 14} "
+	 "{RUN 142 141} {RUN 5 18} {CRASH_MODE 26 102} "
+	 "{CUT_WORKER 72 38} {STOP 145 11} {WAVE 49 69} {RUN 51 112} "
+	 "{LONG 84 10} {RETRY 12 0} {HEAL 71 83} {LASTING 30 20} "
+	 "{RUN 40 63} {RUN 149 40} {RUN 63 150} {QUICK 52 137} "
+	 "{QUICK 107 36} {RETRY 91 56} {UNLIST 57 88} "
+	 "{CUT_WORKER 79 0} {LATE 131 106} {RUN 1 93} {RUN 72 109} "
+	 "{RUN 66 104} {LASTING 144 118} {CRASH_MODE 13 25} "
+	 "{LASTING 92 47} {RUN 55 87} {UNLIST 7 118} "
+	 "{LASTING 55 107} {LONG 6 56} {RUN 86 104}"},
 };
 
 int main(int argc, char **argv)
