--- a/sched-load.c
+++ b/sched-load.c
@@ -140,9 +140,32 @@
 	return job_list_as_of(s) ? store_clock(s) - job_list_as_of(s) : -1;
 }
 
+/* Logs the activity since the last line. */
+static void load_log(struct sched *s)
+{
+	const struct load *l = &s->load;
+	struct responses r;
+
+	responses_count(s, &r);
+	sched_log(s, LOG_OWNER_LOAD,
+		  "jobs=%u looks=%u begins=%u starts=%u slow=%u holds=%u "
+		  "gap_ms=%lld ends=%u commits=%u rows=%u commit_ms=%lld "
+		  "unwritten=%u flying=%u window=%u listed=%u walked=%u "
+		  "feed_ms=%lld workers=%u responsive=%u overdue=%u",
+		  HASH_COUNT(s->jobs), l->place_passes, l->job_starts,
+		  l->starts, l->slow_starts, l->polls,
+		  (long long)(l->poll_gaps ? l->poll_gap_ms / l->poll_gaps : 0),
+		  l->ends, l->commits, l->rows, (long long)l->commit_ms_max,
+		  dirty_job_count(s), l->starts_in_flight_max,
+		  s->start_window / START_WINDOW_UNIT, l->listed_runs,
+		  l->walked_jobs, (long long)job_list_age_ms(s), r.expected,
+		  r.in_time, r.overdue);
+}
+
 /*
- * Logs the activity since the last line, if there was any, and resets the
- * counts.
+ * Logs the activity since the last line, if there are jobs or any have ended,
+ * and resets the counts.  An owner that starts nothing beside open jobs is
+ * logged as well: those are the seconds to be explained.
  */
 void load_tick(struct sched *s)
 {
@@ -150,24 +173,10 @@
 
 	if (s->now < l->log_at)
 		return;
-	if (s->own.state == OWN_OWNER)
+	if (s->own.state == OWN_OWNER) {
 		waits_log(s);
-	if (s->own.state == OWN_OWNER && (l->starts || l->ends))
-		sched_log(s, LOG_OWNER_LOAD,
-			  "jobs=%u looks=%u begins=%u starts=%u slow=%u "
-			  "holds=%u "
-			  "gap_ms=%lld ends=%u commits=%u rows=%u "
-			  "commit_ms=%lld unwritten=%u flying=%u window=%u "
-			  "listed=%u walked=%u feed_ms=%lld",
-			  HASH_COUNT(s->jobs), l->place_passes, l->job_starts,
-			  l->starts, l->slow_starts, l->polls,
-			  (long long)(l->poll_gaps
-					      ? l->poll_gap_ms / l->poll_gaps
-					      : 0),
-			  l->ends, l->commits, l->rows,
-			  (long long)l->commit_ms_max, dirty_job_count(s),
-			  l->starts_in_flight_max,
-			  s->start_window / START_WINDOW_UNIT, l->listed_runs,
-			  l->walked_jobs, (long long)job_list_age_ms(s));
+		if (HASH_COUNT(s->jobs) || l->ends)
+			load_log(s);
+	}
 	*l = (struct load){.log_at = s->now + LOAD_LOG_INTERVAL_MS};
 }
--- a/sched-own.c
+++ b/sched-own.c
@@ -655,25 +655,21 @@
 			  s->own.reached_workers ? 0 : s->own.handovers);
 }
 
-/*
- * Counts the workers that should answer this owner, and those of them of which
- * no answer is overdue.  Returns how many have answered it before.
- */
-static unsigned responses_count(const struct sched *s, unsigned *expected,
-				unsigned *responsive)
+/* Counts the workers by whether they answer this owner. */
+void responses_count(const struct sched *s, struct responses *r)
 {
 	const struct worker *w;
-	unsigned reached = 0;
 
-	*expected = *responsive = 0;
+	*r = (struct responses){0};
 	for (w = s->workers; w; w = w->hh.next) {
 		if (!w->listed || w->row.draining || w->takedown_pending)
 			continue;
-		++*expected;
-		*responsive += !worker_is_overdue(s, w);
-		reached += w->fenced && !worker_is_overdue(s, w);
+		r->expected++;
+		if (worker_is_overdue(s, w))
+			r->overdue++;
+		else if (w->fenced)
+			r->in_time++;
 	}
-	return reached;
 }
 
 /*
@@ -681,13 +677,12 @@
  * release doesn't say that all runs are known: a start without an answer may
  * have reached a later process of a worker, which holds the longest lease.
  */
-static void own_hand_over(struct sched *s, unsigned expected,
-			  unsigned responsive)
+static void own_hand_over(struct sched *s, const struct responses *r)
 {
 	sched_log(
 		s, LOG_OWNER_HANDOVER,
 		"epoch=%llu workers=%u responsive=%u reached=%d ready_ms=%lld",
-		(unsigned long long)s->own.epoch, expected, responsive,
+		(unsigned long long)s->own.epoch, r->expected, r->in_time,
 		s->own.reached_workers, (long long)(s->now - s->own.ready_at));
 	s->own.handover_not_before = s->now + HANDOVER_INTERVAL_MS;
 	own_write_release(s, false,
@@ -701,16 +696,16 @@
  */
 static void responses_check(struct sched *s)
 {
-	unsigned expected, responsive, reached;
+	struct responses r;
 
 	if (s->now < s->own.responses_check_at)
 		return;
 	s->own.responses_check_at = s->now + RESPONSES_CHECK_INTERVAL_MS;
-	reached = responses_count(s, &expected, &responsive);
-	if (expected && reached * REACHED_DIVISOR >= expected)
+	responses_count(s, &r);
+	if (r.expected && r.in_time * REACHED_DIVISOR >= r.expected)
 		s->own.reached_workers = true;
-	if (expected < UNRESPONSIVE_WORKERS_MIN ||
-	    responsive * RESPONSIVE_DIVISOR >= expected ||
+	if (r.expected < UNRESPONSIVE_WORKERS_MIN ||
+	    (r.expected - r.overdue) * RESPONSIVE_DIVISOR >= r.expected ||
 	    !sched_store_is_up(s) || !own_may_start(s)) {
 		s->own.unresponsive_by = 0;
 		return;
@@ -721,7 +716,7 @@
 	    s->now < s->own.handover_not_before || s->stop_by ||
 	    (!s->own.reached_workers && s->own.handovers >= HANDOVERS_MAX))
 		return;
-	own_hand_over(s, expected, responsive);
+	own_hand_over(s, &r);
 }
 
 /* Returns true if readings of the store fail although heartbeats succeed. */
--- a/sched-state.h
+++ b/sched-state.h
@@ -672,6 +672,16 @@
 	UT_hash_handle hh;
 };
 
+/*
+ * Workers that should answer the owner.  Those in neither of the last two have
+ * joined, and their first answer is not overdue yet.
+ */
+struct responses {
+	unsigned expected;
+	unsigned in_time; /* they have answered, and no answer is overdue */
+	unsigned overdue; /* an answer is */
+};
+
 /* Activity of the owner since the last log line, see sched-load.c. */
 struct load {
 	int64_t log_at;
@@ -871,6 +881,7 @@
 void own_answer(struct sched *s, struct request *rq, struct answer *a);
 void own_tick(struct sched *s);
 void own_heartbeat_if_due(struct sched *s);
+void responses_count(const struct sched *s, struct responses *r);
 void own_table_loaded(struct sched *s);
 void own_lose(struct sched *s, const char *why);
 void own_require_check(struct sched *s, const char *why);
