--- a/sched-own.c
+++ b/sched-own.c
@@ -672,6 +672,20 @@
 	}
 }
 
+/*
+ * Returns true if hardly any worker answers this owner.  Workers that have
+ * joined and whose first answer is not overdue yet don't count: an owner whose
+ * moves of machines are carried out after it has become too slow would seem to
+ * be answered by each of them, and would hand over seconds later.
+ */
+static bool responses_are_missing(const struct responses *r)
+{
+	unsigned due = r->in_time + r->overdue;
+
+	return due >= UNRESPONSIVE_WORKERS_MIN &&
+	       r->in_time * RESPONSIVE_DIVISOR < due;
+}
+
 /*
  * Releases the ownership because hardly any worker answers this VM.  The
  * release doesn't say that all runs are known: a start without an answer may
@@ -704,9 +718,8 @@
 	responses_count(s, &r);
 	if (r.expected && r.in_time * REACHED_DIVISOR >= r.expected)
 		s->own.reached_workers = true;
-	if (r.expected < UNRESPONSIVE_WORKERS_MIN ||
-	    (r.expected - r.overdue) * RESPONSIVE_DIVISOR >= r.expected ||
-	    !sched_store_is_up(s) || !own_may_start(s)) {
+	if (!responses_are_missing(&r) || !sched_store_is_up(s) ||
+	    !own_may_start(s)) {
 		s->own.unresponsive_by = 0;
 		return;
 	}
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -748,6 +748,55 @@
 		workers_unreached(i);
 }
 
+/*
+ * Guards against an owner whose heartbeats succeed, but that starts nothing for
+ * longer than urgent work may wait until it hands over.
+ */
+static const struct {
+	const char *name;
+	unsigned workers;
+	unsigned cut;	  /* workers that the owner can't reach */
+	int64_t late_ms;  /* the owner gets answers this much later */
+	int64_t joins_ms; /* a worker is replaced by a new one at this interval;
+			   * 0: none */
+} slow_rows[] = {
+	{"too late answers", 6, 0, 3000, 0},
+	{"too late answers, many workers", 60, 0, 3000, 0},
+	{"no answers", 60, 60, 0, 0},
+	{"hardly any answers", 60, 56, 0, 0},
+	{"too late answers, workers join", 60, 0, 3000, 100},
+	{"no answers, workers join", 60, 60, 0, 100},
+};
+#define URGENT_START_MAX_MS 4200
+#define RUN_MS 20
+Test(takeover, slow_owner_hands_over_in_time)
+{
+	struct world *w;
+	unsigned row, n;
+	int64_t ms;
+
+	for (row = 0; row < NELEMS(slow_rows); row++) {
+		w = world_new(960 + row, 4, slow_rows[row].workers);
+		world_run(w, 3000);
+		n = owner(w);
+		world_set_worker_delay(w, n, slow_rows[row].late_ms);
+		cut_workers(w, n, slow_rows[row].cut, true);
+		for (ms = 0; ms < 9000 && world_owner(w) == (int)n;
+		     ms += RUN_MS) {
+			world_run(w, RUN_MS);
+			if (slow_rows[row].joins_ms &&
+			    ms % slow_rows[row].joins_ms == 0)
+				world_replace_worker(
+					w, (unsigned)(ms /
+						      slow_rows[row].joins_ms) %
+						   slow_rows[row].workers);
+		}
+		cr_expect_leq(ms, URGENT_START_MAX_MS, "%s: %lld ms",
+			      slow_rows[row].name, (long long)ms);
+		check_free(w, slow_rows[row].name, row);
+	}
+}
+
 /*
  * Tasks wait although other VMs could start them. The VM that takes over gets
  * the workers' answers too late from the start, so no worker has ever answered
