--- a/sched-note.c
+++ b/sched-note.c
@@ -14,12 +14,18 @@
 #define NOTE_DROP_INTERVAL_MS 700
 
 /*
- * Returns true if a worker holds no lease and will get none: it is gone, or its
- * machine is about to be taken down and it has no tasks left.
+ * Returns true if a worker holds no lease and will get none before it is noted:
+ * it is gone, its machine is about to be taken down and it has no tasks left,
+ * or it has answered neither this owner nor, as far as is known, an earlier
+ * one.  The row of a process that has ended stands in the store for seconds,
+ * and a late change of it may arrive when the process is known to be gone.  If
+ * such processes were noted, the successor would wait for their leases, and
+ * start little until then.
  */
-static bool worker_is_unused(const struct worker *w)
+bool worker_is_unused(const struct worker *w)
 {
-	return w->gone || (w->takedown_pending && TAILQ_EMPTY(&w->tasks));
+	return w->gone || (!w->fenced && !w->inherited) ||
+	       (w->takedown_pending && TAILQ_EMPTY(&w->tasks));
 }
 
 /*
--- a/sched-state.h
+++ b/sched-state.h
@@ -928,6 +928,7 @@
 void sweep_answer(struct sched *s, struct request *rq, struct answer *a);
 
 /* sched-note.c: the note of workers that may hold leases */
+bool worker_is_unused(const struct worker *w);
 bool workers_note_is_due(struct sched *s);
 void workers_note_written(struct sched *s);
 bstr workers_row_write(const struct sched *s);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -388,7 +388,6 @@
 		w = worker_new(s, r->key);
 		w->answered_at = w->idle_since = s->now;
 		w->clock_at = s->now;
-		s->own.heartbeat_at = s->now; /* to note it */
 		sched_log(s, LOG_WORKER_SEEN,
 			  "worker=%.*s service=%.*s address=%.*s",
 			  BSTR_ARG(w->id), BSTR_ARG(r->worker.service),
@@ -963,14 +962,14 @@
 	if (a->worker_started_at && a->sent_at > w->alive_at)
 		w->alive_at = a->sent_at;
 	crash_settle(s, w, false);
-	if (w->gone && !w->noted)
-		s->own.heartbeat_at = s->now; /* to note it */
 	w->gone = false;
 	w->same_process = true;
 	if (!w->fenced) {
 		w->fenced = true;
 		s->place_due = true;
 	}
+	if (!w->noted && !worker_is_unused(w))
+		s->own.heartbeat_at = s->now; /* to note it */
 	w->strays_due = s->now >= w->stray_at;
 	if (w->strays_due)
 		w->stray_at = s->now + STRAY_STOP_INTERVAL_MS;
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -585,13 +585,32 @@
 	bool late;	   /* one worker is listed only after the takeover */
 	bool silent;	   /* a recorded worker is silent: a wait */
 	bool leaves;	   /* it was empty and about to be moved: no wait */
+	bool ended;	   /* one ended, and its row changes late: no wait */
 } settle_rows[] = {
-	{"all answer", 0, false, false, false},
-	{"processes that were replaced", 4, false, false, false},
-	{"one that was not recorded", 0, true, false, false},
-	{"one that was recorded and is silent", 0, false, true, false},
-	{"one that was about to be moved", 0, false, true, true},
+	{"all answer", 0, false, false, false, false},
+	{"processes that were replaced", 4, false, false, false, false},
+	{"one that was not recorded", 0, true, false, false, false},
+	{"one that was recorded and is silent", 0, false, true, false, false},
+	{"one that was about to be moved", 0, false, true, true, false},
+	{"one that ended and is listed again", 0, false, false, false, true},
 };
+
+/*
+ * Cuts off a worker for good, and writes its row again when the owner knows
+ * that it runs nothing any more.
+ */
+static void end_and_list_again(struct world *w, unsigned worker)
+{
+	unsigned k;
+
+	for (k = 0; k < 4; k++)
+		world_cut_worker(w, k, worker, true);
+	world_unlist_worker(w, worker, true);
+	world_run(w, 9000);
+	world_unlist_worker(w, worker, false);
+	world_run(w, 1500);
+}
+
 static void settles_in_time(unsigned row)
 {
 	struct world *w = world_new(560 + row, 4, 6);
@@ -614,6 +633,8 @@
 	world_run(w, 2500);
 	for (k = 0; k < 4 && settle_rows[row].silent; k++)
 		world_cut_worker(w, k, 0, true);
+	if (settle_rows[row].ended)
+		end_and_list_again(w, 5);
 	if (settle_rows[row].late)
 		world_unlist_worker(w, 5, false);
 	ms = takeover_settle_ms(w);
