--- a/sched-own.c
+++ b/sched-own.c
@@ -66,10 +66,14 @@
 #define REACHED_DIVISOR 2
 #define HANDOVER_INTERVAL_MS 15000
 /*
- * During that interval it also leaves other VMs this much time to claim first.
- * If none does, it claims, as a slow owner is better than none.
+ * For LOST_OWNER_MS after a VM has handed over, or was replaced because its
+ * heartbeats had stopped, it leaves other VMs LOST_OWNER_DEFERRAL_MS to claim
+ * first: it is likely to be as short of processor time as before, would read
+ * the tables for seconds and then start nothing again.  If no other VM claims,
+ * it does, as a slow owner is better than none.
  */
-#define HANDOVER_DEFERRAL_MS 1500
+#define LOST_OWNER_MS 15000
+#define LOST_OWNER_DEFERRAL_MS 1500
 
 /*
  * Returns true if this VM may start tasks now.  An owner that has not confirmed
@@ -184,6 +188,13 @@
 	own_reset_state(s);
 }
 
+/* Ends this VM's ownership because another VM has replaced it. */
+static void own_replaced(struct sched *s)
+{
+	s->own.defer_claims_until = s->now + LOST_OWNER_MS;
+	own_lose(s, "replaced");
+}
+
 /* Suspends all orders until the store has confirmed the ownership. */
 void own_require_check(struct sched *s, const char *why)
 {
@@ -231,7 +242,7 @@
 		return;
 	}
 	if (s->own.state == OWN_OWNER || s->own.state == OWN_LOADING)
-		own_lose(s, "replaced");
+		own_replaced(s);
 }
 
 /* Applies a row of the owner table. */
@@ -319,14 +330,14 @@
 
 /*
  * Returns how long this VM lets others claim first: larger ones, and all if it
- * has handed over lately.
+ * has lost the ownership lately.
  */
 static int64_t claim_deferral(const struct sched *s)
 {
 	int64_t deferral = own_defers_claim(s) ? CLAIM_DEFERRAL_MS : 0;
 
-	if (s->now < s->own.handover_not_before)
-		deferral += HANDOVER_DEFERRAL_MS;
+	if (s->now < s->own.defer_claims_until)
+		deferral += LOST_OWNER_DEFERRAL_MS;
 	return deferral;
 }
 
@@ -523,7 +534,7 @@
 		if (!tx_row_was_rewritten(s, a, TABLE_OWNER,
 					  bstr_lit(KEY_HEARTBEAT),
 					  &s->own.heartbeat_revision)) {
-			own_lose(s, "replaced");
+			own_replaced(s);
 			break;
 		}
 		s->own.heartbeat_at = s->now;
@@ -699,6 +710,7 @@
 		(unsigned long long)s->own.epoch, r->expected, r->in_time,
 		s->own.reached_workers, (long long)(s->now - s->own.ready_at));
 	s->own.handover_not_before = s->now + HANDOVER_INTERVAL_MS;
+	s->own.defer_claims_until = s->now + LOST_OWNER_MS;
 	own_write_release(s, false,
 			  s->own.reached_workers ? 1 : s->own.handovers + 1);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -576,7 +576,8 @@
 	int64_t responses_check_at; /* of the workers, next */
 	int64_t unresponsive_by; /* hands over if few answer until then; 0: many
 				  * do */
-	int64_t handover_not_before; /* until then it also claims later */
+	int64_t handover_not_before;
+	int64_t defer_claims_until; /* lets other VMs claim first until then */
 	bool known; /* the owner row was read, or does not exist */
 };
 
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -818,6 +818,59 @@
 	}
 }
 
+/*
+ * Guards against a VM that was replaced because it was too slow to write
+ * heartbeats, and claims again as soon as the ownership is free: it would start
+ * nothing for seconds.
+ */
+Test(takeover, replaced_owner_lets_others_claim_first)
+{
+	struct world *w;
+	unsigned row, n, next;
+
+	for (row = 0; row < 8; row++) {
+		w = world_new_settled(980 + row);
+		n = owner(w);
+		world_cut_store(w, n, true);
+		world_run(w, 2500);
+		next = owner(w);
+		cr_assert_neq(next, n, "row %u: not replaced", row);
+		world_cut_store(w, n, false);
+		world_run(w, 3000);
+		if (row % 2)
+			world_stop_vm(w, next);
+		else
+			world_kill_vm(w, next);
+		world_run(w, 3000);
+		cr_expect_neq(owner(w), n, "row %u", row);
+		check_free(w, "replaced owner", row);
+	}
+}
+
+/*
+ * Guards against work that nobody owns where the VM that was replaced is the
+ * only one left.
+ */
+Test(takeover, replaced_owner_claims_if_no_other_does)
+{
+	struct world *w;
+	unsigned n, k;
+
+	w = world_new_settled(990);
+	n = owner(w);
+	world_cut_store(w, n, true);
+	world_run(w, 2500);
+	cr_assert_neq(owner(w), n, "not replaced");
+	world_cut_store(w, n, false);
+	world_run(w, 3000);
+	for (k = 0; k < 4; k++)
+		if (k != n)
+			world_kill_vm(w, k);
+	world_run(w, 4000);
+	cr_expect_eq(owner(w), n);
+	check_free(w, "only VM left", 0);
+}
+
 /*
  * Tasks wait although other VMs could start them. The VM that takes over gets
  * the workers' answers too late from the start, so no worker has ever answered
