--- a/sched-own.c
+++ b/sched-own.c
@@ -52,7 +52,7 @@
  * With fewer workers than UNRESPONSIVE_WORKERS_MIN the failure is more likely
  * theirs.
  */
-#define UNRESPONSIVE_MS 2500
+#define UNRESPONSIVE_MS 1000
 #define RESPONSIVE_DIVISOR 8
 #define UNRESPONSIVE_WORKERS_MIN 3
 #define RESPONSES_CHECK_INTERVAL_MS 200
