--- a/sched-admit.c
+++ b/sched-admit.c
@@ -27,6 +27,11 @@
  * assumed to grow by the time that passes.
  */
 #define QUEUE_AGE_MAX_MS 2000
+/*
+ * Longest time by which a queue falls at once.  Queues are computed more often
+ * than that, except while the owner changes.
+ */
+#define FALL_INTERVAL_MAX_MS 200
 
 /* The queue of a pool that is near overload. */
 struct admission {
@@ -93,6 +98,31 @@
 		admission_free(s, a);
 }
 
+/*
+ * Returns the time that a queue is taken to need, given the computed one: from
+ * the limit at which all jobs are refused it falls only as fast as time passes.
+ * Otherwise, when a new owner computes less than the old one that was too slow,
+ * all callers refused before would be admitted within the second that passes
+ * until their jobs are counted, and most of them would be late.
+ */
+static double admission_limit_fall(const struct sched *s, bstr service,
+				   double drain_ms, double objective_ms)
+{
+	double full = objective_ms * OVERLOAD_FULL, least;
+	const struct admission *a;
+	int64_t elapsed;
+
+	HASH_FIND_BSTR(s->admissions, service, a);
+	if (!a)
+		return drain_ms;
+	elapsed = store_clock(s) - a->as_of;
+	if (elapsed > FALL_INTERVAL_MAX_MS)
+		elapsed = FALL_INTERVAL_MAX_MS;
+	least = (double)a->drain_ms < full ? (double)a->drain_ms : full;
+	least -= (double)elapsed;
+	return drain_ms > least ? drain_ms : least;
+}
+
 /*
  * Called by the owner: records the queue of a pool if it is near overload,
  * given the time that it takes and the mean objective of its jobs.
@@ -100,6 +130,7 @@
 void admission_set(struct sched *s, bstr service, double drain_ms,
 		   double objective_ms)
 {
+	drain_ms = admission_limit_fall(s, service, drain_ms, objective_ms);
 	admission_clear(s, service);
 	if (store_clock(s) && drain_ms >= objective_ms * OVERLOAD_NEAR)
 		admission_add(s, service, (int64_t)drain_ms,
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -102,6 +102,24 @@
 	}
 }
 
+/* Runs the world with a fixed limit of the starts that a VM has in flight. */
+static void hold_window(struct world *w, unsigned vm, unsigned window,
+			int64_t ms)
+{
+	for (; ms > 0; ms -= 5) {
+		world_sched(w, vm)->start_window = window * START_WINDOW_UNIT;
+		world_run(w, 5);
+	}
+}
+
+/* Returns true if a VM is the owner and has read all tables. */
+static bool owner_is_ready(struct world *w)
+{
+	int n = world_owner(w);
+
+	return n != -1 && world_sched(w, (unsigned)n)->own.state == OWN_OWNER;
+}
+
 /*
  * Guards against a backlog that an owner short of processor time can't start,
  * and that is accepted because the workers have room for it.
@@ -125,7 +143,7 @@
 	struct world_job backlog = {.tasks = 800};
 	struct world_job one = {.tasks = 1};
 	struct world *w;
-	unsigned row, n, vm, k, i;
+	unsigned row, n, vm, i;
 	uint64_t call;
 
 	for (row = 0; row < NELEMS(slow_start_rows); row++) {
@@ -136,11 +154,7 @@
 		world_set_order_delay(w, 200);
 		backlog.task_ms = one.task_ms = slow_start_rows[row].task_ms;
 		world_submit(w, vm, "00000000000000aa", &backlog);
-		for (k = 0; k < 240; k++) {
-			world_sched(w, n)->start_window =
-				slow_start_rows[row].window * START_WINDOW_UNIT;
-			world_run(w, 5);
-		}
+		hold_window(w, n, slow_start_rows[row].window, 1200);
 		for (i = 0; i < 80 && slow_start_rows[row].silent_ms; i++)
 			world_cut_worker(w, i / 20, i % 20, true);
 		world_run(w, slow_start_rows[row].silent_ms);
@@ -207,6 +221,77 @@
 	}
 }
 
+#define SUBMITTED 40 /* jobs in a test */
+
+/*
+ * Guards against a takeover in which all callers that the old owner refused are
+ * admitted at once, before the successor has counted their jobs.
+ */
+static const struct {
+	const char *name;
+	unsigned window;      /* starts that the successor may have in flight */
+	int64_t ready_ms;     /* the jobs are submitted this long after it is
+			       * ready */
+	unsigned least, most; /* of SUBMITTED */
+} successor_rows[] = {
+	{"no start has an outcome", 32, 150, 0, SUBMITTED / 4},
+	{"few starts have an outcome", 32, 350, 0, SUBMITTED / 2},
+	{"the successor starts all at once", 1000, 500, 0, 3 * SUBMITTED / 4},
+	{"the queue is worked off", 1000, 6000, SUBMITTED, SUBMITTED},
+};
+
+/* Submits jobs to a VM at once, and returns how many are admitted. */
+static unsigned admitted_at_once(struct world *w, unsigned vm)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 100};
+	uint64_t calls[SUBMITTED];
+	unsigned k, n = 0;
+	char id[20];
+
+	for (k = 0; k < SUBMITTED; k++) {
+		snprintf(id, sizeof(id), "%016x", 1000 + 77 * k);
+		calls[k] = world_submit(w, vm, id, &one);
+	}
+	world_run(w, 100);
+	for (k = 0; k < SUBMITTED; k++)
+		n += world_call_status(w, calls[k]) == 200;
+	return n;
+}
+
+Test(admit, a_queue_outlasts_its_owner)
+{
+	static const struct world_job backlog = {.tasks = 480, .task_ms = 400};
+	unsigned row, n, vm, k;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(successor_rows); row++) {
+		w = world_new(2420 + row, WORLD_VMS, 20);
+		world_run(w, 4000);
+		n = (unsigned)world_owner(w);
+		vm = (n + 1) % WORLD_VMS;
+		world_set_order_delay(w, 200);
+		world_submit(w, vm, "00000000000000aa", &backlog);
+		world_submit(w, vm, "00000000000000ab", &backlog);
+		hold_window(w, n, 32, 1200);
+		world_kill_vm(w, n);
+		for (k = 0; k < 600 && !owner_is_ready(w); k++)
+			world_run(w, 5);
+		cr_assert(owner_is_ready(w), "%s", successor_rows[row].name);
+		hold_window(w, (unsigned)world_owner(w),
+			    successor_rows[row].window,
+			    successor_rows[row].ready_ms);
+		for (vm = 0; vm == n || (int)vm == world_owner(w); vm++)
+			;
+		k = admitted_at_once(w, vm);
+		cr_expect_geq(k, successor_rows[row].least, "%s: %u",
+			      successor_rows[row].name, k);
+		cr_expect_leq(k, successor_rows[row].most, "%s: %u",
+			      successor_rows[row].name, k);
+		cr_expect_null(world_violation(w), "%s", world_violation(w));
+		world_free(w);
+	}
+}
+
 /*
  * Guards against a request whose deadline is too close for an exchange with the
  * store: it would be held until its caller has gone, and might still be stored
