--- a/sched-own.c
+++ b/sched-own.c
@@ -640,7 +640,11 @@
 	       s->own.epoch != s->own.released_epoch;
 }
 
-/* Writes a row without a holder, so that another VM can claim at once. */
+/*
+ * Writes a row without a holder, so that another VM can claim at once, and the
+ * latest note of the workers: the successor would wait for those that have
+ * ended since it was written with a heartbeat.
+ */
 static void own_write_release(struct sched *s, bool settled, unsigned handovers)
 {
 	struct ownership released = {.epoch = s->own.epoch,
@@ -653,6 +657,9 @@
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
 		 owner_row_write(&released, true));
+	if (s->own.state == OWN_OWNER)
+		tx_write(t, TABLE_NOTES, bstr_lit(KEY_WORKERS),
+			 workers_row_write(s));
 	s->own.released_epoch = s->own.epoch;
 	own_lose(s, "released");
 }
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -561,12 +561,39 @@
 	}
 }
 
-/* Kills the owner and returns the time that its successor takes to settle. */
-static int64_t takeover_settle_ms(struct world *w)
+/* Cuts a VM off from the first workers, or reconnects it. */
+static void cut_workers(struct world *w, unsigned vm, unsigned workers,
+			bool cut)
+{
+	unsigned i;
+
+	for (i = 0; i < workers; i++)
+		world_cut_worker(w, vm, i, cut);
+}
+
+/* Cuts all VMs off from the first workers, or reconnects them. */
+static void cut_workers_of_all(struct world *w, unsigned workers, bool cut)
+{
+	unsigned k;
+
+	for (k = 0; k < 4; k++)
+		cut_workers(w, k, workers, cut);
+}
+
+/*
+ * Kills the owner, or stops it as planned, and returns the time that its
+ * successor takes to settle.
+ */
+static int64_t takeover_settle_ms(struct world *w, bool planned)
 {
 	unsigned n = owner(w), k;
 
-	world_kill_vm(w, n);
+	if (planned)
+		world_stop_vm(w, n);
+	else
+		world_kill_vm(w, n);
+	for (k = 0; k < 500 && world_owner(w) == (int)n; k++)
+		world_run(w, 10);
 	for (k = 0; k < 500 && world_owner(w) == -1; k++)
 		world_run(w, 10);
 	n = owner(w);
@@ -586,13 +613,18 @@
 	bool silent;	   /* a recorded worker is silent: a wait */
 	bool leaves;	   /* it was empty and about to be moved: no wait */
 	bool ended;	   /* one ended, and its row changes late: no wait */
+	bool stopped;	   /* one ended right before a planned stop: no wait */
 } settle_rows[] = {
-	{"all answer", 0, false, false, false, false},
-	{"processes that were replaced", 4, false, false, false, false},
-	{"one that was not recorded", 0, true, false, false, false},
-	{"one that was recorded and is silent", 0, false, true, false, false},
-	{"one that was about to be moved", 0, false, true, true, false},
-	{"one that ended and is listed again", 0, false, false, false, true},
+	{"all answer", 0, false, false, false, false, false},
+	{"processes that were replaced", 4, false, false, false, false, false},
+	{"one that was not recorded", 0, true, false, false, false, false},
+	{"one that was recorded and is silent", 0, false, true, false, false,
+	 false},
+	{"one that was about to be moved", 0, false, true, true, false, false},
+	{"one that ended and is listed again", 0, false, false, false, true,
+	 false},
+	{"one that ended before a planned stop", 0, false, false, false, false,
+	 true},
 };
 
 /*
@@ -637,7 +669,13 @@
 		end_and_list_again(w, 5);
 	if (settle_rows[row].late)
 		world_unlist_worker(w, 5, false);
-	ms = takeover_settle_ms(w);
+	if (settle_rows[row].stopped) {
+		cut_workers_of_all(w, 1, true);
+		worker_set_gone(world_sched(w, owner(w)),
+				worker_find(world_sched(w, owner(w)),
+					    bstr_lit("i-0-0")));
+	}
+	ms = takeover_settle_ms(w, settle_rows[row].stopped);
 	if (settle_rows[row].silent && !settle_rows[row].leaves)
 		cr_expect_gt(ms, 3000, "%s", settle_rows[row].name);
 	else
@@ -653,25 +691,6 @@
 		settles_in_time(i);
 }
 
-/* Cuts a VM off from the first workers, or reconnects it. */
-static void cut_workers(struct world *w, unsigned vm, unsigned workers,
-			bool cut)
-{
-	unsigned i;
-
-	for (i = 0; i < workers; i++)
-		world_cut_worker(w, vm, i, cut);
-}
-
-/* Cuts all VMs off from the first workers, or reconnects them. */
-static void cut_workers_of_all(struct world *w, unsigned workers, bool cut)
-{
-	unsigned k;
-
-	for (k = 0; k < 4; k++)
-		cut_workers(w, k, workers, cut);
-}
-
 /*
  * Tasks wait and callers are refused while other VMs could serve them. The
  * owner's heartbeats succeed, but it gets the workers' answers too late, or
