--- a/sched-state.h
+++ b/sched-state.h
@@ -882,16 +882,21 @@
 void own_answer(struct sched *s, struct request *rq, struct answer *a);
 void own_tick(struct sched *s);
 void own_heartbeat_if_due(struct sched *s);
-void responses_count(const struct sched *s, struct responses *r);
 void own_table_loaded(struct sched *s);
 void own_lose(struct sched *s, const char *why);
 void own_require_check(struct sched *s, const char *why);
 void own_release(struct sched *s);
+void own_write_release(struct sched *s, bool settled, unsigned handovers);
+void own_claim_later(struct sched *s);
 bool own_is_exclusive(const struct sched *s);
 int64_t own_exclusive_until(const struct sched *s, int64_t deadline);
 bool own_may_order(const struct sched *s);
 bool own_may_start(const struct sched *s);
 
+/* sched-handover.c: hand-over by an owner that its workers hardly answer */
+void responses_count(const struct sched *s, struct responses *r);
+void responses_check(struct sched *s);
+
 /* sched-job.c: jobs, occurrences and tasks */
 struct job *sched_job_find(struct sched *s, const char *id);
 void job_row_apply(struct sched *s, struct row *r);
