--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -40,6 +40,24 @@
 	w->vms[vm].cut_worker[worker] = cut;
 }
 
+/* Cuts a VM off from the first workers, or reconnects it. */
+void world_cut_workers(struct world *w, unsigned vm, unsigned workers, bool cut)
+{
+	unsigned i;
+
+	for (i = 0; i < workers; i++)
+		world_cut_worker(w, vm, i, cut);
+}
+
+/* Cuts all VMs off from the first workers, or reconnects them. */
+void world_cut_workers_of_all(struct world *w, unsigned workers, bool cut)
+{
+	unsigned k;
+
+	for (k = 0; k < w->vm_count; k++)
+		world_cut_workers(w, k, workers, cut);
+}
+
 /* Sets how the store treats all VMs. */
 void world_set_store_mode(struct world *w, enum world_store_mode mode)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -100,6 +100,11 @@
 void world_cut_store(struct world *w, unsigned vm, bool cut);
 void world_cut_worker(struct world *w, unsigned vm, unsigned worker, bool cut);
 
+/* The same for the first workers, and one VM or all. */
+void world_cut_workers(struct world *w, unsigned vm, unsigned workers,
+		       bool cut);
+void world_cut_workers_of_all(struct world *w, unsigned workers, bool cut);
+
 /* Set how the store treats all VMs, or one. */
 void world_set_store_mode(struct world *w, enum world_store_mode mode);
 void world_set_vm_store_mode(struct world *w, unsigned vm,
