--- a/sched-admit.c
+++ b/sched-admit.c
@@ -39,6 +39,7 @@
 	int64_t drain_ms;     /* that the pool needs for it */
 	int64_t objective_ms; /* mean of its jobs */
 	int64_t as_of;	      /* by the store's clock */
+	bool inherited; /* an earlier owner computed it, or limits its fall */
 	UT_hash_handle hh;
 };
 
@@ -60,8 +61,9 @@
 }
 
 /* Adds the queue of a pool. */
-static void admission_add(struct sched *s, bstr service, int64_t drain_ms,
-			  int64_t objective_ms, int64_t as_of)
+static struct admission *admission_add(struct sched *s, bstr service,
+				       int64_t drain_ms, int64_t objective_ms,
+				       int64_t as_of)
 {
 	struct admission *a = xcalloc(1, sizeof(*a));
 
@@ -70,6 +72,7 @@
 	a->objective_ms = objective_ms;
 	a->as_of = as_of;
 	HASH_ADD_BSTR(s->admissions, service, a);
+	return a;
 }
 
 /*
@@ -100,10 +103,12 @@
 
 /*
  * Returns the time that a queue is taken to need, given the computed one: from
- * the limit at which all jobs are refused it falls only as fast as time passes.
- * Otherwise, when a new owner computes less than the old one that was too slow,
- * all callers refused before would be admitted within the second that passes
- * until their jobs are counted, and most of them would be late.
+ * an earlier owner's queue, or the limit at which all jobs are refused if that
+ * is less, it falls only as fast as time passes.  Otherwise, when a new owner
+ * computes less than the old one that was too slow, all callers refused before
+ * would be admitted within the second that passes until their jobs are counted,
+ * and most of them would be late.  Once the computed time is the longer one, it
+ * falls freely: the pool may have got more cores.
  */
 static double admission_limit_fall(const struct sched *s, bstr service,
 				   double drain_ms, double objective_ms)
@@ -113,7 +118,7 @@
 	int64_t elapsed;
 
 	HASH_FIND_BSTR(s->admissions, service, a);
-	if (!a)
+	if (!a || !a->inherited)
 		return drain_ms;
 	elapsed = store_clock(s) - a->as_of;
 	if (elapsed > FALL_INTERVAL_MAX_MS)
@@ -130,11 +135,14 @@
 void admission_set(struct sched *s, bstr service, double drain_ms,
 		   double objective_ms)
 {
-	drain_ms = admission_limit_fall(s, service, drain_ms, objective_ms);
+	double limited_ms = admission_limit_fall(s, service, drain_ms,
+						 objective_ms);
+
 	admission_clear(s, service);
-	if (store_clock(s) && drain_ms >= objective_ms * OVERLOAD_NEAR)
-		admission_add(s, service, (int64_t)drain_ms,
-			      (int64_t)objective_ms, store_clock(s));
+	if (store_clock(s) && limited_ms >= objective_ms * OVERLOAD_NEAR)
+		admission_add(s, service, (int64_t)limited_ms,
+			      (int64_t)objective_ms, store_clock(s))
+			->inherited = limited_ms > drain_ms;
 }
 
 /*
@@ -214,7 +222,8 @@
 		    drain_ms < 0 || objective_ms <= 0)
 			continue;
 		admission_add(s, bstr_lit(service), drain_ms, objective_ms,
-			      as_of);
+			      as_of)
+			->inherited = true;
 	}
 }
 
