--- a/sched-admit.c
+++ b/sched-admit.c
@@ -27,6 +27,14 @@
  * assumed to grow by the time that passes.
  */
 #define QUEUE_AGE_MAX_MS 2000
+/*
+ * If two heartbeats in a row are missing, the owner is lost or too slow to send
+ * them, and a queue is taken to need at least TAKEOVER_MS longer: a successor
+ * claims after OWNER_TIMEOUT_MS, and needs as long again to read the tables and
+ * to get answers of the workers.
+ */
+#define OWNER_SILENT_MS (2 * HEARTBEAT_MS)
+#define TAKEOVER_MS (2 * OWNER_TIMEOUT_MS)
 /*
  * Longest time by which a queue falls at once.  Queues are computed more often
  * than that, except while the owner changes.
@@ -227,6 +235,13 @@
 	}
 }
 
+/* Returns true if this VM gets no heartbeats of the owner. */
+static bool owner_is_silent(const struct sched *s)
+{
+	return s->own.state != OWN_OWNER && s->own.heartbeat_as_of &&
+	       store_clock(s) - s->own.heartbeat_as_of >= OWNER_SILENT_MS;
+}
+
 /*
  * Returns the time that a queue needs now.  While nobody works it off, it
  * grows: what is accepted then waits for the next owner, or for workers, and
@@ -237,7 +252,11 @@
 {
 	int64_t idle_ms = store_clock(s) - a->as_of - QUEUE_AGE_MAX_MS;
 
-	return a->drain_ms + (idle_ms > 0 ? idle_ms : 0);
+	if (idle_ms < 0)
+		idle_ms = 0;
+	if (idle_ms < TAKEOVER_MS && owner_is_silent(s))
+		idle_ms = TAKEOVER_MS;
+	return a->drain_ms + idle_ms;
 }
 
 /*
--- a/sched-state.h
+++ b/sched-state.h
@@ -553,6 +553,8 @@
 	uint64_t heartbeat_seq;
 	uint64_t heartbeat_revision; /* of the heartbeat row */
 	int64_t heartbeat_sent_at;   /* of the one in flight */
+	int64_t heartbeat_as_of; /* when the latest one seen was sent, by the
+				  * store's clock; 0: not known */
 	int64_t confirmed_at; /* when the last successful heartbeat was sent */
 	int64_t claimed_at;
 	int64_t last_activity_at; /* last heartbeat or change of owner seen */
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -182,6 +182,8 @@
 	int status;
 } ownerless_rows[] = {
 	{"the owner is just lost", 110, 800, 200},
+	{"one heartbeat is missing", 165, 300, 200},
+	{"two heartbeats are missing", 165, 1100, 503},
 	{"long without an owner", 110, 9000, 503},
 	{"long without an owner, nothing queued", 0, 9000, 200},
 };
