--- a/sched-job.c
+++ b/sched-job.c
@@ -435,9 +435,22 @@
 	}
 }
 
+/* Returns true if a job has best-effort tasks. */
+static bool body_has_best_effort(const struct job_body *b)
+{
+	size_t i;
+
+	for (i = 0; i < b->step_count; i++)
+		if (b->steps[i].best_effort)
+			return true;
+	return false;
+}
+
 /* Starts to track a job. */
 static void job_add(struct sched *s, struct job *j)
 {
+	if (body_has_best_effort(j->body))
+		s->has_best_effort = true;
 	j->arrived = s->now;
 	j->inherited = s->own.state == OWN_LOADING;
 	HASH_ADD(hh, s->jobs, id, JOB_ID_BYTES, j);
--- a/sched-limit.c
+++ b/sched-limit.c
@@ -7,7 +7,7 @@
  * Therefore the owner starts nothing beyond a ceiling that its last heartbeat
  * has recorded in the store.  Until all leases of earlier owners have expired,
  * a successor adds to the usage the recorded ceiling, less the runs that it has
- * found.
+ * found, but at most what the workers can run that it doesn't know.
  */
 #include "sched-state.h"
 
@@ -24,6 +24,9 @@
  * for a raise.
  */
 #define CEILING_WANTED_TASKS 8
+/* Sums of it don't overflow. */
+#define USAGE_UNBOUNDED \
+	((struct resources){INT64_MAX / 4, INT64_MAX / 4, INT64_MAX / 4})
 
 /* Returns the usage of an organisation; creates it if needed. */
 static struct usage *usage_of(struct sched *s, bstr tenant)
@@ -91,6 +94,21 @@
 				  a.gpus < b.gpus ? a.gpus : b.gpus};
 }
 
+/* Returns the resources in a heartbeat, which are zero if there are none. */
+static struct resources resources_read(const json_t *row)
+{
+	return (struct resources){json_integer_value(json_array_get(row, 0)),
+				  json_integer_value(json_array_get(row, 1)),
+				  json_integer_value(json_array_get(row, 2))};
+}
+
+/* Returns resources for a heartbeat. */
+static json_t *resources_write(struct resources r)
+{
+	return json_pack("[I, I, I]", (json_int_t)r.cpu, (json_int_t)r.memory,
+			 (json_int_t)r.gpus);
+}
+
 /*
  * Looks up the ceiling that earlier owners recorded; it does not change any
  * more.
@@ -101,13 +119,93 @@
 	const json_t *row = json_object_get(s->own.ceilings, name);
 
 	free(name);
-	u->inherited_ceiling = (struct resources){
-		json_integer_value(json_array_get(row, 0)),
-		json_integer_value(json_array_get(row, 1)),
-		json_integer_value(json_array_get(row, 2))};
+	u->inherited_ceiling = resources_read(row);
 	u->inherited_known = true;
 }
 
+/*
+ * Returns an upper bound of what runs on one worker can use.  A worker whose
+ * capacity has shrunk goes on with what it runs, so the largest capacity of any
+ * worker counts.  There is no bound if the worker doesn't check its capacity.
+ */
+static struct resources worker_usage_max(const struct sched *s,
+					 const struct worker *w)
+{
+	const struct service *service = service_named(s, w->row.service);
+
+	if (!s->largest_capacity_known || !service || !service->checks_capacity)
+		return USAGE_UNBOUNDED;
+	return s->largest_capacity;
+}
+
+/*
+ * Updates the upper bound of what runs of earlier owners use beyond those that
+ * were found: they are on workers whose runs are not known.  If an owner was
+ * too slow to process the ends of runs, its ceilings are far above what still
+ * runs.  Without this bound its successor would take organisations to be at
+ * their upper limits, and start next to nothing on the whole fleet until the
+ * leases of a few unknown workers have expired.  Best-effort tasks use only
+ * idle cores, so the cores of a worker don't bound what they count.
+ */
+void usage_unknown_update(struct sched *s)
+{
+	struct resources sum = {0, 0, 0};
+	const struct worker *w;
+
+	for (w = s->unknown_count ? s->workers : NULL; w; w = w->hh.next)
+		if (w->unknown)
+			sum = resources_min(
+				resources_add(sum, worker_usage_max(s, w)),
+				USAGE_UNBOUNDED);
+	if (s->unknown_count && s->has_best_effort)
+		sum.cpu = USAGE_UNBOUNDED.cpu;
+	s->unknown_usage_max = sum;
+}
+
+/* Returns true if this owner has read a row of each worker that was noted. */
+static bool noted_workers_have_rows(const struct sched *s)
+{
+	const struct worker *w;
+
+	for (w = s->workers; w; w = w->hh.next)
+		if (w->inherited && !w->row.address.bstr_len)
+			return false;
+	return true;
+}
+
+/*
+ * Takes over the largest capacity that the heartbeat of an earlier owner has.
+ * Workers that it had noted may have no row any more.
+ */
+void largest_capacity_inherit(struct sched *s)
+{
+	s->largest_capacity = resources_max(s->largest_capacity,
+					    s->own.largest_capacity);
+	s->largest_capacity_known = s->own.largest_capacity_known ||
+				    noted_workers_have_rows(s);
+}
+
+/*
+ * Returns the largest capacity for a heartbeat; null if it is not known.  An
+ * owner that is still loading records what it has read.
+ */
+json_t *largest_capacity_write(const struct sched *s)
+{
+	if (s->own.state == OWN_LOADING)
+		return s->own.largest_capacity_known
+			       ? resources_write(s->own.largest_capacity)
+			       : json_null();
+	return s->largest_capacity_known ? resources_write(s->largest_capacity)
+					 : json_null();
+}
+
+/* Reads the largest capacity from a heartbeat; older versions have none. */
+void largest_capacity_read(struct sched *s, const json_t *row)
+{
+	s->own.largest_capacity_known = json_is_array(row);
+	s->own.largest_capacity = resources_read(row);
+}
+
 /*
  * Returns the resources that runs of earlier owners may use beyond those that
  * were found.
@@ -122,7 +220,8 @@
 	if (!u->inherited_known)
 		usage_inherit(s, u);
 	unaccounted = resources_sub(u->inherited_ceiling, u->inherited_found);
-	return resources_sub(unaccounted, resources_min(unaccounted, zero));
+	return resources_min(resources_max(unaccounted, zero),
+			     s->unknown_usage_max);
 }
 
 /* Creates the usage of all organisations that have an inherited ceiling. */
@@ -157,6 +256,7 @@
 				       : json_object();
 	row = json_object();
 	ceilings_inherit(s);
+	usage_unknown_update(s);
 	for (u = s->usage; u; u = u->hh.next) {
 		t = tenant_named(s, u->tenant);
 		if (!t)
@@ -173,11 +273,7 @@
 		published = resources_add(u->next_ceiling,
 					  usage_unaccounted(s, u));
 		name = bstr_cstr(u->tenant);
-		json_object_set_new(row, name,
-				    json_pack("[I, I, I]",
-					      (json_int_t)published.cpu,
-					      (json_int_t)published.memory,
-					      (json_int_t)published.gpus));
+		json_object_set_new(row, name, resources_write(published));
 		free(name);
 	}
 	return row;
--- a/sched-own.c
+++ b/sched-own.c
@@ -137,6 +137,9 @@
 	s->commit_in_flight = false;
 	s->advice_calls_in_flight = 0;
 	s->settled = false;
+	s->largest_capacity = (struct resources){0, 0, 0};
+	s->largest_capacity_known = false;
+	s->has_best_effort = false;
 	s->start_interval_ms = 0;
 	s->own.reached_workers = false;
 	s->own.unresponsive_by = 0;
@@ -456,6 +459,7 @@
 	    !s->notes.complete)
 		return;
 	workers_inherit(s);
+	largest_capacity_inherit(s);
 	s->own.state = OWN_OWNER;
 	s->own.ready_at = s->now;
 	s->own.load_timeouts = 0;
--- a/sched-place.c
+++ b/sched-place.c
@@ -674,6 +674,7 @@
 	s->place_due = s->has_delayed_tasks = s->has_pending_tasks = false;
 	s->load.place_passes++;
 	pools_refresh(s);
+	usage_unknown_update(s);
 	candidates_collect(s, &p);
 	s->place_at = s->now + HASH_COUNT(s->workers) / PASS_WORKERS_PER_MS;
 	if (p.open_jobs > PASS_JOBS_MIN)
--- a/sched-state.h
+++ b/sched-state.h
@@ -563,6 +563,9 @@
 	bool previous_released; /* settled, and released by a planned stop */
 	json_t *workers;	/* that earlier owners may have given leases,
 				 * or NULL */
+	struct resources largest_capacity; /* of any worker, as recorded by
+					    * earlier owners */
+	bool largest_capacity_known;
 	json_t *ceilings; /* on what earlier owners may have running, or NULL */
 	int64_t settle_by; /* end of the last lease of earlier owners */
 	int64_t owned_at;
@@ -760,6 +763,12 @@
 	unsigned last_pool_index; /* order_index of the last pool considered */
 	unsigned unknown_count;	  /* unknown workers of all pools */
 	struct usage *usage;
+	struct resources largest_capacity; /* that any worker has had, by
+					    * resource */
+	bool largest_capacity_known;	   /* for all workers that were noted */
+	struct resources unknown_usage_max; /* of what runs on unknown workers;
+					     * see sched-limit.c */
+	bool has_best_effort; /* a job with best-effort tasks was read */
 	bool settled;	  /* each worker has answered or its lease is over */
 	bool place_due;	  /* something changed: a placement pass is needed */
 	int64_t place_at; /* no placement pass before this */
@@ -1014,6 +1023,10 @@
 struct usage *job_usage(struct sched *s, struct job *j);
 void usage_add(struct sched *s, const struct task *t, int sign);
 void usage_add_found(struct sched *s, const struct task *t);
+void usage_unknown_update(struct sched *s);
+void largest_capacity_inherit(struct sched *s);
+json_t *largest_capacity_write(const struct sched *s);
+void largest_capacity_read(struct sched *s, const json_t *row);
 json_t *ceilings_write(struct sched *s);
 void ceilings_published(struct sched *s);
 enum pending_reason limit_pending_reason(struct sched *s, struct job *j,
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -355,6 +355,8 @@
 	bstr_free(&w->rack);
 	if (w->row.label_count)
 		w->rack = bstr_copy(w->row.labels[w->row.label_count - 1]);
+	s->largest_capacity = resources_max(s->largest_capacity,
+					    w->row.capacity);
 	w->last_reading = s->follows[FOLLOW_WORKERS].reading_serial;
 	if (!w->listed)
 		w->poll_at = s->now;
@@ -601,6 +603,8 @@
 		return;
 	}
 	s->settled = true;
+	/* This owner has read the rows of all workers that hold leases. */
+	s->largest_capacity_known = true;
 	s->place_due = true;
 	sched_log(s, LOG_OWNER_SETTLED, "epoch=%llu ms=%lld",
 		  (unsigned long long)s->own.epoch,
