--- a/sched-admit.c
+++ b/sched-admit.c
@@ -37,7 +37,7 @@
 #define TAKEOVER_MS (2 * OWNER_TIMEOUT_MS)
 /*
  * Longest time by which a queue falls at once.  Queues are computed more often
- * than that, except while the owner changes.
+ * than that, unless the owner is short of processor time.
  */
 #define FALL_INTERVAL_MAX_MS 200
 
@@ -47,7 +47,7 @@
 	int64_t drain_ms;     /* that the pool needs for it */
 	int64_t objective_ms; /* mean of its jobs */
 	int64_t as_of;	      /* by the store's clock */
-	bool inherited; /* an earlier owner computed it, or limits its fall */
+	bool falls_slowly;    /* at most as fast as time passes */
 	UT_hash_handle hh;
 };
 
@@ -110,47 +110,70 @@
 }
 
 /*
- * Returns the time that a queue is taken to need, given the computed one: from
- * an earlier owner's queue, or the limit at which all jobs are refused if that
- * is less, it falls only as fast as time passes.  Otherwise, when a new owner
- * computes less than the old one that was too slow, all callers refused before
- * would be admitted within the second that passes until their jobs are counted,
- * and most of them would be late.  Once the computed time is the longer one, it
- * falls freely: the pool may have got more cores.
+ * Called by a new owner when it has read all tables: nobody has worked off the
+ * queues since they were computed.
  */
-static double admission_limit_fall(const struct sched *s, bstr service,
-				   double drain_ms, double objective_ms)
+void admissions_inherit(struct sched *s)
 {
-	double full = objective_ms * OVERLOAD_FULL, least;
-	const struct admission *a;
-	int64_t elapsed;
+	struct admission *a;
+	int64_t age_ms;
+
+	for (a = s->admissions; a; a = a->hh.next) {
+		age_ms = store_clock(s) - a->as_of;
+		a->drain_ms += age_ms > 0 ? age_ms : 0;
+		a->as_of = store_clock(s);
+		a->falls_slowly = true;
+	}
+}
+
+/*
+ * Returns the least time that a queue is taken to need now, if it falls slowly:
+ * from its latest value, or the limit at which all jobs are refused if that is
+ * less, it falls only as fast as time passes.
+ */
+static double admission_least_ms(const struct sched *s,
+				 const struct admission *a, double objective_ms)
+{
+	double full = objective_ms * OVERLOAD_FULL;
+	int64_t elapsed = store_clock(s) - a->as_of;
 
-	HASH_FIND_BSTR(s->admissions, service, a);
-	if (!a || !a->inherited)
-		return drain_ms;
-	elapsed = store_clock(s) - a->as_of;
 	if (elapsed > FALL_INTERVAL_MAX_MS)
 		elapsed = FALL_INTERVAL_MAX_MS;
-	least = (double)a->drain_ms < full ? (double)a->drain_ms : full;
-	least -= (double)elapsed;
-	return drain_ms > least ? drain_ms : least;
+	return ((double)a->drain_ms < full ? (double)a->drain_ms : full) -
+	       (double)elapsed;
 }
 
 /*
  * Called by the owner: records the queue of a pool if it is near overload,
  * given the time that it takes and the mean objective of its jobs.
+ *
+ * An earlier owner's queue falls slowly for the first objective of a new owner,
+ * and until the computed one is the longer.  Otherwise, when the new owner
+ * computes less than the old one that was too slow, if only for a moment while
+ * it measures its starts, all callers refused before would be admitted within
+ * the second that passes until their jobs are counted, and most of them would
+ * be late.  Later it falls freely, as the pool may have got more cores.
  */
 void admission_set(struct sched *s, bstr service, double drain_ms,
 		   double objective_ms)
 {
-	double limited_ms = admission_limit_fall(s, service, drain_ms,
-						 objective_ms);
+	bool is_new = (double)(s->now - s->own.ready_at) < objective_ms;
+	bool falls_slowly = false;
+	struct admission *a;
+	double least_ms;
 
+	HASH_FIND_BSTR(s->admissions, service, a);
+	if (a && a->falls_slowly) {
+		least_ms = admission_least_ms(s, a, objective_ms);
+		falls_slowly = is_new || least_ms > drain_ms;
+		drain_ms = least_ms > drain_ms ? least_ms : drain_ms;
+	}
 	admission_clear(s, service);
-	if (store_clock(s) && limited_ms >= objective_ms * OVERLOAD_NEAR)
-		admission_add(s, service, (int64_t)limited_ms,
-			      (int64_t)objective_ms, store_clock(s))
-			->inherited = limited_ms > drain_ms;
+	if (!store_clock(s) || drain_ms < objective_ms * OVERLOAD_NEAR)
+		return;
+	a = admission_add(s, service, (int64_t)drain_ms, (int64_t)objective_ms,
+			  store_clock(s));
+	a->falls_slowly = falls_slowly;
 }
 
 /*
@@ -230,8 +253,7 @@
 		    drain_ms < 0 || objective_ms <= 0)
 			continue;
 		admission_add(s, bstr_lit(service), drain_ms, objective_ms,
-			      as_of)
-			->inherited = true;
+			      as_of);
 	}
 }
 
--- a/sched-state.h
+++ b/sched-state.h
@@ -871,6 +871,7 @@
 void admission_clear(struct sched *s, bstr service);
 void admissions_drop_unconfigured(struct sched *s);
 void admissions_read(struct sched *s, const json_t *all);
+void admissions_inherit(struct sched *s);
 void admissions_free(struct sched *s);
 uint32_t admission_refuses(struct sched *s, const struct route *r,
 			   const struct job_body *b, const char *id);
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -231,15 +231,19 @@
  */
 static const struct {
 	const char *name;
-	unsigned window;      /* starts that the successor may have in flight */
+	int64_t narrow_ms;    /* the successor may have only few starts in
+			       * flight for this long */
+	unsigned window;      /* starts that it may have in flight then */
 	int64_t ready_ms;     /* the jobs are submitted this long after it is
 			       * ready */
 	unsigned least, most; /* of SUBMITTED */
 } successor_rows[] = {
-	{"no start has an outcome", 32, 150, 0, SUBMITTED / 4},
-	{"few starts have an outcome", 32, 350, 0, SUBMITTED / 2},
-	{"the successor starts all at once", 1000, 500, 0, 3 * SUBMITTED / 4},
-	{"the queue is worked off", 1000, 6000, SUBMITTED, SUBMITTED},
+	{"no start has an outcome", 0, 32, 150, 0, SUBMITTED / 4},
+	{"few starts have an outcome", 0, 32, 350, 0, SUBMITTED / 2},
+	{"the successor starts all at once", 0, 1000, 500, 0,
+	 3 * SUBMITTED / 4},
+	{"its first estimate is too long", 600, 1000, 100, 0, SUBMITTED / 2},
+	{"the queue is worked off", 0, 1000, 6000, SUBMITTED, SUBMITTED},
 };
 
 /* Submits jobs to a VM at once, and returns how many are admitted. */
@@ -279,6 +283,8 @@
 		for (k = 0; k < 600 && !owner_is_ready(w); k++)
 			world_run(w, 5);
 		cr_assert(owner_is_ready(w), "%s", successor_rows[row].name);
+		hold_window(w, (unsigned)world_owner(w), 32,
+			    successor_rows[row].narrow_ms);
 		hold_window(w, (unsigned)world_owner(w),
 			    successor_rows[row].window,
 			    successor_rows[row].ready_ms);
