--- a/sched-note.c
+++ b/sched-note.c
@@ -11,7 +11,7 @@
  * The note is rewritten at most once in this interval if it is only to drop
  * workers.
  */
-#define NOTE_DROP_INTERVAL_MS 700
+#define NOTE_DROP_INTERVAL_MS 100
 
 /*
  * Returns true if a worker holds no lease and will get none before it is noted:
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -595,6 +595,8 @@
 	bool leaves;	   /* it was empty and about to be moved: no wait */
 	bool ended;	   /* one ended, and its row changes late: no wait */
 	bool stopped;	   /* one ended right before a planned stop: no wait */
+	bool twice; /* one ended, and soon another one, half a second before the
+		     * owner is killed: no wait */
 } settle_rows[] = {
 	{"all answer", 0, false, false, false, false, false},
 	{"processes that were replaced", 4, false, false, false, false, false},
@@ -606,6 +608,8 @@
 	 false},
 	{"one that ended before a planned stop", 0, false, false, false, false,
 	 true},
+	{"two that ended shortly before", 0, false, false, false, false, false,
+	 true},
 };
 
 /*
@@ -624,6 +628,31 @@
 	world_run(w, 1500);
 }
 
+/* Cuts off a worker for good; the owner knows that it runs nothing any more. */
+static void end_known(struct world *w, unsigned worker)
+{
+	struct sched *s = world_sched(w, owner(w));
+	char id[16];
+	unsigned k;
+
+	for (k = 0; k < 4; k++)
+		world_cut_worker(w, k, worker, true);
+	snprintf(id, sizeof(id), "i-%u-0", worker);
+	worker_set_gone(s, worker_find(s, bstr_lit(id)));
+}
+
+/* Ends a worker, and another one as soon as the first one's end is written. */
+static void end_two(struct world *w)
+{
+	int64_t before = world_sched(w, owner(w))->workers_note_at;
+
+	end_known(w, 1);
+	while (world_sched(w, owner(w))->workers_note_at == before)
+		world_run(w, 10);
+	end_known(w, 0);
+	world_run(w, 500);
+}
+
 static void settles_in_time(unsigned row)
 {
 	struct world *w = world_new(560 + row, 4, 6);
@@ -650,12 +679,10 @@
 		end_and_list_again(w, 5);
 	if (settle_rows[row].late)
 		world_unlist_worker(w, 5, false);
-	if (settle_rows[row].stopped) {
-		world_cut_workers_of_all(w, 1, true);
-		worker_set_gone(world_sched(w, owner(w)),
-				worker_find(world_sched(w, owner(w)),
-					    bstr_lit("i-0-0")));
-	}
+	if (settle_rows[row].stopped)
+		end_known(w, 0);
+	if (settle_rows[row].twice)
+		end_two(w);
 	ms = takeover_settle_ms(w, settle_rows[row].stopped);
 	if (settle_rows[row].silent && !settle_rows[row].leaves)
 		cr_expect_gt(ms, 3000, "%s", settle_rows[row].name);
