--- a/sched-state.h
+++ b/sched-state.h
@@ -975,6 +975,9 @@
 bool worker_is_eligible(const struct sched *s, const struct worker *w);
 void sched_workers_free(struct sched *s);
 
+/* sched-settle.c: whether all runs of earlier owners are known */
+void settle_check(struct sched *s);
+
 /* sched-pool.c: pools and their free resources */
 struct pool *pool_of(struct sched *s, bstr service);
 struct pool *job_pool(struct sched *s, struct job *j);
