Log: deferred ends, and runs beside the current one

The log did not tell what an open task waits for when a worker's ends can't be processed: POOL_WAIT said hold=window on an empty fleet, with a delay that was renewed each second. And nothing named a listed run of a task that is done or runs elsewhere: RUN_STRAY does not tell it from a run of an unknown job.

END_DEFERRED has the end, the start that it waits for and since when, once a second a worker. hold=ends is the reason of tasks that are delayed until a worker's ends are processed. RUN_SECOND tells the hypotheses on two runs of one task apart: the run of an earlier epoch, or of this one, and whether the owner had settled. No decision depends on them.

--- a/sched-order.c
+++ b/sched-order.c
@@ -191,6 +191,7 @@
 		[PENDING_WINDOW] = "window",
 		[PENDING_CRASH] = "crash",
 		[PENDING_ISOLATION] = "isolation",
+		[PENDING_ENDS] = "ends",
 	};
 
 	return words[reason];
--- a/sched-state.h
+++ b/sched-state.h
@@ -258,8 +258,9 @@
 	PENDING_STORE,	     /* the start of the job is not durable yet */
 	PENDING_TICKET,	     /* no valid placement ticket yet */
 	PENDING_WINDOW,	     /* too many starts are in flight */
-	PENDING_CRASH,	  /* a crash under it is not durable or not certain */
-	PENDING_ISOLATION /* no empty worker for a task that runs alone */
+	PENDING_CRASH,	   /* a crash under it is not durable or not certain */
+	PENDING_ISOLATION, /* no empty worker for a task that runs alone */
+	PENDING_ENDS	   /* a worker may still list an end of it */
 };
 
 /*
@@ -369,6 +370,8 @@
 	struct pool *pool;	     /* of its service */
 	bool unknown;		     /* counted in the pool's unknown workers */
 	bool ends_deferred;	 /* some of its ends can't be processed yet */
+	int64_t deferred_since;	 /* since then */
+	int64_t deferred_log_at; /* logged again from then on */
 	bool ends_truncated;	 /* its last list did not hold all ends */
 	bool same_process;	 /* the end numbers are known to be current */
 	unsigned failure_streak; /* consecutive failures of different jobs */
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -20,6 +20,8 @@
  * lists the end again sooner than that.
  */
 #define DEFERRED_END_DELAY_MS 1500
+/* Interval of the log line about a worker's deferred ends. */
+#define DEFERRED_LOG_INTERVAL_MS 1000
 
 /* Returns the worker with an id, or NULL. */
 struct worker *worker_find(struct sched *s, bstr id)
@@ -708,29 +710,57 @@
 	return t;
 }
 
+/*
+ * Logs at intervals that a worker's ends are deferred, with the end and the
+ * start that the first of them waits for.
+ */
+static void end_log_deferred(struct sched *s, struct worker *w,
+			     const struct ended *n, const struct task *t)
+{
+	if (!w->ends_deferred)
+		w->deferred_since = s->now;
+	if (w->ends_deferred && s->now < w->deferred_log_at)
+		return;
+	w->deferred_log_at = s->now + DEFERRED_LOG_INTERVAL_MS;
+	sched_log(s, LOG_END_DEFERRED,
+		  "task=%.*s run=%llu worker=%.*s end=%llu start_run=%llu "
+		  "start_worker=%.*s start_ms=%lld in_flight=%d "
+		  "deferred_ms=%lld",
+		  BSTR_ARG(n->task), (unsigned long long)n->run,
+		  BSTR_ARG(w->id), (unsigned long long)n->number,
+		  (unsigned long long)t->run, BSTR_ARG(t->worker->id),
+		  (long long)(s->now - t->started_at), t->start_in_flight,
+		  (long long)(s->now - w->deferred_since));
+}
+
 /*
  * Returns the number of the first end in a list that has to be deferred, or
  * UINT64_MAX if there is none.  Its task is not started again until the end and
  * the outcome of the start have been processed.
  */
-static uint64_t ends_find_deferred(struct sched *s, const struct worker *w,
+static uint64_t ends_find_deferred(struct sched *s, struct worker *w,
 				   const struct answer *a)
 {
-	uint64_t first_deferred = UINT64_MAX;
+	const struct ended *first = NULL;
+	const struct task *deferring = NULL;
 	struct task *t;
 	size_t i;
 
 	for (i = 0; i < a->ended_count; i++) {
 		if (a->ended[i].number <= w->last_end ||
-		    a->ended[i].number >= first_deferred)
+		    (first && a->ended[i].number >= first->number))
 			continue;
 		t = end_find_deferring_task(s, w, &a->ended[i]);
 		if (!t)
 			continue;
 		task_delay(t, s->now + DEFERRED_END_DELAY_MS);
-		first_deferred = a->ended[i].number;
+		first = &a->ended[i];
+		deferring = t;
 	}
-	return first_deferred;
+	if (!first)
+		return UINT64_MAX;
+	end_log_deferred(s, w, first, deferring);
+	return first->number;
 }
 
 /*
@@ -757,6 +787,25 @@
 	}
 }
 
+/*
+ * Stops a listed run that is not the current one of its task.  If the task is
+ * done or has a run on another worker, it runs twice.
+ */
+static void running_stop_stray(struct sched *s, struct worker *w,
+			       const struct running *r, const struct task *t)
+{
+	if (t)
+		sched_log(s, LOG_RUN_SECOND,
+			  "task=%.*s run=%llu worker=%.*s current_run=%llu "
+			  "current_worker=%.*s phase=%d epoch=%llu settled=%d",
+			  BSTR_ARG(r->task), (unsigned long long)r->run,
+			  BSTR_ARG(w->id), (unsigned long long)t->run,
+			  BSTR_ARG(t->worker ? t->worker->id : BSTR_NONE),
+			  t->phase, (unsigned long long)s->own.epoch,
+			  s->settled);
+	run_stop(s, w, r->task, r->run);
+}
+
 /* Handles a run that a worker lists as running. */
 static void running_process(struct sched *s, struct worker *w,
 			    const struct running *r)
@@ -775,7 +824,7 @@
 	}
 	if (!t || t->worker != w || t->run != r->run) {
 		if (w->strays_due)
-			run_stop(s, w, r->task, r->run);
+			running_stop_stray(s, w, r, t);
 		return;
 	}
 	t->last_list = w->list_count;
@@ -820,11 +869,11 @@
 		TAILQ_FOREACH(o, &j->occs, entry) {
 			for (i = 0; i < o->task_count; i++) {
 				t = &o->tasks[i];
-				if (t->lost_worker == w->serial &&
-				    t->phase == PHASE_PENDING)
-					task_delay(
-						t,
-						s->now + DEFERRED_END_DELAY_MS);
+				if (t->lost_worker != w->serial ||
+				    t->phase != PHASE_PENDING)
+					continue;
+				j->pending_reason = PENDING_ENDS;
+				task_delay(t, s->now + DEFERRED_END_DELAY_MS);
 			}
 		}
 	}
