--- a/sched-state.h
+++ b/sched-state.h
@@ -956,7 +956,7 @@
 void workers_row_read(struct sched *s, bstr row);
 void workers_inherit(struct sched *s);
 
-/* sched-worker.c: workers, their leases and lists */
+/* sched-worker.c: workers, their leases and polls */
 struct worker *worker_new(struct sched *s, bstr id);
 void worker_row_apply(struct sched *s, struct row *r);
 void workers_unlist_missing(struct sched *s); /* after a complete reading */
@@ -968,6 +968,7 @@
 int64_t poll_pause_end(const struct sched *s, const struct worker *w);
 void worker_acknowledge(struct sched *s);
 bool worker_ends_durable(const struct worker *w);
+void worker_record_end(struct sched *s, struct worker *w, uint64_t number);
 void worker_lost(struct sched *s, struct worker *w, const char *why);
 void worker_set_gone(struct sched *s, struct worker *w);
 void sched_worker_free(struct sched *s, struct worker *w);
@@ -978,6 +979,10 @@
 bool worker_is_eligible(const struct sched *s, const struct worker *w);
 void sched_workers_free(struct sched *s);
 
+/* sched-list.c: the lists of runs and ends that workers report */
+void list_process(struct sched *s, struct worker *w, const struct answer *a);
+bool worker_ends_are_known(const struct worker *w);
+
 /* sched-settle.c: whether all runs of earlier owners are known */
 void settle_check(struct sched *s);
 
