Owner: acknowledge ends after the predecessor's last starts

A task that was done could run again after a planned change of the owner (TWICE). The earlier owner had given up its run on a silent worker and ordered the next start; then it released the ownership. The successor, which knows nothing of that start, lists the end of the first run and acknowledges it at once. If it can't reach the worker that the start goes to, nobody refuses it: it is carried out after the acknowledgement.

A start is void 1,200 ms after it was ordered, by the clock of its worker. So a successor acknowledges nothing for as long after it has taken over. The ends stay listed meanwhile; nothing else waits for them. After an unplanned change the timeout of the owner has passed as well, and the wait is only longer.

Ruled out: the end of a run that the successor has not seen (it is listed); the fence (it holds only where the successor has reached the worker).

--- a/sched-state.h
+++ b/sched-state.h
@@ -62,6 +62,8 @@
  * worker's list.
  */
 #define START_VALID_MS 1200
+/* The same on this VM's clock, as clocks of workers may be slow. */
+#define START_EXPIRY_MS ((int64_t)(START_VALID_MS * CLOCK_DRIFT_FACTOR) + 1)
 #define STOP_RETRY_MS 600
 /*
  * Initial limit of starts in flight, in units of 1/START_WINDOW_UNIT start;
@@ -571,6 +573,8 @@
 	json_t *ceilings; /* on what earlier owners may have running, or NULL */
 	int64_t settle_by; /* end of the last lease of earlier owners */
 	int64_t owned_at;
+	int64_t ack_from; /* no ends are acknowledged before: the last starts of
+			   * the previous owner may still be carried out */
 	int64_t ready_at; /* when all tables had been read */
 	int64_t wait_log_at;	  /* when to log next what it waits for */
 	int64_t load_progress_at; /* start of the reading, or latest page */
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -568,13 +568,17 @@
 
 /*
  * Acknowledges the ends that became durable, with the workers' next polls,
- * which are sent now or when their pause ends.
+ * which are sent now or when their pause ends.  An owner that has just taken
+ * over does so only when the starts that its predecessor may have ordered last
+ * can't be carried out any more: it does not know which tasks they are of.
  */
 void worker_acknowledge(struct sched *s)
 {
 	uint64_t durable = commit_durable(s);
 	struct worker *w, *next;
 
+	if (s->now < s->own.ack_from)
+		return;
 	for (w = TAILQ_FIRST(&s->unacked); w && w->last_end_seq <= durable;
 	     w = next) {
 		next = TAILQ_NEXT(w, unacked);
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -761,6 +761,42 @@
 			ends_beside_starts(row, shift_ms);
 }
 
+/*
+ * Guards against a second run of a completed task after a planned change of the
+ * owner: the successor acknowledges its end while the last start that the
+ * earlier owner ordered is under way to a worker that it can't reach.
+ */
+Test(sched, a_successor_acknowledges_after_the_last_starts)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 600};
+	unsigned n, k, vm, worker, row;
+	struct world *w;
+
+	for (row = 0; row < 8; row++) {
+		w = world_new_settled(820 + row);
+		n = owner(w);
+		world_submit(w, other(w), JOB_A, &one);
+		world_run(w, 300);
+		for (worker = 0; !world_starts_of(w, worker); worker++)
+			;
+		world_cut_worker_of_all(w, worker, true);
+		world_set_order_delay(w, 700);
+		while (!world_sched(w, n)->starts_in_flight)
+			world_run(w, 5);
+		for (vm = 0; vm < WORLD_VMS; vm++)
+			for (k = 0; k < WORLD_WORKERS; k++)
+				world_cut_worker(w, vm, k,
+						 vm != n && k != worker);
+		world_run(w, 20 * row);
+		world_stop_vm(w, n);
+		world_run(w, 3000);
+		cr_expect_neq(owner(w), n);
+		cr_expect_str_eq(world_job_state(w, JOB_A), "completed",
+				 "row %u", row);
+		check_free(w);
+	}
+}
+
 Test(sched, worker_fails_all)
 {
 	struct world *w = world_new_settled(15);
