World: late orders as long as the platform's, leases capped, polls reset

The simulated world was milder than the platform's protocol in what late orders do to a worker that restarts under its id, and harsher in one point.

- A late order is carried out up to 12 s later, as the users saw, not 10 s.
- world_reset_polls(): a long poll fails when its worker restarts.
Without it the next process answers the poll, so the owner notices the restart sooner than in the field.
- world_keep_late_orders(): late orders survive a restart under the same id.
The protocol's page doesn't exclude that; a switch, off by default.
- A start's deadline extends the lease by the longest lease at most, as a poll's did.
Without the bound, a start that a new process takes with the old clock's deadline would hold for minutes; the platform shortens it.

--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -214,6 +214,24 @@
 	w->late_percent = percent;
 }
 
+/*
+ * Lets the long polls at a worker fail at once when it restarts, as the
+ * platform's connections do.  Otherwise the next process answers them.
+ */
+void world_reset_polls(struct world *w)
+{
+	w->polls_reset = true;
+}
+
+/*
+ * Lets late orders to a worker that restarts under its id be carried out by its
+ * next process.  The platform's contract doesn't exclude that.
+ */
+void world_keep_late_orders(struct world *w)
+{
+	w->late_orders_kept = true;
+}
+
 /* Sets the share of starts that get no answer and are never carried out. */
 void world_set_lost_starts(struct world *w, unsigned percent)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -18,6 +18,9 @@
 #define TICK_MS 40
 #define LEASE_MAX_MS 6000
 #define STOP_MS 200
+/* A late order is carried out at least and less than this much later. */
+#define LATE_ORDER_MIN_MS 2000
+#define LATE_ORDER_RANGE_MS 10000
 #define MAINTENANCE_MS 2000
 #define SLOW_MACHINES_MS 1400
 #define LATE_MOVE_MS 6000
@@ -148,8 +151,8 @@
 	int64_t at;
 	uint64_t order;
 	unsigned vm;
-	unsigned generation;	    /* UINT32_MAX: a late order to a worker */
-	unsigned worker_generation; /* a late order is lost with this process */
+	unsigned generation;	     /* UINT32_MAX: a late order to a worker */
+	unsigned worker_generation;  /* process that got the order or poll */
 	struct sched_effect *effect; /* a request; NULL for an answer */
 	struct sched_event *event; /* an answer to the VM; NULL for a request */
 	bool is_late_write;	   /* its answer has timed out already */
@@ -198,6 +201,8 @@
 	int64_t order_delay_ms; /* of starts and stops */
 	unsigned ends_listed;	/* most ends in one answer of a worker */
 	bool old_connections;	/* timeouts report an old connection */
+	bool polls_reset;	/* when their worker restarts */
+	bool late_orders_kept;	/* a restart doesn't discard late orders */
 	enum refusal refusal;	/* answer to all starts */
 	int64_t limit;
 	int64_t limit_before; /* may be in force until limit_until */
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -353,6 +353,21 @@
 	return j && j->crashes && strcmp(name + JOB_ID_BYTES, ".0.0.0") == 0;
 }
 
+/*
+ * Extends a worker's lease to a deadline, and at most to the longest lease from
+ * now.  A lease is never shortened.
+ */
+static void lease_extend(struct world *w, unsigned n, int64_t deadline)
+{
+	struct world_worker *k = &w->workers[n];
+	int64_t limit = world_worker_now(w, n) + LEASE_MAX_MS;
+
+	if (deadline > limit)
+		deadline = limit;
+	if (deadline > k->lease_end)
+		k->lease_end = deadline;
+}
+
 /* Carries out a start on a worker. */
 static enum refusal start_apply(struct world *w, unsigned vm, unsigned n,
 				const struct order *o)
@@ -365,8 +380,7 @@
 
 	if (o->deadline < world_worker_now(w, n))
 		return REFUSAL_LATE;
-	if (o->deadline > k->lease_end)
-		k->lease_end = o->deadline;
+	lease_extend(w, n, o->deadline);
 	name = bstr_cstr(o->task);
 	for (i = 0; i < k->run_count; i++)
 		if (!strcmp(k->runs[i].name, name) &&
@@ -463,12 +477,28 @@
 	worker_answer_send(w, vm, fx, ev);
 }
 
+/*
+ * Ends a long poll whose worker's process has ended.  The connection is reset
+ * at once, unless the worker is cut off.
+ */
+static void poll_reset(struct world *w, const struct pending *p, unsigned n)
+{
+	if (w->vms[p->vm].cut_worker[n])
+		world_answer_timeout(w, p->vm, p->effect);
+	else
+		world_inbox_send(
+			w, p->vm,
+			world_answer_make(p->effect, OUT_UNKNOWN, w->now),
+			w->now + ONE_WAY_MS);
+}
+
 /* Answers the long polls that have new ends or have reached their deadline. */
 void world_polls_wake(struct world *w)
 {
 	struct pending *p, *next;
 	struct world_worker *k;
 	unsigned n;
+	bool ended;
 
 	for (p = TAILQ_FIRST(&w->waiting); p; p = next) {
 		next = TAILQ_NEXT(p, entry);
@@ -477,10 +507,14 @@
 		w->sender_generation = p->generation;
 		n = address_number(p->effect->ask.order.address);
 		k = &w->workers[n];
-		if (w->now < p->deadline &&
+		ended = w->polls_reset && p->worker_generation != k->generation;
+		if (!ended && w->now < p->deadline &&
 		    k->last_end <= p->effect->ask.order.ack_through)
 			continue;
-		if (!w->vms[p->vm].cut_worker[n] && w->now >= k->down_until)
+		if (ended)
+			poll_reset(w, p, n);
+		else if (!w->vms[p->vm].cut_worker[n] &&
+			 w->now >= k->down_until)
 			poll_answer(w, p->vm, n, p->effect);
 		else
 			world_answer_timeout(w, p->vm, p->effect);
@@ -508,10 +542,7 @@
 	k->fence = o->epoch;
 	switch (ask->kind) {
 	case ASK_POLL:
-		if (o->deadline > world_worker_now(w, n) + LEASE_MAX_MS)
-			k->lease_end = world_worker_now(w, n) + LEASE_MAX_MS;
-		else if (o->deadline > k->lease_end)
-			k->lease_end = o->deadline;
+		lease_extend(w, n, o->deadline);
 		ends_acknowledge(w, k, o->ack_through);
 		return REFUSAL_NONE;
 	case ASK_START:
@@ -555,8 +586,9 @@
 		world_answer_timeout(w, vm, fx);
 		p = world_pending_add(
 			w, &w->pending,
-			w->now + 2000 +
-				(int64_t)(random_next(&w->random) % 8000),
+			w->now + LATE_ORDER_MIN_MS +
+				(int64_t)(random_next(&w->random) %
+					  LATE_ORDER_RANGE_MS),
 			vm);
 		p->effect = fx;
 		p->generation = UINT32_MAX; /* no process awaits the answer */
@@ -569,6 +601,7 @@
 		p = world_pending_add(w, &w->waiting, w->now, vm);
 		p->effect = fx;
 		p->deadline = w->now + o->wait_ms;
+		p->worker_generation = w->workers[n].generation;
 		return;
 	}
 	if (refusal == REFUSAL_NONE && fx->ask.kind == ASK_POLL) {
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -335,7 +335,8 @@
 			(unsigned)(p->effect->ask.order.address.bstr_val[1] -
 				   '0');
 
-		if (p->worker_generation == w->workers[n].generation)
+		if (w->late_orders_kept ||
+		    p->worker_generation == w->workers[n].generation)
 			world_order_apply(w, p->vm, n, &p->effect->ask);
 		sched_effect_free(p->effect);
 	} else if (p->effect) {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -191,6 +191,18 @@
 void world_set_late_orders(struct world *w, unsigned percent);
 void world_set_lost_starts(struct world *w, unsigned percent);
 
+/*
+ * Lets long polls fail when their worker restarts.  Otherwise its next process
+ * answers them, and the restart is noticed sooner.
+ */
+void world_reset_polls(struct world *w);
+
+/*
+ * Lets late orders survive a restart of their worker under the same id, whose
+ * next process then carries them out.
+ */
+void world_keep_late_orders(struct world *w);
+
 /*
  * Lets a VM process each answer that isn't the store's this much later, in the
  * order of arrival, as if it were short of processor time.
