--- a/sched-ack.c
+++ b/sched-ack.c
@@ -40,7 +40,8 @@
  * Returns true if a start may still be carried out.  The process that was known
  * when it was ordered refuses it after its deadline.  A later process would
  * not, as its clock began anew; but it can't have received the start if the
- * known one existed after the order was sent.
+ * known one existed after the order was sent, and refuses it once it has
+ * answered a poll with a raised token.
  */
 static bool start_is_open(const struct sched *s, const struct open_start *o)
 {
@@ -48,8 +49,11 @@
 
 	if (s->now >= o->open_until)
 		return false;
-	return !w || w->started_at != o->process ||
-	       w->alive_at < o->ordered_at + ORDER_TIMEOUT_MS ||
+	if (!w)
+		return true;
+	if (w->started_at != o->process)
+		return w->token_is_new;
+	return w->alive_at < o->ordered_at + ORDER_TIMEOUT_MS ||
 	       w->clock <= o->start_by;
 }
 
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -191,6 +191,18 @@
 void world_set_late_orders(struct world *w, unsigned percent);
 void world_set_lost_starts(struct world *w, unsigned percent);
 
+/*
+ * Lets long polls fail when their worker restarts.  Otherwise its next process
+ * answers them, and the restart is noticed sooner.
+ */
+void world_reset_polls(struct world *w);
+
+/*
+ * Lets late orders survive a restart of their worker under the same id, whose
+ * next process then carries them out.
+ */
+void world_keep_late_orders(struct world *w);
+
 /*
  * Lets a VM process each answer that isn't the store's this much later, in the
  * order of arrival, as if it were short of processor time.
@@ -234,7 +246,7 @@
 /* Returns the running VM that the owner's row names, or -1. */
 int world_owner(const struct world *w);
 
-/* Returns the epoch of the ownership. */
+/* Returns how often the owner has changed. */
 unsigned world_epoch(struct world *w);
 
 /* Return how many starts all workers, or one, carried out. */
