Log: the run that has been placed longest

POOL_WAIT has only tasks that are pending. RUN_LONGEST has the same for those that are placed: one line a second at most, and only after 5 s. No decision depends on it.

--- a/sched-load.c
+++ b/sched-load.c
@@ -9,6 +9,8 @@
 #define LOAD_LOG_INTERVAL_MS 1000
 /* Shorter waits are not logged. */
 #define WAIT_LOG_MIN_MS 1000
+/* Tasks that end by themselves and have been placed for less are not logged. */
+#define RUN_LOG_MIN_MS 5000
 
 /*
  * Counts the answer to a poll, and the time since the previous one if the
@@ -134,6 +136,37 @@
 	}
 }
 
+/*
+ * Logs the task that has been placed longest of those that end by themselves,
+ * with what its worker has said of it.  A run that the owner counts on and
+ * that no worker has would leave its job open for ever.
+ */
+static void longest_run_log(struct sched *s)
+{
+	const struct task *t, *longest = NULL;
+	const struct worker *w;
+
+	for (w = s->workers; w; w = w->hh.next)
+		TAILQ_FOREACH(t, &w->tasks, worker_entry)
+			if (!task_step(t)->long_running &&
+			    (!longest || t->started_at < longest->started_at))
+				longest = t;
+	if (!longest || s->now - longest->started_at < RUN_LOG_MIN_MS)
+		return;
+	w = longest->worker;
+	sched_log(s, LOG_RUN_LONGEST,
+		  "task=%s.%u.%u.%u run=%llu worker=%.*s placed_ms=%lld "
+		  "phase=%d in_flight=%d stopping=%d percent=%u lists=%llu "
+		  "listed_in=%llu clock=%lld start_clock=%lld ends_cut=%d",
+		  longest->occ->job->id, longest->occ->number, longest->step,
+		  longest->index, (unsigned long long)longest->run,
+		  BSTR_ARG(w->id), (long long)(s->now - longest->started_at),
+		  longest->phase, longest->start_in_flight, longest->stopping,
+		  longest->percent, (unsigned long long)w->list_count,
+		  (unsigned long long)longest->last_list, (long long)w->clock,
+		  (long long)longest->started_at_worker, w->ends_truncated);
+}
+
 /* Returns the age of the owner's list of jobs; -1: not known. */
 static int64_t job_list_age_ms(const struct sched *s)
 {
@@ -175,6 +208,7 @@
 		return;
 	if (s->own.state == OWN_OWNER) {
 		waits_log(s);
+		longest_run_log(s);
 		if (HASH_COUNT(s->jobs) || l->ends)
 			load_log(s);
 	}
