Owner: a start without an outcome is taken as missing

Not shown: why the outcome never came. What is shown is that the owner had no bound on it: a start whose request has not ended was never taken as missing. Its worker's list proves more than the request: the clock is past the start's deadline, and the run is in neither list. So the request no longer matters.

Ruled out by the log: a restart of the worker, a list without room for all ends, polls that aren't processed (other tasks of that worker ended until 30 s).

--- a/sched-list.c
+++ b/sched-list.c
@@ -216,7 +216,9 @@
  * ends it proves nothing: a task that is done, but whose end is not listed yet,
  * would run a second time.  The list may also be older than a start that
  * another exchange reported, and an unanswered start may be carried out until
- * its deadline; both are decided by the worker's clock.
+ * its deadline; both are decided by the worker's clock.  Whether the start's
+ * request has ended does not matter: a task would count as starting for ever if
+ * the client never told.
  */
 static void missing_process(struct sched *s, struct worker *w,
 			    const struct answer *a)
@@ -227,7 +229,7 @@
 		return;
 	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
 		next = TAILQ_NEXT(t, worker_entry);
-		if (t->start_in_flight || t->last_list == w->list_count)
+		if (t->last_list == w->list_count)
 			continue;
 		if (t->phase == PHASE_STARTING && a->clock <= t->start_by)
 			continue;
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -16,6 +16,12 @@
 	w->start_answers_lost = lost;
 }
 
+/* Lets starts be lost, and the VM's client report no outcome of them. */
+void world_lose_start_outcomes(struct world *w, bool lost)
+{
+	w->start_outcomes_lost = lost;
+}
+
 /* Sets the number of cores of a VM's next process. */
 void world_set_cores(struct world *w, unsigned vm, double n)
 {
--- a/tests/test-ends.c
+++ b/tests/test-ends.c
@@ -263,3 +263,22 @@
 		check_free(w);
 	}
 }
+
+/*
+ * Guards against a task that counts as starting for ever, and its job as
+ * running: the VM's client reports no outcome of its start.
+ */
+Test(ends, start_without_an_outcome)
+{
+	static const struct world_job job = {.tasks = 3, .task_ms = 300};
+	struct world *w = world_new_settled(860);
+
+	world_lose_start_outcomes(w, true);
+	world_submit(w, other(w), JOB_A, &job);
+	world_run(w, 100);
+	world_lose_start_outcomes(w, false);
+	world_run(w, 4000);
+	cr_expect_str_eq(world_job_state(w, JOB_A), "completed");
+	cr_expect_eq(world_starts(w), 3);
+	check_free(w);
+}
