Owner: a request without an outcome counts as unanswered

Each request's deadline is now stored, and 3 s after it the request counts as unanswered (REQUEST_LOST), which every sender deals with. A report that comes later is ignored, as before.

--- a/sched-state.h
+++ b/sched-state.h
@@ -506,6 +506,7 @@
 	uint64_t id;
 	enum purpose purpose;
 	int64_t asked_at;
+	int64_t deadline;
 	uint64_t epoch; /* of the owner that sent it; 0: any */
 	uint64_t token; /* of an order to a worker */
 	uint64_t call;
@@ -821,6 +822,7 @@
 				       * that the window allows */
 	int64_t start_answer_us;      /* smoothed time until an answer */
 	int64_t start_answer_expires; /* start_answer_us is valid until then */
+	int64_t requests_check_at;
 	int64_t move_at;
 	int64_t pool_log_at;
 	json_t *home_sizes; /* initial number of machines by pool, or NULL */
--- a/sched.c
+++ b/sched.c
@@ -7,6 +7,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * A request without an outcome this long after its deadline counts as
+ * unanswered.  The client reports a timeout at the deadline, but an owner short
+ * of processor time may process that report seconds later.
+ */
+#define REQUEST_LOST_MS 3000
+#define REQUEST_CHECK_INTERVAL_MS 1000
+
 /* Adds an effect; the caller fills in the rest of it. */
 struct sched_effect *sched_effect_add(struct sched *s,
 				      enum sched_effect_kind kind)
@@ -29,6 +37,7 @@
 	rq->id = ++s->last_request;
 	rq->purpose = purpose;
 	rq->asked_at = s->now;
+	rq->deadline = deadline;
 	rq->epoch = own_may_order(s) || s->own.state == OWN_LOADING
 			    ? s->own.epoch
 			    : 0;
@@ -214,6 +223,32 @@
 	free(rq);
 }
 
+/*
+ * Takes requests for unanswered whose outcome the client has not reported for
+ * long after their deadline.  Whatever waits for the outcome would wait for
+ * ever: a commit, the polls of a worker, a task that counts as starting.
+ */
+static void requests_check(struct sched *s)
+{
+	struct request *rq, *next;
+	struct answer none = {.outcome = OUT_UNKNOWN};
+
+	if (s->now < s->requests_check_at)
+		return;
+	s->requests_check_at = s->now + REQUEST_CHECK_INTERVAL_MS;
+	HASH_ITER(hh, s->requests, rq, next) {
+		if (s->now < rq->deadline + REQUEST_LOST_MS)
+			continue;
+		sched_log(s, LOG_REQUEST_LOST,
+			  "request=%llu purpose=%d asked_ms=%lld",
+			  (unsigned long long)rq->id, rq->purpose,
+			  (long long)(s->now - rq->asked_at));
+		none.request = rq->id;
+		none.sent_at = rq->asked_at;
+		answer_process(s, &none);
+	}
+}
+
 /*
  * Detects that the process did not run for a while.  It may have lost its
  * ownership meanwhile, so it sends no order until the store has confirmed the
@@ -310,6 +345,7 @@
 static void tick_process(struct sched *s)
 {
 	s->place_due = s->place_due || s->has_pending_tasks;
+	requests_check(s);
 	follow_tick(s);
 	own_tick(s);
 	call_tick(s);
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -16,10 +16,10 @@
 	w->start_answers_lost = lost;
 }
 
-/* Lets starts be lost, and the VM's client report no outcome of them. */
-void world_lose_start_outcomes(struct world *w, bool lost)
+/* Lets requests be lost, and the VM's client report no outcome of them. */
+void world_lose_outcomes(struct world *w, enum ask_kind kind, bool lost)
 {
-	w->start_outcomes_lost = lost;
+	w->outcomes_lost[kind] = lost;
 }
 
 /* Sets the number of cores of a VM's next process. */
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -571,10 +571,6 @@
 	enum refusal refusal;
 	struct pending *p;
 
-	if (w->start_outcomes_lost && fx->ask.kind == ASK_START) {
-		sched_effect_free(fx);
-		return;
-	}
 	if (w->vms[vm].cut_worker[n] || w->now < w->workers[n].down_until ||
 	    start_is_lost(w, fx)) {
 		world_answer_timeout(w, vm, fx);
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -159,6 +159,10 @@
 static void request_deliver(struct world *w, unsigned vm,
 			    struct sched_effect *fx)
 {
+	if (w->outcomes_lost[fx->ask.kind]) {
+		sched_effect_free(fx);
+		return;
+	}
 	switch (fx->ask.kind) {
 	case ASK_TX:
 	case ASK_GET:
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -212,8 +212,8 @@
 /* Lets starts be carried out without an answer. */
 void world_lose_start_answers(struct world *w, bool lost);
 
-/* Lets starts be lost, and the VM's client report no outcome of them. */
-void world_lose_start_outcomes(struct world *w, bool lost);
+/* Lets requests be lost, and the VM's client report no outcome of them. */
+void world_lose_outcomes(struct world *w, enum ask_kind kind, bool lost);
 
 /* Delays starts and stops, as if they waited in the VM's HTTP client. */
 void world_set_order_delay(struct world *w, int64_t ms);
--- a/tests/test-ends.c
+++ b/tests/test-ends.c
@@ -265,20 +265,40 @@
 }
 
 /*
- * Guards against a task that counts as starting for ever, and its job as
- * running: the VM's client reports no outcome of its start.
+ * Guards against a job that is open for ever: the VM's client reports no
+ * outcome of a request, which the owner waits for.
  */
-Test(ends, start_without_an_outcome)
+static const struct {
+	const char *name;
+	enum ask_kind kind;
+	bool submit_later; /* when no more requests are lost */
+	int64_t lost_ms;
+	int64_t within_ms; /* of their end */
+} outcome_rows[] = {
+	{"starts", ASK_START, false, 100, 4000},
+	{"polls", ASK_POLL, true, 1500, 10000},
+	{"writes", ASK_TX, false, 30, 10000},
+};
+Test(ends, requests_without_an_outcome)
 {
 	static const struct world_job job = {.tasks = 3, .task_ms = 300};
-	struct world *w = world_new_settled(860);
+	struct world *w;
+	unsigned row;
 
-	world_lose_start_outcomes(w, true);
-	world_submit(w, other(w), JOB_A, &job);
-	world_run(w, 100);
-	world_lose_start_outcomes(w, false);
-	world_run(w, 4000);
-	cr_expect_str_eq(world_job_state(w, JOB_A), "completed");
-	cr_expect_eq(world_starts(w), 3);
-	check_free(w);
+	for (row = 0; row < NELEMS(outcome_rows); row++) {
+		w = world_new_settled(860);
+		if (!outcome_rows[row].submit_later)
+			world_submit(w, other(w), JOB_A, &job);
+		world_run(w, 8);
+		world_lose_outcomes(w, outcome_rows[row].kind, true);
+		world_run(w, outcome_rows[row].lost_ms);
+		world_lose_outcomes(w, outcome_rows[row].kind, false);
+		if (outcome_rows[row].submit_later)
+			world_submit(w, other(w), JOB_A, &job);
+		world_run(w, outcome_rows[row].within_ms);
+		cr_expect_str_eq(world_job_state(w, JOB_A), "completed", "%s",
+				 outcome_rows[row].name);
+		cr_expect_eq(world_starts(w), 3, "%s", outcome_rows[row].name);
+		check_free(w);
+	}
 }
