Ends: an end isn't acknowledged while a start of its task may come late

Cause: a task was given up on a silent worker and started on one that had just restarted; that start had no answer and its worker fell silent. The task waits 12.5 s for it (starts_delay). Meanwhile the first worker is back and lists the end of the first run: since the task isn't starting any more, nothing deferred the end. It was stored and acknowledged, and then the start was carried out.

Change: the end is processed and stored at once, but the acknowledgements of its worker stay below it until the start can't be carried out any more. Other tasks don't wait, and nothing is started later than before. Such a worker is polled each 0.3 s meanwhile.

Ruled out: deferring the end (end_find_deferring_task): all later ends of that worker would wait for up to 12.5 s, and tasks with them.

Left: a worker with more ends than a list holds lists no more of them during the wait; a successor knows nothing of the start and acknowledges at once.

--- a/sched-list.c
+++ b/sched-list.c
@@ -70,6 +70,18 @@
 	}
 }
 
+/*
+ * Returns true if an earlier start of a task may still be carried out, other
+ * than by the known process of a worker that is past the start's deadline.
+ */
+static bool late_start_is_possible(const struct sched *s,
+				   const struct worker *w, const struct task *t)
+{
+	if (s->now >= t->late_start_until)
+		return false;
+	return t->awaited_worker != w->serial || w->clock <= t->start_by;
+}
+
 /* Handles an end that a worker lists. */
 static void end_process(struct sched *s, struct worker *w,
 			const struct ended *n)
@@ -98,6 +110,8 @@
 			task_stop(s, t);
 		if (t->worker)
 			task_unplace(s, t);
+		if (late_start_is_possible(s, w, t))
+			worker_hold_ack(s, w, n->number, t->late_start_until);
 		job_task_done(s, t);
 	} else {
 		t->crash_inherited = false;
--- a/sched-order.c
+++ b/sched-order.c
@@ -210,6 +210,7 @@
 	t->start_in_flight = true;
 	t->connected_at = 0;
 	t->awaited_worker = 0;
+	t->late_start_until = 0;
 	t->start_by = worker_clock(s, w) + START_VALID_MS;
 	if (t->start_by > w->lease_end)
 		w->lease_end = t->start_by;
--- a/sched-state.h
+++ b/sched-state.h
@@ -186,12 +186,14 @@
 	int64_t started_at_worker; /* time of the start on the worker's clock */
 	uint64_t last_list;	   /* latest worker list with this run */
 	int64_t started_at;
-	int64_t connected_at;	 /* start of the connection that carried the
-				  * order; 0: not known */
-	uint32_t awaited_worker; /* serial of a worker that may still carry out
-				  * an earlier start; 0: none */
-	uint32_t lost_worker;	 /* serial of the worker on which its latest run
-				  * was given up; 0: none */
+	int64_t connected_at;	  /* start of the connection that carried the
+				   * order; 0: not known */
+	uint32_t awaited_worker;  /* serial of a worker that may still carry out
+				   * an earlier start; 0: none */
+	int64_t late_start_until; /* an earlier start may be carried out until
+				   * then; 0: none */
+	uint32_t lost_worker; /* serial of the worker on which its latest run
+			       * was given up; 0: none */
 	int64_t ready_at;
 	int64_t not_before; /* delayed until then */
 	unsigned failure_count;
@@ -381,6 +383,8 @@
 	bool ends_deferred;	 /* some of its ends can't be processed yet */
 	int64_t deferred_since;	 /* since then */
 	int64_t deferred_log_at; /* logged again from then on */
+	uint64_t ack_below; /* ends from this number on aren't acknowledged */
+	int64_t ack_held_until;	 /* before this time */
 	bool ends_truncated;	 /* its last list did not hold all ends */
 	bool same_process;	 /* the end numbers are known to be current */
 	unsigned failure_streak; /* consecutive failures of different jobs */
@@ -982,6 +986,8 @@
 void worker_acknowledge(struct sched *s);
 bool worker_ends_durable(const struct worker *w);
 void worker_record_end(struct sched *s, struct worker *w, uint64_t number);
+void worker_hold_ack(struct sched *s, struct worker *w, uint64_t number,
+		     int64_t until);
 void worker_lost(struct sched *s, struct worker *w, const char *why);
 void worker_set_gone(struct sched *s, struct worker *w);
 void sched_worker_free(struct sched *s, struct worker *w);
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -109,6 +109,37 @@
 	TAILQ_INSERT_TAIL(&s->unacked, w, unacked);
 }
 
+/* Returns true if not all durable ends of a worker may be acknowledged yet. */
+static bool worker_holds_ack(const struct sched *s, const struct worker *w)
+{
+	return s->now < w->ack_held_until;
+}
+
+/*
+ * Keeps the acknowledgements of a worker below the end of a completed task
+ * until a time at which no late start of the task is possible any more.  A
+ * start after the acknowledged end would be a second run of a completed task.
+ * The end itself is processed and stored, as are those after it.
+ */
+void worker_hold_ack(struct sched *s, struct worker *w, uint64_t number,
+		     int64_t until)
+{
+	if (!worker_holds_ack(s, w) || number < w->ack_below)
+		w->ack_below = number;
+	if (until > w->ack_held_until)
+		w->ack_held_until = until;
+}
+
+/* Returns the highest number of an end that may be acknowledged. */
+static uint64_t worker_ack_number(const struct sched *s, const struct worker *w)
+{
+	if (!w->same_process)
+		return 0;
+	if (worker_holds_ack(s, w) && w->durable_end >= w->ack_below)
+		return w->ack_below - 1;
+	return w->durable_end;
+}
+
 /*
  * Adds a worker about which only its id is known.  Its record may have been
  * freed earlier in this epoch, so it gets the highest token given so far.
@@ -183,6 +214,7 @@
 		if (!start_may_reach_later_process(t))
 			continue;
 		t->awaited_worker = w->serial;
+		t->late_start_until = t->started_at + ORDER_LIFETIME_MAX_MS;
 		w->late_starts_possible = true;
 		task_delay(t, t->started_at + ORDER_LIFETIME_MAX_MS);
 		sched_log(s, LOG_START_AWAITED,
@@ -209,9 +241,11 @@
 		TAILQ_FOREACH(o, &j->occs, entry) {
 			for (i = 0; i < o->task_count; i++) {
 				t = &o->tasks[i];
-				if (t->awaited_worker == w->serial &&
-				    w->clock > t->start_by)
-					t->not_before = s->now;
+				if (t->awaited_worker != w->serial ||
+				    w->clock <= t->start_by)
+					continue;
+				t->not_before = s->now;
+				t->late_start_until = 0;
 			}
 		}
 	}
@@ -314,6 +348,7 @@
 		if (t->phase == PHASE_STARTING &&
 		    t->started_at >= earliest_start) {
 			task_delay(t, t->started_at + ORDER_LIFETIME_MAX_MS);
+			t->late_start_until = t->not_before;
 			late_starts_until = t->not_before;
 		}
 	w->token_is_new = true;
@@ -330,6 +365,7 @@
 	w->last_end = w->durable_end = 0;
 	w->last_end_seq = 0;
 	w->ends_deferred = false;
+	w->ack_held_until = 0;
 	w->fenced = false;
 	worker_update_unknown(s, w);
 	/* A run ordered from the old process has the longest lease. */
@@ -475,7 +511,8 @@
 static uint32_t poll_wait(const struct sched *s, const struct worker *w)
 {
 	if (!w->fenced || w->token_is_new || !w->clock || !w->same_process ||
-	    w->durable_end < w->last_end || w->ends_deferred)
+	    w->durable_end < w->last_end || w->ends_deferred ||
+	    worker_holds_ack(s, w))
 		return 0;
 	if (TAILQ_EMPTY(&w->tasks))
 		return poll_idle_wait(s);
@@ -525,7 +562,7 @@
 	o->worker = bstr_copy(w->id);
 	o->address = bstr_copy(w->row.address);
 	o->epoch = rq->token = w->token;
-	o->ack_through = w->same_process ? w->durable_end : 0;
+	o->ack_through = worker_ack_number(s, w);
 	rq->number = o->ack_through;
 	o->wait_ms = wait;
 	/*
@@ -721,7 +758,8 @@
 		w->poll_at = s->now;
 		if (w->durable_end < w->last_end)
 			w->poll_paused_until = poll_pause_end(s, w);
-		if (w->durable_end < w->last_end || w->ends_deferred)
+		if (w->durable_end < w->last_end || w->ends_deferred ||
+		    worker_holds_ack(s, w))
 			w->poll_at += POLL_RETRY_MS;
 		worker_acknowledge(s);
 		if (!w->polling && s->now >= w->poll_at && own_may_order(s))
--- a/tests/test-restart.c
+++ b/tests/test-restart.c
@@ -158,3 +158,63 @@
 		check_free(w, "another version", 970 + i);
 	}
 }
+
+/* Returns a world in which a task runs on a worker that was then cut off. */
+static struct world *world_new_cut_off(uint64_t seed, unsigned *worker)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 600};
+	struct world *w = world_new_settled(seed);
+
+	world_reset_polls(w);
+	world_run(w, 6000);
+	world_submit(w, other(w), JOB_A, &one);
+	world_run(w, 300);
+	for (*worker = 0; !world_starts_of(w, *worker);)
+		++*worker;
+	world_cut_worker_of_all(w, *worker, true);
+	return w;
+}
+
+/* Returns the worker with a start that has no answer. */
+static unsigned starting_worker(struct world *w)
+{
+	struct worker *k = world_sched(w, owner(w))->workers;
+
+	while (k && (TAILQ_EMPTY(&k->tasks) ||
+		     TAILQ_FIRST(&k->tasks)->phase != PHASE_STARTING))
+		k = k->hh.next;
+	cr_assert_not_null(k, "no start is in flight");
+	return (unsigned)k->row.address.bstr_val[1] - '0';
+}
+
+/*
+ * A completed task runs again: its end is acknowledged while a process that is
+ * not known may still carry out a later start.  The task was given up on a
+ * silent worker, which lists the end afterwards; the next start had no answer
+ * and reached a worker that had just restarted and is cut off since.
+ */
+Test(restart, end_acknowledged_before_a_late_start)
+{
+	unsigned seed, cut, k;
+	struct world *w;
+	int64_t ms;
+
+	for (seed = 1000; seed < 1010; seed++) {
+		w = world_new_cut_off(seed, &cut);
+		for (ms = 0; !world_sched(w, owner(w))->starts_in_flight; ms++)
+			world_run(w, 1);
+		world_free(w);
+		w = world_new_cut_off(seed, &cut);
+		world_run(w, ms - 302);
+		for (k = 0; k < 6; k++)
+			if (k != cut)
+				world_crash_worker(w, k);
+		world_set_late_orders(w, 100);
+		world_run(w, 360);
+		world_set_late_orders(w, 0);
+		world_cut_worker_of_all(w, cut, false);
+		world_cut_worker_of_all(w, starting_worker(w), true);
+		world_run(w, 25000);
+		check_free(w, "awaited start", seed);
+	}
+}
