Crashes: a start that the new process got is no crash of the old one

What callers saw: an innocent job shown as failed. When the restart of a worker under its id is noticed, all tasks on it count a crash, also those whose start was sent after the new process had started, and those that it lists as running: "crashes=1 alone=1 confirmed=1", and TASK_ADOPTED of the same run in the same millisecond.

Change: such tasks are taken from the worker before the crashes are counted. The delay of an unanswered start stays as it was; a run that is listed is adopted, as before.

Found in the log of test-restart lease_extended_by_late_poll.

--- a/sched-worker.c
+++ b/sched-worker.c
@@ -318,6 +318,48 @@
 		w->lease_end = extended_at + s->options.lease_max_ms;
 }
 
+/*
+ * Returns true if the old process of a restarted worker can't have carried out
+ * a task's start: the new one lists the run, or the start was sent after the
+ * latest time at which the new one can have started.
+ */
+static bool start_missed_old_process(const struct sched *s,
+				     const struct answer *a,
+				     const struct task *t)
+{
+	bstr name;
+	size_t i;
+	bool listed = false;
+
+	if (t->started_at > s->now - a->clock)
+		return true;
+	name = task_name(t);
+	for (i = 0; i < a->running_count && !listed; i++)
+		listed = t->run == a->running[i].run &&
+			 bstr_eq(a->running[i].task, name);
+	bstr_free(&name);
+	return listed;
+}
+
+/*
+ * Removes the tasks that did not run in the old process of a restarted worker:
+ * if that crashed, they are not the cause.  Those that the new process lists
+ * are adopted again.
+ */
+static void worker_remove_later_starts(struct sched *s, struct worker *w,
+				       const struct answer *a)
+{
+	struct task *t, *next;
+
+	for (t = TAILQ_FIRST(&w->tasks); t; t = next) {
+		next = TAILQ_NEXT(t, worker_entry);
+		if (!start_missed_old_process(s, a, t))
+			continue;
+		t->lost_worker = w->serial;
+		task_unplace(s, t);
+	}
+}
+
 /*
  * Handles the restart of a worker under the same id.  The new process knows
  * nothing of the earlier runs.
@@ -354,6 +396,7 @@
 	w->token_is_new = true;
 	if (w->clock)
 		worker_raise_token(s, w);
+	worker_remove_later_starts(s, w, a);
 	if (w->started_at) {
 		crash_worker_lost(s, w, true);
 		worker_lost(s, w, "restarted");
--- a/tests/test-restart.c
+++ b/tests/test-restart.c
@@ -218,3 +218,32 @@
 		check_free(w, "awaited start", seed);
 	}
 }
+
+/*
+ * A job is shown as failed although none of its tasks did anything wrong: a
+ * start was carried out by the new process of a restarted worker before the
+ * owner noticed the restart, and counted as a crash of that worker.
+ */
+Test(restart, start_by_new_process_is_no_crash)
+{
+	unsigned seed, k;
+	struct world *w;
+
+	for (seed = 1020; seed < 1030; seed++) {
+		w = world_new_settled(seed);
+		world_reset_polls(w);
+		world_run(w, 6000);
+		for (k = 0; k < 6; k++)
+			world_crash_worker(w, k);
+		world_set_late_orders(w, 100); /* the next poll */
+		world_run(w, 310);
+		world_set_late_orders(w, 0);
+		world_submit(w, other(w), JOB_A, &long_lived);
+		world_run(w, 3000);
+		cr_expect_eq(world_starts(w), 4, "seed %u: %u", seed,
+			     world_starts(w));
+		cr_expect_eq(world_stored_crashes(w, JOB_A), 0, "seed %u: %u",
+			     seed, world_stored_crashes(w, JOB_A));
+		check_free(w, "no crash", seed);
+	}
+}
