--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -174,6 +174,18 @@
 	world_worker_crash(w, worker, 300);
 }
 
+/*
+ * Restarts a worker under the same id unless something runs there.  Returns
+ * false if it doesn't.
+ */
+bool world_restart_idle_worker(struct world *w, unsigned worker)
+{
+	if (w->workers[worker].run_count)
+		return false;
+	world_crash_worker(w, worker);
+	return true;
+}
+
 /* Sets how workers are back after a task has crashed them, and when. */
 void world_set_crash_mode(struct world *w, enum world_crash_mode mode,
 			  int64_t down_ms)
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -144,6 +144,7 @@
 
 /* Restart a worker, which loses its runs, under the same or under a new id. */
 void world_crash_worker(struct world *w, unsigned worker);
+bool world_restart_idle_worker(struct world *w, unsigned worker);
 void world_replace_worker(struct world *w, unsigned worker);
 
 /* What a worker does after a crash. */
