--- a/tests/test-restart.c
+++ b/tests/test-restart.c
@@ -159,6 +159,48 @@
 	}
 }
 
+/*
+ * A start without an answer is carried out by a process of a cut-off worker
+ * that is not known, seconds later, when its task has been started elsewhere:
+ * the task's two runs overlap, or it starts after its end was acknowledged.
+ */
+static const struct {
+	const char *name;
+	bool kill; /* the owner, when the workers are cut off */
+	struct world_job job;
+} unknown_process_rows[] = {
+	{"one owner", false, {.tasks = 3, .task_ms = 20000}},
+	{"another owner", true, {.tasks = 3, .task_ms = 20000}},
+	{"another owner, short tasks", true, {.tasks = 3, .task_ms = 300}},
+};
+Test(restart, late_start_by_unknown_process)
+{
+	struct world *w;
+	unsigned i, k, vm, seed;
+
+	for (i = 0; i < NELEMS(unknown_process_rows); i++) {
+		for (seed = 980; seed < 990; seed++) {
+			w = world_new_settled(seed);
+			world_reset_polls(w);
+			world_run(w, 6000);
+			vm = other(w);
+			world_set_late_orders(w, 100);
+			for (k = 0; k < CUT_WORKERS; k++)
+				world_crash_worker(w, k);
+			world_run(w, 310);
+			world_submit(w, vm, JOB_A,
+				     &unknown_process_rows[i].job);
+			world_run(w, 100);
+			world_cut_workers_of_all(w, CUT_WORKERS, true);
+			world_set_late_orders(w, 0);
+			if (unknown_process_rows[i].kill)
+				world_kill_vm(w, owner(w));
+			world_run(w, 25000);
+			check_free(w, unknown_process_rows[i].name, seed);
+		}
+	}
+}
+
 /* Returns a world in which a task runs on a worker that was then cut off. */
 static struct world *world_new_cut_off(uint64_t seed, unsigned *worker)
 {
