--- a/sched-ack.c
+++ b/sched-ack.c
@@ -75,15 +75,18 @@
 void ack_hold_if_start_open(struct sched *s, struct worker *w,
 			    const struct task *t, const struct ended *n)
 {
+	struct worker *to = t->worker;
 	struct open_start *o;
 
 	if (t->run == n->run || t->phase == PHASE_RUNNING ||
 	    (t->phase == PHASE_PENDING && s->now >= t->late_start_until))
 		return;
+	if (!to && t->awaited_worker == w->serial)
+		to = w;
 	o = xcalloc(1, sizeof(*o));
 	o->ended_on = w;
-	o->worker = t->worker;
-	o->process = t->worker ? t->worker->started_at : 0;
+	o->worker = to;
+	o->process = to ? to->started_at : 0;
 	o->ordered_at = t->started_at;
 	o->start_by = t->start_by;
 	o->open_until = t->started_at + ORDER_LIFETIME_MAX_MS;
@@ -94,7 +97,7 @@
 		  "start_worker=%.*s start_ms=%lld",
 		  BSTR_ARG(n->task), (unsigned long long)n->run,
 		  BSTR_ARG(w->id), (unsigned long long)t->run,
-		  BSTR_ARG(t->worker ? t->worker->id : BSTR_NONE),
+		  BSTR_ARG(to ? to->id : BSTR_NONE),
 		  (long long)(s->now - t->started_at));
 }
 
--- a/tests/test-restart.c
+++ b/tests/test-restart.c
@@ -158,3 +158,134 @@
 		check_free(w, "another version", 970 + i);
 	}
 }
+
+/*
+ * A start without an answer is carried out by a process of a cut-off worker
+ * that is not known, seconds later, when its task has been started elsewhere:
+ * the task's two runs overlap, or it starts after its end was acknowledged.
+ */
+static const struct {
+	const char *name;
+	bool kill; /* the owner, when the workers are cut off */
+	struct world_job job;
+} unknown_process_rows[] = {
+	{"one owner", false, {.tasks = 3, .task_ms = 20000}},
+	{"another owner", true, {.tasks = 3, .task_ms = 20000}},
+	{"another owner, short tasks", true, {.tasks = 3, .task_ms = 300}},
+};
+Test(restart, late_start_by_unknown_process)
+{
+	struct world *w;
+	unsigned i, k, vm, seed;
+
+	for (i = 0; i < NELEMS(unknown_process_rows); i++) {
+		for (seed = 980; seed < 990; seed++) {
+			w = world_new_settled(seed);
+			world_reset_polls(w);
+			world_run(w, 6000);
+			vm = other(w);
+			world_set_late_orders(w, 100);
+			for (k = 0; k < CUT_WORKERS; k++)
+				world_crash_worker(w, k);
+			world_run(w, 310);
+			world_submit(w, vm, JOB_A,
+				     &unknown_process_rows[i].job);
+			world_run(w, 100);
+			world_cut_workers_of_all(w, CUT_WORKERS, true);
+			world_set_late_orders(w, 0);
+			if (unknown_process_rows[i].kill)
+				world_kill_vm(w, owner(w));
+			world_run(w, 25000);
+			check_free(w, unknown_process_rows[i].name, seed);
+		}
+	}
+}
+
+/* Returns a world in which a task runs on a worker that was then cut off. */
+static struct world *world_new_cut_off(uint64_t seed, unsigned *worker)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 600};
+	struct world *w = world_new_settled(seed);
+
+	world_reset_polls(w);
+	world_run(w, 6000);
+	world_submit(w, other(w), JOB_A, &one);
+	world_run(w, 300);
+	for (*worker = 0; !world_starts_of(w, *worker);)
+		++*worker;
+	world_cut_worker_of_all(w, *worker, true);
+	return w;
+}
+
+/* Returns the worker with a start that has no answer. */
+static unsigned starting_worker(struct world *w)
+{
+	struct worker *k = world_sched(w, owner(w))->workers;
+
+	while (k && (TAILQ_EMPTY(&k->tasks) ||
+		     TAILQ_FIRST(&k->tasks)->phase != PHASE_STARTING))
+		k = k->hh.next;
+	cr_assert_not_null(k, "no start is in flight");
+	return (unsigned)k->row.address.bstr_val[1] - '0';
+}
+
+/*
+ * A completed task runs again: its end is acknowledged while a process that is
+ * not known may still carry out a later start.  The task was given up on a
+ * silent worker, which lists the end afterwards; the next start had no answer
+ * and reached a worker that had just restarted and is cut off since.
+ */
+Test(restart, end_acknowledged_before_a_late_start)
+{
+	unsigned seed, cut, k;
+	struct world *w;
+	int64_t ms;
+
+	for (seed = 1000; seed < 1010; seed++) {
+		w = world_new_cut_off(seed, &cut);
+		for (ms = 0; !world_sched(w, owner(w))->starts_in_flight; ms++)
+			world_run(w, 1);
+		world_free(w);
+		w = world_new_cut_off(seed, &cut);
+		world_run(w, ms - 302);
+		for (k = 0; k < 6; k++)
+			if (k != cut)
+				world_crash_worker(w, k);
+		world_set_late_orders(w, 100);
+		world_run(w, 360);
+		world_set_late_orders(w, 0);
+		world_cut_worker_of_all(w, cut, false);
+		world_cut_worker_of_all(w, starting_worker(w), true);
+		world_run(w, 25000);
+		check_free(w, "awaited start", seed);
+	}
+}
+
+/*
+ * A job is shown as failed although none of its tasks did anything wrong: a
+ * start was carried out by the new process of a restarted worker before the
+ * owner noticed the restart, and counted as a crash of that worker.
+ */
+Test(restart, start_by_new_process_is_no_crash)
+{
+	unsigned seed, k;
+	struct world *w;
+
+	for (seed = 1020; seed < 1030; seed++) {
+		w = world_new_settled(seed);
+		world_reset_polls(w);
+		world_run(w, 6000);
+		for (k = 0; k < 6; k++)
+			world_crash_worker(w, k);
+		world_set_late_orders(w, 100); /* the next poll */
+		world_run(w, 310);
+		world_set_late_orders(w, 0);
+		world_submit(w, other(w), JOB_A, &long_lived);
+		world_run(w, 3000);
+		cr_expect_eq(world_starts(w), 4, "seed %u: %u", seed,
+			     world_starts(w));
+		cr_expect_eq(world_stored_crashes(w, JOB_A), 0, "seed %u: %u",
+			     seed, world_stored_crashes(w, JOB_A));
+		check_free(w, "no crash", seed);
+	}
+}
