bench-starts: the room of a worker and the length of a task can be set

The bench's workers had room for 64 tasks of 1 s, so a thousand tasks lay on 16 workers and each run was listed hardly ever. The defaults are as before.

--- a/bench/bench-starts.c
+++ b/bench/bench-starts.c
@@ -118,10 +118,12 @@
 	}
 	if (c->starts)
 		printf(" starts/s=%.0f holds/s=%.0f ends/s=%.0f listed=%.2f "
-		       "store/s=%.0f us/start=%.1f above_idle=%.1f",
+		       "runs_listed=%.2f store/s=%.0f us/start=%.1f "
+		       "above_idle=%.1f",
 		       (double)c->starts / s, (double)c->holds / s,
 		       (double)c->ends / s,
 		       (double)c->listed / (double)c->starts,
+		       (double)c->listed_runs / (double)c->starts,
 		       (double)c->calls / s, ns * s / (double)c->starts / 1000,
 		       (ns - idle_ns) * s / (double)c->starts / 1000);
 	else
@@ -135,7 +137,8 @@
 {
 	struct cloud_counts *c = &cloud_counts;
 
-	c->starts = c->holds = c->ends = c->listed = c->calls = 0;
+	c->starts = c->holds = c->ends = c->calls = 0;
+	c->listed = c->listed_runs = 0;
 }
 
 /* Measures the owner first without load, then under load. */
@@ -170,6 +173,12 @@
 		{"rate", 0, POPT_ARG_INT, &rate, 0, "starts per second", "N"},
 		{"seconds", 0, POPT_ARG_INT, &seconds, 0, "length of the load",
 		 "N"},
+		{"task-ms", 0, POPT_ARG_INT, &cloud_load.task_ms, 0,
+		 "run time of a task", "MS"},
+		{"slots", 0, POPT_ARG_INT, &cloud_load.slots, 0,
+		 "tasks that a worker has room for", "N"},
+		{"objective-ms", 0, POPT_ARG_INT, &cloud_load.objective_ms, 0,
+		 "objective of the jobs", "MS"},
 		POPT_AUTOHELP POPT_TABLEEND};
 	poptContext pc = poptGetContext(NULL, argc, argv, options, 0);
 	struct entry_process owner = {.name = "owner"};
--- a/tests/support-cloud.c
+++ b/tests/support-cloud.c
@@ -16,9 +16,7 @@
 #define API "/bamboofront/"
 #define SERVICE "rounds"
 #define PAGE_ROWS 500
-#define CORES 64000 /* of a worker, in thousandths */
-#define NEED 1000   /* of a task, in thousandths */
-#define TASK_MS 1000
+#define NEED 1000      /* cores of a task, in thousandths */
 #define SUBMITS_MAX 64 /* open connections for submissions */
 #define TABLES_MAX 8
 
@@ -83,6 +81,7 @@
 };
 
 struct cloud_counts cloud_counts;
+struct cloud_load cloud_load = {1000, 64, 600};
 
 static struct worker *workers;
 static unsigned worker_count;
@@ -475,6 +474,7 @@
 		TAILQ_FOREACH(r, &w->runs, entry) {
 			if (!r->end_seq != !pass)
 				continue;
+			cloud_counts.listed_runs += !pass;
 			if (capacity - len < 256) {
 				capacity = 2 * capacity + 256;
 			}
@@ -671,7 +671,8 @@
 	char *body = xasprintf("{\"specification\":\"%d"
 			       "\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
 			       "\"estimated_ms\":%d}]}",
-			       TASK_MS, CLOUD_TASKS_PER_JOB, NEED, TASK_MS);
+			       cloud_load.task_ms, CLOUD_TASKS_PER_JOB, NEED,
+			       cloud_load.task_ms);
 	char *text = xasprintf("POST /r/%016" PRIx64
 			       " HTTP/1.1\r\nHost: h\r\nContent-Type: "
 			       "application/json\r\nX-Deadline-Remaining-Ms: "
@@ -785,15 +786,15 @@
 		s->worker = w;
 		loop_add(w->listener, s);
 		address = xasprintf("127.0.0.1:%u", w->port);
-		row_publish("servers", w->id,
-			    json_pack("{s:s, s:s, s:s, s:s, s:{s:i, s:i, s:i}, "
-				      "s:[s], s:I}",
-				      "service", SERVICE, "address", address,
-				      "zone", "east", "state", "ready",
-				      "capacity", "cpu", CORES,
-				      "requested_memory_mb", 65536, "gpus", 0,
-				      "labels", "r1", "born",
-				      (json_int_t)w->born));
+		row_publish(
+			"servers", w->id,
+			json_pack("{s:s, s:s, s:s, s:s, s:{s:i, s:i, s:i}, "
+				  "s:[s], s:I}",
+				  "service", SERVICE, "address", address,
+				  "zone", "east", "state", "ready", "capacity",
+				  "cpu", cloud_load.slots * NEED,
+				  "requested_memory_mb", 65536, "gpus", 0,
+				  "labels", "r1", "born", (json_int_t)w->born));
 		free(address);
 	}
 }
@@ -808,8 +809,9 @@
 			  "version", 1, "routes", "name", "r", "host", "h",
 			  "path_prefix", "/r/", "service", SERVICE, "public", 1,
 			  "priority", 0, "max_attempts", 3, "stretch", 1.0,
-			  "target_latency_ms", 600, "services", "name", SERVICE,
-			  "admission_check", 1, "tenants"));
+			  "target_latency_ms", cloud_load.objective_ms,
+			  "services", "name", SERVICE, "admission_check", 1,
+			  "tenants"));
 }
 
 /*
