OWNER_LOAD: new ends and runs beside those listed again

In OWNER_LOAD ends counts the ended runs in all answers to polls, repeats included, and listed the running ones, also with repeats.

--- a/sched-list.c
+++ b/sched-list.c
@@ -122,6 +122,7 @@
 	for (i = 0; i < a->ended_count; i++) {
 		if (a->ended[i].number <= known)
 			continue;
+		s->load.new_ends++;
 		end_process(s, w, &a->ended[i]);
 		worker_record_end(s, w, a->ended[i].number);
 		s->place_due = true;
@@ -174,6 +175,8 @@
 		task_set_phase(t, PHASE_RUNNING);
 	t->percent = r->percent;
 	t->load_figure = r->load_figure;
+	if (t->started_at_worker != CLOCK_NONE)
+		s->load.new_runs++;
 	t->started_at_worker = CLOCK_NONE; /* seen in a list */
 	if (r->checkpoint.bstr_len && !bstr_eq(t->checkpoint, r->checkpoint))
 		bstr_set(&t->checkpoint, r->checkpoint);
--- a/sched-state.h
+++ b/sched-state.h
@@ -732,13 +732,15 @@
 	unsigned slow_starts; /* of starts, answered late */
 	unsigned polls;
 	unsigned ends;
+	unsigned new_ends;   /* of ends, processed for the first time */
 	unsigned poll_gaps;  /* intervals between polls of busy workers */
 	int64_t poll_gap_ms; /* their sum */
 	unsigned commits;
 	unsigned rows;
 	int64_t commit_ms_max;
 	unsigned starts_in_flight_max;
-	unsigned listed_runs; /* in the answers to the polls */
+	unsigned listed_runs; /* running, in the answers to the polls */
+	unsigned new_runs;    /* of listed_runs, not listed before */
 	unsigned walked_jobs; /* by the placement passes */
 };
 
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -865,3 +865,42 @@
 	cr_expect_lt(4 * late, 3 * prompt, "%llu polls, %llu",
 		     (unsigned long long)late, (unsigned long long)prompt);
 }
+
+/*
+ * Guards against counts in OWNER_LOAD that don't tell ends listed again from
+ * new ones: in an overload it then can't be seen what polls cost.
+ */
+static const struct {
+	const char *name;
+	int64_t store_delay_ms;
+	bool listed_again;
+} repeat_rows[] = {
+	{"the store answers at once", 0, false},
+	{"commits take longer than a poll", 900, true},
+};
+Test(load, listed_again_is_counted_apart)
+{
+	static const struct world_job job = {.tasks = 40, .task_ms = 1500};
+	const struct load *l;
+	struct world *w;
+	unsigned row;
+
+	for (row = 0; row < NELEMS(repeat_rows); row++) {
+		w = world_new_settled(2300 + row);
+		world_submit(w, 0, "00000000000000aa", &job);
+		world_run(w, 1000);
+		world_sched(w, (unsigned)world_owner(w))->load.log_at =
+			INT64_MAX; /* so that the counts aren't reset */
+		world_set_store_delay(w, repeat_rows[row].store_delay_ms);
+		world_run(w, 4000);
+		l = &world_sched(w, (unsigned)world_owner(w))->load;
+		cr_expect_eq(l->new_ends, 40, "%s: %u ends are new",
+			     repeat_rows[row].name, l->new_ends);
+		cr_expect_eq(l->ends > l->new_ends,
+			     repeat_rows[row].listed_again, "%s: %u listed",
+			     repeat_rows[row].name, l->ends);
+		cr_expect_leq(l->new_runs, 40, "%s: %u runs are new",
+			      repeat_rows[row].name, l->new_runs);
+		check_free(w, repeat_rows[row].name);
+	}
+}
