Placement: free resources of a pool are kept up to date in a pass

Each pass read the free room of all workers twice, and of those of a pool once more after each step that it placed. In a pass the room only shrinks by what is placed, so the sums are now reduced by that. How many workers hold the most of each resource is counted; the pool is measured again only when none of them is left, and after gangs and jobs with crashes, which reserve workers. What max_room, total_room and max_holders hold is the same.

OWNER_LOAD has rooms=.

--- a/sched-load.c
+++ b/sched-load.c
@@ -185,7 +185,7 @@
 		"jobs=%u looks=%u begins=%u starts=%u slow=%u holds=%u "
 		"gap_ms=%lld ends=%u new_ends=%u commits=%u rows=%u commit_ms=%lld "
 		"unwritten=%u flying=%u window=%u listed=%u new_runs=%u "
-		"walked=%u "
+		"walked=%u rooms=%u "
 		"feed_ms=%lld workers=%u responsive=%u overdue=%u",
 		HASH_COUNT(s->jobs), l->place_passes, l->job_starts, l->starts,
 		l->slow_starts, l->polls,
@@ -193,7 +193,7 @@
 		l->ends, l->new_ends, l->commits, l->rows,
 		(long long)l->commit_ms_max, dirty_job_count(s),
 		l->starts_in_flight_max, s->start_window / START_WINDOW_UNIT,
-		l->listed_runs, l->new_runs, l->walked_jobs,
+		l->listed_runs, l->new_runs, l->walked_jobs, l->measured_rooms,
 		(long long)job_list_age_ms(s), r.expected, r.in_time,
 		r.overdue);
 }
--- a/sched-place.c
+++ b/sched-place.c
@@ -455,6 +455,9 @@
 			step_no_worker(c, st);
 			break;
 		}
+		pool_take_room(c->pool,
+			       worker_free_room(c->pool->workers[chosen]),
+			       c->need);
 		sched_task_start(s, t, c->pool->workers[chosen],
 				 task_next_run(s, t));
 	}
@@ -592,11 +595,15 @@
 			c->job->pending_reason = reason;
 		return;
 	}
-	if (c->job->body->steps[c->step].gang)
+	if (c->job->body->steps[c->step].gang) {
 		gang_place(s, c);
-	else
-		step_place(s, c);
-	pool_measure(s, c->pool);
+		pool_measure(s, c->pool);
+		return;
+	}
+	step_place(s, c);
+	/* Tasks with crashes also open and close workers. */
+	if (c->pool->max_is_stale || c->job->has_crashes)
+		pool_measure(s, c->pool);
 }
 
 /*
--- a/sched-pool.c
+++ b/sched-pool.c
@@ -6,6 +6,14 @@
 
 #include <stdlib.h>
 
+/* Sets the free resources of a pool to those of no worker. */
+static void pool_clear_room(struct pool *p)
+{
+	p->max_room = (struct resources){-1, -1, -1};
+	p->total_room = p->max_holders = (struct resources){0, 0, 0};
+	p->max_is_stale = false;
+}
+
 /* Returns the pool of a service, and adds it if it is new. */
 struct pool *pool_of(struct sched *s, bstr service)
 {
@@ -17,7 +25,7 @@
 	p = xcalloc(1, sizeof(*p));
 	p->service = bstr_copy(service);
 	p->order_index = HASH_COUNT(s->pools) + 1;
-	p->max_room = (struct resources){-1, -1, -1};
+	pool_clear_room(p);
 	HASH_ADD_BSTR(s->pools, service, p);
 	return p;
 }
@@ -86,28 +94,73 @@
 	return resources_sub(w->row.capacity, w->used);
 }
 
+/* Adds a worker's free amount of a resource to the largest of its pool. */
+static void largest_add(int64_t room, int64_t *largest, int64_t *holders)
+{
+	if (room < *largest)
+		return;
+	*holders = room > *largest ? 1 : *holders + 1;
+	*largest = room;
+}
+
+/* Adds the free resources of a worker to those of its pool. */
+static void pool_add_room(struct pool *p, struct resources r)
+{
+	const struct resources none = {0, 0, 0};
+
+	p->total_room = resources_add(p->total_room, resources_max(r, none));
+	largest_add(r.cpu, &p->max_room.cpu, &p->max_holders.cpu);
+	largest_add(r.memory, &p->max_room.memory, &p->max_holders.memory);
+	largest_add(r.gpus, &p->max_room.gpus, &p->max_holders.gpus);
+}
+
 /*
  * Computes the free resources of a pool: the sum, and the most of each resource
  * that any worker has.  A worker whose capacity has shrunk below what it runs
  * has a negative amount, which doesn't reduce the sum: the others still have
  * their room, and jobs that fit there would wait.
  */
-void pool_measure(const struct sched *s, struct pool *p)
+void pool_measure(struct sched *s, struct pool *p)
 {
-	const struct resources none = {0, 0, 0};
-	struct resources r;
 	size_t i;
 
-	p->max_room = (struct resources){-1, -1, -1};
-	p->total_room = (struct resources){0, 0, 0};
-	for (i = 0; i < p->count; i++) {
-		if (crash_closes_worker(s, p->workers[i]))
-			continue;
-		r = worker_free_room(p->workers[i]);
-		p->total_room = resources_add(p->total_room,
-					      resources_max(r, none));
-		p->max_room = resources_max(p->max_room, r);
-	}
+	pool_clear_room(p);
+	s->load.measured_rooms += (unsigned)p->count;
+	for (i = 0; i < p->count; i++)
+		if (!crash_closes_worker(s, p->workers[i]))
+			pool_add_room(p, worker_free_room(p->workers[i]));
+}
+
+/*
+ * Takes a worker's amount of a resource from the holders of the largest one.
+ * Returns true if none is left.
+ */
+static bool largest_take(int64_t room, int64_t need, int64_t largest,
+			 int64_t *holders)
+{
+	return need && room == largest && !--*holders;
+}
+
+/*
+ * Subtracts what a task takes from the free resources of a pool; room is that
+ * of the task's worker before it.  Sets max_is_stale if another worker may have
+ * the most of a resource now, which needs a new measurement.  Measuring the
+ * pool after each step would cost an owner more than choosing the workers.
+ */
+void pool_take_room(struct pool *p, struct resources room,
+		    struct resources need)
+{
+	const struct resources *max = &p->max_room;
+	struct resources *holders = &p->max_holders;
+
+	p->total_room = resources_sub(p->total_room, need);
+	if (largest_take(room.cpu, need.cpu, max->cpu, &holders->cpu))
+		p->max_is_stale = true;
+	if (largest_take(room.memory, need.memory, max->memory,
+			 &holders->memory))
+		p->max_is_stale = true;
+	if (largest_take(room.gpus, need.gpus, max->gpus, &holders->gpus))
+		p->max_is_stale = true;
 }
 
 /*
@@ -136,8 +189,11 @@
 }
 
 /* Adds a worker to those of its pool that may get tasks. */
-static void pool_add(struct pool *p, struct worker *w)
+static void pool_add(struct sched *s, struct pool *p, struct worker *w)
 {
+	s->load.measured_rooms++;
+	if (!crash_closes_worker(s, w))
+		pool_add_room(p, worker_free_room(w));
 	if (p->count == p->space) {
 		p->space = p->space ? 2 * p->space : 64;
 		p->workers = xrealloc(p->workers, p->space,
@@ -155,12 +211,11 @@
 	for (p = s->pools; p; p = p->hh.next) {
 		p->count = p->unplaceable_count = 0;
 		p->reserved = (struct resources){0, 0, 0};
+		pool_clear_room(p);
 	}
 	HASH_ITER(hh, s->workers, w, next)
 		if (worker_is_eligible(s, w))
-			pool_add(w->pool, w);
-	for (p = s->pools; p; p = p->hh.next)
-		pool_measure(s, p);
+			pool_add(s, w->pool, w);
 }
 
 /* Frees the pools.  No worker and no job may refer to them. */
--- a/sched-state.h
+++ b/sched-state.h
@@ -439,10 +439,12 @@
 	struct worker **workers; /* those that may get tasks */
 	size_t count;
 	size_t space;
-	struct resources max_room;   /* the largest free amount, by resource */
-	struct resources total_room; /* free on all workers together */
-	struct resources reserved;   /* of total_room, to jobs that wait for the
-				      * store */
+	struct resources max_room;    /* the largest free amount, by resource */
+	struct resources max_holders; /* workers that have that amount */
+	bool max_is_stale;	      /* none of them is left */
+	struct resources total_room;  /* free on all workers together */
+	struct resources reserved; /* of total_room, to jobs that wait for the
+				    * store */
 	struct resources
 		unplaceable[UNPLACEABLE_MAX]; /* needs that fit nowhere */
 	size_t unplaceable_count;
@@ -741,9 +743,11 @@
 	unsigned rows;
 	int64_t commit_ms_max;
 	unsigned starts_in_flight_max;
-	unsigned listed_runs; /* running, in the answers to the polls */
-	unsigned new_runs;    /* of listed_runs, not listed before */
-	unsigned walked_jobs; /* by the placement passes */
+	unsigned listed_runs;	 /* running, in the answers to the polls */
+	unsigned new_runs;	 /* of listed_runs, not listed before */
+	unsigned walked_jobs;	 /* by the placement passes */
+	unsigned measured_rooms; /* free resources of workers, read for the
+				  * sums of the pools */
 };
 
 struct sched {
@@ -1043,7 +1047,9 @@
 void worker_clear_unknown(struct sched *s, struct worker *w);
 bool pool_is_settled(struct sched *s, bstr service);
 void pools_refresh(struct sched *s);
-void pool_measure(const struct sched *s, struct pool *p);
+void pool_measure(struct sched *s, struct pool *p);
+void pool_take_room(struct pool *p, struct resources room,
+		    struct resources need);
 bool pool_is_known_full(const struct pool *p, struct resources need);
 void pool_note_full(struct pool *p, struct resources need);
 void pools_free(struct sched *s);
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -951,3 +951,93 @@
 		check_free(w, walk_rows[row].name);
 	}
 }
+
+/*
+ * Guards against free resources of a pool that differ from those of its
+ * workers: jobs that fit would wait, or be stored as begun without room.
+ */
+Test(load, the_room_of_a_pool_is_that_of_its_workers)
+{
+	static struct sched s;
+	struct worker workers[7], *list[7], *w;
+	struct pool p = {.workers = list, .count = NELEMS(list)}, fresh;
+	struct resources need, room;
+	unsigned seed = 77, k, taken = 0;
+
+	for (k = 0; k < 20000; k++) {
+		if (k % 40 == 0) {
+			memset(workers, 0, sizeof(workers));
+			for (size_t i = 0; i < p.count; i++) {
+				w = list[i] = &workers[i];
+				w->row.capacity = (struct resources){
+					rand_r(&seed) % 6, rand_r(&seed) % 4,
+					rand_r(&seed) % 3};
+				/* One worker may hold more than it has. */
+				w->used.cpu = i ? 0 : rand_r(&seed) % 8;
+			}
+			pool_measure(&s, &p);
+		}
+		w = list[(unsigned)rand_r(&seed) % p.count];
+		need = (struct resources){rand_r(&seed) % 3, rand_r(&seed) % 2,
+					  rand_r(&seed) % 2};
+		room = worker_free_room(w);
+		if (!resources_fit(need, room))
+			continue;
+		taken++;
+		pool_take_room(&p, room, need);
+		w->used = resources_add(w->used, need);
+		if (p.max_is_stale)
+			pool_measure(&s, &p);
+		fresh = p;
+		pool_measure(&s, &fresh);
+		cr_assert(!memcmp(&p.total_room, &fresh.total_room,
+				  sizeof(p.total_room)));
+		cr_assert(!memcmp(&p.max_room, &fresh.max_room,
+				  sizeof(p.max_room)));
+		cr_assert(!memcmp(&p.max_holders, &fresh.max_holders,
+				  sizeof(p.max_holders)));
+	}
+	cr_expect_gt(taken, 2000, "%u", taken);
+}
+
+/*
+ * Guards against passes that read the free room of all workers of a pool after
+ * each step that they place: an owner short of processor time starts less.
+ */
+static const struct {
+	const char *name;
+	unsigned jobs; /* of one task */
+	unsigned workers;
+} room_rows[] = {
+	{"a small pool", 30, 6},
+	{"a large pool", 400, 200},
+};
+Test(load, a_pass_reads_the_room_of_workers_once)
+{
+	static const struct world_job job = {.tasks = 1, .task_ms = 60000};
+	unsigned row, k, passes;
+	struct sched *s;
+	struct world *w;
+	char id[20];
+
+	for (row = 0; row < NELEMS(room_rows); row++) {
+		w = world_new(2340 + row, WORLD_VMS, room_rows[row].workers);
+		world_run(w, 6000);
+		s = world_sched(w, (unsigned)world_owner(w));
+		s->load = (struct load){.log_at = INT64_MAX};
+		for (k = 0; k < room_rows[row].jobs; k++) {
+			snprintf(id, sizeof(id), "%016x", k + 1);
+			world_submit(w, k % WORLD_VMS, id, &job);
+		}
+		world_run(w, 3000);
+		cr_expect_eq(world_starts(w), room_rows[row].jobs, "%u",
+			     world_starts(w));
+		passes = s->load.place_passes;
+		cr_expect_leq(s->load.measured_rooms,
+			      (passes + room_rows[row].jobs / 4) *
+				      room_rows[row].workers,
+			      "%s: %u rooms in %u passes", room_rows[row].name,
+			      s->load.measured_rooms, passes);
+		check_free(w, room_rows[row].name);
+	}
+}
