Placement: queue jobs whose occurrences a worker has named

Found in review: occurrences that are created early, as a worker lists a run of them after a takeover, were not queued for the placement passes, so that their other tasks would never have been placed.

--- a/sched-job.c
+++ b/sched-job.c
@@ -680,6 +680,7 @@
 	}
 	while (j->next_occurrence <= number) {
 		job_make_occurrence(j, j->next_occurrence++);
+		job_queue_placing(s, j);
 		job_mark_dirty(s, j);
 	}
 }
