--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -198,12 +198,12 @@
 	unsigned late_percent; /* orders that are carried out late */
 	unsigned lost_starts_percent;
 	bool start_answers_lost;
-	bool outcomes_lost[ASK_MOVE + 1]; /* requests are lost, and the VM is not
-					* told of a timeout either */
-	int64_t order_delay_ms;	       /* of starts and stops */
-	unsigned ends_listed;	       /* most ends in one answer of a worker */
-	bool old_connections;	       /* timeouts report an old connection */
-	bool polls_reset;	       /* when their worker restarts */
+	bool outcomes_lost[ASK_MOVE + 1]; /* requests are lost, and the VM is
+					   * not told of a timeout either */
+	int64_t order_delay_ms;		  /* of starts and stops */
+	unsigned ends_listed;  /* most ends in one answer of a worker */
+	bool old_connections;  /* timeouts report an old connection */
+	bool polls_reset;      /* when their worker restarts */
 	bool late_orders_kept; /* a restart doesn't discard late orders */
 	enum refusal refusal;  /* answer to all starts */
 	int64_t limit;
