--- a/sched-worker.c
+++ b/sched-worker.c
@@ -260,7 +260,7 @@
  * token.  Orders with lower tokens, also of an earlier owner, may have extended
  * its lease until now, or until it was too old for orders to its predecessor.
  * This matters also if nothing runs there yet: a lease is never shortened, and
- * later runs have the same.
+ * later runs have the same.  The first token of all has no orders before it.
  */
 static void worker_token_accepted(struct sched *s, struct worker *w,
 				  const struct answer *a)
