Moves: three files, what a pool has, which machine goes, the orders

sched-move.c had 960 lines and three subjects. The load of the pools is in sched-demand.c, the orders to the platform are in sched-machine.c, and sched-move.c chooses. No decision changes: functions moved, machine_move() takes the pool's name, pool_loads_read() is the first half of move_tick(). test-move, test-evacuation, test-upkeep, test-admit pass.

--- /dev/null
+++ b/sched-demand.h
@@ -0,0 +1,56 @@
+/*
+ * What each pool has, and what it needs for its work; computed anew in each
+ * pass over the pools.
+ */
+#ifndef SCHED_DEMAND_H
+#define SCHED_DEMAND_H
+
+#include "sched-state.h"
+
+/* The capacity and the work of a pool. */
+struct pool_load {
+	const struct service *service;
+	bool routed;	    /* some route names it */
+	unsigned home_size; /* machines that the operator gave it */
+	unsigned stranded;  /* long-running tasks that find no worker */
+	unsigned workers;   /* those that can take tasks */
+	unsigned answered;  /* of workers, those that answered this owner */
+	unsigned arriving;  /* machines being moved to it */
+	unsigned empty;	    /* workers without tasks */
+	unsigned leaving;   /* workers that get no tasks as they are to leave */
+	unsigned evacuated; /* workers in evacuated data centres; no other
+			     * member counts them, except max_listed */
+	double cores;	    /* of its workers, in thousandths */
+	double used_cores;  /* used by tasks */
+	double long_running_cores; /* used by long-running tasks */
+	double work; /* pending and running, in thousandths of a core x ms */
+	double ready_work;	/* of it, pending tasks of ready steps */
+	double queued_work;	/* of it, what waits for nothing but room */
+	unsigned pending_tasks; /* tasks in work that have not started */
+	unsigned queued_tasks;	/* tasks in queued_work that have not started */
+	double starts_ms;	/* the owner needs to start pending_tasks */
+	double queue_starts_ms; /* the owner needs to start queued_tasks */
+	struct resources max_capacity; /* of its workers, by resource */
+	struct resources max_listed;   /* the same, with those that can't take
+					* tasks now */
+	double objective_sum_ms; /* sum of the objectives of the queued jobs */
+	unsigned queued_jobs;	 /* jobs with work in queued_work */
+};
+
+struct pool_loads {
+	struct pool_load *list;
+	size_t count;
+	double start_interval_ms; /* see struct sched */
+};
+
+void pool_loads_read(struct sched *s, struct pool_loads *l);
+void pool_loads_free(struct pool_loads *l);
+void pool_loads_log(struct sched *s, const struct pool_loads *l,
+		    double machine_cores);
+struct pool_load *pool_load_find(const struct pool_loads *l, bstr service);
+double machine_mean_cores(const struct pool_loads *l);
+double pool_drain_ms(const struct pool_load *p, double machine_cores);
+double pool_lacks_machines_ms(const struct pool_load *p, double machine_cores);
+double pool_queue_ms(const struct pool_load *p, double machine_cores);
+
+#endif
--- a/sched-state.h
+++ b/sched-state.h
@@ -1132,11 +1132,16 @@
 unsigned step_tasks_on_worker(const struct worker *w,
 			      const struct occurrence *o, unsigned step_index);
 
-/* sched-move.c: moving machines between pools */
+/* sched-move.c: which machines go to which pools */
 void move_tick(struct sched *s);
-void move_check_listed(struct sched *s, struct machine *m);
 bool pool_is_busy(const struct sched *s, bstr pool);
 void backlogs_free(struct sched *s);
+
+/* sched-machine.c: orders to move machines */
+void machine_move(struct sched *s, struct machine *m, bstr pool,
+		  const char *why);
+void moves_repeat(struct sched *s);
+void move_check_listed(struct sched *s, struct machine *m);
 void move_answer(struct sched *s, struct request *rq, struct answer *a);
 
 /* sched-advice.c: placement tickets of the advice service */
