Moves: as many in a second as the platform's calls allow

Cause: eight moves began in a pass of 100 ms (a fleet of 350 divided by 40), 80 a second where the platform takes 215 calls. A queue's turn of 4.5 s needs a hundred machines; they came when it was over (POOL: 62 workers and 43 coming at 3 s, 145 at 7.3 s).

Change: the moves begun in the last second are at most four fifths of the platform's limit, those of a pass a fifth.

--- a/sched-machine.c
+++ b/sched-machine.c
@@ -161,6 +161,9 @@
 		}
 		return;
 	}
+	sched_log(s, LOG_MACHINE_MOVE_FAILED,
+		  "machine=%.*s to=%.*s outcome=%d reason=%d", BSTR_ARG(m->id),
+		  BSTR_ARG(m->moving_to), a->outcome, a->refusal);
 	m->retry_at = s->now + MOVE_RETRY_MS;
 	if (a->outcome == OUT_UNKNOWN)
 		m->late_move_until = s->now + ORDER_LIFETIME_MAX_MS;
--- a/sched-move.c
+++ b/sched-move.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 
 /* Interval between passes; each pass iterates over all jobs. */
-#define MOVE_INTERVAL_MS 100
+#define MOVE_INTERVAL_MS (1000 / MOVE_PASSES_PER_S)
 /*
  * A pool gets machines if it needs longer than this for its work.  A move takes
  * 1.5 s, and tasks that wait longer than about 2 s miss their objective.
@@ -42,16 +42,14 @@
  */
 #define LENT_SHARE 0.5
 /*
- * Limit of the moves begun in one pass: MOVES_LIMIT_MIN, or the fleet size
- * divided by MOVES_FLEET_DIVISOR if that is more, as a change of load can
- * require a third of all machines to move within seconds.  The second value is
- * at most the platform's limit of calls per second divided by
- * MOVES_RATE_DIVISOR; otherwise the platform would refuse calls, those of
- * maintenance waves included.
+ * The moves begun within a second are at most the platform's limit of calls per
+ * second less a part of it, which is left to maintenance waves and to repeated
+ * moves.  Those of one pass are at most a part as well, as the platform may
+ * count calls over less than a second.  A change of load can require a third of
+ * all machines to move at once.
  */
-#define MOVES_LIMIT_MIN 8
-#define MOVES_FLEET_DIVISOR 40
-#define MOVES_RATE_DIVISOR 20
+#define MOVES_RESERVED_DIVISOR 5
+#define MOVES_PASS_DIVISOR 5
 
 /*
  * An idle machine and its pool.  The machine is NULL once it has been chosen.
@@ -119,14 +117,18 @@
 	       p->empty > (unsigned)(FREE_SHARE_MIN * p->workers) + 1;
 }
 
-/* Returns the limit of the moves begun in one pass. */
+/* Returns how many moves may begin in this pass. */
 static unsigned moves_limit(const struct sched *s)
 {
-	unsigned n = HASH_COUNT(s->machines) / MOVES_FLEET_DIVISOR;
-
-	if (n > s->options.machine_calls_per_s / MOVES_RATE_DIVISOR)
-		n = s->options.machine_calls_per_s / MOVES_RATE_DIVISOR;
-	return n > MOVES_LIMIT_MIN ? n : MOVES_LIMIT_MIN;
+	unsigned rate = s->options.machine_calls_per_s, begun = 0, i;
+	unsigned most = rate - rate / MOVES_RESERVED_DIVISOR;
+	unsigned most_in_pass = rate / MOVES_PASS_DIVISOR + 1;
+
+	for (i = 0; i < MOVE_PASSES_PER_S; i++)
+		begun += s->moves_begun[i];
+	if (begun >= most)
+		return 0;
+	return most - begun < most_in_pass ? most - begun : most_in_pass;
 }
 
 /* Returns the machines that can be moved now.  The caller frees the array. */
@@ -244,9 +246,12 @@
 	return NULL;
 }
 
-/* Moves idle machines to pools below their home size, else to standby. */
-static void moves_from_idle(struct sched *s, struct pool_loads *l,
-			    double machine_cores)
+/*
+ * Moves idle machines to pools below their home size, else to standby.  Returns
+ * the number of moves begun.
+ */
+static unsigned moves_from_idle(struct sched *s, struct pool_loads *l,
+				double machine_cores)
 {
 	struct machine *m, *next;
 	struct pool_load *from, *standby = NULL, *to;
@@ -259,7 +264,7 @@
 		if (l->list[i].service->standby)
 			standby = &l->list[i];
 	if (!standby)
-		return;
+		return 0;
 	HASH_ITER(hh, s->machines, m, next) {
 		from = pool_load_find(l, m->pool);
 		if (n >= max || !from || from->service->standby ||
@@ -277,6 +282,7 @@
 			     to == standby ? "idle" : "home");
 		n++;
 	}
+	return n;
 }
 
 /* Updates the queues by which new jobs are admitted. */
@@ -360,13 +366,17 @@
 static void machines_move(struct sched *s, struct pool_loads *l,
 			  double machine_cores)
 {
+	unsigned begun = 0;
+
 	if (!own_is_exclusive(s) || !s->machine_list_complete ||
 	    !s->home_sizes_durable)
 		return;
 	backlogs_update(s, l, machine_cores);
-	if (!policy_is_enabled(s, POLICY_MOVES) ||
-	    !moves_to_loaded(s, l, machine_cores))
-		moves_from_idle(s, l, machine_cores);
+	if (policy_is_enabled(s, POLICY_MOVES))
+		begun = moves_to_loaded(s, l, machine_cores);
+	if (!begun)
+		begun = moves_from_idle(s, l, machine_cores);
+	s->moves_begun[s->move_pass] = begun;
 }
 
 /*
@@ -382,6 +392,8 @@
 	if (!own_may_order(s) || !s->config || s->now < s->move_at)
 		return;
 	s->move_at = s->now + MOVE_INTERVAL_MS;
+	s->move_pass = (s->move_pass + 1) % MOVE_PASSES_PER_S;
+	s->moves_begun[s->move_pass] = 0;
 	moves_repeat(s);
 	pool_loads_read(s, &l);
 	machine_cores = machine_mean_cores(&l);
--- a/sched-state.h
+++ b/sched-state.h
@@ -424,6 +424,9 @@
 };
 TAILQ_HEAD(open_start_queue, open_start);
 
+/* Passes over all pools per second, which move machines. */
+#define MOVE_PASSES_PER_S 10
+
 /* Limit of requirements remembered as unplaceable in one placement pass. */
 #define UNPLACEABLE_MAX 8
 
@@ -856,6 +859,8 @@
 	int64_t start_answer_expires; /* start_answer_us is valid until then */
 	int64_t requests_check_at;
 	int64_t move_at;
+	unsigned move_pass; /* index in moves_begun of the latest pass */
+	unsigned moves_begun[MOVE_PASSES_PER_S]; /* by the latest passes */
 	int64_t pool_log_at;
 	json_t *home_sizes; /* initial number of machines by pool, or NULL */
 	bool home_sizes_dirty;
