Moves: machines go by what arrives, not by constant shares

Cause: a pool called for machines when its work took longer than 400 ms, kept half of its workers free and lent at most half of its own. The figures fitted other work: calls came a second into a turn, and 50 to 60 machines stayed empty.

Change: the owner sees per pool the work that arrives (over 300 ms) and the slack of its jobs, the objective less the expected run time. Need: what works off the arrivals when a machine called for now is there, and the queue of then within half of the slack. Reserve: the part of the peak that has to be there before machines can come. Machines whose worker is there are not counted as arriving until the next list. sched-forecast.c needs no network.

--- a/sched-demand.c
+++ b/sched-demand.c
@@ -54,6 +54,7 @@
 		if (!p || !(worker_is_healthy(s, w) || worker_may_answer(s, w)))
 			continue;
 		p->workers++;
+		p->unlisted += !w->machine.bstr_len;
 		p->answered += worker_is_healthy(s, w);
 		p->max_capacity = resources_max(p->max_capacity,
 						w->row.capacity);
@@ -96,8 +97,6 @@
 			    (double)o->job->estimate.step_ms[i];
 		p->work += task_work * o->unfinished_in_step[i];
 		p->pending_tasks += o->pending_tasks[i].count;
-		if (step_is_ready(o, i))
-			p->ready_work += task_work * o->pending_tasks[i].count;
 	}
 }
 
@@ -133,16 +132,17 @@
 {
 	struct job *j = o->job;
 	const struct job_step *st = j->body->steps;
-	double queued = 0;
+	double task_work, queued = 0;
 	unsigned i;
 
 	for (i = 0; i < j->body->step_count; i++, st++) {
 		if (st->long_running || st->best_effort ||
 		    !pool_load_can_fit(p, st->need))
 			continue;
-		queued += (double)st->need.cpu *
-			  (double)j->estimate.step_ms[i] *
-			  o->unfinished_in_step[i];
+		task_work = (double)st->need.cpu *
+			    (double)j->estimate.step_ms[i];
+		queued += task_work * o->unfinished_in_step[i];
+		p->waiting_work += task_work * o->pending_tasks[i].count;
 		p->queued_tasks += o->pending_tasks[i].count;
 	}
 	if (queued <= 0)
@@ -226,11 +226,15 @@
 	}
 }
 
-/* Counts the machines that are being moved to each pool. */
+/*
+ * Counts the machines that are being moved to each pool.  Those whose workers
+ * are there already are not counted twice until the next list of machines.
+ */
 static void pool_loads_add_moves(struct sched *s, struct pool_loads *l)
 {
 	struct machine *m, *next;
 	struct pool_load *p;
+	size_t i;
 
 	HASH_ITER(hh, s->machines, m, next) {
 		if (s->now >= m->moving_until || dc_is_evacuated(s, m->dc))
@@ -239,6 +243,11 @@
 		if (p)
 			p->arriving++;
 	}
+	for (i = 0; i < l->count; i++) {
+		p = &l->list[i];
+		p->arriving -= p->unlisted < p->arriving ? p->unlisted
+							 : p->arriving;
+	}
 }
 
 /* Returns the mean number of cores of a machine, in thousandths. */
@@ -344,7 +353,8 @@
 			"pool=%.*s workers=%u home=%u coming=%u empty=%u "
 			"cores=%.0f used=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
 			"stranded=%u queue_ms=%.0f objective_ms=%.0f "
-			"leaving=%u pending=%u starts_ms=%.0f evacuated=%u",
+			"leaving=%u pending=%u starts_ms=%.0f evacuated=%u "
+			"demand=%.0f peak=%.0f need=%.0f reserve=%.0f slack_ms=%.0f",
 			BSTR_ARG(p->service->name), p->workers, p->home_size,
 			p->arriving, p->empty, p->cores / 1000,
 			p->used_cores / 1000, p->long_running_cores / 1000,
@@ -353,7 +363,27 @@
 			p->queued_jobs ? p->objective_sum_ms / p->queued_jobs
 				       : 0,
 			p->leaving, p->pending_tasks, p->starts_ms,
-			p->evacuated);
+			p->evacuated, p->demand->cores / 1000,
+			p->demand->peak_cores / 1000,
+			pool_need_cores(s, p) / 1000,
+			pool_reserve_cores(s, p, machine_cores) / 1000,
+			pool_slack_ms(p));
+	}
+}
+
+/* Updates the demand of all pools. */
+static void pool_loads_set_demand(struct sched *s, struct pool_loads *l)
+{
+	double machine_cores = machine_mean_cores(l);
+	struct pool_load *p;
+	struct pool *pool;
+	size_t i;
+
+	for (i = 0; i < l->count; i++) {
+		p = &l->list[i];
+		pool = pool_of(s, p->service->name);
+		demand_update(s, &pool->demand, machine_cores * p->home_size);
+		p->demand = &pool->demand;
 	}
 }
 
@@ -376,6 +406,7 @@
 	pool_loads_add_jobs(s, l);
 	pool_loads_set_starts(l);
 	pool_loads_add_moves(s, l);
+	pool_loads_set_demand(s, l);
 }
 
 /* Frees the loads, but not l itself. */
--- a/sched-demand.h
+++ b/sched-demand.h
@@ -15,7 +15,8 @@
 	unsigned stranded;  /* long-running tasks that find no worker */
 	unsigned workers;   /* those that can take tasks */
 	unsigned answered;  /* of workers, those that answered this owner */
-	unsigned arriving;  /* machines being moved to it */
+	unsigned arriving;  /* machines being moved to it, without unlisted */
+	unsigned unlisted;  /* workers whose machines no list has shown yet */
 	unsigned empty;	    /* workers without tasks */
 	unsigned leaving;   /* workers that get no tasks as they are to leave */
 	unsigned evacuated; /* workers in evacuated data centres; no other
@@ -24,7 +25,7 @@
 	double used_cores;  /* used by tasks */
 	double long_running_cores; /* used by long-running tasks */
 	double work; /* pending and running, in thousandths of a core x ms */
-	double ready_work;	/* of it, pending tasks of ready steps */
+	double waiting_work;	/* of it, pending tasks that wait for room */
 	double queued_work;	/* of it, what waits for nothing but room */
 	unsigned pending_tasks; /* tasks in work that have not started */
 	unsigned queued_tasks;	/* tasks in queued_work that have not started */
@@ -33,6 +34,7 @@
 	struct resources max_capacity; /* of its workers, by resource */
 	struct resources max_listed;   /* the same, with those that can't take
 					* tasks now */
+	const struct demand *demand;
 	double objective_sum_ms; /* sum of the objectives of the queued jobs */
 	unsigned queued_jobs;	 /* jobs with work in queued_work */
 };
@@ -43,6 +45,7 @@
 	double start_interval_ms; /* see struct sched */
 };
 
+/* sched-demand.c: the load of the pools */
 void pool_loads_read(struct sched *s, struct pool_loads *l);
 void pool_loads_free(struct pool_loads *l);
 void pool_loads_log(struct sched *s, const struct pool_loads *l,
@@ -53,4 +56,12 @@
 double pool_lacks_machines_ms(const struct pool_load *p, double machine_cores);
 double pool_queue_ms(const struct pool_load *p, double machine_cores);
 
+/* sched-forecast.c: what the pools will need */
+void demand_update(struct sched *s, struct demand *d, double home_cores);
+double pool_slack_ms(const struct pool_load *p);
+double pool_room_cores(const struct pool_load *p, double machine_cores);
+double pool_need_cores(const struct sched *s, const struct pool_load *p);
+double pool_reserve_cores(const struct sched *s, const struct pool_load *p,
+			  double machine_cores);
+
 #endif
--- /dev/null
+++ b/sched-forecast.c
@@ -0,0 +1,124 @@
+/*
+ * What the pools will need by the time at which a machine that is called for
+ * now arrives.  It follows from the work that has arrived lately, from what
+ * waits, and from how long the jobs can wait.
+ */
+#include "sched-demand.h"
+
+#include <math.h>
+
+/*
+ * Time over which the arriving work is averaged: long enough for some tens of
+ * jobs of a queue in its peak, and much shorter than a move.
+ */
+#define DEMAND_SMOOTHING_MS 300.0
+/* A peak that does not come again is forgotten within a few of these. */
+#define PEAK_DECAY_MS 60000.0
+/* From the end of a move until the worker is listed, has answered and is used.
+ */
+#define MOVE_SETTLE_MS 300
+/* Bounds of the slack, and its value before any job was seen. */
+#define SLACK_MIN_MS 250.0
+#define SLACK_DEFAULT_MS 1000.0
+/* A pool's queue is to be gone within this part of the slack. */
+#define SLACK_DIVISOR 2
+/* Adds an occurrence of a job that has just arrived to the demand of its pool.
+ */
+void demand_add(struct sched *s, struct job *j)
+{
+	struct demand *d = &job_pool(s, j)->demand;
+	const struct job_step *st = j->body->steps;
+	double work = 0, slack_ms;
+	size_t i;
+
+	job_estimate_update(s, j);
+	for (i = 0; i < j->body->step_count; i++, st++)
+		if (!st->long_running && !st->best_effort &&
+		    resources_fit(st->need, s->largest_capacity))
+			work += (double)st->need.cpu * st->count *
+				(double)j->estimate.step_ms[i];
+	if (work <= 0)
+		return;
+	d->arrived += work;
+	if (d->jobs < DEMAND_JOBS)
+		d->jobs++;
+	slack_ms = (double)(job_objective_ms(s, j) - j->estimate.longest_ms);
+	d->slack_ms += (slack_ms - d->slack_ms) / d->jobs;
+}
+
+/*
+ * Updates the demand of a pool.  The operator's size of the pool stands for its
+ * first peak; it is not known until the workers and the list of machines are.
+ */
+void demand_update(struct sched *s, struct demand *d, double home_cores)
+{
+	double ms = (double)(s->now - d->updated_at), arriving;
+
+	if (d->updated_at && ms > 0) {
+		arriving = d->arrived / ms;
+		d->cores += (arriving - d->cores) *
+			    (1 - exp(-ms / DEMAND_SMOOTHING_MS));
+		d->peak_cores *= exp(-ms / PEAK_DECAY_MS);
+	}
+	if (!d->has_peak && home_cores > d->peak_cores)
+		d->peak_cores = home_cores;
+	d->has_peak = d->has_peak || home_cores > 0;
+	if (d->cores > d->peak_cores)
+		d->peak_cores = d->cores;
+	d->arrived = 0;
+	d->updated_at = s->now;
+}
+
+/* Returns how long it takes until a machine that is called for is of use. */
+static double move_ahead_ms(const struct sched *s)
+{
+	return (double)(s->options.move_ms + MOVE_SETTLE_MS);
+}
+
+/* Returns how long jobs of a pool can wait and still be in time. */
+double pool_slack_ms(const struct pool_load *p)
+{
+	if (!p->demand->jobs)
+		return SLACK_DEFAULT_MS;
+	return p->demand->slack_ms > SLACK_MIN_MS ? p->demand->slack_ms
+						  : SLACK_MIN_MS;
+}
+
+/*
+ * Returns the cores that a pool has for tasks that end, with the machines that
+ * are being moved to it.
+ */
+double pool_room_cores(const struct pool_load *p, double machine_cores)
+{
+	return p->cores - p->long_running_cores + machine_cores * p->arriving;
+}
+
+/*
+ * Returns the cores that a pool needs when a machine called for now arrives: to
+ * work off what will arrive, and within part of the slack what waits by then.
+ */
+double pool_need_cores(const struct sched *s, const struct pool_load *p)
+{
+	double now_cores = p->cores - p->long_running_cores;
+	double queue = p->waiting_work +
+		       (p->demand->cores - now_cores) * move_ahead_ms(s);
+
+	if (queue <= 0)
+		return p->demand->cores;
+	return p->demand->cores + queue * SLACK_DIVISOR / pool_slack_ms(p);
+}
+
+/*
+ * Returns the cores that a pool keeps for a peak like those before, which comes
+ * without warning.  With fewer, jobs at its start would be late before machines
+ * can arrive: what comes in that time less the slack has to be done by then.
+ */
+double pool_reserve_cores(const struct sched *s, const struct pool_load *p,
+			  double machine_cores)
+{
+	double share = 1 - pool_slack_ms(p) / move_ahead_ms(s);
+
+	if (!policy_is_enabled(s, POLICY_LENDING))
+		return machine_cores * p->home_size;
+	return share > 0 ? p->demand->peak_cores * share : 0;
+}
--- a/sched-job.c
+++ b/sched-job.c
@@ -445,6 +445,7 @@
 	if (!b->repeat_count) {
 		if (!j->next_occurrence) {
 			job_make_occurrence(j, 0);
+			demand_add(s, j);
 			job_queue_placing(s, j);
 			j->next_occurrence = 1;
 			s->place_due = true;
@@ -457,6 +458,7 @@
 		if (s->wall < due + OCCURRENCE_DELAY_MS)
 			return;
 		job_make_occurrence(j, j->next_occurrence++);
+		demand_add(s, j);
 		job_queue_placing(s, j);
 		s->place_due = true;
 		job_mark_dirty(s, j);
--- a/sched-move.c
+++ b/sched-move.c
@@ -7,40 +7,18 @@
  */
 #include "sched-demand.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /* Interval between passes; each pass iterates over all jobs. */
 #define MOVE_INTERVAL_MS (1000 / MOVE_PASSES_PER_S)
-/*
- * A pool gets machines if it needs longer than this for its work.  A move takes
- * 1.5 s, and tasks that wait longer than about 2 s miss their objective.
- */
-#define DRAIN_HIGH_MS 400.0
-/* A pool that needs less than this for its work has spare capacity. */
+/* A pool that needs longer than this for its work is busy. */
 #define DRAIN_LOW_MS 250.0
-/*
- * Tasks that wait longer than this are late.  A pool that has such tasks, or
- * would have them with one machine less, gives none away.
- */
-#define READY_WAIT_MAX_MS 2000.0
 /*
  * A machine is idle for this long before it leaves its pool.  Until then it can
  * go to the next pool that needs it directly, without moving through standby.
  */
 #define IDLE_MIN_MS 2500
-/*
- * The share of its workers that a pool keeps free for new jobs, as bursts come
- * without warning.  With a much lower share the jobs of a burst are late.  With
- * a higher one fewer machines can be lent to pools that need them, and jobs
- * there are late; that costs less.
- */
-#define FREE_SHARE_MIN 0.5
-/*
- * A pool lends at most this share of its own machines to other pools.  With a
- * higher share it may lack them when its own load rises, until they are moved
- * back.
- */
-#define LENT_SHARE 0.5
 /*
  * The moves begun within a second are at most the platform's limit of calls per
  * second less a part of it, which is left to maintenance waves and to repeated
@@ -82,39 +60,20 @@
 	       s->now - w->idle_since >= since;
 }
 
-/* Returns true if ready tasks of a pool would be late with one machine less. */
-static bool pool_late_with_one_less(const struct pool_load *p,
-				    double machine_cores)
-{
-	return p->ready_work >
-	       (p->cores - p->long_running_cores - machine_cores) *
-		       READY_WAIT_MAX_MS;
-}
-
 /*
  * Returns true if a pool can give away one of its machines without tasks.
- * Standby pools and pools that no route names always can.  Others can give away
- * machines beyond their home size, and up to lent_share of that size while more
- * than FREE_SHARE_MIN of their workers are free, but none while their tasks
- * would be late.  Tasks that already run need no other machine.
+ * Standby pools and pools that no route names always can.  Others keep what
+ * they need, and least_cores.  Tasks that already run need no other machine.
  */
-static bool pool_can_spare(const struct pool_load *p, double machine_cores,
-			   double lent_share)
+static bool pool_can_spare(const struct sched *s, const struct pool_load *p,
+			   double machine_cores, double least_cores)
 {
+	double left = pool_room_cores(p, machine_cores) - machine_cores;
+
 	if (p->service->standby || !p->routed)
 		return true;
-	if (p->workers + p->arriving + lent_share * p->home_size <=
-	    p->home_size)
-		return false;
-	/*
-	 * Arriving machines show that the pool needs them, until its work gets
-	 * short.
-	 */
-	if (pool_late_with_one_less(p, machine_cores) ||
-	    (p->arriving && pool_drain_ms(p, machine_cores) >= DRAIN_LOW_MS))
-		return false;
-	return p->workers + p->arriving > p->home_size ||
-	       p->empty > (unsigned)(FREE_SHARE_MIN * p->workers) + 1;
+	return p->workers > 1 && left >= least_cores &&
+	       left >= pool_need_cores(s, p);
 }
 
 /* Returns how many moves may begin in this pass. */
@@ -154,18 +113,20 @@
  * Returns a machine for a pool: one in standby if there is any, else one of a
  * pool that can spare it; NULL if there is none.
  */
-static struct idle_machine *idle_machine_choose(struct idle_machine *list,
+static struct idle_machine *idle_machine_choose(const struct sched *s,
+						struct idle_machine *list,
 						size_t count,
 						const struct pool_load *to,
-						double machine_cores,
-						double lent_share)
+						double machine_cores)
 {
 	struct idle_machine *best = NULL;
 	size_t i;
 
 	for (i = 0; i < count; i++) {
 		if (!list[i].machine || list[i].from == to ||
-		    !pool_can_spare(list[i].from, machine_cores, lent_share))
+		    !pool_can_spare(
+			    s, list[i].from, machine_cores,
+			    pool_reserve_cores(s, list[i].from, machine_cores)))
 			continue;
 		if (list[i].from->service->standby)
 			return &list[i];
@@ -176,55 +137,71 @@
 }
 
 /*
- * Returns the pool that needs longest for its work for want of machines, or
- * NULL if no route names a pool.
+ * Returns how many times the cores that it will have a pool needs; 0 if it has
+ * enough, or if the owner takes longer to start its tasks than its workers to
+ * run them: machines moved there would stand idle, and the pool would seem ever
+ * less loaded.
  */
-static struct pool_load *pool_most_loaded(struct pool_loads *l,
-					  double machine_cores)
+static double pool_shortage(const struct sched *s, const struct pool_load *p,
+			    double machine_cores)
+{
+	double room = pool_room_cores(p, machine_cores);
+	double need = pool_need_cores(s, p);
+
+	if (p->stranded > p->arriving)
+		return HUGE_VAL;
+	if (need < room + machine_cores / 2 ||
+	    pool_lacks_machines_ms(p, machine_cores) <= 0)
+		return 0;
+	return need / (room > machine_cores ? room : machine_cores);
+}
+
+/* Returns the pool with the largest shortage, or NULL if none has any. */
+static struct pool_load *pool_shortest(const struct sched *s,
+				       struct pool_loads *l,
+				       double machine_cores)
 {
-	struct pool_load *worst = NULL, *p;
+	struct pool_load *shortest = NULL;
+	double most = 0, shortage;
 	size_t i;
 
 	for (i = 0; i < l->count; i++) {
-		p = &l->list[i];
-		if (p->routed && !p->service->standby &&
-		    (!worst ||
-		     pool_lacks_machines_ms(p, machine_cores) >
-			     pool_lacks_machines_ms(worst, machine_cores)))
-			worst = p;
+		if (!l->list[i].routed || l->list[i].service->standby)
+			continue;
+		shortage = pool_shortage(s, &l->list[i], machine_cores);
+		if (shortage > most) {
+			shortest = &l->list[i];
+			most = shortage;
+		}
 	}
-	return worst;
+	return shortest;
 }
 
 /*
- * Moves machines to the pools that need longest for their work.  Returns the
+ * Moves machines to the pools that need more than they have.  Returns the
  * number of moves begun.
  */
 static unsigned moves_to_loaded(struct sched *s, struct pool_loads *l,
 				double machine_cores)
 {
-	double lent_share = policy_is_enabled(s, POLICY_LENDING) ? LENT_SHARE
-								 : 0;
 	unsigned n, max = moves_limit(s);
-	struct pool_load *worst;
+	struct pool_load *to;
 	struct idle_machine *list, *spare;
 	size_t count;
 
 	list = idle_machines_collect(s, l, &count);
 	for (n = 0; n < max; n++) {
-		worst = pool_most_loaded(l, machine_cores);
-		if (!worst || pool_lacks_machines_ms(worst, machine_cores) <
-				      DRAIN_HIGH_MS)
+		to = pool_shortest(s, l, machine_cores);
+		if (!to)
 			break;
-		spare = idle_machine_choose(list, count, worst, machine_cores,
-					    lent_share);
+		spare = idle_machine_choose(s, list, count, to, machine_cores);
 		if (!spare)
 			break;
 		spare->from->empty--;
 		spare->from->workers--;
 		spare->from->cores -= machine_cores;
-		worst->arriving++;
-		machine_move(s, spare->machine, worst->service->name, "burst");
+		to->arriving++;
+		machine_move(s, spare->machine, to->service->name, "burst");
 		spare->machine = NULL;
 	}
 	free(list);
@@ -269,7 +246,8 @@
 		from = pool_load_find(l, m->pool);
 		if (n >= max || !from || from->service->standby ||
 		    !machine_is_idle(s, m, idle_min) ||
-		    !pool_can_spare(from, machine_cores, 0))
+		    !pool_can_spare(s, from, machine_cores,
+				    machine_cores * from->home_size))
 			continue;
 		to = pool_below_home(l);
 		if (!to)
--- a/sched-state.h
+++ b/sched-state.h
@@ -432,6 +432,22 @@
 
 struct candidate;
 
+/*
+ * The work that arrives for a pool, as this owner has seen it.  Cores are in
+ * thousandths.
+ */
+struct demand {
+	int64_t updated_at; /* 0: never */
+	double arrived;	    /* since then, in thousandths of a core x ms */
+	double cores;	    /* that work off what arrives, smoothed */
+	double peak_cores;  /* the largest recent value; falls slowly */
+	bool has_peak;	    /* the size of the pool was known since */
+	unsigned jobs;	    /* seen, at most DEMAND_JOBS */
+	double slack_ms;    /* smoothed: a job that waits for longer is late */
+};
+/* Jobs over which the slack is averaged. */
+#define DEMAND_JOBS 32
+
 /*
  * The workers of a service.  From workers on, the members are valid for one
  * placement pass only.
@@ -456,6 +472,7 @@
 	struct resources
 		unplaceable[UNPLACEABLE_MAX]; /* needs that fit nowhere */
 	size_t unplaceable_count;
+	struct demand demand;
 	struct candidate **waiting; /* not yet considered in this pass */
 	struct candidate **waiting_end;
 	const struct task *longest_wait; /* valid only while it is logged */
@@ -1182,6 +1199,9 @@
 /* sched-pace.c: throttling of best-effort tasks */
 void pace_worker_tasks(struct sched *s, struct worker *w);
 
+/* sched-forecast.c: what the pools will need */
+void demand_add(struct sched *s, struct job *j);
+
 /* sched-evacuation.c: data centres in which no task is started */
 void evacuation_row_apply(struct sched *s, struct row *r);
 void evacuations_unlist_missing(struct sched *s);
