--- a/sched-forecast.c
+++ b/sched-forecast.c
@@ -13,7 +13,7 @@
  */
 #define DEMAND_SMOOTHING_MS 300.0
 /* A peak that does not come again is forgotten within a few of these. */
-#define PEAK_DECAY_MS 60000.0
+#define PEAK_DECAY_MS 300000.0
 /* From the end of a move until the worker is listed, has answered and is used.
  */
 #define MOVE_SETTLE_MS 300
