Window of starts: a few slow workers don't shrink it

Cause: each answer to a start later than 150 ms took a quarter of the window, at most each 150 ms, while one in time gives an eighth of a start. Four slow answers in a hundred kept it at its floor of 64.

Ruled out: answers that never come; they don't touch the window.

Change: the window shrinks only if the smoothed time of all answers is above 75 ms as well. An owner short of processor time is late with all of them.

Weighed: the share of late answers (the smoothed time has it, and how late); the time between reading and processing an answer (the adapter would have to stamp it, and an owner whose sockets are read late would seem fast).

--- a/sched-order.c
+++ b/sched-order.c
@@ -36,11 +36,14 @@
 /*
  * Bounds of the window of unanswered starts.  The window grows while starts are
  * answered within START_SLOW_MS, and shrinks by a quarter, at most once per
- * START_WINDOW_CUT_INTERVAL_MS, when an answer takes longer.
+ * START_WINDOW_CUT_INTERVAL_MS, when an answer takes longer and the smoothed
+ * time is above START_OWNER_SLOW_MS.  Answers that an owner processes late are
+ * late from all workers; those of a few slow workers leave the mean below.
  */
 #define START_WINDOW_MIN (64 * START_WINDOW_UNIT)
 #define START_WINDOW_MAX (2048 * START_WINDOW_UNIT)
 #define START_WINDOW_CUT_INTERVAL_MS 150
+#define START_OWNER_SLOW_MS (START_SLOW_MS / 2)
 /* Outcomes of starts over which the time between starts is averaged. */
 #define START_INTERVAL_SAMPLES 64
 /* An answer's weight in the smoothed time until starts are answered. */
@@ -88,7 +91,8 @@
 			s->start_window++;
 		return;
 	}
-	if (s->now < s->start_window_cut_at + START_WINDOW_CUT_INTERVAL_MS)
+	if (s->now < s->start_window_cut_at + START_WINDOW_CUT_INTERVAL_MS ||
+	    s->start_answer_us < 1000 * START_OWNER_SLOW_MS)
 		return;
 	s->start_window_cut_at = s->now;
 	if (s->start_window > s->starts_in_flight * START_WINDOW_UNIT)
