Moves: a pool keeps a part of its mean demand, none goes home beside a need

Change: the reserve is that part of the mean demand: a peak of k times the mean comes a k-th of the time, and what is kept for it is missing where jobs are late now. One machine more is kept. Nothing goes home or to standby while a pool is short.

--- a/sched-demand.c
+++ b/sched-demand.c
@@ -354,7 +354,7 @@
 			"cores=%.0f used=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
 			"stranded=%u queue_ms=%.0f objective_ms=%.0f "
 			"leaving=%u pending=%u starts_ms=%.0f evacuated=%u "
-			"demand=%.0f peak=%.0f need=%.0f reserve=%.0f slack_ms=%.0f",
+			"demand=%.0f mean=%.0f need=%.0f reserve=%.0f slack_ms=%.0f",
 			BSTR_ARG(p->service->name), p->workers, p->home_size,
 			p->arriving, p->empty, p->cores / 1000,
 			p->used_cores / 1000, p->long_running_cores / 1000,
@@ -364,7 +364,7 @@
 				       : 0,
 			p->leaving, p->pending_tasks, p->starts_ms,
 			p->evacuated, p->demand->cores / 1000,
-			p->demand->peak_cores / 1000,
+			p->demand->mean_cores / 1000,
 			pool_need_cores(s, p) / 1000,
 			pool_reserve_cores(s, p, machine_cores) / 1000,
 			pool_slack_ms(p));
--- a/sched-forecast.c
+++ b/sched-forecast.c
@@ -12,8 +12,13 @@
  * jobs of a queue in its peak, and much shorter than a move.
  */
 #define DEMAND_SMOOTHING_MS 300.0
-/* A peak that does not come again is forgotten within a few of these. */
-#define PEAK_DECAY_MS 300000.0
+/* Time over which the mean of the arriving work is taken. */
+#define DEMAND_MEAN_MS 60000.0
+/*
+ * The mean demand of a pool by its size, before it was observed: operators make
+ * pools about this many times as large as what they need on average.
+ */
+#define HOME_DEMAND_DIVISOR 2
 /* From the end of a move until the worker is listed, has answered and is used.
  */
 #define MOVE_SETTLE_MS 300
@@ -48,23 +53,23 @@
 
 /*
  * Updates the demand of a pool.  The operator's size of the pool stands for its
- * first peak; it is not known until the workers and the list of machines are.
+ * mean at first; it is not known until the workers and the list of machines
+ * are.
  */
 void demand_update(struct sched *s, struct demand *d, double home_cores)
 {
 	double ms = (double)(s->now - d->updated_at), arriving;
 
+	if (!d->has_mean)
+		d->mean_cores = home_cores / HOME_DEMAND_DIVISOR;
+	d->has_mean = d->has_mean || home_cores > 0;
 	if (d->updated_at && ms > 0) {
 		arriving = d->arrived / ms;
 		d->cores += (arriving - d->cores) *
 			    (1 - exp(-ms / DEMAND_SMOOTHING_MS));
-		d->peak_cores *= exp(-ms / PEAK_DECAY_MS);
+		d->mean_cores += (arriving - d->mean_cores) *
+				 (1 - exp(-ms / DEMAND_MEAN_MS));
 	}
-	if (!d->has_peak && home_cores > d->peak_cores)
-		d->peak_cores = home_cores;
-	d->has_peak = d->has_peak || home_cores > 0;
-	if (d->cores > d->peak_cores)
-		d->peak_cores = d->cores;
 	d->arrived = 0;
 	d->updated_at = s->now;
 }
@@ -109,9 +114,11 @@
 }
 
 /*
- * Returns the cores that a pool keeps for a peak like those before, which comes
- * without warning.  With fewer, jobs at its start would be late before machines
- * can arrive: what comes in that time less the slack has to be done by then.
+ * Returns the cores that a pool keeps while another needs them: as many of
+ * those that it needs on average as have to be there when a peak comes without
+ * warning, since the jobs at its start would be late before machines can
+ * arrive.  More would be kept for a peak that comes seldom, and be missing
+ * where jobs are late now.  One machine more is kept, as one may fail.
  */
 double pool_reserve_cores(const struct sched *s, const struct pool_load *p,
 			  double machine_cores)
@@ -120,5 +127,5 @@
 
 	if (!policy_is_enabled(s, POLICY_LENDING))
 		return machine_cores * p->home_size;
-	return share > 0 ? p->demand->peak_cores * share : 0;
+	return (share > 0 ? p->demand->mean_cores * share : 0) + machine_cores;
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -72,8 +72,7 @@
 
 	if (p->service->standby || !p->routed)
 		return true;
-	return p->workers > 1 && left >= least_cores &&
-	       left >= pool_need_cores(s, p);
+	return left >= least_cores && left >= pool_need_cores(s, p);
 }
 
 /* Returns how many moves may begin in this pass. */
@@ -178,14 +177,14 @@
 }
 
 /*
- * Moves machines to the pools that need more than they have.  Returns the
- * number of moves begun.
+ * Moves machines to the pools that need more than they have, and sets begun to
+ * the number of moves.  Returns true if some pool still needs more.
  */
-static unsigned moves_to_loaded(struct sched *s, struct pool_loads *l,
-				double machine_cores)
+static bool moves_to_loaded(struct sched *s, struct pool_loads *l,
+			    double machine_cores, unsigned *begun)
 {
 	unsigned n, max = moves_limit(s);
-	struct pool_load *to;
+	struct pool_load *to = NULL;
 	struct idle_machine *list, *spare;
 	size_t count;
 
@@ -205,7 +204,8 @@
 		spare->machine = NULL;
 	}
 	free(list);
-	return n;
+	*begun = n;
+	return to;
 }
 
 /* Returns a pool that has fewer machines than its home size, or NULL. */
@@ -345,14 +345,16 @@
 			  double machine_cores)
 {
 	unsigned begun = 0;
+	bool short_of_machines = false;
 
 	if (!own_is_exclusive(s) || !s->machine_list_complete ||
 	    !s->home_sizes_durable)
 		return;
 	backlogs_update(s, l, machine_cores);
 	if (policy_is_enabled(s, POLICY_MOVES))
-		begun = moves_to_loaded(s, l, machine_cores);
-	if (!begun)
+		short_of_machines = moves_to_loaded(s, l, machine_cores,
+						    &begun);
+	if (!short_of_machines && !begun)
 		begun = moves_from_idle(s, l, machine_cores);
 	s->moves_begun[s->move_pass] = begun;
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -440,8 +440,8 @@
 	int64_t updated_at; /* 0: never */
 	double arrived;	    /* since then, in thousandths of a core x ms */
 	double cores;	    /* that work off what arrives, smoothed */
-	double peak_cores;  /* the largest recent value; falls slowly */
-	bool has_peak;	    /* the size of the pool was known since */
+	double mean_cores;  /* the same, over a long time */
+	bool has_mean;	    /* the size of the pool was known since */
 	unsigned jobs;	    /* seen, at most DEMAND_JOBS */
 	double slack_ms;    /* smoothed: a job that waits for longer is late */
 };
