--- a/sched-forecast.c
+++ b/sched-forecast.c
@@ -19,7 +19,8 @@
  * pools about this many times as large as what they need on average.
  */
 #define HOME_DEMAND_DIVISOR 2
-/* From the end of a move until the worker is listed, has answered and is used.
+/*
+ * From the end of a move until the worker is listed, has answered and is used.
  */
 #define MOVE_SETTLE_MS 300
 /* Bounds of the slack, and its value before any job was seen. */
@@ -27,8 +28,8 @@
 #define SLACK_DEFAULT_MS 1000.0
 /* A pool's queue is to be gone within this part of the slack. */
 #define SLACK_DIVISOR 2
-/* Adds an occurrence of a job that has just arrived to the demand of its pool.
- */
+
+/* Adds a new occurrence of a job to the demand of its pool. */
 void demand_add(struct sched *s, struct job *j)
 {
 	struct demand *d = &job_pool(s, j)->demand;
--- a/sched-move.c
+++ b/sched-move.c
@@ -1,9 +1,9 @@
 /*
- * Moves machines between pools: to a pool that can't finish its work soon,
- * first from the standby pool, then from pools that can spare them; and back to
- * the standby pool, where a machine costs nothing, once it is idle.  A move
- * ends everything that runs on the machine, so only machines without tasks are
- * moved.
+ * Moves machines between pools: to a pool that will need more than it has (see
+ * sched-forecast.c), first from the standby pool, then from pools that can
+ * spare them; and back to the standby pool, where a machine costs nothing, once
+ * it is idle.  A move ends everything that runs on the machine, so only
+ * machines without tasks are moved.
  */
 #include "sched-demand.h"
 
