Moves: whether a pool can spare a machine is determined per pool

It was computed for each idle machine and each move, which grows with the square of the fleet. No decision changes. test-move, test-evacuation, test-load, test-forecast pass; its time was not measured.

--- a/sched-demand.h
+++ b/sched-demand.h
@@ -11,6 +11,7 @@
 struct pool_load {
 	const struct service *service;
 	bool routed;	    /* some route names it */
+	bool can_spare;	    /* an idle machine, for a pool in need */
 	unsigned home_size; /* machines that the operator gave it */
 	unsigned stranded;  /* long-running tasks that find no worker */
 	unsigned workers;   /* those that can take tasks */
--- a/sched-move.c
+++ b/sched-move.c
@@ -108,24 +108,35 @@
 	return list;
 }
 
+/* Determines for each pool whether it can spare a machine for one in need. */
+static void pools_mark_spare(const struct sched *s, struct pool_loads *l,
+			     double machine_cores)
+{
+	struct pool_load *p;
+	size_t i;
+
+	for (i = 0; i < l->count; i++) {
+		p = &l->list[i];
+		p->can_spare = pool_can_spare(
+			s, p, machine_cores,
+			pool_reserve_cores(s, p, machine_cores));
+	}
+}
+
 /*
  * Returns a machine for a pool: one in standby if there is any, else one of a
  * pool that can spare it; NULL if there is none.
  */
-static struct idle_machine *idle_machine_choose(const struct sched *s,
-						struct idle_machine *list,
+static struct idle_machine *idle_machine_choose(struct idle_machine *list,
 						size_t count,
-						const struct pool_load *to,
-						double machine_cores)
+						const struct pool_load *to)
 {
 	struct idle_machine *best = NULL;
 	size_t i;
 
 	for (i = 0; i < count; i++) {
 		if (!list[i].machine || list[i].from == to ||
-		    !pool_can_spare(
-			    s, list[i].from, machine_cores,
-			    pool_reserve_cores(s, list[i].from, machine_cores)))
+		    !list[i].from->can_spare)
 			continue;
 		if (list[i].from->service->standby)
 			return &list[i];
@@ -193,7 +204,8 @@
 		to = pool_shortest(s, l, machine_cores);
 		if (!to)
 			break;
-		spare = idle_machine_choose(s, list, count, to, machine_cores);
+		pools_mark_spare(s, l, machine_cores);
+		spare = idle_machine_choose(list, count, to);
 		if (!spare)
 			break;
 		spare->from->empty--;
