Starts: say whether the HTTP client sent one twice

The log showed TASK_REFUSED for the run that the worker had begun, and RUN_SECOND phase=2 half a second later. Two hypotheses fit: the worker refuses what it has begun, or the start reached it twice, since libcurl repeats a request on a new connection when a reused one is closed without a byte of an answer.

TASK_REFUSED and TASK_UNSURE now say repeated=1 if the start was sent again.

--- a/http-client.h
+++ b/http-client.h
@@ -20,7 +20,9 @@
 
 /*
  * conn_opened_at is the time at which the connection that carried the request
- * was opened, or 0 if the request was not sent.
+ * was opened, or 0 if the request was not sent. repeated is set if the request
+ * was sent again on another connection because the first was closed without a
+ * response; the server may have carried out both copies.
  */
 struct http_response {
 	enum http_outcome outcome;
@@ -28,6 +30,7 @@
 	long status;
 	uint32_t retry_after_ms; /* 0: no Retry-After header */
 	int64_t conn_opened_at;
+	bool repeated;
 	bstr body; /* owned by the client, valid only during done */
 };
 
--- a/http-transfer.c
+++ b/http-transfer.c
@@ -143,6 +143,7 @@
 		s->used = true;
 		t->response.conn_opened_at = s->opened_at;
 	}
+	t->response.repeated = t->sent;
 	t->sent = true;
 	return CURL_PREREQFUNC_OK;
 }
--- a/sched-order.c
+++ b/sched-order.c
@@ -345,8 +345,9 @@
  * task is pending again.
  */
 static void start_refused(struct sched *s, struct task *t,
-			  const struct request *rq, enum refusal why)
+			  const struct request *rq, const struct answer *a)
 {
+	enum refusal why = a->refusal;
 	struct worker *w = rq->worker;
 	static const char *const words[] = {
 		[REFUSAL_NONE] = "none",
@@ -366,9 +367,10 @@
 	sched_count(s, COUNT_RETRY_TASK_REFUSED, 1);
 	sched_log(s, LOG_TASK_REFUSED,
 		  "task=%s.%u.%u.%u run=%llu worker=%.*s "
-		  "reason=%s",
+		  "reason=%s repeated=%d",
 		  t->occ->job->id, t->occ->number, t->step, t->index,
-		  (unsigned long long)t->run, BSTR_ARG(w->id), words[why]);
+		  (unsigned long long)t->run, BSTR_ARG(w->id), words[why],
+		  a->repeated);
 	task_unplace(s, t);
 	switch (why) {
 	case REFUSAL_STALE_EPOCH:
@@ -452,13 +454,13 @@
 		w->unhealthy_until = s->now + REFUSED_PAUSE_MS;
 		sched_log(s, LOG_TASK_UNSURE,
 			  "task=%s.%u.%u.%u run=%llu "
-			  "worker=%.*s start_by=%lld",
+			  "worker=%.*s start_by=%lld repeated=%d",
 			  rq->job, rq->occurrence, t->step, t->index,
 			  (unsigned long long)t->run, BSTR_ARG(w->id),
-			  (long long)t->start_by);
+			  (long long)t->start_by, a->repeated);
 		break;
 	default:
-		start_refused(s, t, rq, a->refusal);
+		start_refused(s, t, rq, a);
 		break;
 	}
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -235,6 +235,7 @@
 	enum refusal refusal;
 	int64_t sent_at;
 	int64_t connected_at; /* start of its connection; 0: not known */
+	bool repeated;	      /* the request was sent twice */
 	uint64_t revision;
 	struct row *rows;
 	size_t row_count;
