HTTP client: the refusal of a second copy is no outcome

Callers saw a task run twice at the same time (TWICE).

Cause: libcurl sends a request again by itself when a reused connection is closed without a byte of a response. A worker had carried out the first copy of a start and closed the connection; it refused the second (503: overloaded). The client reported the refusal as the outcome, the owner took the run as not started and started the task elsewhere, 1 to 80 ms later. The comment there said that two copies are safe because the operations are idempotent. That holds for successes only.

A refusal (any status from 300 on) of a request that was sent twice is now reported as no response, so that the outcome counts as unknown, for all users of the client. Readings are excepted, they have no effect. The same fault would have given a caller's job up as refused (503) whose first copy the store had written, and dropped the note of a machine taken for maintenance.

Weighed: never sending twice (a request whose reused connection is closed fails).

Test: http_client refusal_of_a_second_copy_is_no_outcome; its eight rows with a refusal fail without the mend.

--- a/http-client.h
+++ b/http-client.h
@@ -14,7 +14,7 @@
 enum http_outcome {
 	HTTP_OK,       /* complete response with any status, also 4xx or 5xx */
 	HTTP_NOT_SENT, /* the server cannot have received any of it */
-	HTTP_NO_RESPONSE, /* the server may have received the request */
+	HTTP_NO_RESPONSE, /* the server may have carried out the request */
 	HTTP_INVALID	  /* sent; the response is malformed or too long */
 };
 
--- a/http-transfer.c
+++ b/http-transfer.c
@@ -120,8 +120,7 @@
  *
  * libcurl calls this again if it repeats the request by itself. It does so when
  * a reused connection was closed without a byte of a response. The server may
- * then receive the request twice, which is safe: commits are idempotent by
- * txid, starts and orders by task, and objects never change.
+ * then receive the request twice; see response_is_ambiguous.
  */
 static int transfer_prereq(void *arg, char *peer_ip, char *local_ip,
 			   int peer_port, int local_port)
@@ -290,6 +289,21 @@
 		transfer_end(t, HTTP_NOT_SENT);
 }
 
+/*
+ * Returns true if the response to a request that was sent twice is a refusal.
+ * It tells nothing about the first copy: a server that has carried it out and
+ * then closed the connection may refuse the second one because it is unhealthy,
+ * or because of what the first one did. The sender would take the request as
+ * not carried out, and a task would be started on another worker beside its
+ * first run. A success is true of both copies, because no request of ours has a
+ * second effect.
+ */
+static bool response_is_ambiguous(const struct http_transfer *t)
+{
+	return t->response.repeated && t->response.status >= 300 &&
+	       strcmp(t->request->method, "GET") != 0;
+}
+
 /*
  * Returns the outcome of a completed transfer. libcurl reports success for two
  * kinds of truncated responses: one whose connection was closed within the
@@ -298,7 +312,7 @@
  */
 static enum http_outcome transfer_outcome(struct http_transfer *t, CURLcode rc)
 {
-	if (rc == CURLE_OK && !t->headers_done)
+	if (rc == CURLE_OK && (!t->headers_done || response_is_ambiguous(t)))
 		return HTTP_NO_RESPONSE;
 	if (rc == CURLE_OK)
 		return t->framed || t->response.status == 204 ? HTTP_OK
--- a/sched-order.c
+++ b/sched-order.c
@@ -345,9 +345,8 @@
  * task is pending again.
  */
 static void start_refused(struct sched *s, struct task *t,
-			  const struct request *rq, const struct answer *a)
+			  const struct request *rq, enum refusal why)
 {
-	enum refusal why = a->refusal;
 	struct worker *w = rq->worker;
 	static const char *const words[] = {
 		[REFUSAL_NONE] = "none",
@@ -367,10 +366,9 @@
 	sched_count(s, COUNT_RETRY_TASK_REFUSED, 1);
 	sched_log(s, LOG_TASK_REFUSED,
 		  "task=%s.%u.%u.%u run=%llu worker=%.*s "
-		  "reason=%s repeated=%d",
+		  "reason=%s",
 		  t->occ->job->id, t->occ->number, t->step, t->index,
-		  (unsigned long long)t->run, BSTR_ARG(w->id), words[why],
-		  a->repeated);
+		  (unsigned long long)t->run, BSTR_ARG(w->id), words[why]);
 	task_unplace(s, t);
 	switch (why) {
 	case REFUSAL_STALE_EPOCH:
@@ -460,7 +458,7 @@
 			  (long long)t->start_by, a->repeated);
 		break;
 	default:
-		start_refused(s, t, rq, a);
+		start_refused(s, t, rq, a->refusal);
 		break;
 	}
 }
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -324,6 +324,62 @@
 	http_client_stop(client);
 }
 
+/*
+ * Guards against taking a request as not carried out that was received twice:
+ * the server carries out the first copy and closes the connection, and refuses
+ * the second copy.
+ */
+static const struct {
+	const char *method;
+	enum fake_action first; /* what happens to the first copy */
+	int status;		/* response to the second copy */
+	enum http_outcome outcome;
+} repeated_rows[] = {
+	{"POST", FAKE_RESET, 200, HTTP_OK},
+	{"POST", FAKE_RESET, 503, HTTP_NO_RESPONSE},
+	{"POST", FAKE_RESET, 429, HTTP_NO_RESPONSE},
+	{"POST", FAKE_RESET, 409, HTTP_NO_RESPONSE},
+	{"POST", FAKE_RESET, 412, HTTP_NO_RESPONSE},
+	{"POST", FAKE_RESET, 421, HTTP_NO_RESPONSE},
+	{"POST", FAKE_RAW, 503, HTTP_NO_RESPONSE}, /* closed, not reset */
+	{"PUT", FAKE_RESET, 412, HTTP_NO_RESPONSE},
+	{"DELETE", FAKE_RESET, 404, HTTP_NO_RESPONSE},
+	{"GET", FAKE_RESET, 410, HTTP_OK}, /* a reading has no effect */
+};
+Test(http_client, refusal_of_a_second_copy_is_no_outcome, .timeout = 60)
+{
+	struct http_client *client;
+	struct gate ended;
+	struct fake *f;
+	struct call c;
+	size_t i;
+
+	for (i = 0; i < NELEMS(repeated_rows); i++) {
+		const struct fake_step steps[] = {
+			{FAKE_ANSWER, 200, "a"},
+			{repeated_rows[i].first, 200, ""},
+			{FAKE_ANSWER, repeated_rows[i].status, "b"},
+			{FAKE_ANSWER, 503, "c"}};
+
+		client = client_start();
+		f = fake_start(steps, NELEMS(steps));
+		cr_expect_eq(call_once(client, &c, fake_port(f), "q"), HTTP_OK);
+		ended = (struct gate)GATE;
+		call_set(&c, fake_port(f), "twice", LONG_MS, &ended);
+		free(c.http.queue_name);
+		c.http.queue_name = xstrdup("q");
+		c.http.method = repeated_rows[i].method;
+		cr_assert(http_client_send(client, &c.http));
+		gate_wait(&ended, 1);
+		cr_expect_eq(fake_request_count(f), 3, "row %zu", i);
+		cr_expect_eq(c.outcome, repeated_rows[i].outcome, "row %zu", i);
+		/* The refusal of a request that was received once is one. */
+		cr_expect_eq(call_once(client, &c, fake_port(f), "q"), HTTP_OK);
+		http_client_stop(client);
+		fake_stop(f);
+	}
+}
+
 /*
  * Guards against losing requests or connections when there are more queues than
  * one shard holds.
