HTTP client: report the younger connection of two copies

A start without an answer may be carried out late by a later process of its worker, unless its connection was opened before the known process was last known to exist; then its task needs no wait (start_may_reach_later_process). For a request that libcurl sent twice, the client reported the connection of the last copy. That one may be the older: a second copy goes to any idle connection. The first copy could then reach a later process on a younger connection while the owner took that as excluded, and the task would run twice.

It needs a worker that restarts under its id, a reset of a reused connection and an older connection that becomes free just then.

The client now reports the younger of the connections.

Test: http_client tells_the_younger_connection_of_two_copies, which fails without the change. The fake server can reset a connection when released.

--- a/http-transfer.c
+++ b/http-transfer.c
@@ -128,6 +128,7 @@
 	struct http_transfer *t = arg;
 	struct http_socket *s = http_socket_find(t->client, peer_ip, peer_port,
 						 local_port);
+	int64_t opened_at = s ? s->opened_at : clock_now();
 
 	(void)local_ip;
 	if (!t->fresh_connect &&
@@ -137,11 +138,10 @@
 	}
 	if (t->request->deadline <= clock_now())
 		return CURL_PREREQFUNC_ABORT;
-	t->response.conn_opened_at = clock_now();
-	if (s) {
+	if (s)
 		s->used = true;
-		t->response.conn_opened_at = s->opened_at;
-	}
+	if (opened_at > t->response.conn_opened_at)
+		t->response.conn_opened_at = opened_at;
 	t->response.repeated = t->sent;
 	t->sent = true;
 	return CURL_PREREQFUNC_OK;
--- a/tests/support-fake.c
+++ b/tests/support-fake.c
@@ -195,6 +195,7 @@
 		step_send_answer(s, c->fd);
 		/* fall through */
 	case FAKE_HOLD:
+	case FAKE_HOLD_RESET:
 		f->held[n] = s;
 		return true;
 	case FAKE_NO_ANSWER:
@@ -301,6 +302,18 @@
 	f->connection_count++;
 }
 
+/* Sends a held answer on a connection, or resets the connection instead. */
+static void held_answer_send(struct fake *f, struct connection *c,
+			     const struct fake_step *s)
+{
+	if (s->action != FAKE_HOLD_RESET) {
+		step_send_answer(s, c->fd);
+		return;
+	}
+	reset_close(c->fd);
+	connection_remove(f, c);
+}
+
 /* Sends the held answers that have been released. */
 static void held_answers_send(struct fake *f)
 {
@@ -309,11 +322,11 @@
 	for (n = 0; n < f->request_count; n++) {
 		if (!f->held[n] || !f->released[n])
 			continue;
-		for (i = 0; i < f->connection_count; i++)
+		for (i = f->connection_count; i-- > 0;)
 			if (f->connections[i].number ==
 			    f->requests[n].connection)
-				step_send_answer(f->held[n],
-						 f->connections[i].fd);
+				held_answer_send(f, &f->connections[i],
+						 f->held[n]);
 		f->held[n] = NULL;
 		pthread_cond_broadcast(&f->changed);
 	}
--- a/tests/support-fake.h
+++ b/tests/support-fake.h
@@ -23,6 +23,7 @@
 	FAKE_HOLD,	      /* answer when released */
 	FAKE_NO_ANSWER,	      /* read the request, don't answer */
 	FAKE_RESET,	      /* read the request, then reset the connection */
+	FAKE_HOLD_RESET,      /* the same, when released */
 	FAKE_RESET_ACCEPT,    /* reset before reading anything */
 	FAKE_NO_READ,	      /* accept, don't read until released */
 };
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -380,6 +380,49 @@
 	}
 }
 
+/*
+ * Guards against reporting the older of the connections of a request that was
+ * sent twice.  The younger one may lead to a later process of the worker, which
+ * may carry its copy out late.  The first copy goes to the younger connection,
+ * as the other one is busy, and the second to the older one.
+ */
+Test(http_client, tells_the_younger_connection_of_two_copies, .timeout = 60)
+{
+	static const struct fake_step steps[] = {
+		{FAKE_HOLD, 200, "a"},	      {FAKE_HOLD, 200, "b"},
+		{FAKE_HOLD, 200, "c"},	      {FAKE_HOLD_RESET, 200, ""},
+		{FAKE_ANSWER, 200, "second"},
+	};
+	struct http_client *client = client_start();
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	struct gate ended = GATE;
+	struct call calls[4];
+	size_t i;
+
+	for (i = 0; i < NELEMS(calls); i++) {
+		call_set(&calls[i], fake_port(f), "order", LONG_MS, &ended);
+		cr_assert(http_client_send(client, &calls[i].http));
+		cr_assert(fake_wait(f, i));
+		poll(NULL, 0, 5); /* connections of different ages */
+		if (i != 1)
+			continue;
+		fake_release(f, 0);
+		fake_release(f, 1);
+		gate_wait(&ended, 2);
+	}
+	cr_assert_lt(calls[0].opened_at, calls[1].opened_at);
+	cr_assert_eq(fake_wait(f, 3)->connection, 2);
+	fake_release(f, 2);
+	gate_wait(&ended, 3);
+	fake_release(f, 3);
+	gate_wait(&ended, 4);
+	cr_assert_eq(fake_wait(f, 4)->connection, 1);
+	cr_expect_eq(calls[3].outcome, HTTP_OK);
+	cr_expect_eq(calls[3].opened_at, calls[1].opened_at);
+	http_client_stop(client);
+	fake_stop(f);
+}
+
 /*
  * Guards against losing requests or connections when there are more queues than
  * one shard holds.
