Adapter: test the refusal of a second copy

Nothing tested what the scheduler gets for an order, a transaction or a machine call whose first copy is reset and whose second one is refused. The new test asks each kind of request three times: answered, reset and then refused, and refused at once. The second is unknown, the third is refused.

--- /dev/null
+++ b/tests/test-calls.c
@@ -0,0 +1,101 @@
+#include "../platform/platform.h"
+#include "support-fake.h"
+
+#include <criterion/criterion.h>
+#include <stdlib.h>
+
+#define TIMEOUT_MS 30000
+
+/* Sends an ask and returns its outcome. */
+static enum outcome ask_outcome(struct platform *p, struct mailbox *inbox,
+				enum ask_kind kind, uint16_t port)
+{
+	struct sched_effect *fx = xcalloc(1, sizeof(*fx));
+	int64_t until = clock_now() + TIMEOUT_MS;
+	struct sched_event *ev;
+	enum outcome outcome;
+
+	fx->kind = EFFECT_ASK;
+	fx->ask.kind = kind;
+	fx->ask.deadline = until;
+	if (kind != ASK_TX) {
+		fx->ask.order.address = bstr_printf("127.0.0.1:%u", port);
+		fx->ask.order.worker = bstr_new("i-1");
+		fx->ask.order.task = bstr_new("00000000000000aa.0.0.0");
+		fx->ask.order.machine = bstr_new("m-1");
+		fx->ask.order.pool = bstr_new("rounds");
+	}
+	platform_send(p, fx);
+	while (!(ev = mailbox_take(inbox)) && clock_now() < until)
+		mailbox_wait(inbox, 100);
+	cr_assert_not_null(ev);
+	cr_assert_eq(ev->kind, EVENT_ANSWER);
+	outcome = ev->answer.outcome;
+	sched_event_free(ev);
+	return outcome;
+}
+
+/*
+ * Guards against taking an order as not carried out because its second copy was
+ * refused: the first one, whose connection was reset, may have been carried
+ * out.  A refusal of the only copy still is one.
+ */
+static const struct {
+	enum ask_kind kind;
+	int status;
+	const char *body;
+	enum outcome refused; /* of the only copy */
+} copies_rows[] = {
+	{ASK_START, 503, "{}", OUT_REFUSED},
+	{ASK_START, 429, "{}", OUT_REFUSED},
+	{ASK_START, 421, "{}", OUT_REFUSED},
+	{ASK_START, 409, "{\"reason\":\"room\"}", OUT_REFUSED},
+	{ASK_STOP, 503, "{}", OUT_REFUSED},
+	{ASK_PACE, 503, "{}", OUT_REFUSED},
+	{ASK_POLL, 409, "{\"reason\":\"fence\"}", OUT_REFUSED},
+	{ASK_MOVE, 429, "{}", OUT_REFUSED},
+	{ASK_MOVE, 409, "{\"reason\":\"busy\"}", OUT_REFUSED},
+	{ASK_MAINTENANCE, 429, "{}", OUT_REFUSED},
+	{ASK_MAINTENANCE, 409, "{\"reason\":\"wave\"}", OUT_REFUSED},
+	{ASK_TX, 503, "{}", OUT_REFUSED},
+	{ASK_TX, 412, "{\"rows\":[]}", OUT_CONFLICT},
+};
+Test(calls, refusal_of_a_second_copy_is_no_outcome, .timeout = 60)
+{
+	struct platform_options o = {.advice = ""};
+	struct mailbox *inbox = mailbox_new(16);
+	struct platform *p;
+	struct error e;
+	struct fake *f;
+	char *address;
+	size_t i;
+
+	error_init(&e);
+	for (i = 0; i < NELEMS(copies_rows); i++) {
+		const struct fake_step refused = {FAKE_ANSWER,
+						  copies_rows[i].status,
+						  copies_rows[i].body};
+		const struct fake_step steps[] = {{FAKE_ANSWER, 200, "{}"},
+						  {FAKE_RESET, 200, ""},
+						  refused,
+						  refused};
+		enum ask_kind kind = copies_rows[i].kind;
+
+		f = fake_start(steps, NELEMS(steps));
+		address = xasprintf("127.0.0.1:%u", fake_port(f));
+		o.store = o.machines = address;
+		p = platform_start(&o, inbox, inbox, &e);
+		cr_assert(p);
+		cr_expect_eq(ask_outcome(p, inbox, kind, fake_port(f)),
+			     OUT_DONE, "row %zu", i);
+		cr_expect_eq(ask_outcome(p, inbox, kind, fake_port(f)),
+			     OUT_UNKNOWN, "row %zu", i);
+		cr_expect_eq(fake_request_count(f), 3, "row %zu", i);
+		cr_expect_eq(ask_outcome(p, inbox, kind, fake_port(f)),
+			     copies_rows[i].refused, "row %zu", i);
+		platform_stop(p);
+		fake_stop(f);
+		free(address);
+	}
+	mailbox_free(inbox);
+}
