HTTP client: test outcomes under many resets

The test sends 400 requests to a server that resets, closes, truncates, leaves unanswered and refuses at random, with deadlines of 1 to 500 ms. Each request has to end within a second of its deadline, one that arrived is never reported as not sent, and a refusal is reported only if a single copy arrived.

--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -21,7 +21,9 @@
 struct call {
 	struct http_request http;
 	enum http_outcome outcome;
+	long status;
 	int64_t opened_at;
+	int64_t ended_at;
 	struct gate *ended;
 	/* Block at a gate, or until a call's deadline has passed. */
 	struct gate *entered;
@@ -91,7 +93,9 @@
 	int first;
 
 	c->outcome = a->outcome;
+	c->status = a->status;
 	c->opened_at = a->conn_opened_at;
+	c->ended_at = clock_now();
 	if (c->listener) {
 		/*
 		 * Accepting the first connection makes room for the one that
@@ -423,6 +427,73 @@
 	fake_stop(f);
 }
 
+/* Returns how many copies of a request have arrived. */
+static unsigned copies_count(struct fake *f, const char *name)
+{
+	size_t i, n = fake_request_count(f);
+	unsigned copies = 0;
+
+	for (i = 0; i < n; i++)
+		copies += strstr(fake_wait(f, i)->head, name) != NULL;
+	return copies;
+}
+
+/*
+ * Guards against a request without an outcome, or with a wrong one, when the
+ * server resets and closes many connections, leaves requests unanswered and
+ * refuses some: the outcome comes soon after the deadline at the latest, a
+ * request that arrived was sent, and a refusal is one only if a single copy
+ * arrived.
+ */
+Test(http_client, every_request_has_one_outcome, .timeout = 60)
+{
+	enum { CALLS = 400, STEPS = 6 * CALLS, OUTSTANDING = 40 };
+	static const enum fake_action actions[] = {
+		FAKE_ANSWER, FAKE_ANSWER, FAKE_ANSWER,	  FAKE_ANSWER,
+		FAKE_RESET,  FAKE_RESET,  FAKE_NO_ANSWER, FAKE_RESET_ACCEPT,
+		FAKE_RAW,    FAKE_ANSWER, FAKE_TRUNCATE,  FAKE_ANSWER_TWICE};
+	static struct fake_step steps[STEPS];
+	static struct call calls[CALLS];
+	struct http_client *client = client_start();
+	struct gate ended = GATE;
+	uint64_t random = 1;
+	unsigned i, copies;
+	struct fake *f;
+	char name[32];
+
+	for (i = 0; i < STEPS; i++) {
+		steps[i].action =
+			actions[random_next(&random) % NELEMS(actions)];
+		steps[i].status = random_next(&random) % 3 ? 200 : 503;
+		steps[i].body = steps[i].action == FAKE_RAW ? "" : "a";
+	}
+	f = fake_start(steps, STEPS);
+	for (i = 0; i < CALLS; i++) {
+		snprintf(name, sizeof(name), "call%u", i);
+		call_set(&calls[i], fake_port(f), name,
+			 (int64_t)(random_next(&random) % 500) + 1, &ended);
+		free(calls[i].http.queue_name);
+		calls[i].http.queue_name = xasprintf(
+			"q%u", (unsigned)(random_next(&random) % 4));
+		gate_wait(&ended, i < OUTSTANDING ? 0 : i - OUTSTANDING);
+		cr_assert(http_client_send(client, &calls[i].http));
+	}
+	gate_wait(&ended, CALLS);
+	http_client_stop(client);
+	cr_expect_eq(ended.count, CALLS);
+	for (i = 0; i < CALLS; i++) {
+		snprintf(name, sizeof(name), "/call%u ", i);
+		copies = copies_count(f, name);
+		cr_expect_leq(calls[i].ended_at,
+			      calls[i].http.deadline + SHORT_MS, "%s", name);
+		if (calls[i].outcome == HTTP_NOT_SENT)
+			cr_expect_eq(copies, 0, "%s", name);
+		if (calls[i].outcome == HTTP_OK && calls[i].status >= 300)
+			cr_expect_eq(copies, 1, "%s", name);
+	}
+	fake_stop(f);
+}
+
 /*
  * Guards against losing requests or connections when there are more queues than
  * one shard holds.
