Soak: lost answers and refusals together

The soak lost answers (a request is carried out, its connection is closed) and refused requests, but never both at a time, so no request had one copy carried out and the second one refused. A task with two runs by that way, and a caller's job refused though it was stored, could not show in it.

The sequence of the faults that a seed draws is unchanged.

--- a/tests/soak-entry.c
+++ b/tests/soak-entry.c
@@ -3,9 +3,9 @@
  * of the platform, clients that keep their connections open, and injected
  * faults drawn from a seed: processes killed, stopped by plan or paused; the
  * path to the store cut, stalled or losing answers; the store refusing, slow or
- * without its history; workers that crash, freeze, go silent or refuse starts;
- * the owner of the scheduling and its successor killed; configuration changes.
- * Faults come in series and overlap.
+ * without its history; workers that crash, freeze, go silent, refuse orders or
+ * carry them out without an answer; the owner of the scheduling and its
+ * successor killed; configuration changes. Faults come in series and overlap.
  *
  * It checks by the answers to callers and the state of the workers: no task
  * runs twice at a time, nor after its end was acknowledged; a refused job never
@@ -64,6 +64,7 @@
 } kept[] = {
 	{1, "the first seed kept; it draws other faults by now"},
 	{2, "processes killed and paused, workers that crash or go silent"},
+	{8, "orders carried out without an answer, second copies refused"},
 	{12,
 	 "owners killed in a row, planned stops, the store slow and silent"},
 	{33, "owners killed in a row, answers lost, starts refused"},
@@ -537,7 +538,11 @@
 	free(body);
 }
 
-/* Draws a fault of the store or of the workers' starts. */
+/*
+ * Draws a fault of the store or of the workers' orders.  Where requests are
+ * carried out and lose their answers, others are refused, so that one copy of a
+ * request may be carried out and another one refused.
+ */
 static void fault_cloud(struct soak *s)
 {
 	static const char *const store[] = {
@@ -545,12 +550,16 @@
 		"{\"mode\":\"slow\",\"ms\":300,\"ops\":[\"tx\",\"get\"]}",
 		"{\"mode\":\"slow\",\"ms\":500,\"ops\":[\"tx\",\"get\",\"feed\"]}",
 		"{\"mode\":\"slow\",\"ms\":600,\"share\":0.7,\"ops\":[\"get\"]}",
-		"{\"mode\":\"lose\",\"share\":0.3,\"ops\":[\"tx\"]}",
+		"{\"mode\":\"lose\",\"share\":0.3,\"ops\":[\"tx\"]},"
+		"{\"mode\":\"refuse\",\"share\":0.4,\"ops\":[\"tx\"]}",
 		"{\"mode\":\"down\",\"ops\":[\"tx\",\"get\",\"feed\"]}",
 		"",
 	};
 	static const char *const starts[] = {
-		"{\"mode\":\"lose\",\"share\":0.2,\"ops\":[\"start\"]}",
+		"{\"mode\":\"lose\",\"share\":0.3,\"ops\":[\"start\",\"stop\","
+		"\"hold\"]},"
+		"{\"mode\":\"refuse\",\"share\":0.4,\"ops\":[\"start\",\"stop\","
+		"\"hold\"]}",
 		"{\"mode\":\"refuse\",\"share\":0.7,\"ops\":[\"start\"]}",
 		"{\"mode\":\"refuse\",\"ops\":[\"start\"]}",
 		"",
