HTTP client: a second copy does not extend the deadline

When libcurl repeats a request whose reused connection was closed without a response, it starts the timeout anew (7.88.1: Curl_expire with the whole timeout on the way back through its setup). A request whose second copy is not answered got its outcome up to one timeout after its deadline: 1584 ms late for a timeout of 2000 ms and a reset after 1500. A poll whose answer is lost at the end of its wait, and whose second copy waits as long, was taken as unanswered only then, and no other poll renewed the worker's lease meanwhile; a start counted as in flight up to 0.8 s longer. A response after the deadline was discarded in any case (tried: second copy answered 250 ms after it).

The client now ends transfers at their deadlines by a timer of its own, in place of libcurl's. So it reports an outcome also for a transfer that libcurl would never complete.

Test: http_client a_second_copy_does_not_extend_the_deadline, which fails without the change.

--- a/http-client.c
+++ b/http-client.c
@@ -59,16 +59,17 @@
  */
 static int client_timeout_ms(const struct http_client *c)
 {
-	const struct heap_node *shard = heap_first(&c->shard_timers);
-	const struct heap_node *request = heap_first(&c->request_timers);
+	const struct heap_node *timers[] = {heap_first(&c->shard_timers),
+					    heap_first(&c->request_timers),
+					    heap_first(&c->transfer_timers)};
 	int64_t now = clock_now(), at = now + LOOP_MAX_MS;
+	size_t i;
 
 	if (!TAILQ_EMPTY(&c->ready))
 		return 0;
-	if (shard && shard->due < at)
-		at = shard->due;
-	if (request && request->due < at)
-		at = request->due;
+	for (i = 0; i < NELEMS(timers); i++)
+		if (timers[i] && timers[i]->due < at)
+			at = timers[i]->due;
 	return at > now ? (int)(at - now) : 0;
 }
 
@@ -92,6 +93,7 @@
 
 	while (!atomic_load(&c->stopping)) {
 		client_start_requests(c);
+		http_transfers_expire(c, clock_now());
 		http_shards_run_timers(c, clock_now());
 		http_queues_expire(c, clock_now());
 		n = epoll_wait(c->epoll, events, EPOLL_EVENTS_MAX,
@@ -113,6 +115,7 @@
 	http_sockets_free(c);
 	heap_free(&c->shard_timers);
 	heap_free(&c->request_timers);
+	heap_free(&c->transfer_timers);
 	curl_slist_free_all(c->headers);
 	mailbox_free(c->mailbox);
 	close(c->epoll);
--- a/http-state.h
+++ b/http-state.h
@@ -60,6 +60,7 @@
  */
 struct http_transfer {
 	TAILQ_ENTRY(http_transfer) entry;
+	struct heap_node timer; /* deadline of the request */
 	struct http_client *client;
 	struct http_queue *queue;
 	struct http_request *request;
@@ -118,7 +119,8 @@
 	struct http_queue_list idle;  /* without requests, by idle_until */
 	struct http_shard_list available_shards;
 	struct heap shard_timers;
-	struct heap request_timers; /* start or deadline of those waiting */
+	struct heap request_timers;  /* start or deadline of those waiting */
+	struct heap transfer_timers; /* deadlines of those running */
 	struct http_transfer_list running;
 	struct http_transfer_list free_transfers;
 	struct http_socket **sockets; /* by file descriptor */
@@ -165,6 +167,7 @@
 void http_transfer_start(struct http_client *c, struct http_queue *q,
 			 struct http_request *r);
 void http_transfers_reap(struct http_shard *sh);
+void http_transfers_expire(struct http_client *c, int64_t now);
 void http_transfers_abort(struct http_client *c);
 void http_transfers_free(struct http_client *c);
 
--- a/http-transfer.c
+++ b/http-transfer.c
@@ -109,14 +109,13 @@
  * has been sent on it. Once this returns CURL_PREREQFUNC_OK, the server may
  * receive the request.
  *
- * The deadline is checked again here. libcurl's timeout starts with the
- * transfer, and an iteration of the event loop starts all its transfers at one
- * reading of the clock. Without the check, a thread that is denied the CPU
- * would send orders about machines long after their deadline, while a successor
- * sends its own. The check is enough because libcurl writes right after this
- * returns, and a small request in one call. Two cases remain: the thread is
- * suspended between the check and that call, and data that the kernel accepted
- * before the deadline is sent until http_socket_close.
+ * The deadline is checked again here. An iteration of the event loop starts all
+ * its transfers at one reading of the clock. Without the check, a thread that
+ * is denied the CPU would send orders about machines long after their deadline,
+ * while a successor sends its own. The check is enough because libcurl writes
+ * right after this returns, and a small request in one call. Two cases remain:
+ * the thread is suspended between the check and that call, and data that the
+ * kernel accepted before the deadline is sent until http_socket_close.
  *
  * libcurl calls this again if it repeats the request by itself. It does so when
  * a reused connection was closed without a byte of a response. The server may
@@ -184,16 +183,17 @@
 }
 
 /*
- * Starts a transfer with the time until its deadline as timeout. Returns false
- * if none is left or libcurl refuses the transfer.
+ * Starts a transfer, to be ended at its deadline. Returns false if that has
+ * passed or libcurl refuses the transfer.
+ *
+ * libcurl's own timeout is not used: it starts anew when libcurl repeats a
+ * request, so that the outcome would come up to twice as late.
  */
 static bool transfer_add(struct http_transfer *t)
 {
-	int64_t left = t->request->deadline - clock_now();
-
-	if (left <= 0)
+	if (t->request->deadline <= clock_now())
 		return false;
-	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS, (long)left);
+	heap_set(&t->client->transfer_timers, &t->timer, t->request->deadline);
 	return curl_multi_add_handle(t->queue->shard->multi, t->easy) ==
 	       CURLM_OK;
 }
@@ -205,6 +205,7 @@
 	struct http_response res = t->response;
 
 	res.outcome = outcome;
+	heap_remove(&c->transfer_timers, &t->timer);
 	TAILQ_REMOVE(&c->running, t, entry);
 	TAILQ_INSERT_HEAD(&c->free_transfers, t, entry);
 	http_queue_end(c, t->queue);
@@ -333,8 +334,8 @@
 
 /*
  * Ends a transfer that libcurl has completed. If its connection was stale, the
- * transfer is started again on a new connection instead. A timeout marks all
- * older connections of the queue as not reusable.
+ * transfer is started again on a new connection instead. A timeout (of a second
+ * copy's connection) marks all older connections of the queue as not reusable.
  */
 static void transfer_complete(struct http_transfer *t, CURLcode rc)
 {
@@ -371,15 +372,39 @@
 	}
 }
 
-/* Ends all running transfers: those that were sent have no response. */
+/* Ends a running transfer: if it was sent, it has no response. */
+static void transfer_abort(struct http_transfer *t)
+{
+	curl_multi_remove_handle(t->queue->shard->multi, t->easy);
+	transfer_end(t, t->sent ? HTTP_NO_RESPONSE : HTTP_NOT_SENT);
+}
+
+/*
+ * Ends the transfers whose deadline has passed. Each one that was sent marks
+ * all older connections of its queue as not reusable.
+ */
+void http_transfers_expire(struct http_client *c, int64_t now)
+{
+	struct http_transfer *t;
+	struct heap_node *n;
+
+	while ((n = heap_first(&c->transfer_timers)) && n->due <= now) {
+		t = HEAP_ENTRY(n, struct http_transfer, timer);
+		if (t->sent)
+			t->queue->timeout_serial = c->last_serial;
+		log_debug("%s %s: deadline", t->request->method,
+			  t->request->url);
+		transfer_abort(t);
+	}
+}
+
+/* Ends all running transfers. */
 void http_transfers_abort(struct http_client *c)
 {
 	struct http_transfer *t;
 
-	while ((t = TAILQ_FIRST(&c->running))) {
-		curl_multi_remove_handle(t->queue->shard->multi, t->easy);
-		transfer_end(t, t->sent ? HTTP_NO_RESPONSE : HTTP_NOT_SENT);
-	}
+	while ((t = TAILQ_FIRST(&c->running)))
+		transfer_abort(t);
 }
 
 /* Frees all transfers, none of which may be running. */
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -427,6 +427,39 @@
 	fake_stop(f);
 }
 
+/*
+ * Guards against an outcome that comes long after the deadline because the
+ * request was sent twice: libcurl starts the timeout anew with the second copy,
+ * and whatever waits for the outcome would wait on.
+ */
+Test(http_client, a_second_copy_does_not_extend_the_deadline, .timeout = 60)
+{
+	static const struct fake_step steps[] = {{FAKE_ANSWER, 200, "a"},
+						 {FAKE_HOLD_RESET, 200, ""},
+						 {FAKE_NO_ANSWER, 200, ""}};
+	struct http_client *client = client_start();
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	struct gate ended = GATE;
+	struct call warm, order;
+
+	call_set(&warm, fake_port(f), "warm", LONG_MS, &ended);
+	cr_assert(http_client_send(client, &warm.http));
+	gate_wait(&ended, 1);
+	call_set(&order, fake_port(f), "order", 2 * SHORT_MS, &ended);
+	cr_assert(http_client_send(client, &order.http));
+	cr_assert(fake_wait(f, 1));
+	poll(NULL, 0, 3 * SHORT_MS / 2);
+	fake_release(f, 1);
+	gate_wait(&ended, 2);
+	cr_expect_eq(fake_request_count(f), 3);
+	cr_expect_eq(order.outcome, HTTP_NO_RESPONSE);
+	cr_expect_leq(order.ended_at, order.http.deadline + SHORT_MS / 2,
+		      "%lld ms late",
+		      (long long)(order.ended_at - order.http.deadline));
+	http_client_stop(client);
+	fake_stop(f);
+}
+
 /* Returns how many copies of a request have arrived. */
 static unsigned copies_count(struct fake *f, const char *name)
 {
