--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -23,6 +23,7 @@
 	enum http_outcome outcome;
 	long status;
 	int64_t opened_at;
+	int64_t ended_at;
 	struct gate *ended;
 	/* Block at a gate, or until a call's deadline has passed. */
 	struct gate *entered;
@@ -94,6 +95,7 @@
 	c->outcome = a->outcome;
 	c->status = a->status;
 	c->opened_at = a->conn_opened_at;
+	c->ended_at = clock_now();
 	if (c->listener) {
 		/*
 		 * Accepting the first connection makes room for the one that
@@ -425,6 +427,43 @@
 	fake_stop(f);
 }
 
+/*
+ * Guards against an outcome that comes long after the deadline because the
+ * request was sent twice: libcurl starts the timeout anew with the second copy,
+ * and whatever waits for the outcome would wait on.  A request with a later
+ * deadline must not end before it.
+ */
+Test(http_client, a_second_copy_does_not_extend_the_deadline, .timeout = 60)
+{
+	static const struct fake_step steps[] = {{FAKE_ANSWER, 200, "a"},
+						 {FAKE_HOLD_RESET, 200, ""},
+						 {FAKE_NO_ANSWER, 200, ""},
+						 {FAKE_NO_ANSWER, 200, ""}};
+	struct http_client *client = client_start();
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	struct call warm, order, later;
+	struct gate ended = GATE;
+
+	call_set(&warm, fake_port(f), "warm", LONG_MS, &ended);
+	cr_assert(http_client_send(client, &warm.http));
+	gate_wait(&ended, 1);
+	call_set(&order, fake_port(f), "order", 4 * SHORT_MS, &ended);
+	cr_assert(http_client_send(client, &order.http));
+	cr_assert(fake_wait(f, 1));
+	poll(NULL, 0, SHORT_MS);
+	fake_release(f, 1);
+	cr_assert(fake_wait(f, 2));
+	call_set(&later, fake_port(f), "later", LONG_MS, &ended);
+	later.http.deadline = order.http.deadline + SHORT_MS / 2;
+	cr_assert(http_client_send(client, &later.http));
+	gate_wait(&ended, 3);
+	cr_expect_eq(order.outcome, HTTP_NO_RESPONSE);
+	cr_expect_leq(order.ended_at, later.ended_at, "%lld ms after the other",
+		      (long long)(order.ended_at - later.ended_at));
+	http_client_stop(client);
+	fake_stop(f);
+}
+
 /* Returns how many copies of a request have arrived. */
 static unsigned copies_count(struct fake *f, const char *name)
 {
