--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -842,3 +842,45 @@
 		check_free(w, "lost release", row);
 	}
 }
+
+/*
+ * A task runs twice at the same time. A worker restarts under its id, and its
+ * new process carries out a start whose deadline refers to the old clock: the
+ * run holds the longest lease. The answer is lost, and the owner, which doesn't
+ * know of the restart, releases the ownership as planned.
+ */
+Test(takeover, planned_stop_after_an_unanswered_start)
+{
+	static const struct world_job one = {.tasks = 1, .long_running = true};
+	struct world *w;
+	unsigned row, n, k, i;
+
+	for (row = 0; row < 8; row++) {
+		w = world_new_settled(1430 + row);
+		n = owner(w);
+		world_reset_polls(w);
+		world_run(w, 8000);
+		/* Only one worker can be used. */
+		for (i = 0; i < 6; i++)
+			if (i != 2)
+				world_set_capacity(w, i, 0);
+		world_run(w, 1500);
+		world_lose_start_answers(w, true);
+		world_crash_worker(w, 2);
+		world_run(w, 310);
+		world_submit(w, other(w), JOB_A, &one);
+		for (k = 0; k < 100 && !world_starts(w); k++)
+			world_run(w, 1);
+		cr_expect_eq(world_starts(w), 1, "row %u", row);
+		world_cut_worker_of_all(w, 2, true);
+		world_run(w, 10 * row);
+		world_stop_vm(w, n);
+		for (i = 0; i < 6; i++)
+			world_set_capacity(w, i, 16000);
+		world_lose_start_answers(w, false);
+		world_run(w, 12000);
+		cr_expect_neq(owner(w), n, "row %u", row);
+		cr_expect_eq(world_starts(w), 2, "row %u", row);
+		check_free(w, "planned stop", row);
+	}
+}
