Tests: calls about machines that were carried out and then refused

A platform that carries out a call, whose answer is lost, refuses the next one as busy while the machine is down, and answers a later one with success, as the operation is done. If the owner takes that for the end of the machine's next worker, its tasks run twice. The simulated world had no such order of events: it answered repeated calls with success also while the machine was down, listed the next worker at once, and carried out late moves but no late maintenance.

The world now has these modes: the call is carried out and the connection closed; calls are refused while the machine is not up; late maintenance. A machine that is not up is listed without a worker. It reports a violation if an owner gives up a worker because of an answer (maintenance, moved, replaced) and that worker goes on, in all tests that use it.

New: upkeep lost_answers_spare_the_next_worker (96 worlds, with takeovers before, between and after) and the same for moves (72).

--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -148,7 +148,7 @@
 }
 
 /* Carries out the move of a machine, unless it is in the pool already. */
-void world_move_apply(struct world *w, const struct order *o)
+static void move_apply(struct world *w, const struct order *o)
 {
 	unsigned n = machine_index(o);
 	const char *pool = pool_find(o->pool);
@@ -161,6 +161,7 @@
 	w->moves++;
 	w->pools[n] = pool;
 	dropped_ends_check(w, n);
+	w->machine_up_at[n] = w->now + 300;
 	world_machine_restart(w, n, 300);
 	if (machine_is_standby(w, n))
 		world_unlist_worker(w, n, true);
@@ -180,7 +181,7 @@
 	maintenance_check(w, n);
 	dropped_ends_check(w, n);
 	w->maintained[n] = true;
-	w->maintained_until[n] = w->now + MAINTENANCE_MS;
+	w->maintained_until[n] = w->machine_up_at[n] = w->now + MAINTENANCE_MS;
 	world_machine_restart(w, n, MAINTENANCE_MS);
 }
 
@@ -195,7 +196,8 @@
 			.machine = bstr_printf("m-%u", i),
 			.pool = bstr_new(w->pools[i]),
 			.zone = bstr_printf("z%u", world_dc_of(i)),
-			.worker = machine_is_standby(w, i)
+			.worker = machine_is_standby(w, i) ||
+						  w->now < w->machine_up_at[i]
 					  ? BSTR_NONE
 					  : world_worker_id(w, i),
 			.state = w->now < w->maintained_until[i]
@@ -216,35 +218,36 @@
 	}
 }
 
-/* Carries out an order about a machine at once. */
-static void machine_order_apply(struct world *w, const struct ask *ask)
+/* Carries out an order about a machine, unless it has been. */
+void world_machine_apply(struct world *w, const struct ask *ask)
 {
 	if (ask->kind == ASK_MOVE)
-		world_move_apply(w, &ask->order);
+		move_apply(w, &ask->order);
 	else
 		maintenance_apply(w, machine_index(&ask->order));
 }
 
-/* Carries out the move of a machine later; its answer has timed out. */
-static void move_delay(struct world *w, unsigned vm, struct sched_effect *fx)
+/* Carries out an order about a machine later; its answer has timed out. */
+static void machine_order_delay(struct world *w, unsigned vm,
+				struct sched_effect *fx)
 {
 	struct pending *p = world_pending_add(w, &w->pending,
-					      w->now + LATE_MOVE_MS, vm);
+					      w->now + LATE_MACHINES_MS, vm);
 
 	p->effect = fx;
-	p->is_late_move = true;
+	p->is_late_machine_order = true;
 }
 
 /*
- * Lets an order about a machine time out.  A late move is carried out all the
+ * Lets an order about a machine time out.  A late one is carried out all the
  * same.
  */
 static void machine_order_timeout(struct world *w, unsigned vm,
 				  struct sched_effect *fx)
 {
 	world_answer_timeout(w, vm, fx);
-	if (w->machine_mode == WORLD_MACHINES_LATE && fx->ask.kind == ASK_MOVE)
-		move_delay(w, vm, fx);
+	if (w->machine_mode == WORLD_MACHINES_LATE)
+		machine_order_delay(w, vm, fx);
 	else
 		sched_effect_free(fx);
 }
@@ -264,6 +267,17 @@
 	sched_effect_free(fx);
 }
 
+/* Carries out an order about a machine, or refuses it if that is not up. */
+static void machine_order_if_up(struct world *w, unsigned vm,
+				struct sched_effect *fx)
+{
+	bool up = w->now >= w->machine_up_at[machine_index(&fx->ask.order)];
+
+	if (up)
+		world_machine_apply(w, &fx->ask);
+	machine_order_answer(w, vm, fx, up ? REFUSAL_NONE : REFUSAL_BUSY);
+}
+
 /* Notes the epoch of an order for maintenance; it must not go back. */
 static void maintenance_epoch_check(struct world *w, const struct order *o)
 {
@@ -283,17 +297,27 @@
 	switch (w->machine_mode) {
 	case WORLD_MACHINES_OK:
 	case WORLD_MACHINES_SLOW:
-		machine_order_apply(w, &fx->ask);
+		world_machine_apply(w, &fx->ask);
 		machine_order_answer(w, vm, fx, REFUSAL_NONE);
 		break;
+	case WORLD_MACHINES_UP:
+		machine_order_if_up(w, vm, fx);
+		break;
 	case WORLD_MACHINES_BUSY:
 		machine_order_answer(w, vm, fx, REFUSAL_BUSY);
 		break;
+	case WORLD_MACHINES_CLOSE:
+		world_machine_apply(w, &fx->ask);
+		world_inbox_send(w, vm,
+				 world_answer_make(fx, OUT_UNKNOWN, w->now),
+				 w->now + ONE_WAY_MS);
+		sched_effect_free(fx);
+		break;
 	case WORLD_MACHINES_INVALID:
 		machine_order_answer(w, vm, fx, REFUSAL_INVALID);
 		break;
 	case WORLD_MACHINES_LOSE_ANSWERS:
-		machine_order_apply(w, &fx->ask);
+		world_machine_apply(w, &fx->ask);
 		machine_order_timeout(w, vm, fx);
 		break;
 	case WORLD_MACHINES_SILENT:
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -34,6 +34,12 @@
 	return epoch;
 }
 
+/* Returns how often the VMs have logged an event. */
+unsigned world_log_count(const struct world *w, uint32_t number)
+{
+	return w->log_counts[number];
+}
+
 /* Returns the number of starts that workers carried out. */
 unsigned world_starts(const struct world *w)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -23,7 +23,7 @@
 #define LATE_ORDER_RANGE_MS 10000
 #define MAINTENANCE_MS 2000
 #define SLOW_MACHINES_MS 1400
-#define LATE_MOVE_MS 6000
+#define LATE_MACHINES_MS 6000
 #define NOTICE_MS 4500
 #define CONFIG_APPLY_MS 2000
 #define CONTACT_MS 3000		 /* until a reduced capacity counts */
@@ -45,6 +45,7 @@
 #define NAMES_MAX 1024
 #define TX_ENTRIES 100
 #define TX_BYTES 1000000
+#define LOG_NUMBERS 10000 /* log events have lower numbers */
 
 #define CORES 16000   /* thousandths; capacity of a worker */
 #define TASK_CPU 2000 /* thousandths; need of a task */
@@ -157,9 +158,9 @@
 	struct sched_effect *effect; /* a request; NULL for an answer */
 	struct sched_event *event; /* an answer to the VM; NULL for a request */
 	bool is_late_write;	   /* its answer has timed out already */
-	bool is_late_move;	   /* likewise */
-	bool waits_in_inbox;	   /* an answer that isn't the store's */
-	int64_t deadline;	   /* of a long poll */
+	bool is_late_machine_order; /* likewise */
+	bool waits_in_inbox;	    /* an answer that isn't the store's */
+	int64_t deadline;	    /* of a long poll */
 };
 TAILQ_HEAD(pending_list, pending);
 
@@ -254,6 +255,8 @@
 	unsigned moves;
 	bool maintained[WORLD_WORKERS_MAX];
 	int64_t maintained_until[WORLD_WORKERS_MAX];
+	int64_t machine_up_at[WORLD_WORKERS_MAX]; /* after a call */
+	unsigned log_counts[LOG_NUMBERS];	  /* by the event's number */
 	char violation[256];
 };
 
@@ -320,6 +323,9 @@
 /* Crashes a worker whose time for that has come, and lists a new id of it. */
 void world_crash_step(struct world *w, unsigned n);
 
+/* Checks that a worker that an owner logs as lost runs nothing. */
+void world_lost_check(struct world *w, const char *text);
+
 /* Checks that a job which is stored as failed has a reason to be. */
 void world_failed_check(struct world *w, const char *id);
 
@@ -337,7 +343,7 @@
 void world_machine_receive(struct world *w, unsigned vm,
 			   struct sched_effect *fx);
 
-/* Carries out the move of a machine, unless it is in the pool already. */
-void world_move_apply(struct world *w, const struct order *o);
+/* Carries out an order about a machine, unless it has been. */
+void world_machine_apply(struct world *w, const struct ask *ask);
 
 #endif
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -147,6 +147,30 @@
 	world_report_violation(w, "an innocent job is shown as failed", id);
 }
 
+/*
+ * Reports a violation if an owner takes a worker's process for ended, because
+ * of an answer about its machine or from its address, and it goes on: its tasks
+ * would have a second run at once.  text is the owner's log line.  The other
+ * reasons rest on leases, which the checks of starts cover.
+ */
+void world_lost_check(struct world *w, const char *text)
+{
+	char id[32], why[16];
+	bstr current;
+	unsigned n;
+
+	if (sscanf(text, "worker=%31s why=%15s", id, why) != 2 ||
+	    (strcmp(why, "maintenance") != 0 && strcmp(why, "moved") != 0 &&
+	     strcmp(why, "replaced") != 0))
+		return;
+	n = (unsigned)strtoul(id + 2, NULL, 10);
+	current = world_worker_id(w, n);
+	if (bstr_eq_str(current, id))
+		world_report_violation(
+			w, "a worker that goes on was taken for ended", id);
+	bstr_free(&current);
+}
+
 /*
  * Copies a worker's lists of runs and ends into an answer. It lists only ends
  * after the last one that the VM has seen.
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -303,6 +303,10 @@
 			reply_record(w, vm, &fx->reply);
 		if (fx->kind == EFFECT_END)
 			w->vms[vm].exited = true;
+		if (fx->kind == EFFECT_LOG && fx->log.number < LOG_NUMBERS)
+			w->log_counts[fx->log.number]++;
+		if (fx->kind == EFFECT_LOG && fx->log.number == LOG_WORKER_LOST)
+			world_lost_check(w, fx->log.text);
 		if (fx->kind == EFFECT_LOG && getenv("WORLD_LOG"))
 			printf("%6lld vm%u %u %s\n", (long long)w->now, vm,
 			       fx->log.number, fx->log.text);
@@ -349,8 +353,8 @@
 		world_tx_apply(w, &p->effect->ask.tx);
 		sched_effect_free(p->effect);
 		world_feeds_wake(w);
-	} else if (p->is_late_move) {
-		world_move_apply(w, &p->effect->ask.order);
+	} else if (p->is_late_machine_order) {
+		world_machine_apply(w, &p->effect->ask);
 		sched_effect_free(p->effect);
 	} else if (p->effect && p->generation == UINT32_MAX) {
 		unsigned n =
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -35,9 +35,11 @@
 	WORLD_MACHINES_SLOW,	     /* does them, answers 1.4 s later */
 	WORLD_MACHINES_SILENT,	     /* does nothing, doesn't answer */
 	WORLD_MACHINES_LOSE_ANSWERS, /* does them, doesn't answer */
-	WORLD_MACHINES_LATE,	     /* does moves 6 s later, doesn't answer */
-	WORLD_MACHINES_BUSY,	     /* does nothing, refuses as busy */
-	WORLD_MACHINES_INVALID	     /* does nothing, knows no such machine */
+	WORLD_MACHINES_LATE,	     /* does them 6 s later, doesn't answer */
+	WORLD_MACHINES_CLOSE,  /* does them, closes the connection at once */
+	WORLD_MACHINES_UP,     /* does them, refuses as busy while not up */
+	WORLD_MACHINES_BUSY,   /* does nothing, refuses as busy */
+	WORLD_MACHINES_INVALID /* does nothing, knows no such machine */
 };
 
 struct world_job {
@@ -273,6 +275,9 @@
 unsigned world_home_size(struct world *w);
 bool world_wave_is_completed(const struct world *w);
 
+/* Returns how often the VMs have logged an event. */
+unsigned world_log_count(const struct world *w, uint32_t number);
+
 /* Returns a job's state in the store; "" if it has none. */
 const char *world_job_state(struct world *w, const char *id);
 
--- a/tests/test-move.c
+++ b/tests/test-move.c
@@ -215,3 +215,60 @@
 		check_free(w, silent_rows[row].name);
 	}
 }
+
+/*
+ * Guards against a successful move being taken for the end of the machine's
+ * next worker, as an earlier call, of this owner or of another one, was carried
+ * out without an answer: that worker goes on, and its tasks would run twice.
+ */
+static const struct {
+	const char *name;
+	enum world_machine_mode mode; /* at the first calls */
+	int64_t ms;
+} unanswered_rows[] = {
+	{"refused", WORLD_MACHINES_BUSY, 500},
+	{"the connection is closed", WORLD_MACHINES_CLOSE, 100},
+	{"the answer is lost", WORLD_MACHINES_LOSE_ANSWERS, 100},
+	{"the answer is late", WORLD_MACHINES_SLOW, 100},
+	{"carried out late", WORLD_MACHINES_LATE, 1600},
+	{"carried out very late", WORLD_MACHINES_LATE, 5900},
+};
+static const enum world_machine_mode later_modes[] = {
+	WORLD_MACHINES_UP, WORLD_MACHINES_BUSY, WORLD_MACHINES_SILENT};
+static const int64_t takeovers_ms[] = {0, 1, 900, 3000}; /* 0: none */
+static void next_worker_after(unsigned row, unsigned mode, unsigned k)
+{
+	static const struct world_job back = {.tasks = 40, .task_ms = 900};
+	struct world *w = world_new_pools(2300 + 100 * row + 10 * mode + k);
+	unsigned i;
+
+	world_set_machine_mode(w, unanswered_rows[row].mode);
+	world_submit(w, (owner(w) + 1) % WORLD_VMS, JOB_A, &burst);
+	for (i = 0; i < 100 && !world_log_count(w, LOG_MACHINE_MOVED); i++)
+		world_run(w, 5);
+	cr_assert_gt(world_log_count(w, LOG_MACHINE_MOVED), 0);
+	world_run(w, unanswered_rows[row].ms);
+	world_set_machine_mode(w, later_modes[mode]);
+	world_run(w, takeovers_ms[k]);
+	if (takeovers_ms[k])
+		world_kill_vm(w, owner(w));
+	world_run(w, 3500 - takeovers_ms[k]);
+	world_set_machine_mode(w, WORLD_MACHINES_UP);
+	world_run(w, 3000);
+	/* The first pool wants its machines back. */
+	world_submit(w, (owner(w) + 1) % WORLD_VMS, JOB_B, &back);
+	world_run(w, 6000);
+	cr_expect_null(world_violation(w), "%s, then %u, takeover %lld: %s",
+		       unanswered_rows[row].name, mode,
+		       (long long)takeovers_ms[k], world_violation(w));
+	world_free(w);
+}
+Test(move, lost_answers_spare_the_next_worker)
+{
+	unsigned i, k, n;
+
+	for (i = 0; i < NELEMS(unanswered_rows); i++)
+		for (k = 0; k < NELEMS(later_modes); k++)
+			for (n = 0; n < NELEMS(takeovers_ms); n++)
+				next_worker_after(i, k, n);
+}
--- a/tests/test-upkeep.c
+++ b/tests/test-upkeep.c
@@ -4,11 +4,21 @@
  */
 #include "world-calm.h"
 
+#include "../bamboofront.h"
+
 #define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
 
 static const struct world_job long_lived = {
 	.tasks = 3, .long_running = true, .max_per_worker = 1, .may_miss = 1};
 
+/* Two tasks on each worker. */
+static const struct world_job spread = {
+	.tasks = 12, .long_running = true, .max_per_worker = 2};
+
+/* More tasks, which fill the workers that are left. */
+static const struct world_job many = {.tasks = 30, .long_running = true};
+
 /* A backlog that exceeds the pool's capacity and keeps it busy. */
 static const struct world_job backlog = {.tasks = 240, .task_ms = 4000};
 
@@ -132,3 +142,67 @@
 		check_free(w, "pools are read first");
 	}
 }
+
+/*
+ * Guards against a successful call being taken for the end of the machine's
+ * next worker: an earlier call, of this owner or of another one, was carried
+ * out without an answer, and a later one was refused since, as the machine was
+ * down.  The next worker goes on, and its tasks would run twice.
+ */
+static const struct {
+	const char *name;
+	enum world_machine_mode mode; /* at the first calls */
+	int64_t ms;
+} before_rows[] = {
+	{"refused", WORLD_MACHINES_BUSY, 900},
+	{"the connection is closed", WORLD_MACHINES_CLOSE, 100},
+	{"the answer is lost", WORLD_MACHINES_LOSE_ANSWERS, 100},
+	{"the answer is late", WORLD_MACHINES_SLOW, 100},
+	{"carried out late", WORLD_MACHINES_LATE, 1600},
+	{"carried out very late", WORLD_MACHINES_LATE, 5900},
+};
+static const struct {
+	const char *name;
+	enum world_machine_mode mode;
+	int64_t ms;
+} then_rows[] = {
+	{"busy while it is down", WORLD_MACHINES_UP, 0},
+	{"busy for long", WORLD_MACHINES_BUSY, 5000},
+	{"silent for long", WORLD_MACHINES_SILENT, 5000},
+	{"closed once more", WORLD_MACHINES_CLOSE, 700},
+};
+static const int64_t takeovers_ms[] = {0, 1, 700, 2400}; /* 0: none */
+static void next_worker_after(unsigned before, unsigned then, unsigned k)
+{
+	struct world *w = world_new_settled(1600 + 100 * before + 10 * then +
+					    k);
+
+	world_submit(w, other(w), JOB_A, &spread);
+	world_submit(w, other(w), JOB_B, &many);
+	world_set_machine_mode(w, before_rows[before].mode);
+	world_start_wave(w, 3, 3);
+	while (!world_log_count(w, LOG_WAVE_MACHINE))
+		world_run(w, 10);
+	world_run(w, before_rows[before].ms);
+	world_set_machine_mode(w, then_rows[then].mode);
+	world_run(w, takeovers_ms[k]);
+	if (takeovers_ms[k])
+		world_kill_vm(w, owner(w));
+	world_run(w, then_rows[then].ms);
+	world_set_machine_mode(w, WORLD_MACHINES_UP);
+	world_run(w, 8000);
+	cr_expect_null(world_violation(w), "%s, then %s, takeover %lld: %s",
+		       before_rows[before].name, then_rows[then].name,
+		       (long long)takeovers_ms[k], world_violation(w));
+	cr_expect_eq(world_maintained_count(w), 3);
+	world_free(w);
+}
+Test(upkeep, lost_answers_spare_the_next_worker)
+{
+	unsigned i, k, n;
+
+	for (i = 0; i < NELEMS(before_rows); i++)
+		for (k = 0; k < NELEMS(then_rows); k++)
+			for (n = 0; n < NELEMS(takeovers_ms); n++)
+				next_worker_after(i, k, n);
+}
