Log RUN_SURVIVED: a worker that was given up goes on

When a worker is given up, its tasks start elsewhere. If it goes on after all, they run twice, and nothing in the log told that from other causes of two runs: RUN_SECOND says neither that its run was given up nor why.

A task keeps the number of the run that was given up with its worker, the time and the reason. A worker that lists this run as running, or an end of it, is logged with the reason, how long ago that was, and how old the poll is, once a list. An end on a worker that was only silent is not logged: the run may have ended before its lease did.

Test: upkeep tells_of_a_worker_that_goes_on, with a platform that reports a maintenance as done that it has not done. Without the line its last row fails.

--- a/sched-list.c
+++ b/sched-list.c
@@ -15,6 +15,8 @@
  * if the worker has more ends than it lists.  It lists the rest sooner.
  */
 #define UNLISTED_END_DELAY_MS 1500
+/* Word for a run that a list shows as running. */
+#define RUN_LISTED "running"
 
 /*
  * Counts a failed run towards its worker becoming suspect.  Consecutive
@@ -68,9 +70,40 @@
 	}
 }
 
+/*
+ * Logs that a worker lists a run that was given up with it, once for each list.
+ * Then the worker went on although it counted as ended, and the task may have a
+ * second run at the same time.  The number of a run names its worker.  A run
+ * that has become the current one again is not logged any more.  An end tells
+ * nothing if the worker was only silent: the run may have ended before its
+ * lease did.
+ */
+static void survivor_log(struct sched *s, struct worker *w,
+			 const struct answer *a, const struct task *t,
+			 uint64_t run, const char *how)
+{
+	bstr name;
+
+	if (!t || !t->lost_run || t->lost_run != run ||
+	    (t->worker == w && t->run == run) ||
+	    w->survivor_list == w->list_count ||
+	    (strcmp(how, RUN_LISTED) != 0 &&
+	     strcmp(t->lost_why, "silent") == 0))
+		return;
+	w->survivor_list = w->list_count;
+	name = task_name(t);
+	sched_log(s, LOG_RUN_SURVIVED,
+		  "task=%.*s run=%llu worker=%.*s how=%s why=%s lost_ms=%lld "
+		  "asked_ms=%lld",
+		  BSTR_ARG(name), (unsigned long long)run, BSTR_ARG(w->id), how,
+		  t->lost_why, (long long)(s->now - t->lost_at),
+		  (long long)(s->now - a->sent_at));
+	bstr_free(&name);
+}
+
 /* Handles an end that a worker lists. */
 static void end_process(struct sched *s, struct worker *w,
-			const struct ended *n)
+			const struct answer *a, const struct ended *n)
 {
 	static const char *const words[] = {"done",   "failed", "stopped",
 					    "lapsed", "broken", "alone"};
@@ -82,6 +115,7 @@
 			  "task=%.*s run=%llu worker=%.*s how=%s known=%d",
 			  BSTR_ARG(n->task), (unsigned long long)n->run,
 			  BSTR_ARG(w->id), words[n->kind], t != NULL);
+	survivor_log(s, w, a, t, n->run, words[n->kind]);
 	if (!t || t->phase == PHASE_DONE)
 		return;
 	j->run_seen = true;
@@ -123,7 +157,7 @@
 		if (a->ended[i].number <= known)
 			continue;
 		s->load.new_ends++;
-		end_process(s, w, &a->ended[i]);
+		end_process(s, w, a, &a->ended[i]);
 		worker_record_end(s, w, a->ended[i].number);
 		s->place_due = true;
 	}
@@ -150,11 +184,12 @@
 
 /* Handles a run that a worker lists as running. */
 static void running_process(struct sched *s, struct worker *w,
-			    const struct running *r)
+			    const struct answer *a, const struct running *r)
 {
 	struct job *j;
 	struct task *t = task_find(s, r->task, &j);
 
+	survivor_log(s, w, a, t, r->run, RUN_LISTED);
 	/*
 	 * A run of an earlier owner, or one whose start had no answer.  The
 	 * task is assigned to no other worker, so this becomes its current run.
@@ -258,7 +293,7 @@
 
 	ends_process(s, w, a);
 	for (i = 0; i < a->running_count; i++)
-		running_process(s, w, &a->running[i]);
+		running_process(s, w, a, &a->running[i]);
 	missing_process(s, w, a);
 	lost_runs_process(s, w);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -196,6 +196,10 @@
 				   * carry out its latest start until then */
 	uint32_t lost_worker; /* serial of the worker on which its latest run
 			       * was given up; 0: none */
+	uint64_t lost_run;    /* the latest run given up with its worker, also
+			       * if a later one was started; 0: none */
+	int64_t lost_at;      /* when that was */
+	const char *lost_why; /* the reason in that worker's WORKER_LOST */
 	int64_t ready_at;
 	int64_t not_before; /* delayed until then */
 	unsigned failure_count;
@@ -382,6 +386,7 @@
 	uint64_t last_end_seq;	     /* dirty_seq when it was received */
 	uint64_t durable_end;	     /* highest end number that is durable */
 	uint64_t list_count;	     /* lists received so far */
+	uint64_t survivor_list;	     /* the latest one logged as RUN_SURVIVED */
 	TAILQ_ENTRY(worker) unacked; /* if last_end > durable_end */
 	struct pool *pool;	     /* of its service */
 	bool unknown;		     /* counted in the pool's unknown workers */
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -224,6 +224,9 @@
 
 	while ((t = TAILQ_FIRST(&w->tasks))) {
 		t->lost_worker = w->serial;
+		t->lost_run = t->run;
+		t->lost_at = s->now;
+		t->lost_why = why;
 		task_unplace(s, t);
 		n++;
 	}
--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -313,6 +313,9 @@
 				 w->now + ONE_WAY_MS);
 		sched_effect_free(fx);
 		break;
+	case WORLD_MACHINES_FALSE:
+		machine_order_answer(w, vm, fx, REFUSAL_NONE);
+		break;
 	case WORLD_MACHINES_INVALID:
 		machine_order_answer(w, vm, fx, REFUSAL_INVALID);
 		break;
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -39,6 +39,7 @@
 	WORLD_MACHINES_CLOSE,  /* does them, closes the connection at once */
 	WORLD_MACHINES_UP,     /* does them, refuses as busy while not up */
 	WORLD_MACHINES_BUSY,   /* does nothing, refuses as busy */
+	WORLD_MACHINES_FALSE,  /* does nothing, answers as if it had */
 	WORLD_MACHINES_INVALID /* does nothing, knows no such machine */
 };
 
--- a/tests/test-upkeep.c
+++ b/tests/test-upkeep.c
@@ -206,3 +206,49 @@
 			for (n = 0; n < NELEMS(takeovers_ms); n++)
 				next_worker_after(i, k, n);
 }
+
+/*
+ * Guards against silence about a worker that goes on although it was given up:
+ * nothing told whether tasks that ran twice were due to that.  A worker that
+ * was cut off until its lease had ended lists ends as usual.
+ */
+static const struct {
+	const char *name;
+	enum world_machine_mode mode;
+	bool wave;
+	bool cut; /* a worker is cut off for longer than its lease */
+	bool survives;
+} survivor_rows[] = {
+	{"nothing happens", WORLD_MACHINES_OK, false, false, false},
+	{"maintenance", WORLD_MACHINES_OK, true, false, false},
+	{"cut off, then back", WORLD_MACHINES_OK, false, true, false},
+	{"maintenance that was not done", WORLD_MACHINES_FALSE, true, false,
+	 true},
+};
+Test(upkeep, tells_of_a_worker_that_goes_on)
+{
+	unsigned row, count;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(survivor_rows); row++) {
+		w = world_new_settled(1560 + row);
+		world_submit(w, other(w), JOB_A, &spread);
+		world_run(w, 800);
+		world_set_machine_mode(w, survivor_rows[row].mode);
+		if (survivor_rows[row].wave)
+			world_start_wave(w, 1, 1);
+		world_cut_worker_of_all(w, 0, survivor_rows[row].cut);
+		world_run(w, 9000);
+		world_cut_worker_of_all(w, 0, false);
+		world_run(w, 3000);
+		count = world_log_count(w, LOG_RUN_SURVIVED);
+		cr_expect_eq(count > 0, survivor_rows[row].survives, "%s: %u",
+			     survivor_rows[row].name, count);
+		cr_expect_leq(count, 4, "%s: %u", survivor_rows[row].name,
+			      count);
+		cr_expect_eq(world_violation(w) != NULL,
+			     survivor_rows[row].survives, "%s: %s",
+			     survivor_rows[row].name, world_violation(w));
+		world_free(w);
+	}
+}
