--- a/tests/test-upkeep.c
+++ b/tests/test-upkeep.c
@@ -4,11 +4,21 @@
  */
 #include "world-calm.h"
 
+#include "../bamboofront.h"
+
 #define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
 
 static const struct world_job long_lived = {
 	.tasks = 3, .long_running = true, .max_per_worker = 1, .may_miss = 1};
 
+/* Two tasks on each worker. */
+static const struct world_job spread = {
+	.tasks = 12, .long_running = true, .max_per_worker = 2};
+
+/* More tasks, which fill the workers that are left. */
+static const struct world_job many = {.tasks = 30, .long_running = true};
+
 /* A backlog that exceeds the pool's capacity and keeps it busy. */
 static const struct world_job backlog = {.tasks = 240, .task_ms = 4000};
 
@@ -132,3 +142,113 @@
 		check_free(w, "pools are read first");
 	}
 }
+
+/*
+ * Guards against a successful call being taken for the end of the machine's
+ * next worker: an earlier call, of this owner or of another one, was carried
+ * out without an answer, and a later one was refused since, as the machine was
+ * down.  The next worker goes on, and its tasks would run twice.
+ */
+static const struct {
+	const char *name;
+	enum world_machine_mode mode; /* at the first calls */
+	int64_t ms;
+} before_rows[] = {
+	{"refused", WORLD_MACHINES_BUSY, 900},
+	{"the connection is closed", WORLD_MACHINES_CLOSE, 100},
+	{"the answer is lost", WORLD_MACHINES_LOSE_ANSWERS, 100},
+	{"the answer is late", WORLD_MACHINES_SLOW, 100},
+	{"carried out late", WORLD_MACHINES_LATE, 1600},
+	{"carried out very late", WORLD_MACHINES_LATE, 5900},
+};
+static const struct {
+	const char *name;
+	enum world_machine_mode mode;
+	int64_t ms;
+} then_rows[] = {
+	{"busy while it is down", WORLD_MACHINES_UP, 0},
+	{"busy for long", WORLD_MACHINES_BUSY, 5000},
+	{"silent for long", WORLD_MACHINES_SILENT, 5000},
+	{"closed once more", WORLD_MACHINES_CLOSE, 700},
+};
+static const int64_t takeovers_ms[] = {0, 1, 700, 2400}; /* 0: none */
+static void next_worker_after(unsigned before, unsigned then, unsigned k)
+{
+	struct world *w = world_new_settled(1600 + 100 * before + 10 * then +
+					    k);
+
+	world_submit(w, other(w), JOB_A, &spread);
+	world_submit(w, other(w), JOB_B, &many);
+	world_set_machine_mode(w, before_rows[before].mode);
+	world_start_wave(w, 3, 3);
+	while (!world_log_count(w, LOG_WAVE_MACHINE))
+		world_run(w, 10);
+	world_run(w, before_rows[before].ms);
+	world_set_machine_mode(w, then_rows[then].mode);
+	world_run(w, takeovers_ms[k]);
+	if (takeovers_ms[k])
+		world_kill_vm(w, owner(w));
+	world_run(w, then_rows[then].ms);
+	world_set_machine_mode(w, WORLD_MACHINES_UP);
+	world_run(w, 8000);
+	cr_expect_null(world_violation(w), "%s, then %s, takeover %lld: %s",
+		       before_rows[before].name, then_rows[then].name,
+		       (long long)takeovers_ms[k], world_violation(w));
+	cr_expect_eq(world_maintained_count(w), 3);
+	world_free(w);
+}
+Test(upkeep, lost_answers_spare_the_next_worker)
+{
+	unsigned i, k, n;
+
+	for (i = 0; i < NELEMS(before_rows); i++)
+		for (k = 0; k < NELEMS(then_rows); k++)
+			for (n = 0; n < NELEMS(takeovers_ms); n++)
+				next_worker_after(i, k, n);
+}
+
+/*
+ * Guards against silence about a worker that goes on although it was given up:
+ * nothing told whether tasks that ran twice were due to that.  A worker that
+ * was cut off until its lease had ended lists ends as usual.
+ */
+static const struct {
+	const char *name;
+	enum world_machine_mode mode;
+	bool wave;
+	bool cut; /* a worker is cut off for longer than its lease */
+	bool survives;
+} survivor_rows[] = {
+	{"nothing happens", WORLD_MACHINES_OK, false, false, false},
+	{"maintenance", WORLD_MACHINES_OK, true, false, false},
+	{"cut off, then back", WORLD_MACHINES_OK, false, true, false},
+	{"maintenance that was not done", WORLD_MACHINES_FALSE, true, false,
+	 true},
+};
+Test(upkeep, tells_of_a_worker_that_goes_on)
+{
+	unsigned row, count;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(survivor_rows); row++) {
+		w = world_new_settled(1560 + row);
+		world_submit(w, other(w), JOB_A, &spread);
+		world_run(w, 800);
+		world_set_machine_mode(w, survivor_rows[row].mode);
+		if (survivor_rows[row].wave)
+			world_start_wave(w, 1, 1);
+		world_cut_worker_of_all(w, 0, survivor_rows[row].cut);
+		world_run(w, 9000);
+		world_cut_worker_of_all(w, 0, false);
+		world_run(w, 3000);
+		count = world_log_count(w, LOG_RUN_SURVIVED);
+		cr_expect_eq(count > 0, survivor_rows[row].survives, "%s: %u",
+			     survivor_rows[row].name, count);
+		cr_expect_leq(count, 4, "%s: %u", survivor_rows[row].name,
+			      count);
+		cr_expect_eq(world_violation(w) != NULL,
+			     survivor_rows[row].survives, "%s: %s",
+			     survivor_rows[row].name, world_violation(w));
+		world_free(w);
+	}
+}
