HTTP client: a connection is as old as its establishment

The owner takes a start without an answer for one that only the known process of a worker can have received if its connection is older than that process's latest word (start_may_reach_later_process). Such a task isn't kept back for 12.5 s when the worker falls silent.

Cause: the age counted from the call of socket(). A connection that takes long to be established (a SYN lost or delayed, up to CONNECT_MS) is accepted later: the known process may have answered a poll on another connection and been replaced in between, and the connection then leads to the new process. Its start, carried out there seconds later, would run beside the task's next run.

It now counts from the first request, which libcurl announces once the connection is established.

Test: http_client a_connection_is_not_older_than_established.

--- a/http-client.h
+++ b/http-client.h
@@ -20,10 +20,10 @@
 
 /*
  * conn_opened_at is the time at which the connection that carried the request
- * was opened, or 0 if the request was not sent. repeated is set if the request
- * was sent again on another connection because the first was closed without a
- * response; the server may have carried out both copies. conn_opened_at is then
- * that of the younger connection.
+ * had been established, or 0 if the request was not sent. repeated is set if
+ * the request was sent again on another connection because the first was closed
+ * without a response; the server may have carried out both copies, and
+ * conn_opened_at is that of the younger connection.
  */
 struct http_response {
 	enum http_outcome outcome;
--- a/http-socket.c
+++ b/http-socket.c
@@ -80,7 +80,6 @@
 	s = http_socket_get(c, fd);
 	socket_clear(c, s);
 	s->serial = ++c->last_serial;
-	s->opened_at = clock_now();
 	socket_set_peer(s, &a->addr);
 	TAILQ_INSERT_TAIL(&c->unhashed, s, entry);
 	return fd;
--- a/http-state.h
+++ b/http-state.h
@@ -95,7 +95,7 @@
 struct http_socket {
 	TAILQ_ENTRY(http_socket) entry; /* in unhashed */
 	uint64_t serial;
-	int64_t opened_at;
+	int64_t opened_at; /* established by then; set by its first request */
 	int fd;
 	bool used; /* has carried a request */
 	bool hashed;
--- a/http-transfer.c
+++ b/http-transfer.c
@@ -127,9 +127,13 @@
 	struct http_transfer *t = arg;
 	struct http_socket *s = http_socket_find(t->client, peer_ip, peer_port,
 						 local_port);
-	int64_t opened_at = s ? s->opened_at : clock_now();
+	int64_t opened_at = clock_now();
 
 	(void)local_ip;
+	if (s && !s->used)
+		s->opened_at = opened_at;
+	if (s)
+		opened_at = s->opened_at;
 	if (!t->fresh_connect &&
 	    (!s || !http_socket_is_reusable(s, t->queue))) {
 		t->stale = true;
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -288,6 +288,45 @@
 	fake_stop(f);
 }
 
+/*
+ * Guards against taking a connection for older than it is: one that takes long
+ * to be established may lead to a worker's process that started meanwhile, and
+ * a start sent on it was taken for one that only the process before it can
+ * have received.
+ */
+Test(http_client, a_connection_is_not_older_than_established, .timeout = 60)
+{
+	static const struct fake_step steps[] = {{FAKE_ANSWER, 200, "a"}};
+	struct http_client *client = client_start();
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	struct gate ended = GATE;
+	int hanging[2], accepted;
+	struct call order, next;
+	int64_t admitted_at;
+
+	call_set(&order, fake_hanging_port(hanging), "order", LONG_MS, &ended);
+	call_set(&next, fake_port(f), "next", LONG_MS, &ended);
+	cr_assert(http_client_send(client, &order.http));
+	cr_assert(http_client_send(client, &next.http));
+	/* The order was started before, and its first SYN is dropped. */
+	gate_wait(&ended, 1);
+	poll(NULL, 0, 5);
+	admitted_at = clock_now();
+	close(accept(hanging[0], NULL, NULL));
+	accepted = accept(hanging[0], NULL, NULL);
+	cr_assert_geq(accepted, 0);
+	poll(&(struct pollfd){.fd = accepted, .events = POLLIN}, 1, WAIT_MS);
+	close(accepted);
+	gate_wait(&ended, 2);
+	cr_expect_eq(order.outcome, HTTP_NO_RESPONSE);
+	cr_expect_geq(order.opened_at, admitted_at, "%lld ms before",
+		      (long long)(admitted_at - order.opened_at));
+	http_client_stop(client);
+	fake_stop(f);
+	close(hanging[0]);
+	close(hanging[1]);
+}
+
 /* Sends a call and returns its outcome. */
 static enum http_outcome call_once(struct http_client *client, struct call *c,
 				   uint16_t port, const char *queue)
