Workers: an answer from an earlier address says nothing of the worker

Two runs of one task: tasks of a worker were given up as why=replaced while they ran.

Cause: another process answers (421) at a worker's address, and the owner took that for the end of the process it knows. A worker that was started again under its id at another address, whose row shows that, gets tasks there at once. The answer to a poll that was sent to the old address, waiting in the inbox of an owner short of processor time, then released them, and they could start elsewhere.

Ruled out: an address reused by another worker while the row is old. The id in each order names its process, so 421 is then the end of the known one; only the same id at two addresses is ambiguous.

Change: such an answer counts only if its poll was sent after the row last got another address. Otherwise the worker is polled again, at the new one.

Test: restart answer_from_an_earlier_address; all of its 20 worlds fail without the change and pass with it.

--- a/sched-state.h
+++ b/sched-state.h
@@ -374,6 +374,7 @@
 	int64_t answered_at;
 	int64_t poll_due_by; /* deadline of the long poll in flight; 0: none */
 	int64_t alive_at;    /* the known process existed then or later */
+	int64_t address_since;	   /* when its row last got another address */
 	bool late_starts_possible; /* tasks wait because a later process may
 				    * still carry out their starts */
 	bool lost_runs; /* runs on it were given up, and it has not listed all
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -445,7 +445,7 @@
 	w->gone = false;
 	worker_update_unknown(s, w);
 	if (address_changed)
-		w->poll_at = s->now;
+		w->poll_at = w->address_since = s->now;
 	if (w->row.draining && !was_draining)
 		sched_log(s, LOG_WORKER_DRAINS, "worker=%.*s revision=%llu",
 			  BSTR_ARG(w->id), (unsigned long long)r->revision);
@@ -715,6 +715,20 @@
 	worker_update_unknown(s, w);
 }
 
+/*
+ * Returns true if another process answers at a worker's address, so that the
+ * known one has ended.  The answer to a poll that was sent before the worker's
+ * row got its current address says nothing about a process at that one.  If the
+ * worker was started again there under its id, it may run tasks already, which
+ * would be started elsewhere at the same time.
+ */
+static bool worker_is_replaced(const struct worker *w, const struct request *rq,
+			       const struct answer *a)
+{
+	return a->refusal == REFUSAL_OTHER_PROCESS &&
+	       rq->asked_at > w->address_since;
+}
+
 /* Handles the outcome of a poll. */
 void worker_answer(struct sched *s, struct request *rq, struct answer *a)
 {
@@ -740,15 +754,15 @@
 	w->poll_at = s->now + POLL_RETRY_MS;
 	if (a->refusal == REFUSAL_STALE_EPOCH) {
 		order_refused_stale(s, rq, w);
-	} else if (a->refusal == REFUSAL_OTHER_PROCESS) {
-		/* Another process answers here: the known one ended. */
+	} else if (worker_is_replaced(w, rq, a)) {
 		worker_set_gone(s, w);
 		worker_set_overdue(s, w);
 		crash_worker_lost(s, w, false);
 		if (!TAILQ_EMPTY(&w->tasks))
 			worker_lost(s, w, "replaced");
 		crash_settle(s, w, true);
-	} else if (a->outcome == OUT_REFUSED) {
+	} else if (a->refusal != REFUSAL_OTHER_PROCESS &&
+		   a->outcome == OUT_REFUSED) {
 		w->unhealthy_until = s->now + POLL_RETRY_MS;
 	}
 	settle_check(s);
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -168,6 +168,15 @@
 	world_machine_restart(w, worker, 300);
 }
 
+/* Restarts two workers under their ids, each at the other's address. */
+void world_exchange_workers(struct world *w, unsigned a, unsigned b)
+{
+	w->workers_at[a] = b;
+	w->workers_at[b] = a;
+	world_worker_crash(w, a, 300);
+	world_worker_crash(w, b, 300);
+}
+
 /* Sets how the platform treats orders about machines. */
 void world_set_machine_mode(struct world *w, enum world_machine_mode mode)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -245,6 +245,9 @@
 	int64_t evacuated_at[WORLD_DCS + 1]; /* 0: it isn't; the last is of an
 					      * unknown data centre */
 	unsigned machine_restarts[WORLD_WORKERS_MAX];
+	unsigned workers_at[WORLD_WORKERS_MAX]; /* worker at each address, and
+						 * the reverse: only pairs
+						 * are exchanged */
 	uint64_t machine_epoch[WORLD_WORKERS_MAX]; /* highest of an order */
 	enum world_machine_mode machine_mode;
 	bool has_second_pool;
@@ -329,6 +332,9 @@
 /* Checks that a job which is stored as failed has a reason to be. */
 void world_failed_check(struct world *w, const char *id);
 
+/* Returns the index of the worker at an address. */
+unsigned world_worker_at(const struct world *w, bstr address);
+
 enum refusal world_order_apply(struct world *w, unsigned vm, unsigned n,
 			       const struct ask *ask);
 void world_worker_receive(struct world *w, unsigned vm,
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -102,7 +102,8 @@
 	if (from->table == TABLE_WORKERS) {
 		r->kind = ROW_WORKER;
 		r->worker.service = bstr_new(w->pools[from->worker]);
-		r->worker.address = bstr_printf("a%d", from->worker);
+		r->worker.address = bstr_printf("a%u",
+						w->workers_at[from->worker]);
 		r->worker.zone = bstr_printf(
 			"z%u", world_dc_of((unsigned)from->worker));
 		r->worker.capacity = (struct resources){
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -479,13 +479,13 @@
 	free(name);
 }
 
-/* Returns the number in a worker's address, which follows one letter. */
-static unsigned address_number(bstr name)
+/* Returns the index of the worker at an address: a letter and a number. */
+unsigned world_worker_at(const struct world *w, bstr address)
 {
 	char text[16];
 
-	snprintf(text, sizeof(text), "%.*s", BSTR_ARG(name));
-	return (unsigned)strtoul(text + 1, NULL, 10);
+	snprintf(text, sizeof(text), "%.*s", BSTR_ARG(address));
+	return w->workers_at[strtoul(text + 1, NULL, 10)];
 }
 
 /*
@@ -543,7 +543,7 @@
 		if (p->effect->ask.kind != ASK_POLL)
 			continue;
 		w->sender_generation = p->generation;
-		n = address_number(p->effect->ask.order.address);
+		n = world_worker_at(w, p->effect->ask.order.address);
 		k = &w->workers[n];
 		ended = w->polls_reset && p->worker_generation != k->generation;
 		if (!ended && w->now < p->deadline &&
@@ -604,7 +604,7 @@
 void world_worker_receive(struct world *w, unsigned vm, struct sched_effect *fx)
 {
 	const struct order *o = &fx->ask.order;
-	unsigned n = address_number(o->address);
+	unsigned n = world_worker_at(w, o->address);
 	struct sched_event *ev;
 	enum refusal refusal;
 	struct pending *p;
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -357,9 +357,7 @@
 		world_machine_apply(w, &p->effect->ask);
 		sched_effect_free(p->effect);
 	} else if (p->effect && p->generation == UINT32_MAX) {
-		unsigned n =
-			(unsigned)(p->effect->ask.order.address.bstr_val[1] -
-				   '0');
+		unsigned n = world_worker_at(w, p->effect->ask.order.address);
 
 		if (w->late_orders_kept ||
 		    p->worker_generation == w->workers[n].generation)
@@ -521,6 +519,7 @@
 		w->workers[i].listed = true;
 		w->workers[i].capacity = CORES;
 		w->pools[i] = SERVICE;
+		w->workers_at[i] = i;
 		snprintf(key, sizeof(key), "i-%u-0", i);
 		world_row_write(w, TABLE_WORKERS, key, (int)i);
 	}
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -152,6 +152,12 @@
 bool world_restart_idle_worker(struct world *w, unsigned worker);
 void world_replace_worker(struct world *w, unsigned worker);
 
+/*
+ * Restarts two workers under their ids, each at the other's address.  Feeds
+ * show that when the rows are written again, see world_unlist_worker().
+ */
+void world_exchange_workers(struct world *w, unsigned a, unsigned b);
+
 /* What a worker does after a crash. */
 enum world_crash_mode {
 	WORLD_CRASH_SAME_ID, /* it is back under the same id */
--- a/tests/test-restart.c
+++ b/tests/test-restart.c
@@ -10,6 +10,7 @@
 #define JOB_A "00000000000000aa"
 #define CUT_WORKERS 3
 
+static const struct world_job everywhere = {.tasks = 48, .long_running = true};
 static const struct world_job long_lived = {
 	.tasks = 4, .long_running = true, .max_per_worker = 1, .may_miss = 1};
 
@@ -289,3 +290,31 @@
 		check_free(w, "no crash", seed);
 	}
 }
+
+/*
+ * Guards against an answer from an address that a worker had before: another
+ * process answers there, and the owner took that for the end of the worker's
+ * process at its new address.  Its tasks ran twice.
+ */
+Test(restart, answer_from_an_earlier_address)
+{
+	static const int64_t listed_ms[] = {520, 600, 680, 760, 840};
+	struct world *w;
+	unsigned row, seed;
+
+	for (row = 0; row < NELEMS(listed_ms); row++) {
+		for (seed = 980; seed < 984; seed++) {
+			w = world_new_settled(seed);
+			world_reset_polls(w);
+			world_set_inbox_delay(w, owner(w), 500);
+			world_run(w, 1500);
+			world_exchange_workers(w, 0, 1);
+			world_run(w, listed_ms[row]);
+			world_submit(w, other(w), JOB_A, &everywhere);
+			world_unlist_worker(w, 0, false);
+			world_unlist_worker(w, 1, false);
+			world_run(w, 6000);
+			check_free(w, "an earlier address", seed);
+		}
+	}
+}
