prop-sched: slow clocks of workers, and routes that change

The simulated world's workers had exact clocks and its routes one service each. Clocks may now be slow by up to 2%, each by another amount and one by the most; the route of the first queue can be sent to the second pool and back.

Two mixes of their own, and one sequence that is kept: two runs of one task, by a service that the route named in between.

In the mix of routes no machine moves: with moves it finds jobs that aren't completed, as no machine comes back to a pool that all have left.

--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -60,6 +60,10 @@
 	OP_SLOW_JOB, /* a job whose tasks take seconds */
 	OP_EVACUATE, /* a data centre is evacuated, or not any more */
 	OP_UNTOLD,   /* VMs hear nothing of the operator for a while */
+	OP_DRIFT,    /* clocks of workers are slow; only the first operation */
+	OP_POOLS, /* there is a second pool, likewise; no machine moves to it,
+		     unless b is odd */
+	OP_ROUTE, /* the first queue's route names this or that pool */
 	OPS
 };
 static const char *const names[OPS] = {
@@ -71,7 +75,8 @@
 	"REFUSE",     "VANISH",	  "LONG",	  "WRITES_LATE", "PAGES_SLOW",
 	"INBOX",      "UNHEARD",  "POISON",	  "CRASH_MODE",	 "SHRINK",
 	"MOST_LATE",  "RESTART",  "LATE_RESTART", "CUT_ALL",	 "RESETS",
-	"SLOW_JOB",   "EVACUATE", "UNTOLD"};
+	"SLOW_JOB",   "EVACUATE", "UNTOLD",	  "DRIFT",	 "POOLS",
+	"ROUTE"};
 
 struct operation {
 	op what;
@@ -99,6 +104,8 @@
 	world *w;
 	std::vector<submitted_job> jobs;
 	bool wave_started;
+	bool has_second_pool;
+	unsigned long_lived_jobs;
 };
 
 /* Formats a sequence as the text that replay() takes. */
@@ -156,6 +163,9 @@
 
 	if (p.jobs.size() >= 24)
 		return;
+	/* Half of the workers must have room for the other jobs. */
+	if (p.has_second_pool && job == &long_lived && p.long_lived_jobs++ >= 7)
+		return;
 	snprintf(h.id, sizeof(h.id), "%016llx",
 		 (p.jobs.size() + 1) * 0x0511111111111111ULL);
 	h.calls.push_back(world_submit(p.w, vm, h.id, job));
@@ -366,6 +376,12 @@
 		for (i = 0; i < 4; i++)
 			world_stall_reads(p.w, i, TABLE_OPERATOR, false);
 		break;
+	case OP_ROUTE:
+		if (p.has_second_pool)
+			world_move_route(p.w, s.a % 2);
+		break;
+	case OP_DRIFT: /* see run() */
+	case OP_POOLS:
 	case OPS:
 		break;
 	}
@@ -409,9 +425,16 @@
  */
 static std::string run(uint64_t seed, const operations &v)
 {
-	simulation p = {world_new(seed, 4, WORLD_WORKERS), {}, false};
+	simulation p = {world_new(seed, 4, WORLD_WORKERS), {}, false, false, 0};
 	std::string failure;
 
+	if (!v.empty() && v[0].what == OP_DRIFT)
+		world_slow_clocks(p.w);
+	p.has_second_pool = !v.empty() && v[0].what == OP_POOLS;
+	if (p.has_second_pool)
+		world_add_second_pool(p.w, WORLD_WORKERS / 2);
+	if (p.has_second_pool && v[0].b % 2 == 0)
+		world_set_machine_mode(p.w, WORLD_MACHINES_BUSY);
 	world_run(p.w, 2000);
 	for (const auto &s : v) {
 		operation_apply(p, s);
@@ -438,6 +461,8 @@
 	std::vector<op> faults;
 	bool polls_counts; /* all VMs are asked throughout how many jobs wait */
 	bool polls_reset;  /* polls fail when their worker restarts */
+	bool clocks_slow;  /* of workers */
+	bool second_pool;
 };
 static const std::vector<fault_mix> mixes = {
 	{"undisturbed, with retries and cancels", {OP_RETRY, OP_CANCEL}},
@@ -494,6 +519,22 @@
 	 {OP_EVACUATE, OP_EVACUATE, OP_EVACUATE, OP_UNTOLD, OP_KILL, OP_FREEZE,
 	  OP_CUT_STORE, OP_COMPACT, OP_PAGES_SLOW, OP_LATE, OP_STORE, OP_WAVE,
 	  OP_LONG, OP_LONG, OP_CANCEL}},
+	{"clocks of workers slow, owners lost, workers cut off and unlisted",
+	 {OP_KILL, OP_KILL, OP_STOP, OP_FREEZE, OP_FREEZE, OP_CUT_STORE,
+	  OP_CUT_WORKER, OP_CUT_ALL, OP_CUT_ALL, OP_UNLIST, OP_STORE_VM,
+	  OP_WRITES_LATE, OP_UNHEARD, OP_LATE, OP_INBOX, OP_SLOW_JOB, OP_LONG,
+	  OP_LONG},
+	 false,
+	 false,
+	 true},
+	{"routes that change, owners lost, workers cut off",
+	 {OP_ROUTE, OP_ROUTE, OP_ROUTE, OP_KILL, OP_STOP, OP_FREEZE,
+	  OP_CUT_STORE, OP_CUT_WORKER, OP_CUT_ALL, OP_CUT_ALL, OP_REFUSE,
+	  OP_STORE_VM, OP_CANCEL, OP_SLOW_JOB, OP_LONG, OP_LONG},
+	 false,
+	 false,
+	 false,
+	 true},
 };
 
 /* Generates operations: work, and faults of the mix. */
@@ -783,6 +824,22 @@
 	 "{LONG 114 126} {RUN 123 76} {MOST_LATE 60 61} "
 	 "{RESTART 97 106} {LONG 109 28} {CUT_ALL 107 138} "
 	 "{CUT_ALL 78 48} {LONG 104 33}"},
+	{"a run in a service that a route named in between was not known",
+	 "seed 445532: {POOLS 0 0} {FREEZE 39 132} {KILL 19 81} "
+	 "{STORE_VM 76 80} {RUN 42 52} {RUN 5 139} {STORE_VM 28 60} "
+	 "{QUICK 1 96} {CANCEL 33 108} {LASTING 48 4} {CUT_ALL 12 81} "
+	 "{KILL 137 85} {ROUTE 93 13} {CHAIN 119 130} {CUT_ALL 72 49} "
+	 "{CUT_STORE 77 22} {RUN 141 1} {CUT_WORKER 40 8} "
+	 "{STOP 115 113} {SLOW_JOB 123 130} {STOP 6 19} {RUN 60 81} "
+	 "{QUICK 142 136} {CUT_ALL 29 114} {LONG 91 21} {RUN 4 62} "
+	 "{RUN 131 81} {RUN 56 146} {LONG 35 50} {REFUSE 24 141} "
+	 "{CUT_ALL 138 25} {STOP 54 98} {LONG 53 67} {ROUTE 58 111} "
+	 "{SLOW_JOB 108 93} {SLOW_JOB 63 71} {KILL 66 30} "
+	 "{LONG 102 140} {CHAIN 119 138} {LONG 56 120} "
+	 "{CUT_ALL 16 22} {RUN 151 62} {QUICK 6 3} {STOP 60 44} "
+	 "{RUN 149 122} {RUN 17 141} {STORE_VM 92 129} {ROUTE 135 56} "
+	 "{RUN 90 137} {ROUTE 40 45} {REFUSE 123 138} {ROUTE 29 94} "
+	 "{CHAIN 137 41} {CUT_ALL 14 136} {LONG 41 41} {STOP 150 142}"},
 };
 
 int main(int argc, char **argv)
@@ -811,6 +868,10 @@
 				v.insert(v.begin(), {OP_ASK, 30, 0});
 			if (m.polls_reset)
 				v.insert(v.begin(), {OP_RESETS, 0, 0});
+			if (m.clocks_slow)
+				v.insert(v.begin(), {OP_DRIFT, 0, 0});
+			if (m.second_pool)
+				v.insert(v.begin(), {OP_POOLS, 0, 0});
 			const auto failure = run(seed, v);
 
 			if (!failure.empty())
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -200,6 +200,21 @@
 	w->crash_down_ms = down_ms;
 }
 
+/*
+ * Makes the workers' clocks slow, each by another amount and at least one by
+ * the most that is allowed.
+ */
+void world_slow_clocks(struct world *w)
+{
+	unsigned i;
+
+	for (i = 0; i < w->worker_count; i++)
+		w->workers[i].slow = (unsigned)(random_next(&w->random) %
+						(CLOCK_SLOW_MAX + 1));
+	i = (unsigned)(random_next(&w->random) % w->worker_count);
+	w->workers[i].slow = CLOCK_SLOW_MAX;
+}
+
 /* Sets the cores of a worker; its row shows them. */
 void world_set_capacity(struct world *w, unsigned worker, int64_t cpu)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -21,6 +21,9 @@
 /* A late order is carried out at least and less than this much later. */
 #define LATE_ORDER_MIN_MS 2000
 #define LATE_ORDER_RANGE_MS 10000
+/* A worker's clock may be slow by at most CLOCK_SLOW_MAX of CLOCK_PARTS. */
+#define CLOCK_PARTS 10000
+#define CLOCK_SLOW_MAX 200
 #define MAINTENANCE_MS 2000
 #define SLOW_MACHINES_MS 1400
 #define LATE_MOVE_MS 6000
@@ -103,6 +106,7 @@
 struct world_worker {
 	unsigned generation; /* number of the current process */
 	int64_t started_at;  /* start of the process in simulated time */
+	unsigned slow;	     /* of its clock, in 1/CLOCK_PARTS of the time */
 	bool listed;
 	bool draining;
 	bool fails; /* all tasks */
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -55,7 +55,10 @@
 /* Returns the time on a worker's clock, which starts with its process. */
 int64_t world_worker_now(const struct world *w, unsigned i)
 {
-	return w->now - w->workers[i].started_at + 1;
+	const struct world_worker *k = &w->workers[i];
+	int64_t elapsed = w->now - k->started_at;
+
+	return elapsed - elapsed * k->slow / CLOCK_PARTS + 1;
 }
 
 /* Returns true if the store has the cancel row of a job. */
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -166,6 +166,12 @@
 void world_set_capacity(struct world *w, unsigned worker, int64_t cpu);
 void world_set_unguarded(struct world *w);
 
+/*
+ * Makes the workers' clocks slow, by up to 2%.  Call it before world_run(), as
+ * a clock never goes back.
+ */
+void world_slow_clocks(struct world *w);
+
 /* Returns how many workers have crashed under tasks of a job. */
 unsigned world_crashes_under(const struct world *w, const char *id);
 
