Waves: the refusal of a second call is no outcome of the first

A call for maintenance without an answer may still be carried out. The owner counts the tasks of the machine's worker as unavailable meanwhile, so that no other task of their step is taken down. It repeats the call; if that one was refused (busy, overloaded, not sent), it counted them as in service again and took the next machine. Carried out late, the first call then made more tasks of a long-running step unavailable than its max_unavailable.

In the simulated world: call for m-0 at 3921 ms without an answer, its repetition refused at 5645, m-1 called at 5681 and down at 5685, m-0 taken down by the first call at 5923.

Now a refusal ends the wait only when no earlier call can be carried out any more (ORDER_LIFETIME_MAX_MS after the last one without an answer).

Test: upkeep refusal_of_a_second_call_is_no_outcome, red without the change. The world can carry maintenance out late, in a mode of its own, so that no other test or mix changes.

--- a/sched-state.h
+++ b/sched-state.h
@@ -686,7 +686,9 @@
 	bool call_in_flight;
 	bool call_is_for_noted_process; /* it takes the worker in the note */
 	bool call_outcome_unknown;	/* an earlier call may have succeeded */
-	bool draining;			/* its worker gets no new tasks */
+	int64_t late_call_until; /* an earlier call may be carried out until
+				  * then */
+	bool draining;		 /* its worker gets no new tasks */
 	int64_t draining_since;
 	int64_t retry_at;
 	int64_t down_until; /* in maintenance */
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -865,7 +865,11 @@
 	v->dirty = true;
 }
 
-/* Handles the outcome of a call for maintenance. */
+/*
+ * Handles the outcome of a call for maintenance.  A refusal tells nothing about
+ * an earlier call without an answer, which may still be carried out: until then
+ * the tasks of the machine's worker count as unavailable.
+ */
 static void maintenance_answer(struct sched *s, struct request *rq,
 			       struct answer *a)
 {
@@ -881,7 +885,9 @@
 		return;
 	}
 	wave_machine_lookup(s, wm->id, &w);
-	if (w && a->outcome != OUT_UNKNOWN)
+	if (a->outcome == OUT_UNKNOWN)
+		wm->late_call_until = s->now + ORDER_LIFETIME_MAX_MS;
+	if (w && s->now >= wm->late_call_until)
 		w->takedown_in_flight = false;
 	sched_log(s, LOG_WAVE_MACHINE,
 		  "wave=%" PRIu64 " machine=%.*s step=refused outcome=%d "
--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -148,7 +148,7 @@
 }
 
 /* Carries out the move of a machine, unless it is in the pool already. */
-void world_move_apply(struct world *w, const struct order *o)
+static void move_apply(struct world *w, const struct order *o)
 {
 	unsigned n = machine_index(o);
 	const char *pool = pool_find(o->pool);
@@ -216,37 +216,43 @@
 	}
 }
 
-/* Carries out an order about a machine at once. */
-static void machine_order_apply(struct world *w, const struct ask *ask)
+/* Carries out an order about a machine. */
+void world_machine_order_apply(struct world *w, const struct ask *ask)
 {
 	if (ask->kind == ASK_MOVE)
-		world_move_apply(w, &ask->order);
+		move_apply(w, &ask->order);
 	else
 		maintenance_apply(w, machine_index(&ask->order));
 }
 
-/* Carries out the move of a machine later; its answer has timed out. */
-static void move_delay(struct world *w, unsigned vm, struct sched_effect *fx)
+/*
+ * Returns how much later an order about a machine is carried out whose answer
+ * times out; 0: never.
+ */
+static int64_t machine_order_lateness(const struct world *w, enum ask_kind kind)
 {
-	struct pending *p = world_pending_add(w, &w->pending,
-					      w->now + LATE_MOVE_MS, vm);
-
-	p->effect = fx;
-	p->is_late_move = true;
+	if (w->machine_mode == WORLD_MACHINES_LATE && kind == ASK_MOVE)
+		return LATE_MOVE_MS;
+	if (w->machine_mode == WORLD_UPKEEP_LATE && kind == ASK_MAINTENANCE)
+		return LATE_UPKEEP_MS;
+	return 0;
 }
 
-/*
- * Lets an order about a machine time out.  A late move is carried out all the
- * same.
- */
+/* Lets an order about a machine time out; it may be carried out late. */
 static void machine_order_timeout(struct world *w, unsigned vm,
 				  struct sched_effect *fx)
 {
+	int64_t late_ms = machine_order_lateness(w, fx->ask.kind);
+	struct pending *p;
+
 	world_answer_timeout(w, vm, fx);
-	if (w->machine_mode == WORLD_MACHINES_LATE && fx->ask.kind == ASK_MOVE)
-		move_delay(w, vm, fx);
-	else
+	if (!late_ms) {
 		sched_effect_free(fx);
+		return;
+	}
+	p = world_pending_add(w, &w->pending, w->now + late_ms, vm);
+	p->effect = fx;
+	p->is_late_machine_order = true;
 }
 
 /* Answers an order about a machine. */
@@ -283,7 +289,7 @@
 	switch (w->machine_mode) {
 	case WORLD_MACHINES_OK:
 	case WORLD_MACHINES_SLOW:
-		machine_order_apply(w, &fx->ask);
+		world_machine_order_apply(w, &fx->ask);
 		machine_order_answer(w, vm, fx, REFUSAL_NONE);
 		break;
 	case WORLD_MACHINES_BUSY:
@@ -293,11 +299,12 @@
 		machine_order_answer(w, vm, fx, REFUSAL_INVALID);
 		break;
 	case WORLD_MACHINES_LOSE_ANSWERS:
-		machine_order_apply(w, &fx->ask);
+		world_machine_order_apply(w, &fx->ask);
 		machine_order_timeout(w, vm, fx);
 		break;
 	case WORLD_MACHINES_SILENT:
 	case WORLD_MACHINES_LATE:
+	case WORLD_UPKEEP_LATE:
 		machine_order_timeout(w, vm, fx);
 		break;
 	}
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -24,6 +24,7 @@
 #define MAINTENANCE_MS 2000
 #define SLOW_MACHINES_MS 1400
 #define LATE_MOVE_MS 6000
+#define LATE_UPKEEP_MS 2000
 #define NOTICE_MS 4500
 #define CONFIG_APPLY_MS 2000
 #define CONTACT_MS 3000		 /* until a reduced capacity counts */
@@ -157,9 +158,9 @@
 	struct sched_effect *effect; /* a request; NULL for an answer */
 	struct sched_event *event; /* an answer to the VM; NULL for a request */
 	bool is_late_write;	   /* its answer has timed out already */
-	bool is_late_move;	   /* likewise */
-	bool waits_in_inbox;	   /* an answer that isn't the store's */
-	int64_t deadline;	   /* of a long poll */
+	bool is_late_machine_order; /* likewise */
+	bool waits_in_inbox;	    /* an answer that isn't the store's */
+	int64_t deadline;	    /* of a long poll */
 };
 TAILQ_HEAD(pending_list, pending);
 
@@ -338,6 +339,6 @@
 			   struct sched_effect *fx);
 
 /* Carries out the move of a machine, unless it is in the pool already. */
-void world_move_apply(struct world *w, const struct order *o);
+void world_machine_order_apply(struct world *w, const struct ask *ask);
 
 #endif
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -349,8 +349,8 @@
 		world_tx_apply(w, &p->effect->ask.tx);
 		sched_effect_free(p->effect);
 		world_feeds_wake(w);
-	} else if (p->is_late_move) {
-		world_move_apply(w, &p->effect->ask.order);
+	} else if (p->is_late_machine_order) {
+		world_machine_order_apply(w, &p->effect->ask);
 		sched_effect_free(p->effect);
 	} else if (p->effect && p->generation == UINT32_MAX) {
 		unsigned n =
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -36,8 +36,9 @@
 	WORLD_MACHINES_SILENT,	     /* does nothing, doesn't answer */
 	WORLD_MACHINES_LOSE_ANSWERS, /* does them, doesn't answer */
 	WORLD_MACHINES_LATE,	     /* does moves 6 s later, doesn't answer */
-	WORLD_MACHINES_BUSY,	     /* does nothing, refuses as busy */
-	WORLD_MACHINES_INVALID	     /* does nothing, knows no such machine */
+	WORLD_UPKEEP_LATE,     /* does maintenance 2 s later, doesn't answer */
+	WORLD_MACHINES_BUSY,   /* does nothing, refuses as busy */
+	WORLD_MACHINES_INVALID /* does nothing, knows no such machine */
 };
 
 struct world_job {
--- a/tests/test-upkeep.c
+++ b/tests/test-upkeep.c
@@ -132,3 +132,32 @@
 		check_free(w, "pools are read first");
 	}
 }
+
+/*
+ * Guards against counting the tasks of a machine as in service because a second
+ * call for its maintenance was refused: the first call, which had no answer,
+ * may still be carried out, and another task of their step would be away then.
+ * The second call comes some time in the rows' span.
+ */
+Test(upkeep, refusal_of_a_second_call_is_no_outcome)
+{
+	struct world *w;
+	char name[32];
+	unsigned row;
+
+	for (row = 0; row < 20; row++) {
+		w = world_new_settled(1560);
+		world_submit(w, other(w), JOB_A, &long_lived);
+		world_run(w, 800);
+		world_set_machine_mode(w, WORLD_UPKEEP_LATE);
+		world_start_wave(w, 6, 6);
+		world_run(w, 1600);
+		world_set_machine_mode(w, WORLD_MACHINES_BUSY);
+		world_run(w, 20 * row);
+		world_set_machine_mode(w, WORLD_MACHINES_OK);
+		world_run(w, 12000);
+		snprintf(name, sizeof(name), "busy for %u ms", 20 * row);
+		cr_expect_eq(world_maintained_count(w), 6, "%s", name);
+		check_free(w, name);
+	}
+}
