--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -227,29 +227,34 @@
 		maintenance_apply(w, machine_index(&ask->order));
 }
 
-/* Carries out an order about a machine later; its answer has timed out. */
-static void machine_order_delay(struct world *w, unsigned vm,
-				struct sched_effect *fx)
+/*
+ * Returns how much later an order about a machine is carried out whose answer
+ * times out; 0: never.
+ */
+static int64_t machine_order_lateness(const struct world *w, enum ask_kind kind)
 {
-	struct pending *p = world_pending_add(w, &w->pending,
-					      w->now + LATE_MACHINES_MS, vm);
-
-	p->effect = fx;
-	p->is_late_machine_order = true;
+	if (w->machine_mode == WORLD_MACHINES_LATE)
+		return LATE_MACHINES_MS;
+	if (w->machine_mode == WORLD_UPKEEP_LATE && kind == ASK_MAINTENANCE)
+		return LATE_UPKEEP_MS;
+	return 0;
 }
 
-/*
- * Lets an order about a machine time out.  A late one is carried out all the
- * same.
- */
+/* Lets an order about a machine time out; it may be carried out late. */
 static void machine_order_timeout(struct world *w, unsigned vm,
 				  struct sched_effect *fx)
 {
+	int64_t late_ms = machine_order_lateness(w, fx->ask.kind);
+	struct pending *p;
+
 	world_answer_timeout(w, vm, fx);
-	if (w->machine_mode == WORLD_MACHINES_LATE)
-		machine_order_delay(w, vm, fx);
-	else
+	if (!late_ms) {
 		sched_effect_free(fx);
+		return;
+	}
+	p = world_pending_add(w, &w->pending, w->now + late_ms, vm);
+	p->effect = fx;
+	p->is_late_machine_order = true;
 }
 
 /* Answers an order about a machine. */
@@ -325,6 +330,7 @@
 		break;
 	case WORLD_MACHINES_SILENT:
 	case WORLD_MACHINES_LATE:
+	case WORLD_UPKEEP_LATE:
 		machine_order_timeout(w, vm, fx);
 		break;
 	}
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -27,6 +27,7 @@
 #define MAINTENANCE_MS 2000
 #define SLOW_MACHINES_MS 1400
 #define LATE_MACHINES_MS 6000
+#define LATE_UPKEEP_MS 2000
 #define NOTICE_MS 4500
 #define CONFIG_APPLY_MS 2000
 #define CONTACT_MS 3000		 /* until a reduced capacity counts */
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -36,6 +36,7 @@
 	WORLD_MACHINES_SILENT,	     /* does nothing, doesn't answer */
 	WORLD_MACHINES_LOSE_ANSWERS, /* does them, doesn't answer */
 	WORLD_MACHINES_LATE,	     /* does them 6 s later, doesn't answer */
+	WORLD_UPKEEP_LATE,     /* does maintenance 2 s later, doesn't answer */
 	WORLD_MACHINES_CLOSE,  /* does them, closes the connection at once */
 	WORLD_MACHINES_UP,     /* does them, refuses as busy while not up */
 	WORLD_MACHINES_BUSY,   /* does nothing, refuses as busy */
