--- a/tests/soak-entry.c
+++ b/tests/soak-entry.c
@@ -545,13 +545,15 @@
  */
 static void fault_cloud(struct soak *s)
 {
+	static const char lost_tx[] =
+		"{\"mode\":\"lose\",\"share\":0.3,\"ops\":[\"tx\"]},"
+		"{\"mode\":\"refuse\",\"share\":0.4,\"ops\":[\"tx\"]}";
 	static const char *const store[] = {
 		"{\"mode\":\"refuse\",\"ops\":[\"tx\",\"get\",\"feed\"]}",
 		"{\"mode\":\"slow\",\"ms\":300,\"ops\":[\"tx\",\"get\"]}",
 		"{\"mode\":\"slow\",\"ms\":500,\"ops\":[\"tx\",\"get\",\"feed\"]}",
 		"{\"mode\":\"slow\",\"ms\":600,\"share\":0.7,\"ops\":[\"get\"]}",
-		"{\"mode\":\"lose\",\"share\":0.3,\"ops\":[\"tx\"]},"
-		"{\"mode\":\"refuse\",\"share\":0.4,\"ops\":[\"tx\"]}",
+		lost_tx,
 		"{\"mode\":\"down\",\"ops\":[\"tx\",\"get\",\"feed\"]}",
 		"",
 	};
