Takeovers: services of jobs cancelled meanwhile, and of runs that are found

- A job was cancelled while nobody owned the scheduling.
- An owner of a version that records no services had started the tasks.

The services are read for a cancelled job too, and recorded when a run is found. An earlier version that owns in between still rewrites the row without them.

--- a/sched-job.c
+++ b/sched-job.c
@@ -107,8 +107,9 @@
 /*
  * Returns true if all runs of a job that earlier owners left are known.  They
  * can be on workers of any service that its route has named since the job was
- * accepted.  The progress row records these, except that of an owner of an
- * earlier version, which started tasks in the service that the route names now.
+ * accepted.  The progress row records these.  Owners of an earlier version
+ * record none; they started tasks in the service that the route names now, and
+ * those of their runs that are found are recorded then.
  */
 bool job_is_settled(struct sched *s, struct job *j)
 {
@@ -156,6 +157,21 @@
 	return j->status <= JOB_STATUS_RUNNING && !j->run_seen;
 }
 
+/*
+ * Has the store record that tasks of a job may run on workers of a service,
+ * before any is started on them.
+ */
+void job_add_service(struct sched *s, struct job *j, bstr service)
+{
+	if (!service.bstr_len || job_has_service(j, service))
+		return;
+	if (!j->services)
+		j->services = json_array();
+	json_array_append_new(j->services, bstr_to_json(service));
+	j->start_durable = false;
+	job_mark_dirty(s, j);
+}
+
 /*
  * Returns true if the store records that tasks of a job may run, and that they
  * may do so in the service that its route names now.
@@ -180,17 +196,9 @@
  */
 bool job_request_start(struct sched *s, struct job *j)
 {
-	bstr service = job_service(s, j);
-
 	if (job_start_is_durable(s, j))
 		return true;
-	if (!job_has_service(j, service)) {
-		if (!j->services)
-			j->services = json_array();
-		json_array_append_new(j->services, bstr_to_json(service));
-		j->start_durable = false;
-		job_mark_dirty(s, j);
-	}
+	job_add_service(s, j, job_service(s, j));
 	if (j->status == JOB_STATUS_QUEUED) {
 		s->load.job_starts++;
 		j->status = JOB_STATUS_RUNNING;
@@ -621,6 +629,9 @@
 		job_queue_placing(s, j);
 		j->run_seen = progress_has_run(j);
 	}
+	/* It was cancelled, and no owner has noted that yet. */
+	if (j && j->inherited && j->status > JOB_STATUS_RUNNING)
+		progress_apply_services(j, r->value);
 	if (j && j->inherited && j->status == JOB_STATUS_RUNNING)
 		j->start_durable = j->start_was_durable = true;
 }
--- a/sched-order.c
+++ b/sched-order.c
@@ -255,6 +255,7 @@
 		usage_add_found(s, t);
 	task_set_phase(t, PHASE_RUNNING);
 	t->occ->job->run_seen = true;
+	job_add_service(s, t->occ->job, w->row.service);
 	sched_log(s, LOG_TASK_ADOPTED, "task=%s.%u.%u.%u run=%llu worker=%.*s",
 		  t->occ->job->id, t->occ->number, t->step, t->index,
 		  (unsigned long long)run, BSTR_ARG(w->id));
--- a/sched-state.h
+++ b/sched-state.h
@@ -1031,6 +1031,7 @@
 void job_retire_if_done(struct sched *s, struct job *j);
 bool job_is_waiting(const struct job *j);
 bool job_is_settled(struct sched *s, struct job *j);
+void job_add_service(struct sched *s, struct job *j, bstr service);
 bool job_start_is_durable(struct sched *s, struct job *j);
 bool job_request_start(struct sched *s, struct job *j);
 void job_mark_durable(struct sched *s, struct job *j);
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -764,14 +764,15 @@
  * An organisation runs more than its limit. A job was cancelled whose tasks run
  * in a service that its route doesn't name any more. The successor hears of
  * them late; until then it must keep the job, and afterwards count them until
- * they have stopped.
+ * they have stopped. The job is cancelled before the owner is lost, or while
+ * there is none.
  */
 Test(takeover, routes_that_change_of_cancelled_jobs)
 {
 	struct world *w;
-	unsigned row, n, k;
+	unsigned row, n, k, vm;
 
-	for (row = 0; row < 8; row++) {
+	for (row = 0; row < 16; row++) {
 		w = world_new(1410 + row, 4, 6);
 		world_add_second_pool(w, 3);
 		world_set_machine_mode(w, WORLD_MACHINES_BUSY);
@@ -791,14 +792,19 @@
 		cr_assert_eq(world_starts(w), 2);
 		for (k = 3; k < 6; k++)
 			world_cut_worker_of_all(w, k, true);
-		world_call(w, other(w), VERB_CANCEL, JOB_A);
+		vm = other(w);
+		if (row % 2)
+			world_kill_vm(w, n);
+		world_call(w, vm, VERB_CANCEL, JOB_A);
 		world_run(w, 100);
-		cr_assert_str_eq(world_job_state(w, JOB_A), "cancelled");
-		world_kill_vm(w, n);
+		cr_assert_str_eq(world_job_state(w, JOB_A),
+				 row % 2 ? "running" : "cancelled");
+		if (row % 2 == 0)
+			world_kill_vm(w, n);
 		for (k = 0; k < 300 && world_owner(w) == -1; k++)
 			world_run(w, 10);
-		world_submit(w, other(w), JOB_B, &quick);
-		world_run(w, 300 + 30 * row);
+		world_submit(w, vm, JOB_B, &quick);
+		world_run(w, 300 + 30 * (row / 2));
 		for (k = 3; k < 6; k++)
 			world_cut_worker_of_all(w, k, false);
 		world_run(w, 8000);
@@ -807,6 +813,50 @@
 	}
 }
 
+/*
+ * Tasks run twice at the same time. An owner of a version that records no
+ * services started them while the route named another one than at the job's
+ * acceptance. Its successor finds the runs, the route is changed back, and the
+ * next owner can't reach their workers.
+ */
+Test(takeover, routes_that_change_between_versions)
+{
+	unsigned row, n, k;
+	struct world *w;
+	struct job *j;
+
+	for (row = 0; row < 4; row++) {
+		w = world_new(1440 + row, 4, 6);
+		world_add_second_pool(w, 3);
+		world_set_machine_mode(w, WORLD_MACHINES_BUSY);
+		world_run(w, 2000);
+		n = owner(w);
+		world_refuse_starts(w, REFUSAL_UNHEALTHY);
+		world_submit(w, other(w), JOB_A, &two_tasks);
+		world_run(w, 300);
+		world_move_route(w, true);
+		world_run(w, 2000);
+		world_refuse_starts(w, REFUSAL_NONE);
+		world_run(w, 1500);
+		j = sched_job_find(world_sched(w, n), JOB_A);
+		json_decref(j->services);
+		j->services = NULL;
+		job_mark_dirty(world_sched(w, n), j);
+		world_run(w, 300);
+		world_kill_vm(w, n);
+		world_run(w, 8000);
+		n = owner(w);
+		cr_assert_eq(world_starts(w), 2, "row %u", row);
+		world_move_route(w, false);
+		world_run(w, 2000);
+		for (k = 3; k < 6; k++)
+			world_cut_worker_of_all(w, k, true);
+		world_kill_vm(w, n);
+		world_run(w, 12000);
+		check_free(w, "between versions", row);
+	}
+}
+
 /*
  * Tasks of a long-running job run twice at the same time. The owner releases
  * the ownership, but the store doesn't carry that out, and the VM claims again
