--- a/http-transfer.c
+++ b/http-transfer.c
@@ -300,8 +300,7 @@
  * then closed the connection may refuse the second one because it is unhealthy,
  * or because of what the first one did. The sender would take the request as
  * not carried out, and a task would be started on another worker beside its
- * first run. A success is true of both copies, because no request of ours has a
- * second effect.
+ * first run. A success stands: what was asked for has been done.
  */
 static bool response_is_ambiguous(const struct http_transfer *t)
 {
@@ -338,8 +337,8 @@
 
 /*
  * Ends a transfer that libcurl has completed. If its connection was stale, the
- * transfer is started again on a new connection instead. A timeout (of a second
- * copy's connection) marks all older connections of the queue as not reusable.
+ * transfer is started again on a new connection instead. If a second copy can't
+ * connect in time, all older connections of the queue are not reused.
  */
 static void transfer_complete(struct http_transfer *t, CURLcode rc)
 {
