--- a/sched-list.c
+++ b/sched-list.c
@@ -87,8 +87,7 @@
 	if (!t || !t->lost_run || t->lost_run != run ||
 	    (t->worker == w && t->run == run) ||
 	    w->survivor_list == w->list_count ||
-	    (strcmp(how, RUN_LISTED) != 0 &&
-	     strcmp(t->lost_why, "silent") == 0))
+	    (strcmp(how, RUN_LISTED) != 0 && t->lost_why == LOSS_SILENT))
 		return;
 	w->survivor_list = w->list_count;
 	name = task_name(t);
@@ -96,7 +95,8 @@
 		  "task=%.*s run=%llu worker=%.*s how=%s why=%s lost_ms=%lld "
 		  "asked_ms=%lld",
 		  BSTR_ARG(name), (unsigned long long)run, BSTR_ARG(w->id), how,
-		  t->lost_why, (long long)(s->now - t->lost_at),
+		  loss_reason_word(t->lost_why),
+		  (long long)(s->now - t->lost_at),
 		  (long long)(s->now - a->sent_at));
 	bstr_free(&name);
 }
--- a/sched-machine.c
+++ b/sched-machine.c
@@ -155,7 +155,7 @@
 		m->state = MACHINE_MOVING;
 		m->retry_at = m->late_move_until;
 		if (w) {
-			worker_lost(s, w, "moved");
+			worker_lost(s, w, LOSS_MOVED);
 			worker_set_gone(s, w);
 			w->listed = false;
 		}
--- a/sched-state.h
+++ b/sched-state.h
@@ -164,6 +164,15 @@
 /* Losses of a task's workers that may turn out to be crashes. */
 #define LOSSES_MAX 3
 
+/* Why a worker counts as ended; see worker_lost(). */
+enum loss_reason {
+	LOSS_RESTARTED,	 /* another process has its id */
+	LOSS_REPLACED,	 /* another process has its address */
+	LOSS_SILENT,	 /* its lease has expired */
+	LOSS_MOVED,	 /* its machine was moved to another pool */
+	LOSS_MAINTENANCE /* its machine was taken down */
+};
+
 /* A run whose worker was lost. */
 struct loss {
 	uint32_t worker; /* serial; 0: unused */
@@ -199,7 +208,7 @@
 	uint64_t lost_run;    /* the latest run given up with its worker, also
 			       * if a later one was started; 0: none */
 	int64_t lost_at;      /* when that was */
-	const char *lost_why; /* the reason in that worker's WORKER_LOST */
+	enum loss_reason lost_why;
 	int64_t ready_at;
 	int64_t not_before; /* delayed until then */
 	unsigned failure_count;
@@ -1072,7 +1081,8 @@
 void worker_answer(struct sched *s, struct request *rq, struct answer *a);
 int64_t poll_pause_end(const struct sched *s, const struct worker *w);
 void worker_poll(struct sched *s, struct worker *w);
-void worker_lost(struct sched *s, struct worker *w, const char *why);
+const char *loss_reason_word(enum loss_reason why);
+void worker_lost(struct sched *s, struct worker *w, enum loss_reason why);
 void worker_set_gone(struct sched *s, struct worker *w);
 void sched_worker_free(struct sched *s, struct worker *w);
 int64_t worker_clock(const struct sched *s, const struct worker *w);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -841,7 +841,7 @@
 		worker_set_overdue(s, w);
 	} else if (w) {
 		crash_worker_taken(s, w);
-		worker_lost(s, w, "maintenance");
+		worker_lost(s, w, LOSS_MAINTENANCE);
 		worker_set_gone(s, w);
 		w->listed = false;
 	}
--- a/sched-worker.c
+++ b/sched-worker.c
@@ -212,12 +212,26 @@
 	s->place_due = true;
 }
 
+/* Returns the word for a reason in log lines. */
+const char *loss_reason_word(enum loss_reason why)
+{
+	static const char *const words[] = {
+		[LOSS_RESTARTED] = "restarted",
+		[LOSS_REPLACED] = "replaced",
+		[LOSS_SILENT] = "silent",
+		[LOSS_MOVED] = "moved",
+		[LOSS_MAINTENANCE] = "maintenance",
+	};
+
+	return words[why];
+}
+
 /*
  * Releases the tasks of a worker that runs nothing any more, because it was cut
  * off for longer than its lease, was restarted, or its machine was taken down.
  * The tasks may start elsewhere.
  */
-void worker_lost(struct sched *s, struct worker *w, const char *why)
+void worker_lost(struct sched *s, struct worker *w, enum loss_reason why)
 {
 	struct task *t;
 	unsigned n = 0;
@@ -233,7 +247,8 @@
 	w->lost_runs = w->lost_runs || n;
 	sched_log(s, LOG_WORKER_LOST,
 		  "worker=%.*s why=%s tasks=%u quiet_ms=%lld", BSTR_ARG(w->id),
-		  why, n, (long long)(s->now - w->answered_at));
+		  loss_reason_word(why), n,
+		  (long long)(s->now - w->answered_at));
 	s->place_due = true;
 }
 
@@ -360,7 +375,7 @@
 	worker_remove_later_starts(s, w, a);
 	if (w->started_at) {
 		crash_worker_lost(s, w, true);
-		worker_lost(s, w, "restarted");
+		worker_lost(s, w, LOSS_RESTARTED);
 		crash_settle(s, w, true);
 	}
 	w->late_starts_until = late_starts_until;
@@ -618,7 +633,7 @@
 		starts_delay(s, w);
 		crash_worker_lost(s, w, false);
 		if (!TAILQ_EMPTY(&w->tasks))
-			worker_lost(s, w, "silent");
+			worker_lost(s, w, LOSS_SILENT);
 	}
 	if (!crash_needs_evidence(s, w))
 		crash_settle(s, w, false);
@@ -759,7 +774,7 @@
 		worker_set_overdue(s, w);
 		crash_worker_lost(s, w, false);
 		if (!TAILQ_EMPTY(&w->tasks))
-			worker_lost(s, w, "replaced");
+			worker_lost(s, w, LOSS_REPLACED);
 		crash_settle(s, w, true);
 	} else if (a->refusal != REFUSAL_OTHER_PROCESS &&
 		   a->outcome == OUT_REFUSED) {
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -34,6 +34,18 @@
 	return epoch;
 }
 
+/* Returns the number of workers that the owner would place tasks on. */
+unsigned world_eligible_count(struct world *w)
+{
+	const struct sched *s = world_sched(w, (unsigned)world_owner(w));
+	const struct worker *k;
+	unsigned n = 0;
+
+	for (k = s->workers; k; k = k->hh.next)
+		n += worker_is_eligible(s, k);
+	return n;
+}
+
 /* Returns how often the VMs have logged an event. */
 unsigned world_log_count(const struct world *w, uint32_t number)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -283,6 +283,9 @@
 /* Returns how often the owner has changed. */
 unsigned world_epoch(struct world *w);
 
+/* Returns the number of workers that the owner would place tasks on. */
+unsigned world_eligible_count(struct world *w);
+
 /* Return how many starts all workers, or one, carried out. */
 unsigned world_starts(const struct world *w);
 unsigned world_starts_of(const struct world *w, unsigned worker);
