Scheduler: a small owner leaves the ownership to a larger VM

Cause: the VM that alone reaches the store when the owner is lost keeps the ownership for good, however small it is.

Change: the heartbeat has the owner's processor time and whether tasks have waited for 2 s for its starts; a VM with twice that time writes an offer, and the owner releases the ownership.

No existing test changed.

--- a/sched-handover.c
+++ b/sched-handover.c
@@ -88,6 +88,7 @@
 	if (s->now < s->own.responses_check_at)
 		return;
 	s->own.responses_check_at = s->now + RESPONSES_CHECK_INTERVAL_MS;
+	offer_shortage_update(s, RESPONSES_CHECK_INTERVAL_MS);
 	responses_count(s, &r);
 	if (r.expected && r.in_time * REACHED_DIVISOR >= r.expected)
 		s->own.reached_workers = true;
--- a/sched-order.c
+++ b/sched-order.c
@@ -64,6 +64,16 @@
 	return s->starts_in_flight * START_WINDOW_UNIT >= s->start_window;
 }
 
+/*
+ * Returns true if starts are answered late by most workers, as they are if the
+ * owner is short of processor time.
+ */
+bool starts_are_slow(const struct sched *s)
+{
+	return s->now < s->start_answer_expires &&
+	       s->start_answer_us >= 1000 * START_OWNER_SLOW_MS;
+}
+
 /*
  * Updates the smoothed time until starts are answered.  Longer times count as
  * START_SLOW_MS, so that a few slow workers don't look like a slow owner.
@@ -92,7 +102,7 @@
 		return;
 	}
 	if (s->now < s->start_window_cut_at + START_WINDOW_CUT_INTERVAL_MS ||
-	    s->start_answer_us < 1000 * START_OWNER_SLOW_MS)
+	    !starts_are_slow(s))
 		return;
 	s->start_window_cut_at = s->now;
 	if (s->start_window > s->starts_in_flight * START_WINDOW_UNIT)
--- a/sched-own.c
+++ b/sched-own.c
@@ -152,7 +152,8 @@
 	s->has_best_effort = false;
 	s->start_interval_ms = 0;
 	s->own.reached_workers = false;
-	s->own.unresponsive_by = 0;
+	s->own.unresponsive_by = s->own.shortage_ms = 0;
+	s->starts_held_back = false;
 	s->follows[FOLLOW_WORKERS].wanted = s->follows[FOLLOW_JOBS].wanted =
 		false;
 	s->progress.wanted = s->notes.wanted = false;
@@ -240,6 +241,8 @@
 		own_record_activity(s);
 	s->own.revision = r->revision;
 	s->own.known = true;
+	if (s->own.epoch != epoch)
+		s->own.holder_is_short = false;
 	if (s->own.epoch != epoch || !s->own.holder.bstr_len)
 		sched_log(s, LOG_OWNER_SEEN, "epoch=%llu vm=%.*s revision=%llu",
 			  (unsigned long long)s->own.epoch,
@@ -264,7 +267,7 @@
 		owner_row_apply(s, r);
 		return;
 	}
-	if (!bstr_eq_str(r->key, KEY_HEARTBEAT))
+	if (offer_row_apply(s, r) || !bstr_eq_str(r->key, KEY_HEARTBEAT))
 		return;
 	if (s->own.state != OWN_OWNER &&
 	    heartbeat_row_read(s, r->value, &epoch) &&
@@ -335,13 +338,16 @@
 }
 
 /*
- * Returns how long this VM lets others claim first: larger ones, and all if it
- * has lost the ownership lately.
+ * Returns how long this VM lets others claim first: larger ones, one that the
+ * owner has released the ownership for, and all if it has lost the ownership
+ * lately.
  */
 static int64_t claim_deferral(const struct sched *s)
 {
 	int64_t deferral = own_defers_claim(s) ? CLAIM_DEFERRAL_MS : 0;
 
+	if (!s->own.holder.bstr_len && offer_is_of_other(s))
+		deferral += CLAIM_DEFERRAL_MS;
 	if (s->now < s->own.defer_claims_until)
 		deferral += LOST_OWNER_DEFERRAL_MS;
 	return deferral;
@@ -726,6 +732,8 @@
 			own_gain(s, s->own.epoch, s->own.revision);
 		else if (owner_is_gone(s))
 			own_claim(s);
+		else
+			offer_tick(s);
 		break;
 	case OWN_LOADING:
 		own_heartbeat_if_due(s);
--- a/sched-place.c
+++ b/sched-place.c
@@ -746,7 +746,8 @@
 	 * If the window is full, the next pass continues when answers have made
 	 * room.
 	 */
-	s->place_due = s->place_due || start_window_is_full(s);
+	s->starts_held_back = start_window_is_full(s);
+	s->place_due = s->place_due || s->starts_held_back;
 	free(p.pools_left);
 	free(p.sorted);
 	free(p.candidates);
--- a/sched-row.c
+++ b/sched-row.c
@@ -452,14 +452,18 @@
  */
 bstr heartbeat_row_write(struct sched *s)
 {
-	return json_write(json_pack(
-		"{s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o}", "epoch",
-		(json_int_t)s->own.epoch, "seq",
-		(json_int_t)s->own.heartbeat_seq, "sent_at",
-		(json_int_t)store_clock(s), "told_at",
-		(json_int_t)job_list_as_of(s), "waiting", counts_write(s),
-		"ceilings", ceilings_write(s), "largest",
-		largest_capacity_write(s), "admit", admissions_write(s)));
+	json_t *row = json_pack("{s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o}",
+				"epoch", (json_int_t)s->own.epoch, "seq",
+				(json_int_t)s->own.heartbeat_seq, "sent_at",
+				(json_int_t)store_clock(s), "told_at",
+				(json_int_t)job_list_as_of(s), "cpu",
+				(json_int_t)offer_own_cpu(s), "waiting",
+				counts_write(s), "ceilings", ceilings_write(s),
+				"largest", largest_capacity_write(s), "admit",
+				admissions_write(s));
+
+	set_if_true(row, "short", offer_is_wanted(s));
+	return json_write(row);
 }
 
 /*
@@ -476,6 +480,9 @@
 	}
 	*epoch = (uint64_t)int_member(row, "epoch");
 	s->own.heartbeat_as_of = int_member(row, "sent_at");
+	s->own.holder_cpu = int_member(row, "cpu");
+	s->own.holder_is_short = *epoch == s->own.epoch &&
+				 json_is_true(json_object_get(row, "short"));
 	json_decref(s->own.ceilings);
 	s->own.ceilings = json_incref(json_object_get(row, "ceilings"));
 	largest_capacity_read(s, json_object_get(row, "largest"));
--- a/sched-state.h
+++ b/sched-state.h
@@ -512,6 +512,7 @@
 	FOR_HEARTBEAT,
 	FOR_CLAIM,
 	FOR_RELEASE,
+	FOR_OFFER,
 	FOR_COMMIT,
 	FOR_SWEEP,
 	FOR_SUBMIT,
@@ -667,6 +668,14 @@
 	int64_t unresponsive_by; /* hands over if few answer until then; 0: many
 				  * do */
 	int64_t handover_not_before;
+	int64_t shortage_ms; /* of processor time; see sched-offer.c */
+	int64_t holder_cpu;  /* the owner's, in thousandths of a core; 0: not
+			      * known */
+	bool holder_is_short;
+	int64_t offer_at;	 /* this VM's next offer; 0: none */
+	uint64_t offer_revision; /* of the offers' row */
+	uint64_t offer_epoch;	 /* that the latest offer is to follow */
+	bstr offer_vm;
 	int64_t defer_claims_until; /* lets other VMs claim first until then */
 	bool known; /* the owner row was read, or does not exist */
 };
@@ -880,6 +889,8 @@
 	bool settled;	  /* each worker has answered or its lease is over */
 	bool place_due;	  /* something changed: a placement pass is needed */
 	int64_t place_at; /* no placement pass before this */
+	bool starts_held_back;	/* the last pass ended with too many starts in
+				 * flight for another one */
 	bool has_delayed_tasks; /* some task has not_before in the future */
 	bool has_pending_tasks; /* the last pass left some task pending */
 	struct machine *machines;
@@ -1022,6 +1033,14 @@
 void responses_count(const struct sched *s, struct responses *r);
 void responses_check(struct sched *s);
 
+/* sched-offer.c: hand-over by an owner short of processor time */
+int64_t offer_own_cpu(const struct sched *s);
+bool offer_is_wanted(const struct sched *s);
+void offer_shortage_update(struct sched *s, int64_t interval_ms);
+void offer_tick(struct sched *s);
+bool offer_row_apply(struct sched *s, const struct row *r);
+bool offer_is_of_other(const struct sched *s);
+
 /* sched-job.c: jobs, occurrences and tasks */
 struct job *sched_job_find(struct sched *s, const char *id);
 void job_row_apply(struct sched *s, struct row *r);
@@ -1128,6 +1147,7 @@
 const char *pending_reason_word(enum pending_reason reason);
 struct resources step_need(const struct job_step *st);
 bool start_window_is_full(const struct sched *s);
+bool starts_are_slow(const struct sched *s);
 void start_window_update(struct sched *s, int64_t ms);
 void sched_task_start(struct sched *s, struct task *t, struct worker *w,
 		      uint64_t run);
--- a/sched.c
+++ b/sched.c
@@ -160,6 +160,7 @@
 	case FOR_HEARTBEAT:
 	case FOR_CLAIM:
 	case FOR_RELEASE:
+	case FOR_OFFER:
 		own_answer(s, rq, a);
 		break;
 	case FOR_COMMIT:
@@ -481,6 +482,7 @@
 	}
 	fleet_config_free(s->config);
 	bstr_free(&s->own.holder);
+	bstr_free(&s->own.offer_vm);
 	json_decref(s->own.workers);
 	json_decref(s->own.ceilings);
 	json_decref(s->home_sizes);
