Split sched-wave.c by subject

sched-wave.c had 959 lines about the operator's waves, the list of machines, the calls for maintenance, and the tasks that may be away. The last three are sched-inventory.c, sched-maintenance.c and sched-takedown.c now; sched.c passes their answers to them, so wave_answer() is what wave_row_answer() was.

--- a/sched-state.h
+++ b/sched-state.h
@@ -73,6 +73,9 @@
 #define START_WINDOW_INITIAL (512 * START_WINDOW_UNIT)
 /* Monotonic clocks of workers may run up to 2% slow. */
 #define CLOCK_DRIFT_FACTOR 1.02
+/* Requests to the platform about machines */
+#define PLATFORM_TIMEOUT_MS 1500
+#define PLATFORM_RETRY_MS 500
 /* The store usually answers within 5 ms, a slow store within 350 ms. */
 #define STORE_TIMEOUT_MS 700
 #define STORE_RETRY_MS 120
@@ -1264,7 +1267,25 @@
 void wave_answer(struct sched *s, struct request *rq, struct answer *a);
 void waves_reset_owner_state(struct sched *s);
 void sched_waves_free(struct sched *s);
-bool wave_may_take_worker(struct sched *s, const struct worker *w);
+struct wave *wave_find(struct sched *s, uint64_t number);
+struct wave_machine *wave_find_machine(struct wave *v, bstr id);
+struct machine *wave_machine_lookup(struct sched *s, bstr id,
+				    struct worker **w);
+
+/* sched-maintenance.c: calls that take machines of a wave down */
+void maintenance_send(struct sched *s, struct wave *v, struct wave_machine *wm);
+void maintenance_answer(struct sched *s, struct request *rq, struct answer *a);
 bool wave_takes_worker(const struct sched *s, const struct worker *w);
 
+/* sched-takedown.c: whether tasks allow a worker to be taken down */
+bool task_may_be_stopped(const struct sched *s, const struct task *t);
+bool wave_may_take_worker(struct sched *s, const struct worker *w);
+void worker_stop_excess_task(struct sched *s, struct worker *w);
+unsigned worker_short_tasks(const struct worker *w);
+
+/* sched-inventory.c: the list of machines */
+void machines_request(struct sched *s, bstr page);
+void machines_answer(struct sched *s, struct request *rq, struct answer *a);
+void machines_free(struct sched *s);
+
 #endif
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -15,17 +15,6 @@
  * queues with short tasks end within this time.
  */
 #define WAVE_DRAIN_MS 1200
-/* Interval of reading the list of machines. */
-#define MACHINE_LIST_INTERVAL_MS 900
-#define PLATFORM_TIMEOUT_MS 1500
-#define PLATFORM_RETRY_MS 500
-/*
- * A loss of a worker this long after its maintenance may still be due to it:
- * its lease has to expire first.
- */
-#define LATE_LOSS_MS 8000
-/* A machine counts as down this much longer than its maintenance takes. */
-#define DOWN_MARGIN_MS 400
 /*
  * Duration of a batch of as many machines as may be down at once: the drain,
  * the call, the maintenance, and the list that shows its end.  If more time is
@@ -39,7 +28,7 @@
 #define WAVE_LOG_INTERVAL_MS 1000
 
 /* Returns the wave with a number, or NULL. */
-static struct wave *wave_find(struct sched *s, uint64_t number)
+struct wave *wave_find(struct sched *s, uint64_t number)
 {
 	struct wave *v;
 
@@ -48,7 +37,7 @@
 }
 
 /* Returns the machine of a wave with an id, or NULL. */
-static struct wave_machine *wave_find_machine(struct wave *v, bstr id)
+struct wave_machine *wave_find_machine(struct wave *v, bstr id)
 {
 	size_t i;
 
@@ -59,37 +48,18 @@
 }
 
 /*
- * Returns true if a worker's process may have been taken down for a wave: this
- * owner has called for it, or an earlier one may have.  The worker may be a
- * later one than the noted one; its machine is known once the list has shown
- * it, and until then any recent call counts.
+ * Returns the machine with an id, or NULL, and sets w to its worker, or NULL if
+ * it has none.
  */
-bool wave_takes_worker(const struct sched *s, const struct worker *w)
+struct machine *wave_machine_lookup(struct sched *s, bstr id, struct worker **w)
 {
-	const struct wave_machine *wm;
-	const struct wave *v;
-	size_t i;
+	struct machine *m;
 
-	for (v = s->waves; v; v = v->hh.next) {
-		for (i = 0; i < v->count; i++) {
-			wm = &v->machines[i];
-			if (!wm->call_in_flight && !wm->call_outcome_unknown &&
-			    !wm->done)
-				continue;
-			if (wm->noted && bstr_eq(wm->worker, w->id))
-				return true;
-			/* It was alive after the maintenance. */
-			if (wm->done &&
-			    w->alive_at > wm->down_until - DOWN_MARGIN_MS -
-						  s->options.maintenance_ms)
-				continue;
-			if (s->now < wm->down_until + LATE_LOSS_MS &&
-			    (!w->machine.bstr_len ||
-			     bstr_eq(w->machine, wm->id)))
-				return true;
-		}
-	}
-	return false;
+	*w = NULL;
+	HASH_FIND_BSTR(s->machines, id, m);
+	if (m && m->worker.bstr_len)
+		*w = worker_find(s, m->worker);
+	return m;
 }
 
 /* Returns the wave with a number, and adds it if it is new. */
@@ -201,24 +171,6 @@
 	json_decref(row);
 }
 
-/* Frees the list of machines. */
-static void machines_free(struct sched *s)
-{
-	struct machine *m, *next;
-
-	HASH_ITER(hh, s->machines, m, next) {
-		HASH_DEL(s->machines, m);
-		bstr_free(&m->id);
-		bstr_free(&m->dc);
-		bstr_free(&m->pool);
-		bstr_free(&m->worker);
-		bstr_free(&m->moving_to);
-		bstr_free(&m->moving_worker);
-		free(m);
-	}
-	s->machine_list_complete = false;
-}
-
 /* Discards the state that only an owner has; the operator's requests stay. */
 void waves_reset_owner_state(struct sched *s)
 {
@@ -257,151 +209,6 @@
 	machines_free(s);
 }
 
-/*
- * Returns true if a long-running task is in service.  If its worker has been
- * silent, it may have ended with the worker; if it counted, too few tasks of
- * its step could be left when another is taken down.
- */
-static bool task_is_in_service(const struct sched *s, const struct task *t)
-{
-	return t->phase == PHASE_RUNNING && !t->stopping && t->percent == 100 &&
-	       !t->worker->takedown_in_flight &&
-	       s->now - t->worker->answered_at < WORKER_TIMEOUT_MS;
-}
-
-/*
- * Returns how many other tasks of a long-running task's step are not in
- * service.  Those on the same worker count only if same_worker is set.
- */
-static unsigned task_others_unavailable(const struct sched *s,
-					const struct task *t, bool same_worker)
-{
-	const struct job_step *st = task_step(t);
-	const struct task *o = &t->occ->tasks[t->occ->first_task[t->step]];
-	unsigned i, unavailable = 0;
-
-	for (i = 0; i < st->count; i++, o++)
-		if (o != t && (same_worker || o->worker != t->worker) &&
-		    !task_is_in_service(s, o))
-			unavailable++;
-	return unavailable;
-}
-
-/*
- * Returns true if maintenance has to observe the max_unavailable of a task's
- * step.
- */
-static bool task_is_protected(const struct task *t)
-{
-	const struct job_step *st = task_step(t);
-
-	return st->long_running && st->max_unavailable &&
-	       t->phase == PHASE_RUNNING && !t->stopping;
-}
-
-/*
- * Returns true if a task may be stopped together with the others of its step on
- * its worker.
- */
-static bool task_may_be_stopped(const struct sched *s, const struct task *t)
-{
-	return !task_is_protected(t) ||
-	       task_others_unavailable(s, t, false) +
-			       step_tasks_on_worker(t->worker, t->occ,
-						    t->step) <=
-		       task_step(t)->max_unavailable;
-}
-
-/*
- * Returns true if a worker may be taken down now as far as its long-running
- * tasks are concerned.
- */
-bool wave_may_take_worker(struct sched *s, const struct worker *w)
-{
-	const struct task *t;
-
-	TAILQ_FOREACH(t, &w->tasks, worker_entry)
-		if (!task_may_be_stopped(s, t))
-			return false;
-	return true;
-}
-
-/*
- * Stops one task of a step that has more tasks on a worker than may be
- * unavailable at once.  Otherwise the worker could never be taken down.
- */
-static void worker_stop_excess_task(struct sched *s, struct worker *w)
-{
-	struct task *t;
-	unsigned count;
-
-	TAILQ_FOREACH(t, &w->tasks, worker_entry) {
-		if (!task_is_protected(t) || t->stopping)
-			continue;
-		count = step_tasks_on_worker(w, t->occ, t->step);
-		if (count <= task_step(t)->max_unavailable)
-			continue;
-		if (task_others_unavailable(s, t, true) <
-		    task_step(t)->max_unavailable) {
-			task_stop(s, t);
-			return;
-		}
-	}
-}
-
-/* Returns the number of tasks on a worker that end by themselves. */
-static unsigned worker_short_tasks(const struct worker *w)
-{
-	const struct task *t;
-	unsigned n = 0;
-
-	TAILQ_FOREACH(t, &w->tasks, worker_entry)
-		if (!task_step(t)->long_running)
-			n++;
-	return n;
-}
-
-/*
- * Returns the machine with an id, or NULL, and sets w to its worker, or NULL if
- * it has none.
- */
-static struct machine *wave_machine_lookup(struct sched *s, bstr id,
-					   struct worker **w)
-{
-	struct machine *m;
-
-	*w = NULL;
-	HASH_FIND_BSTR(s->machines, id, m);
-	if (m && m->worker.bstr_len)
-		*w = worker_find(s, m->worker);
-	return m;
-}
-
-/* Calls the platform to take a machine down for maintenance. */
-static void maintenance_send(struct sched *s, struct wave *v,
-			     struct wave_machine *wm)
-{
-	struct worker *w;
-	struct machine *m = wave_machine_lookup(s, wm->id, &w);
-	struct request *rq;
-	struct ask *ask;
-
-	rq = sched_ask(s, FOR_MAINTENANCE, ASK_MAINTENANCE,
-		       own_exclusive_until(s, s->now + PLATFORM_TIMEOUT_MS),
-		       &ask);
-	rq->number = v->number;
-	rq->name = bstr_copy(wm->id);
-	ask->order.machine = bstr_copy(wm->id);
-	ask->order.wave = v->number;
-	ask->order.holder = bstr_copy(s->options.vm);
-	ask->order.epoch = s->own.epoch;
-	wm->call_in_flight = true;
-	wm->call_is_for_noted_process = m && bstr_eq(m->worker, wm->worker);
-	wm->down_until = s->now + PLATFORM_TIMEOUT_MS;
-	sched_log(s, LOG_WAVE_MACHINE, "wave=%" PRIu64 " machine=%.*s step=ask",
-		  v->number, BSTR_ARG(wm->id));
-}
-
 /* Returns true if a machine of a wave is down, or may be. */
 static bool wave_machine_may_be_down(struct sched *s,
 				     const struct wave_machine *wm)
@@ -707,20 +514,6 @@
 		  (long long)(wave_finish_at(s, v) - s->now));
 }
 
-/* Requests the list of machines from a page on. */
-static void machines_request(struct sched *s, bstr page)
-{
-	struct request *rq;
-	struct ask *ask;
-
-	rq = sched_ask(s, FOR_MACHINES, ASK_MACHINES,
-		       s->now + PLATFORM_TIMEOUT_MS, &ask);
-	rq->number = s->own.epoch;
-	ask->order.page = bstr_copy(page);
-	s->machine_list_in_flight = true;
-	s->machine_list_at = s->now + MACHINE_LIST_INTERVAL_MS;
-}
-
 /* Reads the list of machines at intervals, and advances all waves. */
 void wave_tick(struct sched *s)
 {
@@ -736,185 +529,8 @@
 		wave_advance(s, v);
 }
 
-/* Applies a row of the list of machines. */
-static void machine_row_apply(struct sched *s, struct machine_row *r)
-{
-	struct machine *m;
-	struct worker *w;
-
-	HASH_FIND_BSTR(s->machines, r->machine, m);
-	if (!m) {
-		m = xcalloc(1, sizeof(*m));
-		m->id = bstr_copy(r->machine);
-		HASH_ADD_BSTR(s->machines, id, m);
-	}
-	bstr_set(&m->dc, r->zone);
-	bstr_set(&m->pool, r->pool);
-	bstr_set(&m->worker, r->worker);
-	w = worker_find(s, r->worker);
-	if (w)
-		bstr_set(&w->machine, m->id);
-	/* A list requested before a move doesn't show it yet. */
-	if (s->now >= m->moving_until || r->state != MACHINE_UP)
-		m->state = r->state;
-	if (r->state == MACHINE_UP && bstr_eq(r->pool, m->moving_to))
-		m->moving_until = 0;
-	move_check_listed(s, m);
-}
-
-/*
- * Handles the end of a complete list of machines.  The first owner records the
- * sizes that the pools have before any machine moves, which are the sizes that
- * the operator chose.
- */
-static void machines_list_complete(struct sched *s)
-{
-	struct machine *m, *next;
-	char *pool;
-
-	s->machine_list_complete = true;
-	if (s->home_sizes)
-		return;
-	s->home_sizes = json_object();
-	s->home_sizes_dirty = true;
-	HASH_ITER(hh, s->machines, m, next) {
-		pool = bstr_cstr(m->pool);
-		json_object_set_new(
-			s->home_sizes, pool,
-			json_integer(json_integer_value(json_object_get(
-					     s->home_sizes, pool)) +
-				     1));
-		free(pool);
-	}
-}
-
-/*
- * Handles a page of the list of machines.  A page requested in an earlier epoch
- * is out of date.
- */
-static void machines_answer(struct sched *s, struct request *rq,
-			    struct answer *a)
-{
-	size_t i;
-
-	if (rq->number != s->own.epoch || s->own.state != OWN_OWNER)
-		return;
-	s->machine_list_in_flight = false;
-	if (a->outcome != OUT_DONE) {
-		s->machine_list_at = s->now + PLATFORM_RETRY_MS;
-		return;
-	}
-	for (i = 0; i < a->machine_count; i++)
-		machine_row_apply(s, &a->machines[i]);
-	if (a->next_page.bstr_len)
-		machines_request(s, a->next_page);
-	else
-		machines_list_complete(s);
-}
-
-/*
- * Handles a successful call for maintenance.  The runs of the noted worker have
- * ended.  The list of machines may show the machine's next worker already,
- * which goes on.  But if the worker was restarted before the call was sent, the
- * call may have been carried out earlier, and the new process may still be
- * running; its lease decides.
- */
-static void maintenance_done(struct sched *s, struct wave *v,
-			     struct wave_machine *wm)
-{
-	struct worker *w;
-
-	wm->done = true;
-	wm->down_until = s->now + s->options.maintenance_ms + DOWN_MARGIN_MS;
-	v->dirty = true;
-	if (wm->call_is_for_noted_process)
-		w = worker_find(s, wm->worker);
-	else
-		wave_machine_lookup(s, wm->id, &w);
-	if (w && !wm->call_is_for_noted_process) {
-		/*
-		 * Its tasks count as unavailable until it answers again.  If
-		 * they counted as in service, others of their steps could be
-		 * taken down at the same time.
-		 */
-		w->takedown_pending = w->takedown_in_flight = false;
-		worker_set_overdue(s, w);
-	} else if (w) {
-		crash_worker_taken(s, w);
-		worker_lost(s, w, LOSS_MAINTENANCE);
-		worker_set_gone(s, w);
-		w->listed = false;
-	}
-	sched_log(s, LOG_WAVE_MACHINE,
-		  "wave=%" PRIu64 " machine=%.*s step=down", v->number,
-		  BSTR_ARG(wm->id));
-}
-
-/*
- * Discards the note of a machine to which nothing was done.  After a move it
- * may have another worker by the next call.  With the old note, that call's
- * success would look like one of an earlier call, and the tasks that it ended
- * like tasks in service.
- */
-static void wave_machine_discard_note(struct wave *v, struct wave_machine *wm)
-{
-	if (!wm->noted)
-		return;
-	wm->noted = false;
-	bstr_free(&wm->worker);
-	v->dirty = true;
-}
-
-/*
- * Handles the outcome of a call for maintenance.  A refusal tells nothing about
- * an earlier call without an answer, which may still be carried out: until then
- * the tasks of the machine's worker count as unavailable.
- */
-static void maintenance_answer(struct sched *s, struct request *rq,
-			       struct answer *a)
-{
-	struct wave *v = wave_find(s, rq->number);
-	struct wave_machine *wm = v ? wave_find_machine(v, rq->name) : NULL;
-	struct worker *w;
-
-	if (!wm || rq->epoch != s->own.epoch)
-		return;
-	wm->call_in_flight = false;
-	if (a->outcome == OUT_DONE) {
-		maintenance_done(s, v, wm);
-		return;
-	}
-	wave_machine_lookup(s, wm->id, &w);
-	if (a->outcome == OUT_UNKNOWN)
-		wm->late_call_until = s->now + ORDER_LIFETIME_MAX_MS;
-	if (w && s->now >= wm->late_call_until)
-		w->takedown_in_flight = false;
-	sched_log(s, LOG_WAVE_MACHINE,
-		  "wave=%" PRIu64 " machine=%.*s step=refused outcome=%d "
-		  "reason=%d",
-		  v->number, BSTR_ARG(wm->id), a->outcome, a->refusal);
-	wm->retry_at = s->now + PLATFORM_RETRY_MS;
-	if (a->outcome == OUT_UNKNOWN)
-		wm->call_outcome_unknown = true;
-	else if (!wm->call_outcome_unknown)
-		wave_machine_discard_note(v, wm);
-	if (a->refusal == REFUSAL_INVALID || a->refusal == REFUSAL_WAVE) {
-		/*
-		 * No such machine any more, or not part of the wave.  Its
-		 * worker, if it has one, stays and is used again; an earlier
-		 * call without an answer was refused for the same reason.
-		 */
-		wm->done = true;
-		v->dirty = true;
-		if (w)
-			w->takedown_pending = w->takedown_in_flight = false;
-		s->place_due = true;
-	}
-}
-
 /* Handles the outcome of writing a wave's rows. */
-static void wave_row_answer(struct sched *s, struct request *rq,
-			    struct answer *a)
+void wave_answer(struct sched *s, struct request *rq, struct answer *a)
 {
 	struct wave *v = wave_find(s, rq->number);
 	char key[WAVE_KEY_MAX];
@@ -941,19 +557,3 @@
 	if (a->outcome != OUT_CONFLICT)
 		v->write_at += STORE_RETRY_MS;
 }
-
-/* Handles an answer about waves or machines. */
-void wave_answer(struct sched *s, struct request *rq, struct answer *a)
-{
-	switch (rq->purpose) {
-	case FOR_MACHINES:
-		machines_answer(s, rq, a);
-		break;
-	case FOR_MAINTENANCE:
-		maintenance_answer(s, rq, a);
-		break;
-	default:
-		wave_row_answer(s, rq, a);
-		break;
-	}
-}
--- a/sched.c
+++ b/sched.c
@@ -190,7 +190,11 @@
 		advice_answer(s, rq, a);
 		break;
 	case FOR_MACHINES:
+		machines_answer(s, rq, a);
+		break;
 	case FOR_MAINTENANCE:
+		maintenance_answer(s, rq, a);
+		break;
 	case FOR_WAVE_ROW:
 		wave_answer(s, rq, a);
 		break;
