--- a/sched-order.c
+++ b/sched-order.c
@@ -64,6 +64,16 @@
 	return s->starts_in_flight * START_WINDOW_UNIT >= s->start_window;
 }
 
+/*
+ * Returns true if starts are answered late by most workers, as they are if the
+ * owner is short of processor time.
+ */
+bool starts_are_slow(const struct sched *s)
+{
+	return s->now < s->start_answer_expires &&
+	       s->start_answer_us >= 1000 * START_OWNER_SLOW_MS;
+}
+
 /*
  * Updates the smoothed time until starts are answered.  Longer times count as
  * START_SLOW_MS, so that a few slow workers don't look like a slow owner.
@@ -92,7 +102,7 @@
 		return;
 	}
 	if (s->now < s->start_window_cut_at + START_WINDOW_CUT_INTERVAL_MS ||
-	    s->start_answer_us < 1000 * START_OWNER_SLOW_MS)
+	    !starts_are_slow(s))
 		return;
 	s->start_window_cut_at = s->now;
 	if (s->start_window > s->starts_in_flight * START_WINDOW_UNIT)
@@ -408,6 +418,20 @@
 				   w->clock + (a->sent_at - w->clock_at);
 }
 
+/*
+ * Counts the outcome of a start for the window.  One that was not sent has
+ * waited in this VM's client: if most do, the owner is short of processor time,
+ * and no worker's answer would show that.
+ */
+static void start_window_count(struct sched *s, const struct request *rq,
+			       const struct answer *a)
+{
+	if (a->refusal == REFUSAL_NOT_SENT)
+		start_window_update(s, s->now - rq->asked_at);
+	else if (a->clock)
+		start_window_update(s, s->now - a->sent_at);
+}
+
 /*
  * Handles the outcome of an order.  The outcomes of stops and throttles are
  * seen in the workers' lists.
@@ -421,8 +445,7 @@
 		s->starts_in_flight--;
 		if (rq->epoch == s->own.epoch)
 			start_interval_update(s, s->now - rq->asked_at);
-		if (a->clock)
-			start_window_update(s, s->now - a->sent_at);
+		start_window_count(s, rq, a);
 	}
 	if (!w || rq->epoch != s->own.epoch)
 		return;
--- a/sched-state.h
+++ b/sched-state.h
@@ -73,6 +73,9 @@
 #define START_WINDOW_INITIAL (512 * START_WINDOW_UNIT)
 /* Monotonic clocks of workers may run up to 2% slow. */
 #define CLOCK_DRIFT_FACTOR 1.02
+/* Requests to the platform about machines */
+#define PLATFORM_TIMEOUT_MS 1500
+#define PLATFORM_RETRY_MS 500
 /* The store usually answers within 5 ms, a slow store within 350 ms. */
 #define STORE_TIMEOUT_MS 700
 #define STORE_RETRY_MS 120
@@ -512,6 +515,7 @@
 	FOR_HEARTBEAT,
 	FOR_CLAIM,
 	FOR_RELEASE,
+	FOR_OFFER,
 	FOR_COMMIT,
 	FOR_SWEEP,
 	FOR_SUBMIT,
@@ -667,6 +671,14 @@
 	int64_t unresponsive_by; /* hands over if few answer until then; 0: many
 				  * do */
 	int64_t handover_not_before;
+	int64_t shortage_ms; /* of processor time; see sched-offer.c */
+	int64_t holder_cpu;  /* the owner's, in thousandths of a core; 0: not
+			      * known */
+	bool holder_is_short;
+	int64_t offer_at;	 /* this VM's next offer; 0: none */
+	uint64_t offer_revision; /* of the offers' row */
+	uint64_t offer_epoch;	 /* that the latest offer is to follow */
+	bstr offer_vm;
 	int64_t defer_claims_until; /* lets other VMs claim first until then */
 	bool known; /* the owner row was read, or does not exist */
 };
@@ -880,6 +892,8 @@
 	bool settled;	  /* each worker has answered or its lease is over */
 	bool place_due;	  /* something changed: a placement pass is needed */
 	int64_t place_at; /* no placement pass before this */
+	bool starts_held_back;	/* the last pass ended with too many starts in
+				 * flight for another one */
 	bool has_delayed_tasks; /* some task has not_before in the future */
 	bool has_pending_tasks; /* the last pass left some task pending */
 	struct machine *machines;
@@ -1022,6 +1036,14 @@
 void responses_count(const struct sched *s, struct responses *r);
 void responses_check(struct sched *s);
 
+/* sched-offer.c: hand-over by an owner short of processor time */
+int64_t offer_own_cpu(const struct sched *s);
+bool offer_is_wanted(const struct sched *s);
+void offer_shortage_update(struct sched *s, int64_t interval_ms);
+void offer_tick(struct sched *s);
+bool offer_row_apply(struct sched *s, const struct row *r);
+bool offer_is_of_other(const struct sched *s);
+
 /* sched-job.c: jobs, occurrences and tasks */
 struct job *sched_job_find(struct sched *s, const char *id);
 void job_row_apply(struct sched *s, struct row *r);
@@ -1128,6 +1150,7 @@
 const char *pending_reason_word(enum pending_reason reason);
 struct resources step_need(const struct job_step *st);
 bool start_window_is_full(const struct sched *s);
+bool starts_are_slow(const struct sched *s);
 void start_window_update(struct sched *s, int64_t ms);
 void sched_task_start(struct sched *s, struct task *t, struct worker *w,
 		      uint64_t run);
@@ -1244,7 +1267,25 @@
 void wave_answer(struct sched *s, struct request *rq, struct answer *a);
 void waves_reset_owner_state(struct sched *s);
 void sched_waves_free(struct sched *s);
-bool wave_may_take_worker(struct sched *s, const struct worker *w);
+struct wave *wave_find(struct sched *s, uint64_t number);
+struct wave_machine *wave_find_machine(struct wave *v, bstr id);
+struct machine *wave_machine_lookup(struct sched *s, bstr id,
+				    struct worker **w);
+
+/* sched-maintenance.c: calls that take machines of a wave down */
+void maintenance_send(struct sched *s, struct wave *v, struct wave_machine *wm);
+void maintenance_answer(struct sched *s, struct request *rq, struct answer *a);
 bool wave_takes_worker(const struct sched *s, const struct worker *w);
 
+/* sched-takedown.c: whether tasks allow a worker to be taken down */
+bool task_may_be_stopped(const struct sched *s, const struct task *t);
+bool wave_may_take_worker(struct sched *s, const struct worker *w);
+void worker_stop_excess_task(struct sched *s, struct worker *w);
+unsigned worker_short_tasks(const struct worker *w);
+
+/* sched-inventory.c: the list of machines */
+void machines_request(struct sched *s, bstr page);
+void machines_answer(struct sched *s, struct request *rq, struct answer *a);
+void machines_free(struct sched *s);
+
 #endif
