Pools: idle machines beyond the peaks are standby, scarce cores are divided

Cause: idle machines stayed in each pool up to its home size, whatever its callers asked for at once; and if the pools needed more than the fleet, the one with the longest queue got every machine, also for work that was late anyway.

Change: an idle pool keeps what its next peak needs before machines can come, from the peak seen, the slack of its jobs and the time of a move, once a peak was seen (sched-forecast.c). If all pools need more than there is, sched-divide.c divides the cores: reserves, jobs that can be in time, the next peaks, the rest, in each step by home sizes. POOL has keep, peak, late_ms and granted, new are CORES_DIVIDED, a gauge and the moves by reason. Both can be left out: parking, division.

--- a/sched-demand.c
+++ b/sched-demand.c
@@ -126,6 +126,19 @@
 	}
 }
 
+/*
+ * Returns true if a task of a step that starts now is too late for its job's
+ * objective.
+ */
+static bool step_is_late(const struct sched *s, const struct occurrence *o,
+			 unsigned step_index)
+{
+	const struct job_estimate *e = &o->job->estimate;
+
+	return s->now + e->remaining_ms[step_index] >
+	       occurrence_due_at(s, o, e->longest_ms);
+}
+
 /* Adds the work of an occurrence that waits for nothing but room. */
 static void pool_load_add_queued(struct sched *s, struct pool_load *p,
 				 const struct occurrence *o)
@@ -143,6 +156,10 @@
 			    (double)j->estimate.step_ms[i];
 		queued += task_work * o->unfinished_in_step[i];
 		p->waiting_work += task_work * o->pending_tasks[i].count;
+		p->waiting_cores += (double)st->need.cpu *
+				    o->pending_tasks[i].count;
+		if (o->pending_tasks[i].count && step_is_late(s, o, i))
+			p->late_work += task_work * o->pending_tasks[i].count;
 		p->queued_tasks += o->pending_tasks[i].count;
 	}
 	if (queued <= 0)
@@ -354,7 +371,7 @@
 			"cores=%.0f used=%.0f lasting=%.0f work_ms=%.0f drain_ms=%.0f "
 			"stranded=%u queue_ms=%.0f objective_ms=%.0f "
 			"leaving=%u pending=%u starts_ms=%.0f evacuated=%u "
-			"demand=%.0f mean=%.0f need=%.0f reserve=%.0f slack_ms=%.0f",
+			"demand=%.0f mean=%.0f need=%.0f reserve=%.0f slack_ms=%.0f keep=%.0f peak=%.0f late_ms=%.0f granted=%.0f",
 			BSTR_ARG(p->service->name), p->workers, p->home_size,
 			p->arriving, p->empty, p->cores / 1000,
 			p->used_cores / 1000, p->long_running_cores / 1000,
@@ -367,7 +384,12 @@
 			p->demand->mean_cores / 1000,
 			pool_need_cores(s, p) / 1000,
 			pool_reserve_cores(s, p, machine_cores) / 1000,
-			pool_slack_ms(p));
+			pool_slack_ms(p),
+			pool_keep_cores(s, p, machine_cores) / 1000,
+			p->demand->peak_cores / 1000, p->late_work / 1000,
+			(l->divided ? p->claim.granted_cores
+				    : pool_need_cores(s, p)) /
+				1000);
 	}
 }
 
--- a/sched-demand.h
+++ b/sched-demand.h
@@ -7,6 +7,16 @@
 
 #include "sched-state.h"
 
+/* What a pool claims of the fleet's cores, in thousandths. */
+struct pool_claim {
+	double weight;	      /* above 0 */
+	double reserve_cores; /* for the jobs at the start of a peak */
+	double in_time_cores; /* for all jobs that can still be in time */
+	double keep_cores;    /* what it keeps if no other needs them */
+	double all_cores;     /* for all jobs */
+	double granted_cores; /* the result */
+};
+
 /* The capacity and the work of a pool. */
 struct pool_load {
 	const struct service *service;
@@ -27,6 +37,9 @@
 	double long_running_cores; /* used by long-running tasks */
 	double work; /* pending and running, in thousandths of a core x ms */
 	double waiting_work;	/* of it, pending tasks that wait for room */
+	double late_work;	/* of waiting_work, of jobs that can't meet
+				 * their objective any more */
+	double waiting_cores;	/* that the tasks in waiting_work use */
 	double queued_work;	/* of it, what waits for nothing but room */
 	unsigned pending_tasks; /* tasks in work that have not started */
 	unsigned queued_tasks;	/* tasks in queued_work that have not started */
@@ -36,6 +49,7 @@
 	struct resources max_listed;   /* the same, with those that can't take
 					* tasks now */
 	const struct demand *demand;
+	struct pool_claim claim;
 	double objective_sum_ms; /* sum of the objectives of the queued jobs */
 	unsigned queued_jobs;	 /* jobs with work in queued_work */
 };
@@ -44,6 +58,8 @@
 	struct pool_load *list;
 	size_t count;
 	double start_interval_ms; /* see struct sched */
+	double standby_cores;	  /* of machines in standby that can move */
+	bool divided;		  /* the pools need more than there is */
 };
 
 /* sched-demand.c: the load of the pools */
@@ -62,7 +78,16 @@
 double pool_slack_ms(const struct pool_load *p);
 double pool_room_cores(const struct pool_load *p, double machine_cores);
 double pool_need_cores(const struct sched *s, const struct pool_load *p);
+double pool_in_time_cores(const struct sched *s, const struct pool_load *p);
 double pool_reserve_cores(const struct sched *s, const struct pool_load *p,
 			  double machine_cores);
+bool pool_peak_is_known(const struct sched *s, const struct pool_load *p,
+			double machine_cores);
+double pool_keep_cores(const struct sched *s, const struct pool_load *p,
+		       double machine_cores);
+
+/* sched-divide.c: what each pool gets if there are too few cores */
+bool claims_divide(struct pool_claim *list, size_t count, double total_cores);
+void pools_divide(struct sched *s, struct pool_loads *l, double machine_cores);
 
 #endif
--- a/sched-forecast.c
+++ b/sched-forecast.c
@@ -14,6 +14,8 @@
 #define DEMAND_SMOOTHING_MS 300.0
 /* Time over which the mean of the arriving work is taken. */
 #define DEMAND_MEAN_MS 60000.0
+/* Time in which a peak decays that does not come again. */
+#define DEMAND_PEAK_MS 300000
 /*
  * The mean demand of a pool by its size, before it was observed: operators make
  * pools about this many times as large as what they need on average.
@@ -50,6 +52,25 @@
 		d->jobs++;
 	slack_ms = (double)(job_objective_ms(s, j) - j->estimate.longest_ms);
 	d->slack_ms += (slack_ms - d->slack_ms) / d->jobs;
+	d->slack_dev_ms += (fabs(slack_ms - d->slack_ms) - d->slack_dev_ms) /
+			   d->jobs;
+}
+
+/* Returns how long it takes until a machine that is called for is of use. */
+static double move_ahead_ms(const struct sched *s)
+{
+	return (double)(s->options.move_ms + MOVE_SETTLE_MS);
+}
+
+/* Updates the peak of the work that arrives within the time of a move. */
+static void demand_update_peak(const struct sched *s, struct demand *d,
+			       double arriving, double ms)
+{
+	d->move_cores += (arriving - d->move_cores) *
+			 (1 - exp(-ms / move_ahead_ms(s)));
+	d->peak_cores *= exp(-ms / (double)DEMAND_PEAK_MS);
+	if (d->peak_cores < d->move_cores)
+		d->peak_cores = d->move_cores;
 }
 
 /*
@@ -61,8 +82,10 @@
 {
 	double ms = (double)(s->now - d->updated_at), arriving;
 
-	if (!d->has_mean)
+	if (!d->has_mean) {
 		d->mean_cores = home_cores / HOME_DEMAND_DIVISOR;
+		d->peak_known_at = s->now + DEMAND_PEAK_MS;
+	}
 	d->has_mean = d->has_mean || home_cores > 0;
 	if (d->updated_at && ms > 0) {
 		arriving = d->arrived / ms;
@@ -70,17 +93,12 @@
 			    (1 - exp(-ms / DEMAND_SMOOTHING_MS));
 		d->mean_cores += (arriving - d->mean_cores) *
 				 (1 - exp(-ms / DEMAND_MEAN_MS));
+		demand_update_peak(s, d, arriving, ms);
 	}
 	d->arrived = 0;
 	d->updated_at = s->now;
 }
 
-/* Returns how long it takes until a machine that is called for is of use. */
-static double move_ahead_ms(const struct sched *s)
-{
-	return (double)(s->options.move_ms + MOVE_SETTLE_MS);
-}
-
 /* Returns how long jobs of a pool can wait and still be in time. */
 double pool_slack_ms(const struct pool_load *p)
 {
@@ -99,19 +117,45 @@
 	return p->cores - p->long_running_cores + machine_cores * p->arriving;
 }
 
+/*
+ * Returns the work of a pool that will wait when a machine called for now
+ * arrives, if waiting_work does now.
+ */
+static double pool_queue_ahead(const struct sched *s, const struct pool_load *p,
+			       double waiting_work)
+{
+	double now_cores = p->cores - p->long_running_cores;
+	double queue = waiting_work +
+		       (p->demand->cores - now_cores) * move_ahead_ms(s);
+
+	return queue > 0 ? queue : 0;
+}
+
 /*
  * Returns the cores that a pool needs when a machine called for now arrives: to
  * work off what will arrive, and within part of the slack what waits by then.
  */
 double pool_need_cores(const struct sched *s, const struct pool_load *p)
 {
-	double now_cores = p->cores - p->long_running_cores;
-	double queue = p->waiting_work +
-		       (p->demand->cores - now_cores) * move_ahead_ms(s);
+	return p->demand->cores + pool_queue_ahead(s, p, p->waiting_work) *
+					  SLACK_DIVISOR / pool_slack_ms(p);
+}
+
+/*
+ * Returns the cores that a pool needs so that the jobs that can still be in
+ * time are.  Unlike pool_need_cores, it has no margin, as it is used when other
+ * pools lack the cores.  More than the tasks that run, wait and arrive could
+ * use is not counted.
+ */
+double pool_in_time_cores(const struct sched *s, const struct pool_load *p)
+{
+	double cores = p->demand->cores +
+		       pool_queue_ahead(s, p, p->waiting_work - p->late_work) /
+			       pool_slack_ms(p);
+	double usable = p->demand->cores + p->waiting_cores + p->used_cores -
+			p->long_running_cores;
 
-	if (queue <= 0)
-		return p->demand->cores;
-	return p->demand->cores + queue * SLACK_DIVISOR / pool_slack_ms(p);
+	return cores < usable ? cores : usable;
 }
 
 /*
@@ -130,3 +174,59 @@
 		return machine_cores * p->home_size;
 	return (share > 0 ? p->demand->mean_cores * share : 0) + machine_cores;
 }
+
+/*
+ * Returns the cores that the jobs at the start of a peak need before machines
+ * can arrive, which are called for once the arriving work shows it.  Jobs with
+ * less slack than the mean are to be in time as well.
+ */
+static double pool_first_cores(const struct sched *s, const struct pool_load *p)
+{
+	const struct demand *d = p->demand;
+	double ahead_ms = move_ahead_ms(s) + DEMAND_SMOOTHING_MS;
+	double slack_ms = pool_slack_ms(p) - d->slack_dev_ms;
+
+	if (slack_ms >= ahead_ms)
+		return 0;
+	if (slack_ms < SLACK_MIN_MS)
+		slack_ms = SLACK_MIN_MS;
+	return d->peak_cores * (1 - slack_ms / ahead_ms);
+}
+
+/*
+ * Returns true if the peaks of a pool are known: enough jobs were seen, and
+ * more work at once than the operator's size tells of its mean.  A pool that
+ * never gets that much is known after a time.
+ */
+bool pool_peak_is_known(const struct sched *s, const struct pool_load *p,
+			double machine_cores)
+{
+	const struct demand *d = p->demand;
+	double home = machine_cores * p->home_size;
+
+	return d->jobs >= DEMAND_JOBS &&
+	       (d->peak_cores >= home / HOME_DEMAND_DIVISOR ||
+		s->now >= d->peak_known_at);
+}
+
+/*
+ * Returns the cores that a pool keeps while no other pool needs them, at most
+ * its home size: what works off the arriving work, and what the next peak needs
+ * before machines can come from standby.  A pool whose peaks are not known
+ * keeps its home size.
+ */
+double pool_keep_cores(const struct sched *s, const struct pool_load *p,
+		       double machine_cores)
+{
+	const struct demand *d = p->demand;
+	double home = machine_cores * p->home_size, keep;
+
+	if (!pool_peak_is_known(s, p, machine_cores) ||
+	    !policy_is_enabled(s, POLICY_PARKING))
+		return home;
+	keep = d->move_cores + pool_first_cores(s, p);
+	if (keep < d->mean_cores)
+		keep = d->mean_cores;
+	keep += machine_cores;
+	return keep < home ? keep : home;
+}
--- a/sched-move.c
+++ b/sched-move.c
@@ -28,6 +28,8 @@
  */
 #define MOVES_RESERVED_DIVISOR 5
 #define MOVES_PASS_DIVISOR 5
+/* See pool_kept_cores. */
+#define GRANT_MARGIN_DIVISOR 8
 
 /*
  * An idle machine and its pool.  The machine is NULL once it has been chosen.
@@ -60,19 +62,50 @@
 	       s->now - w->idle_since >= since;
 }
 
+/* Returns the cores up to which a pool gets machines. */
+static double pool_target_cores(const struct sched *s,
+				const struct pool_loads *l,
+				const struct pool_load *p)
+{
+	double need = pool_need_cores(s, p);
+
+	return l->divided && p->claim.granted_cores < need
+		       ? p->claim.granted_cores
+		       : need;
+}
+
+/*
+ * Returns the cores below which a pool gives no machine to another.  If it
+ * needs more than it was granted, it keeps a part of the granted cores more:
+ * what it is granted changes with every job, and a machine is of no use while
+ * it moves.
+ */
+static double pool_kept_cores(const struct sched *s, const struct pool_loads *l,
+			      const struct pool_load *p)
+{
+	double granted = p->claim.granted_cores;
+
+	if (!l->divided)
+		return pool_need_cores(s, p);
+	if (pool_need_cores(s, p) > granted)
+		return granted + granted / GRANT_MARGIN_DIVISOR;
+	return granted;
+}
+
 /*
  * Returns true if a pool can give away one of its machines without tasks.
  * Standby pools and pools that no route names always can.  Others keep what
  * they need, and least_cores.  Tasks that already run need no other machine.
  */
-static bool pool_can_spare(const struct sched *s, const struct pool_load *p,
-			   double machine_cores, double least_cores)
+static bool pool_can_spare(const struct sched *s, const struct pool_loads *l,
+			   const struct pool_load *p, double machine_cores,
+			   double least_cores)
 {
 	double left = pool_room_cores(p, machine_cores) - machine_cores;
 
 	if (p->service->standby || !p->routed)
 		return true;
-	return left >= least_cores && left >= pool_need_cores(s, p);
+	return left >= least_cores && left >= pool_kept_cores(s, l, p);
 }
 
 /* Returns how many moves may begin in this pass. */
@@ -108,6 +141,22 @@
 	return list;
 }
 
+/*
+ * Returns the cores of the machines that no pool with a route has, and that can
+ * be moved to one.
+ */
+static double idle_machines_free_cores(const struct idle_machine *list,
+				       size_t count, double machine_cores)
+{
+	double cores = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (list[i].from->service->standby || !list[i].from->routed)
+			cores += machine_cores;
+	return cores;
+}
+
 /* Determines for each pool whether it can spare a machine for one in need. */
 static void pools_mark_spare(const struct sched *s, struct pool_loads *l,
 			     double machine_cores)
@@ -118,7 +167,7 @@
 	for (i = 0; i < l->count; i++) {
 		p = &l->list[i];
 		p->can_spare = pool_can_spare(
-			s, p, machine_cores,
+			s, l, p, machine_cores,
 			pool_reserve_cores(s, p, machine_cores));
 	}
 }
@@ -152,11 +201,11 @@
  * run them: machines moved there would stand idle, and the pool would seem ever
  * less loaded.
  */
-static double pool_shortage(const struct sched *s, const struct pool_load *p,
-			    double machine_cores)
+static double pool_shortage(const struct sched *s, const struct pool_loads *l,
+			    const struct pool_load *p, double machine_cores)
 {
 	double room = pool_room_cores(p, machine_cores);
-	double need = pool_need_cores(s, p);
+	double need = pool_target_cores(s, l, p);
 
 	if (p->stranded > p->arriving)
 		return HUGE_VAL;
@@ -178,7 +227,7 @@
 	for (i = 0; i < l->count; i++) {
 		if (!l->list[i].routed || l->list[i].service->standby)
 			continue;
-		shortage = pool_shortage(s, &l->list[i], machine_cores);
+		shortage = pool_shortage(s, l, &l->list[i], machine_cores);
 		if (shortage > most) {
 			shortest = &l->list[i];
 			most = shortage;
@@ -200,6 +249,8 @@
 	size_t count;
 
 	list = idle_machines_collect(s, l, &count);
+	l->standby_cores = idle_machines_free_cores(list, count, machine_cores);
+	pools_divide(s, l, machine_cores);
 	for (n = 0; n < max; n++) {
 		to = pool_shortest(s, l, machine_cores);
 		if (!to)
@@ -216,12 +267,18 @@
 		spare->machine = NULL;
 	}
 	free(list);
+	sched_count(s, COUNT_MOVES_BURST, n);
 	*begun = n;
 	return to;
 }
 
-/* Returns a pool that has fewer machines than its home size, or NULL. */
-static struct pool_load *pool_below_home(struct pool_loads *l)
+/*
+ * Returns a pool that has fewer machines than its home size and less room than
+ * it keeps, or NULL.
+ */
+static struct pool_load *pool_below_keep(const struct sched *s,
+					 struct pool_loads *l,
+					 double machine_cores)
 {
 	struct pool_load *p;
 	size_t i;
@@ -229,14 +286,16 @@
 	for (i = 0; i < l->count; i++) {
 		p = &l->list[i];
 		if (p->routed && !p->service->standby &&
-		    p->workers + p->arriving < p->home_size)
+		    p->workers + p->arriving < p->home_size &&
+		    pool_room_cores(p, machine_cores) <
+			    pool_keep_cores(s, p, machine_cores))
 			return p;
 	}
 	return NULL;
 }
 
 /*
- * Moves idle machines to pools below their home size, else to standby.  Returns
+ * Moves idle machines to pools below what they keep, else to standby.  Returns
  * the number of moves begun.
  */
 static unsigned moves_from_idle(struct sched *s, struct pool_loads *l,
@@ -258,10 +317,10 @@
 		from = pool_load_find(l, m->pool);
 		if (n >= max || !from || from->service->standby ||
 		    !machine_is_idle(s, m, idle_min) ||
-		    !pool_can_spare(s, from, machine_cores,
-				    machine_cores * from->home_size))
+		    !pool_can_spare(s, l, from, machine_cores,
+				    pool_keep_cores(s, from, machine_cores)))
 			continue;
-		to = pool_below_home(l);
+		to = pool_below_keep(s, l, machine_cores);
 		if (!to)
 			to = standby;
 		from->empty--;
@@ -270,6 +329,9 @@
 		to->arriving++;
 		machine_move(s, m, to->service->name,
 			     to == standby ? "idle" : "home");
+		sched_count(s,
+			    to == standby ? COUNT_MOVES_IDLE : COUNT_MOVES_HOME,
+			    1);
 		n++;
 	}
 	return n;
@@ -389,8 +451,8 @@
 	moves_repeat(s);
 	pool_loads_read(s, &l);
 	machine_cores = machine_mean_cores(&l);
-	pool_loads_log(s, &l, machine_cores);
 	admissions_update(s, &l, machine_cores);
 	machines_move(s, &l, machine_cores);
+	pool_loads_log(s, &l, machine_cores);
 	pool_loads_free(&l);
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -454,13 +454,17 @@
  * thousandths.
  */
 struct demand {
-	int64_t updated_at; /* 0: never */
-	double arrived;	    /* since then, in thousandths of a core x ms */
-	double cores;	    /* that work off what arrives, smoothed */
-	double mean_cores;  /* the same, over a long time */
-	bool has_mean;	    /* the size of the pool was known since */
-	unsigned jobs;	    /* seen, at most DEMAND_JOBS */
-	double slack_ms;    /* smoothed: a job that waits for longer is late */
+	int64_t updated_at;    /* 0: never */
+	double arrived;	       /* since then, in thousandths of a core x ms */
+	double cores;	       /* that work off what arrives, smoothed */
+	double mean_cores;     /* the same, over a long time */
+	double move_cores;     /* the same, over the time of a move */
+	double peak_cores;     /* the highest move_cores, which decays slowly */
+	bool has_mean;	       /* the size of the pool was known since */
+	int64_t peak_known_at; /* at the latest, whatever was seen until then */
+	unsigned jobs;	       /* seen, at most DEMAND_JOBS */
+	double slack_ms;     /* smoothed: a job that waits for longer is late */
+	double slack_dev_ms; /* mean deviation of the jobs' slack from it */
 };
 /* Jobs over which the slack is averaged. */
 #define DEMAND_JOBS 32
@@ -898,6 +902,7 @@
 	int64_t move_at;
 	unsigned move_pass; /* index in moves_begun of the latest pass */
 	unsigned moves_begun[MOVE_PASSES_PER_S]; /* by the latest passes */
+	bool cores_divided; /* in the latest pass, see sched-divide.c */
 	int64_t pool_log_at;
 	json_t *home_sizes; /* initial number of machines by pool, or NULL */
 	bool home_sizes_dirty;
