Pools: one that needs more than it has keeps its machines

Cause: load/busy_pools_lend_nothing was red since the cores are divided: a pool whose work is late gave its empty machines to another one's jobs, and two pools with queues exchanged machines.

Change: while cores are divided a pool keeps what it needs or was granted, whichever is more.

--- a/sched-move.c
+++ b/sched-move.c
@@ -28,8 +28,6 @@
  */
 #define MOVES_RESERVED_DIVISOR 5
 #define MOVES_PASS_DIVISOR 5
-/* See pool_kept_cores. */
-#define GRANT_MARGIN_DIVISOR 8
 
 /*
  * An idle machine and its pool.  The machine is NULL once it has been chosen.
@@ -75,37 +73,32 @@
 }
 
 /*
- * Returns the cores below which a pool gives no machine to another.  If it
- * needs more than it was granted, it keeps a part of the granted cores more:
- * what it is granted changes with every job, and a machine is of no use while
- * it moves.
+ * Returns the cores below which a pool gives no machine to another: what it
+ * needs, also if it was granted less, or what it was granted for its next peak.
+ * A machine that is empty for a moment in a pool with a queue would be lost for
+ * the time of a move.
  */
 static double pool_kept_cores(const struct sched *s, const struct pool_loads *l,
 			      const struct pool_load *p)
 {
-	double granted = p->claim.granted_cores;
+	double need = pool_need_cores(s, p);
 
-	if (!l->divided)
-		return pool_need_cores(s, p);
-	if (pool_need_cores(s, p) > granted)
-		return granted + granted / GRANT_MARGIN_DIVISOR;
-	return granted;
+	return l->divided && p->claim.granted_cores > need
+		       ? p->claim.granted_cores
+		       : need;
 }
 
 /*
- * Returns true if a pool can give away one of its machines without tasks.
- * Standby pools and pools that no route names always can.  Others keep what
- * they need, and least_cores.  Tasks that already run need no other machine.
+ * Returns true if a pool can give away one of its machines without tasks, and
+ * keeps least_cores.  Standby pools and pools that no route names always can.
+ * Tasks that already run need no other machine.
  */
-static bool pool_can_spare(const struct sched *s, const struct pool_loads *l,
-			   const struct pool_load *p, double machine_cores,
+static bool pool_can_spare(const struct pool_load *p, double machine_cores,
 			   double least_cores)
 {
 	double left = pool_room_cores(p, machine_cores) - machine_cores;
 
-	if (p->service->standby || !p->routed)
-		return true;
-	return left >= least_cores && left >= pool_kept_cores(s, l, p);
+	return p->service->standby || !p->routed || left >= least_cores;
 }
 
 /* Returns how many moves may begin in this pass. */
@@ -162,13 +155,15 @@
 			     double machine_cores)
 {
 	struct pool_load *p;
+	double reserve;
 	size_t i;
 
 	for (i = 0; i < l->count; i++) {
 		p = &l->list[i];
+		reserve = pool_reserve_cores(s, p, machine_cores);
 		p->can_spare = pool_can_spare(
-			s, l, p, machine_cores,
-			pool_reserve_cores(s, p, machine_cores));
+			p, machine_cores,
+			fmax(reserve, pool_kept_cores(s, l, p)));
 	}
 }
 
@@ -317,8 +312,10 @@
 		from = pool_load_find(l, m->pool);
 		if (n >= max || !from || from->service->standby ||
 		    !machine_is_idle(s, m, idle_min) ||
-		    !pool_can_spare(s, l, from, machine_cores,
-				    pool_keep_cores(s, from, machine_cores)))
+		    !pool_can_spare(
+			    from, machine_cores,
+			    fmax(pool_need_cores(s, from),
+				 pool_keep_cores(s, from, machine_cores))))
 			continue;
 		to = pool_below_keep(s, l, machine_cores);
 		if (!to)
--- a/tests/test-divide.c
+++ b/tests/test-divide.c
@@ -91,3 +91,120 @@
 		sum += list[i].granted_cores;
 	cr_expect(sum <= total && sum > total * 0.999, "%.0f", sum);
 }
+
+/* A pool of the fleet: 16 cores a machine. */
+struct pool_row {
+	unsigned home, workers, used; /* machines */
+	double demand, peak;	      /* cores */
+	double waiting, late;	      /* core-seconds */
+	unsigned jobs;		      /* seen */
+	double granted_min, granted_max;
+};
+
+/*
+ * Guards against a division that starts without need, that is upset by work
+ * that is late anyway, or that leaves machines in pools whose peaks a new owner
+ * has not seen.
+ */
+static const struct {
+	const char *name;
+	unsigned standby; /* machines */
+	bool divided;
+	struct pool_row pools[2];
+} fleet_rows[] = {
+	{"a calm day",
+	 10,
+	 false,
+	 {{60, 60, 20, 300, 900, 0, 0, 32, 0, 1e9},
+	  {60, 60, 5, 50, 900, 0, 0, 32, 0, 1e9}}},
+	{"a peak that the fleet holds",
+	 60,
+	 false,
+	 {{60, 60, 60, 1300, 1300, 100, 0, 32, 0, 1e9},
+	  {60, 60, 5, 50, 900, 0, 0, 32, 0, 1e9}}},
+	{"a flood, the other pool between its peaks",
+	 0,
+	 true,
+	 {{60, 100, 100, 6000, 6000, 20000, 0, 32, 1700, 1920},
+	  {60, 20, 2, 20, 900, 0, 0, 32, 0, 220}}},
+	{"the flood's rest is late, the other pool's peak begins",
+	 0,
+	 true,
+	 {{60, 100, 100, 10, 6000, 20000, 20000, 32, 0, 1000},
+	  {60, 20, 20, 1100, 900, 300, 0, 32, 900, 1920}}},
+	{"both are flooded",
+	 0,
+	 true,
+	 {{60, 100, 100, 6000, 6000, 20000, 9000, 32, 900, 1020},
+	  {60, 20, 20, 6000, 6000, 20000, 9000, 32, 900, 1020}}},
+	{"a new owner that has seen no peaks",
+	 0,
+	 true,
+	 {{60, 60, 60, 10, 10, 20000, 20000, 32, 1600, 1920},
+	  {60, 60, 2, 0, 0, 0, 0, 0, 0, 300}}},
+	{"no machines are known yet",
+	 0,
+	 true,
+	 {{60, 0, 0, 100, 100, 100, 0, 32, 0, 0},
+	  {60, 0, 0, 0, 0, 0, 0, 0, 0, 0}}},
+};
+
+#define MACHINE_CORES 16e3
+
+/* Sets the load of a pool. */
+static void pool_set(struct pool_load *p, struct demand *d,
+		     const struct pool_row *r)
+{
+	*d = (struct demand){.cores = r->demand * 1e3,
+			     .mean_cores = r->home * MACHINE_CORES / 2,
+			     .peak_cores = r->peak * 1e3,
+			     .peak_known_at = INT64_MAX,
+			     .jobs = r->jobs,
+			     .slack_ms = 1300,
+			     .slack_dev_ms = 300};
+	p->routed = true;
+	p->demand = d;
+	p->home_size = r->home;
+	p->workers = r->workers;
+	p->cores = r->workers * MACHINE_CORES;
+	p->used_cores = r->used * MACHINE_CORES;
+	p->waiting_work = r->waiting * 1e6;
+	p->late_work = r->late * 1e6;
+	p->waiting_cores = r->waiting * 1e3;
+}
+
+Test(divide, what_pools_claim_follows_from_their_load)
+{
+	const struct service service = {0};
+	struct demand d[2];
+	struct pool_load p[2];
+	struct pool_loads l;
+	const struct pool_row *r;
+	struct sched s;
+	double granted;
+	size_t i, k;
+
+	for (i = 0; i < NELEMS(fleet_rows); i++) {
+		s = (struct sched){.options.move_ms = 1500,
+				   .cores_divided = fleet_rows[i].divided};
+		l = (struct pool_loads){.list = p,
+					.count = 2,
+					.standby_cores = fleet_rows[i].standby *
+							 MACHINE_CORES};
+		for (k = 0; k < 2; k++) {
+			p[k] = (struct pool_load){.service = &service};
+			pool_set(&p[k], &d[k], &fleet_rows[i].pools[k]);
+		}
+		pools_divide(&s, &l, MACHINE_CORES);
+		cr_expect_eq(l.divided, fleet_rows[i].divided, "%s",
+			     fleet_rows[i].name);
+		for (k = 0; k < 2 && l.divided; k++) {
+			r = &fleet_rows[i].pools[k];
+			granted = p[k].claim.granted_cores / 1e3;
+			cr_expect(granted >= r->granted_min - 1 &&
+					  granted <= r->granted_max + 1,
+				  "%s: pool %zu: %.0f", fleet_rows[i].name, k,
+				  granted);
+		}
+	}
+}
