Waves go on without machines that were taken away

Change: a machine is gone if three complete lists in a row don't have it, the platform refuses it as busy, no worker on it answers, no worker older than the latest list is without a machine, and no call may still be carried out. It is not noted as done; a successor finds that out anew, and a machine that is listed again gets its maintenance. Calls refused as busy are repeated after 0.5, 1, 2 and 4 s, and at once when the machine is up.

Test: test-upkeep, goes_on_without_a_machine_that_was_taken_away; the simulated platform has machines that are down or not listed. No existing test changed.

--- a/sched-maintenance.c
+++ b/sched-maintenance.c
@@ -13,6 +13,12 @@
 #define LATE_LOSS_MS 8000
 /* A machine counts as down this much longer than its maintenance takes. */
 #define DOWN_MARGIN_MS 400
+/*
+ * The pause after a call that was refused because the machine is busy doubles
+ * up to this many times: a machine is moved or maintained for 1 to 2 s, one
+ * that leaves, or is down, may be busy for good.
+ */
+#define BUSY_DOUBLINGS_MAX 3
 
 /*
  * Returns true if a worker's process may have been taken down for a wave: this
@@ -85,6 +91,7 @@
 	struct worker *w;
 
 	wm->done = true;
+	wm->refusals = 0;
 	wm->down_until = s->now + s->options.maintenance_ms + DOWN_MARGIN_MS;
 	v->dirty = true;
 	if (wm->call_is_for_noted_process)
@@ -125,6 +132,24 @@
 	v->dirty = true;
 }
 
+/* Sets when a call without success is repeated. */
+static void maintenance_retry(struct sched *s, struct wave_machine *wm,
+			      enum refusal why)
+{
+	struct worker *w;
+	const struct machine *m = wave_machine_lookup(s, wm->id, &w);
+	unsigned doublings = wm->refusals < BUSY_DOUBLINGS_MAX
+				     ? wm->refusals
+				     : BUSY_DOUBLINGS_MAX;
+
+	wm->retry_at = s->now + PLATFORM_RETRY_MS;
+	if (why != REFUSAL_BUSY)
+		return;
+	wm->retry_at = s->now + (PLATFORM_RETRY_MS << doublings);
+	wm->refusals++;
+	wm->refused_up = m && m->state == MACHINE_UP;
+}
+
 /*
  * Handles the outcome of a call for maintenance.  A refusal tells nothing about
  * an earlier call without an answer, which may still be carried out: until then
@@ -152,7 +177,7 @@
 		  "wave=%" PRIu64 " machine=%.*s step=refused outcome=%d "
 		  "reason=%d",
 		  v->number, BSTR_ARG(wm->id), a->outcome, a->refusal);
-	wm->retry_at = s->now + PLATFORM_RETRY_MS;
+	maintenance_retry(s, wm, a->refusal);
 	if (a->outcome == OUT_UNKNOWN)
 		wm->call_outcome_unknown = true;
 	else if (!wm->call_outcome_unknown)
--- a/sched-state.h
+++ b/sched-state.h
@@ -701,6 +701,7 @@
 	bstr moving_worker; /* its worker when its move was ordered, or empty */
 	bool move_unanswered;	   /* no call of that move has an answer */
 	int64_t move_repeat_until; /* that move is repeated until then */
+	unsigned last_list;	   /* serial of the latest list that had it */
 	int64_t late_move_until; /* an unanswered call may be carried out until
 				  * then; 0: none */
 	int64_t retry_at;
@@ -721,6 +722,9 @@
 	bool draining;		 /* its worker gets no new tasks */
 	int64_t draining_since;
 	int64_t retry_at;
+	unsigned refusals;  /* of the call, in a row, as the machine is busy */
+	bool refused_up;    /* the list showed it as up at the latest one */
+	bool gone;	    /* the platform has no such machine any more */
 	int64_t down_until; /* in maintenance */
 };
 
@@ -900,6 +904,9 @@
 	bool machine_list_in_flight;
 	int64_t machine_list_at;
 	bool machine_list_complete;
+	unsigned machine_lists;	      /* complete ones read in this epoch */
+	uint32_t machine_list_worker; /* the latest worker known when the
+				       * reading of the latest one began */
 	struct wave *waves;
 	unsigned starts_in_flight;
 	unsigned start_window; /* limit of them, in 1/START_WINDOW_UNIT */
@@ -1267,6 +1274,7 @@
 void wave_answer(struct sched *s, struct request *rq, struct answer *a);
 void waves_reset_owner_state(struct sched *s);
 void sched_waves_free(struct sched *s);
+void waves_check_listed(struct sched *s);
 struct wave *wave_find(struct sched *s, uint64_t number);
 struct wave_machine *wave_find_machine(struct wave *v, bstr id);
 struct machine *wave_machine_lookup(struct sched *s, bstr id,
@@ -1287,5 +1295,6 @@
 void machines_request(struct sched *s, bstr page);
 void machines_answer(struct sched *s, struct request *rq, struct answer *a);
 void machines_free(struct sched *s);
+bool machine_is_gone(struct sched *s, bstr id);
 
 #endif
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -184,6 +184,8 @@
 			v->machines[i].call_in_flight =
 				v->machines[i].draining = false;
 			v->machines[i].retry_at = 0;
+			v->machines[i].refusals = 0;
+			v->machines[i].gone = false;
 		}
 	}
 	s->machine_list_in_flight = false;
@@ -248,7 +250,7 @@
 	size_t i;
 
 	for (i = 0; i < v->count; i++)
-		if (!v->machines[i].done)
+		if (!v->machines[i].done && !v->machines[i].gone)
 			remaining++;
 	return remaining;
 }
@@ -304,8 +306,8 @@
 
 	for (i = 0; i < v->count; i++) {
 		wm = &v->machines[i];
-		if (wm->done || wm->draining || wm->call_in_flight ||
-		    s->now < wm->retry_at ||
+		if (wm->done || wm->gone || wm->draining ||
+		    wm->call_in_flight || s->now < wm->retry_at ||
 		    !wave_machine_runs_are_known(s, wm) ||
 		    (wait && wave_machine_pool_is_busy(s, wm)))
 			continue;
@@ -348,9 +350,65 @@
 	return false;
 }
 
+/*
+ * Returns true if a machine of a wave is gone for good and needs no
+ * maintenance: the platform refuses it and doesn't list it, no worker on it
+ * answers, and no earlier call may still be carried out.  A machine that
+ * is only down is listed; it may come back, and needs its maintenance then.
+ */
+static bool wave_machine_is_gone(struct sched *s, const struct wave_machine *wm)
+{
+	return !wm->done && !wm->call_in_flight && wm->refusals &&
+	       s->now >= wm->late_call_until && machine_is_gone(s, wm->id);
+}
+
+/*
+ * Compares the machines of a wave with a complete list: those that are gone are
+ * left out, and come back if a later list has them.  The call for a machine
+ * that was refused while it was not up is repeated at once when it is.
+ */
+static void wave_check_listed(struct sched *s, struct wave *v)
+{
+	struct wave_machine *wm;
+	const struct machine *m;
+	struct worker *w;
+	bool up, gone;
+	size_t i;
+
+	for (i = 0; i < v->count; i++) {
+		wm = &v->machines[i];
+		m = wave_machine_lookup(s, wm->id, &w);
+		up = m && m->state == MACHINE_UP;
+		if (wm->refusals && up && !wm->refused_up && !wm->done) {
+			wm->refusals = 0;
+			wm->retry_at = s->now;
+		}
+		wm->refused_up = wm->refused_up && up;
+		gone = wave_machine_is_gone(s, wm);
+		if (gone && !wm->gone)
+			sched_log(s, LOG_WAVE_MACHINE,
+				  "wave=%" PRIu64 " machine=%.*s step=gone "
+				  "refusals=%u",
+				  v->number, BSTR_ARG(wm->id), wm->refusals);
+		wm->gone = gone;
+		wm->draining = wm->draining && !gone;
+	}
+}
+
+/* Compares the machines of all open waves with a complete list. */
+void waves_check_listed(struct sched *s)
+{
+	struct wave *v, *next;
+
+	HASH_ITER(hh, s->waves, v, next)
+		if (v->requested && !v->completed)
+			wave_check_listed(s, v);
+}
+
 /* What a machine of a wave waits for. */
 enum wave_machine_wait {
 	WAVE_MACHINE_DONE,
+	WAVE_MACHINE_GONE,
 	WAVE_MACHINE_DOWN,   /* the call is in flight, or it is down */
 	WAVE_MACHINE_QUEUED, /* other machines, or the end of its pool's load */
 	WAVE_MACHINE_RETRY,  /* the call was refused; it is retried later */
@@ -373,6 +431,8 @@
 	if (wm->done)
 		return wave_machine_may_be_down(s, wm) ? WAVE_MACHINE_DOWN
 						       : WAVE_MACHINE_DONE;
+	if (wm->gone)
+		return WAVE_MACHINE_GONE;
 	if (wm->call_in_flight)
 		return WAVE_MACHINE_DOWN;
 	if (s->now < wm->retry_at)
@@ -411,12 +471,13 @@
 		return;
 	v->log_at = s->now + WAVE_LOG_INTERVAL_MS;
 	sched_log(s, LOG_WAVE,
-		  "wave=%" PRIu64 " left_ms=%lld done=%u away=%u turn=%u "
+		  "wave=%" PRIu64
+		  " left_ms=%lld done=%u gone=%u away=%u turn=%u "
 		  "again=%u short=%u lasting=%u note=%u ends=%u",
 		  v->number, (long long)(wave_finish_at(s, v) - s->now),
-		  waits[WAVE_MACHINE_DONE], waits[WAVE_MACHINE_DOWN],
-		  waits[WAVE_MACHINE_QUEUED], waits[WAVE_MACHINE_RETRY],
-		  waits[WAVE_MACHINE_SHORT_TASKS],
+		  waits[WAVE_MACHINE_DONE], waits[WAVE_MACHINE_GONE],
+		  waits[WAVE_MACHINE_DOWN], waits[WAVE_MACHINE_QUEUED],
+		  waits[WAVE_MACHINE_RETRY], waits[WAVE_MACHINE_SHORT_TASKS],
 		  waits[WAVE_MACHINE_LONG_RUNNING],
 		  waits[WAVE_MACHINE_NOTE_WRITE],
 		  waits[WAVE_MACHINE_DURABLE_ENDS]);
@@ -500,7 +561,8 @@
 		if (wave_machine_may_be_down(s, &v->machines[i]) ||
 		    (v->machines[i].draining && !v->machines[i].done))
 			down++;
-		all_done = all_done && v->machines[i].done;
+		all_done = all_done &&
+			   (v->machines[i].done || v->machines[i].gone);
 	}
 	while (down < v->max_unavailable && wave_start_drain(s, v))
 		down++;
--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -185,13 +185,43 @@
 	world_machine_restart(w, n, MAINTENANCE_MS);
 }
 
+/* Sets the presence of a machine, and ends or starts its worker. */
+void world_set_machine_presence(struct world *w, unsigned machine,
+				enum world_machine_presence presence)
+{
+	bool present = presence == WORLD_MACHINE_PRESENT;
+
+	w->presence[machine] = presence;
+	world_machine_restart(w, machine, 0);
+	world_unlist_worker(w, machine, !present);
+	world_cut_worker_of_all(w, machine, !present);
+}
+
+/* Removes a machine from the list, or adds it; its worker goes on. */
+void world_hide_machine(struct world *w, unsigned machine, bool hidden)
+{
+	w->presence[machine] = hidden ? WORLD_MACHINE_GONE
+				      : WORLD_MACHINE_PRESENT;
+}
+
+/* Returns the state in which a machine is listed. */
+static enum machine_state machine_state(const struct world *w, unsigned n)
+{
+	if (w->presence[n] == WORLD_MACHINE_DOWN)
+		return MACHINE_DOWN;
+	return w->now < w->maintained_until[n] ? MACHINE_MAINTENANCE
+					       : MACHINE_UP;
+}
+
 /* Adds the rows of all machines to an answer. */
 static void machines_list(const struct world *w, struct answer *a)
 {
 	unsigned i;
 
 	a->machines = xcalloc(w->worker_count, sizeof(*a->machines));
-	for (i = 0; i < w->worker_count; i++)
+	for (i = 0; i < w->worker_count; i++) {
+		if (w->presence[i] == WORLD_MACHINE_GONE)
+			continue;
 		a->machines[a->machine_count++] = (struct machine_row){
 			.machine = bstr_printf("m-%u", i),
 			.pool = bstr_new(w->pools[i]),
@@ -200,9 +230,8 @@
 						  w->now < w->machine_up_at[i]
 					  ? BSTR_NONE
 					  : world_worker_id(w, i),
-			.state = w->now < w->maintained_until[i]
-					 ? MACHINE_MAINTENANCE
-					 : MACHINE_UP};
+			.state = machine_state(w, i)};
+	}
 }
 
 /* Adds the tickets of the advice service to an answer. */
@@ -299,6 +328,10 @@
 {
 	if (fx->ask.kind == ASK_MAINTENANCE)
 		maintenance_epoch_check(w, &fx->ask.order);
+	if (w->presence[machine_index(&fx->ask.order)]) {
+		machine_order_answer(w, vm, fx, REFUSAL_BUSY);
+		return;
+	}
 	switch (w->machine_mode) {
 	case WORLD_MACHINES_OK:
 	case WORLD_MACHINES_SLOW:
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -261,6 +261,7 @@
 	enum world_crash_mode crash_mode;
 	int64_t crash_down_ms;
 	const char *pools[WORLD_WORKERS_MAX]; /* of each machine */
+	enum world_machine_presence presence[WORLD_WORKERS_MAX];
 	unsigned moves;
 	bool maintained[WORLD_WORKERS_MAX];
 	int64_t maintained_until[WORLD_WORKERS_MAX];
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -200,6 +200,23 @@
 /* Sets the most ends in one answer of a worker; it lists the oldest first. */
 void world_set_ends_listed(struct world *w, unsigned most);
 
+/* What the platform knows of a machine. */
+enum world_machine_presence {
+	WORLD_MACHINE_PRESENT,
+	WORLD_MACHINE_DOWN, /* listed as down; refused as busy */
+	WORLD_MACHINE_GONE  /* not listed; refused as busy */
+};
+
+/*
+ * Sets the presence of a machine.  Its worker's process and row end, and
+ * another one starts when the machine is present again.
+ */
+void world_set_machine_presence(struct world *w, unsigned machine,
+				enum world_machine_presence presence);
+
+/* Removes a machine from the list, or adds it; its worker goes on. */
+void world_hide_machine(struct world *w, unsigned machine, bool hidden);
+
 /* Sets how the platform treats orders about machines. */
 void world_set_machine_mode(struct world *w, enum world_machine_mode mode);
 
--- a/tests/test-upkeep.c
+++ b/tests/test-upkeep.c
@@ -281,3 +281,70 @@
 		check_free(w, name);
 	}
 }
+
+/*
+ * Guards against a wave that is never said to be completed, and calls the
+ * platform for ever, because a machine of it was taken away for good; and
+ * against one that is said to be while a machine may come back without its
+ * maintenance.
+ */
+static const struct {
+	const char *name;
+	enum world_machine_presence presence; /* of one machine, from 300 ms */
+	bool hidden; /* it is only missing in the lists, its worker goes on */
+	int64_t back_ms;     /* after that; 0: never */
+	bool owner_dies;     /* while the wave waits for it */
+	bool completed;	     /* 12 s later */
+	unsigned maintained; /* of three machines */
+} gone_rows[] = {
+	{"taken away", WORLD_MACHINE_GONE, false, 0, false, true, 2},
+	{"taken away, the owner dies", WORLD_MACHINE_GONE, false, 0, true, true,
+	 2},
+	{"down", WORLD_MACHINE_DOWN, false, 0, false, false, 2},
+	{"down, the owner dies", WORLD_MACHINE_DOWN, false, 0, true, false, 2},
+	{"down and back", WORLD_MACHINE_DOWN, false, 6000, false, true, 3},
+	{"missing in two lists", WORLD_MACHINE_GONE, false, 1700, false, true,
+	 3},
+	{"missing, its worker goes on, the owner dies", WORLD_MACHINE_GONE,
+	 true, 0, true, false, 2},
+	{"missing, its worker goes on", WORLD_MACHINE_GONE, true, 0, false,
+	 false, 2},
+	{"missing for a while, its worker goes on", WORLD_MACHINE_GONE, true,
+	 6000, false, true, 3},
+};
+#define GONE_CALLS_MAX 20 /* log lines of three machines' calls and answers */
+Test(upkeep, goes_on_without_a_machine_that_was_taken_away)
+{
+	struct world *w;
+	unsigned row;
+
+	for (row = 0; row < NELEMS(gone_rows); row++) {
+		w = world_new_settled(1700 + row);
+		world_run(w, 300);
+		if (gone_rows[row].hidden)
+			world_hide_machine(w, 1, true);
+		else
+			world_set_machine_presence(w, 1,
+						   gone_rows[row].presence);
+		world_start_wave(w, 3, 3);
+		world_run(w, gone_rows[row].back_ms);
+		if (gone_rows[row].back_ms && gone_rows[row].hidden)
+			world_hide_machine(w, 1, false);
+		else if (gone_rows[row].back_ms)
+			world_set_machine_presence(w, 1, WORLD_MACHINE_PRESENT);
+		world_run(w, 2000);
+		if (gone_rows[row].owner_dies)
+			world_kill_vm(w, owner(w));
+		world_run(w, 10000);
+		cr_expect_eq(world_wave_is_completed(w),
+			     gone_rows[row].completed, "%s",
+			     gone_rows[row].name);
+		cr_expect_eq(world_maintained_count(w),
+			     gone_rows[row].maintained, "%s: %u",
+			     gone_rows[row].name, world_maintained_count(w));
+		cr_expect_leq(world_log_count(w, LOG_WAVE_MACHINE),
+			      GONE_CALLS_MAX, "%s: %u", gone_rows[row].name,
+			      world_log_count(w, LOG_WAVE_MACHINE));
+		check_free(w, gone_rows[row].name);
+	}
+}
