Estimates: a step lasts as long as the longest of its tasks

Learnt per route: the mean, how much steps differ, how much the tasks of a step differ (deviations are cut, so that a heavy tail doesn't lift all), and how far declarations are off, which decides their weight. The longest of n tasks is the median of the maximum; ended tasks and the ages of running ones move the level of their step and enter the chain; JOB_FINAL judges by what was observed and tells the chain.

Runs that a successor adopts are no longer learnt as whole ones.

--- a/sched-job.c
+++ b/sched-job.c
@@ -291,6 +291,7 @@
 					sizeof(*o->unfinished_in_step));
 	o->pending_tasks = xcalloc(b->step_count, sizeof(*o->pending_tasks));
 	o->first_task = xcalloc(b->step_count, sizeof(*o->first_task));
+	o->runs = xcalloc(b->step_count, sizeof(*o->runs));
 	for (i = 0; i < b->step_count; i++) {
 		o->first_task[i] = o->task_count;
 		o->unfinished_in_step[i] = b->steps[i].count;
@@ -323,6 +324,7 @@
 	free(o->unfinished_in_step);
 	free(o->pending_tasks);
 	free(o->first_task);
+	free(o->runs);
 	free(o);
 }
 
@@ -450,10 +452,13 @@
 						   : COUNT_JOBS_NOT_RUN,
 		    1);
 	sched_log(s, LOG_JOB_FINAL,
-		  "job=%s queue=%.*s state=%s starts=%u ms=%lld late_ms=%lld",
+		  "job=%s queue=%.*s state=%s starts=%u ms=%lld late_ms=%lld "
+		  "chain_ms=%lld first_chain_ms=%lld",
 		  j->id, BSTR_ARG(j->route), job_status_name(status), j->starts,
 		  (long long)(s->now - j->arrived),
-		  (long long)(j->due ? s->now - j->due : 0));
+		  (long long)(j->due ? s->now - j->due : 0),
+		  (long long)j->estimate.longest_ms,
+		  (long long)j->estimate.first_longest_ms);
 	if (!j->inherited)
 		sched_observe(s, HISTOGRAM_JOB, s->now - j->arrived);
 	job_stop_tasks(s, j);
@@ -651,6 +656,7 @@
 	job_mark_dirty(s, j);
 	if (o->unfinished)
 		return;
+	occurrence_judge(s, o);
 	TAILQ_REMOVE(&j->occs, o, entry);
 	occurrence_free(o);
 	if (job_is_done(j))
--- a/sched-list.c
+++ b/sched-list.c
@@ -38,7 +38,7 @@
 
 /* Handles the end of a task's current run. */
 static void end_apply(struct sched *s, struct worker *w, struct task *t,
-		      const struct ended *n)
+		      const struct answer *a, const struct ended *n)
 {
 	if (n->checkpoint.bstr_len && !bstr_eq(n->checkpoint, t->checkpoint)) {
 		bstr_set(&t->checkpoint, n->checkpoint);
@@ -46,7 +46,9 @@
 			job_mark_dirty(s, t->occ->job);
 	}
 	if (n->kind == END_DONE)
-		learn_run_time(s, t);
+		learn_run_time(s, t, a->clock);
+	if (n->kind == END_FAILED && t->run_clock && s->now >= w->suspect_until)
+		t->failed_ms += a->clock - t->run_clock;
 	task_unplace(s, t);
 	switch (n->kind) {
 	case END_DONE:
@@ -120,7 +122,7 @@
 		return;
 	j->run_seen = true;
 	if (t->worker == w && t->run == n->run) {
-		end_apply(s, w, t, n);
+		end_apply(s, w, t, a, n);
 	} else if (n->kind == END_DONE) {
 		/*
 		 * A run of an earlier owner, or one given up as lost, has
@@ -208,6 +210,10 @@
 	j->run_seen = true;
 	if (t->phase == PHASE_STARTING)
 		task_set_phase(t, PHASE_RUNNING);
+	if (!t->run_clock) {
+		t->run_clock = a->clock;
+		t->run_is_part = true;
+	}
 	t->percent = r->percent;
 	t->load_figure = r->load_figure;
 	if (t->started_at_worker != CLOCK_NONE)
--- a/sched-order.c
+++ b/sched-order.c
@@ -132,6 +132,8 @@
 	t->percent = 0;
 	t->load_figure = 0;
 	t->started_at = s->now;
+	t->run_clock = 0;
+	t->run_is_part = false;
 	TAILQ_INSERT_TAIL(&w->tasks, t, worker_entry);
 	w->used = resources_add(w->used, step_need(task_step(t)));
 	crash_task_placed(t);
@@ -443,6 +445,8 @@
 	switch (a->outcome) {
 	case OUT_DONE:
 		t->occ->job->run_seen = true;
+		t->run_clock = a->clock;
+		t->run_is_part = false;
 		if (t->phase == PHASE_STARTING) {
 			task_set_phase(t, PHASE_RUNNING);
 			t->started_at_worker = a->clock;
--- a/sched-state.h
+++ b/sched-state.h
@@ -5,6 +5,7 @@
 #define SCHED_STATE_H
 
 #include "scheduler.h"
+#include "sched-estimate.h"
 
 /*
  * The owner writes a heartbeat at this interval, and is considered gone if
@@ -197,8 +198,12 @@
 	int64_t started_at_worker; /* time of the start on the worker's clock */
 	uint64_t last_list;	   /* latest worker list with this run */
 	int64_t started_at;
-	int64_t connected_at;	  /* start of the connection that carried the
-				   * order; 0: not known */
+	int64_t run_clock;    /* start of its run on the worker's clock; 0: not
+			       * known */
+	bool run_is_part;     /* its run began before run_clock */
+	int64_t failed_ms;    /* that its failed runs took */
+	int64_t connected_at; /* start of the connection that carried the
+			       * order; 0: not known */
 	uint32_t awaited_worker;  /* serial of a worker that may still carry out
 				   * an earlier start; 0: none */
 	int64_t late_start_until; /* a later process of its latest worker may
@@ -256,6 +261,7 @@
 	unsigned *unfinished_in_step;	     /* tasks not done, by step */
 	struct pending_tasks *pending_tasks; /* by step */
 	unsigned *first_task;		     /* index into tasks, by step */
+	struct step_runs *runs;		     /* of ended tasks, by step */
 	unsigned task_count;
 	unsigned unfinished; /* tasks not done */
 	struct task *tasks;
@@ -300,8 +306,9 @@
 	struct pool *pool;	     /* whose workers run it, or NULL */
 	int64_t valid_until;
 	int64_t *step_ms;      /* expected run time of a task, by step */
-	int64_t *remaining_ms; /* from the step's start to the job's end */
-	int64_t longest_ms;    /* the longest of remaining_ms */
+	int64_t *remaining_ms; /* to the job's end, if the step goes on now */
+	int64_t longest_ms;    /* run time of the longest chain of steps */
+	int64_t first_longest_ms; /* the same, before any was observed */
 };
 
 /*
@@ -765,17 +772,6 @@
 	double duration_ms;
 };
 
-/*
- * Run times observed for the tasks of a route.  The run times declared in jobs
- * are off by large factors.
- */
-struct learnt_time {
-	bstr route;
-	double mean_log_ms; /* mean logarithm of the run times */
-	double weight;	    /* number of runs; older runs weigh less */
-	UT_hash_handle hh;
-};
-
 /*
  * Workers that should answer the owner.  Those in neither of the last two have
  * joined, and their first answer is not overdue yet.
@@ -1204,6 +1200,7 @@
 
 /* sched-due.c: estimates and objectives of jobs */
 void job_estimate_update(struct sched *s, struct job *j);
+void occurrence_judge(struct sched *s, const struct occurrence *o);
 int64_t job_objective_ms(const struct sched *s, struct job *j);
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest);
@@ -1215,9 +1212,9 @@
 void load_tick(struct sched *s);
 
 /* sched-learn.c: observed run times */
-void learn_run_time(struct sched *s, const struct task *t);
-int64_t step_expected_ms(struct sched *s, const struct job *j,
-			 unsigned step_index);
+void learn_run_time(struct sched *s, const struct task *t, int64_t clock);
+struct run_times step_run_times(struct sched *s, const struct job *j,
+				unsigned step_index);
 void learnt_times_free(struct sched *s);
 
 /* sched-pace.c: throttling of best-effort tasks */
