Jobs wait from their submission, not from their arrival at the owner

Cause: a successor took all jobs that it read at its takeover, and jobs that a late feed brought, for new: they were ordered as if they had not waited, and the log called them in time. The row of a job now has the store's clock at its submission; wall clocks of VMs may be seconds apart. Rows without it count as before.

--- a/sched-call.c
+++ b/sched-call.c
@@ -122,6 +122,7 @@
 			    const struct route *r)
 {
 	struct job j = {.submitted = s->wall,
+			.submitted_by_store = store_clock(s),
 			.tenant = c->tenant,
 			.route = r->name,
 			.service = r->service,
--- a/sched-due.c
+++ b/sched-due.c
@@ -166,16 +166,16 @@
 }
 
 /*
- * Returns the time at which an occurrence arrived or was due, on this VM's
+ * Returns the time at which an occurrence was submitted or due, on this VM's
  * clock.
  */
-static int64_t occurrence_arrived_at(const struct sched *s,
-				     const struct occurrence *o)
+static int64_t occurrence_begins_at(const struct sched *s,
+				    const struct occurrence *o)
 {
 	const struct job_body *b = o->job->body;
 
 	if (!b->repeat_count)
-		return o->job->arrived;
+		return o->job->submitted_at;
 	return s->now - (s->wall - b->first_at - o->number * b->interval_ms);
 }
 
@@ -205,5 +205,5 @@
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest)
 {
-	return occurrence_arrived_at(s, o) + objective_ms(s, o->job, longest);
+	return occurrence_begins_at(s, o) + objective_ms(s, o->job, longest);
 }
--- a/sched-job.c
+++ b/sched-job.c
@@ -540,12 +540,29 @@
 	return false;
 }
 
+/*
+ * Returns when a job was submitted, on this VM's clock.  Jobs that were
+ * submitted while there was no owner, or while the jobs' feed was late, would
+ * seem to be new otherwise, and be served as if they had waited for nothing.
+ * The wall clocks of two VMs may be seconds apart, but the store's clock is the
+ * same for both.
+ */
+static int64_t job_submitted_at(const struct sched *s, const struct job *j)
+{
+	int64_t age_ms = store_clock(s) - j->submitted_by_store;
+
+	if (!store_clock(s) || !j->submitted_by_store || age_ms < 0)
+		return s->now;
+	return s->now - age_ms;
+}
+
 /* Starts to track a job. */
 static void job_add(struct sched *s, struct job *j)
 {
 	if (body_has_best_effort(j->body))
 		s->has_best_effort = true;
 	j->arrived = s->now;
+	j->submitted_at = job_submitted_at(s, j);
 	j->inherited = s->own.state == OWN_LOADING;
 	s->open_jobs++;
 	HASH_ADD(hh, s->jobs, id, JOB_ID_BYTES, j);
--- a/sched-row.c
+++ b/sched-row.c
@@ -108,6 +108,7 @@
 		"route", bstr_to_json(j->route), "service",
 		bstr_to_json(j->service), "submitted", (json_int_t)j->submitted,
 		"payload", bstr_to_json(j->body->payload));
+	json_set_nonzero(row, "submitted_by_store", j->submitted_by_store);
 	json_set_nonzero(row, "repeat", j->body->repeat_count);
 	json_set_nonzero(row, "first_at", j->body->first_at);
 	json_set_nonzero(row, "interval_ms", j->body->interval_ms);
@@ -135,6 +136,7 @@
 	j->route = bstr_from_json(json_object_get(row, "route"));
 	j->service = bstr_from_json(json_object_get(row, "service"));
 	j->submitted = int_member(row, "submitted");
+	j->submitted_by_store = int_member(row, "submitted_by_store");
 	j->body = xcalloc(1, sizeof(*j->body));
 	j->body->payload = bstr_from_json(json_object_get(row, "payload"));
 	j->body->repeat_count = (unsigned)int_member(row, "repeat");
--- a/sched-state.h
+++ b/sched-state.h
@@ -326,8 +326,10 @@
 	bstr service;	  /* at the time the job was accepted */
 	json_t *services; /* others that tasks were started in, or NULL */
 	struct job_body *body;
-	int64_t submitted;  /* wall clock */
-	int64_t arrived;    /* at this VM, on its clock */
+	int64_t submitted;	    /* wall clock */
+	int64_t submitted_by_store; /* on the store's clock; 0: not known */
+	int64_t submitted_at;	    /* on this VM's clock */
+	int64_t arrived;	    /* at this VM, on its clock */
 	bool inherited;	    /* an earlier owner may have started its tasks */
 	bool settled;	    /* inherited, and its runs are all known */
 	bool start_durable; /* the store records that its tasks may run, in each
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -179,6 +179,38 @@
 	}
 }
 
+/*
+ * Guards against a successor that takes jobs for new that were submitted while
+ * there was no owner.
+ */
+Test(load, jobs_wait_from_their_submission)
+{
+	static const struct world_job one = {.tasks = 1, .task_ms = 3000};
+	struct world *w = world_new_settled(1960);
+	unsigned old = (unsigned)world_owner(w), vm = (old + 1) % WORLD_VMS, k;
+	const char *id = "00000000000000aa";
+	int64_t waited_ms = 0;
+	struct job *j = NULL;
+	struct sched *s = NULL;
+
+	world_kill_vm(w, old);
+	world_submit(w, vm, id, &one);
+	for (k = 0; !j && k < 800; k++) {
+		world_run(w, 5);
+		waited_ms += 5;
+		if (world_owner(w) == -1 || world_owner(w) == (int)old)
+			continue;
+		s = world_sched(w, (unsigned)world_owner(w));
+		j = sched_job_find(s, id);
+	}
+	cr_assert_not_null(j);
+	cr_assert_gt(waited_ms, 1000, "the owner was replaced at once");
+	cr_expect_leq(llabs(s->now - j->submitted_at - waited_ms), 100,
+		      "%lld of %lld ms", (long long)(s->now - j->submitted_at),
+		      (long long)waited_ms);
+	check_free(w, "jobs submitted without an owner");
+}
+
 /*
  * Guards against reads by every VM of each of the owner's heartbeats, which
  * come as often as limits are raised and workers join.
