--- a/sched-due.c
+++ b/sched-due.c
@@ -76,8 +76,9 @@
 
 /* Longest chains that follow a step, to the end of its job. */
 struct chain {
-	int64_t whole_ms; /* run times from start to end */
-	int64_t rest_ms;  /* what is left of them */
+	int64_t whole_ms;   /* run times from start to end */
+	int64_t rest_ms;    /* what is left of them */
+	int64_t typical_ms; /* if all tasks of a step took as long as most */
 };
 
 /*
@@ -100,6 +101,7 @@
 	j->estimate.step_ms[step_index] = (int64_t)task_ms;
 	chain.whole_ms += step_waves_ms(step_longest_ms(&e, &r), task_ms,
 					waves);
+	chain.typical_ms += (int64_t)task_ms;
 	if (r.pending + r.running)
 		chain.rest_ms += step_rest_ms(&e, &r);
 	return chain;
@@ -122,18 +124,22 @@
 					  sizeof(*e->remaining_ms));
 		e->step_ms = xcalloc(b->step_count, sizeof(*e->step_ms));
 	}
-	e->longest_ms = 0;
+	e->longest_ms = e->typical_ms = 0;
 	for (i = b->step_count; i-- > 0;) {
 		chain = step_estimate(s, j, o, (unsigned)i, following[i]);
 		e->remaining_ms[i] = chain.rest_ms;
 		if (chain.whole_ms > e->longest_ms)
 			e->longest_ms = chain.whole_ms;
+		if (chain.typical_ms > e->typical_ms)
+			e->typical_ms = chain.typical_ms;
 		for (k = 0; k < b->steps[i].prerequisite_count; k++) {
 			f = &following[b->steps[i].prerequisites[k]];
 			if (f->whole_ms < chain.whole_ms)
 				f->whole_ms = chain.whole_ms;
 			if (f->rest_ms < chain.rest_ms)
 				f->rest_ms = chain.rest_ms;
+			if (f->typical_ms < chain.typical_ms)
+				f->typical_ms = chain.typical_ms;
 		}
 	}
 	if (!e->first_longest_ms)
@@ -192,6 +198,19 @@
 	       (r ? r->objective_ms : 0);
 }
 
+/*
+ * Returns how long a job that has an estimate can wait for machines: less than
+ * its objective allows, as each of its steps may have to wait, and what the
+ * first one takes is missing at the others.  Uneven tasks give it no more time
+ * for that.
+ */
+int64_t job_slack_ms(const struct sched *s, struct job *j)
+{
+	int64_t typical_ms = j->estimate.typical_ms;
+
+	return objective_ms(s, j, typical_ms) - typical_ms;
+}
+
 /* Returns the objective of a job that has an estimate. */
 int64_t job_objective_ms(const struct sched *s, struct job *j)
 {
--- a/sched-forecast.c
+++ b/sched-forecast.c
@@ -48,7 +48,7 @@
 	d->arrived += work;
 	if (d->jobs < DEMAND_JOBS)
 		d->jobs++;
-	slack_ms = (double)(job_objective_ms(s, j) - j->estimate.longest_ms);
+	slack_ms = (double)job_slack_ms(s, j);
 	d->slack_ms += (slack_ms - d->slack_ms) / d->jobs;
 }
 
--- a/sched-state.h
+++ b/sched-state.h
@@ -309,6 +309,8 @@
 	int64_t *remaining_ms; /* to the job's end, if the step goes on now */
 	int64_t longest_ms;    /* run time of the longest chain of steps */
 	int64_t first_longest_ms; /* the same, before any was observed */
+	int64_t typical_ms; /* longest chain, if all tasks of a step took as
+			     * long as most */
 };
 
 /*
@@ -1204,6 +1206,7 @@
 void job_estimate_update(struct sched *s, struct job *j);
 void occurrence_judge(struct sched *s, const struct occurrence *o);
 int64_t job_objective_ms(const struct sched *s, struct job *j);
+int64_t job_slack_ms(const struct sched *s, struct job *j);
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest);
 
--- a/tests/test-estimate.c
+++ b/tests/test-estimate.c
@@ -301,3 +301,35 @@
 		learnt_times_free(&s);
 	}
 }
+
+/*
+ * Guards against machines that are called for later the more uneven the tasks
+ * of a pool are, and against an objective that ignores the longest task.
+ */
+Test(estimate, uneven_tasks_lengthen_the_objective_not_the_slack)
+{
+	struct job_step st = {.count = 8, .estimated_ms = 1000};
+	struct job_body body = {.steps = &st, .step_count = 1};
+	struct job job = {.body = &body, .route = bstr_lit("r")};
+	struct fleet_config none = {0};
+	struct sched s = {.now = 90000, .config = &none, .config_serial = 1};
+	struct step_runs runs = {0};
+	struct occurrence occ = {.job = &job, .runs = &runs};
+	struct task t = {.occ = &occ, .run_clock = 1};
+	unsigned i;
+
+	TAILQ_INIT(&job.occs);
+	for (i = 0; i < 400; i++) {
+		runs = i % 8 ? runs : (struct step_runs){0};
+		learn_run_time(&s, &t, 1 + (i % 2 ? 700 : 1430));
+	}
+	job_estimate_update(&s, &job);
+	cr_expect_geq(job_objective_ms(&s, &job), 1400);
+	cr_expect_leq(job_objective_ms(&s, &job), 1900);
+	cr_expect_leq(llabs(job.estimate.typical_ms - 1000), 60, "%lld",
+		      (long long)job.estimate.typical_ms);
+	cr_expect_eq(job_slack_ms(&s, &job), 0); /* stretch 1, no target */
+	free(job.estimate.step_ms);
+	free(job.estimate.remaining_ms);
+	learnt_times_free(&s);
+}
