Shares of organisations: a token bucket, a fair order, refusals by own queue

The weight of an organisation was read and used by nothing: in an overload by one organisation all paid alike. While the bucket of an organisation, filled at its weight in jobs a second, is empty, a pool's candidates go in the order of a weighted fair queue, and callers are admitted by the queue of their own organisation in the pool. An absent weight means no bound.

--- a/sched-call.c
+++ b/sched-call.c
@@ -187,8 +187,7 @@
 	}
 	c = call_new(s, in, id, t, r->no_key);
 	submit_make_row(s, c, in, r);
-	c->retry_after_s = admission_refuses(s, r, in->body, id);
-	if (c->retry_after_s)
+	if (admission_refuses(s, c, r, in->body))
 		call_read_row(s, c, FOR_SUBMIT_READ);
 	else
 		submit_send(s, c);
@@ -332,7 +331,10 @@
 		call_free(s, c);
 		return;
 	}
-	sched_count(s, COUNT_REFUSED_QUEUE_FULL, 1);
+	sched_count(s,
+		    c->refused_by_share ? COUNT_REFUSED_SHARE
+					: COUNT_REFUSED_QUEUE_FULL,
+		    1);
 	fx = reply(s, c->id, 503, "queue-full", c->job);
 	fx->reply.retry_after_s = c->retry_after_s;
 	call_free(s, c);
--- a/sched-demand.c
+++ b/sched-demand.c
@@ -108,8 +108,8 @@
  * fits in an evacuated data centre takes no room of others; if its whole pool
  * is evacuated, machines of other data centres are called for it.
  */
-static bool job_waits_for_room(const struct sched *s, const struct pool_load *p,
-			       const struct job *j)
+bool job_waits_for_room(const struct sched *s, const struct pool_load *p,
+			const struct job *j)
 {
 	switch (j->pending_reason) {
 	case PENDING_LIMIT:
@@ -126,22 +126,49 @@
 	}
 }
 
+/*
+ * Returns true if tasks of a step end by themselves and fit on some worker of
+ * a pool.
+ */
+static bool step_is_queued(const struct pool_load *p, const struct job_step *st)
+{
+	return !st->long_running && !st->best_effort &&
+	       pool_load_can_fit(p, st->need);
+}
+
+/*
+ * Returns the work of an occurrence that waits for nothing but room, in
+ * thousandths of a core x ms.  Its job has an estimate.
+ */
+double occurrence_queued_work(const struct pool_load *p,
+			      const struct occurrence *o)
+{
+	const struct job_step *st = o->job->body->steps;
+	double queued = 0;
+	unsigned i;
+
+	for (i = 0; i < o->job->body->step_count; i++, st++)
+		if (step_is_queued(p, st))
+			queued += (double)st->need.cpu *
+				  (double)o->job->estimate.step_ms[i] *
+				  o->unfinished_in_step[i];
+	return queued;
+}
+
 /* Adds the work of an occurrence that waits for nothing but room. */
 static void pool_load_add_queued(struct sched *s, struct pool_load *p,
 				 const struct occurrence *o)
 {
+	double task_work, queued = occurrence_queued_work(p, o);
 	struct job *j = o->job;
 	const struct job_step *st = j->body->steps;
-	double task_work, queued = 0;
 	unsigned i;
 
 	for (i = 0; i < j->body->step_count; i++, st++) {
-		if (st->long_running || st->best_effort ||
-		    !pool_load_can_fit(p, st->need))
+		if (!step_is_queued(p, st))
 			continue;
 		task_work = (double)st->need.cpu *
 			    (double)j->estimate.step_ms[i];
-		queued += task_work * o->unfinished_in_step[i];
 		p->waiting_work += task_work * o->pending_tasks[i].count;
 		p->queued_tasks += o->pending_tasks[i].count;
 	}
--- a/sched-demand.h
+++ b/sched-demand.h
@@ -56,6 +56,26 @@
 double pool_drain_ms(const struct pool_load *p, double machine_cores);
 double pool_lacks_machines_ms(const struct pool_load *p, double machine_cores);
 double pool_queue_ms(const struct pool_load *p, double machine_cores);
+bool job_waits_for_room(const struct sched *s, const struct pool_load *p,
+			const struct job *j);
+double occurrence_queued_work(const struct pool_load *p,
+			      const struct occurrence *o);
+
+/* The work of an organisation that waits in a pool. */
+struct fair_queue {
+	struct usage *usage;
+	double weight;
+	double work; /* in thousandths of a core x ms */
+	double objective_sum_ms;
+	unsigned jobs;
+	double drain_ms; /* until it is done; see fair_drain() */
+};
+
+/* sched-fair.c: the queues of organisations */
+void fair_drain(struct fair_queue *q, size_t count, double total_ms);
+double fair_objective_ms(const struct fair_queue *q);
+void fair_queues_update(struct sched *s, const struct pool_loads *l,
+			double machine_cores);
 
 /* sched-forecast.c: what the pools will need */
 void demand_update(struct sched *s, struct demand *d, double home_cores);
--- a/sched-job.c
+++ b/sched-job.c
@@ -542,6 +542,8 @@
 		s->has_best_effort = true;
 	j->arrived = s->now;
 	j->inherited = s->own.state == OWN_LOADING;
+	if (!j->inherited)
+		share_count_job(s, j);
 	s->open_jobs++;
 	HASH_ADD(hh, s->jobs, id, JOB_ID_BYTES, j);
 	TAILQ_INSERT_TAIL(&s->jobs_by_arrival, j, entry);
--- a/sched-limit.c
+++ b/sched-limit.c
@@ -29,7 +29,7 @@
 	((struct resources){INT64_MAX / 4, INT64_MAX / 4, INT64_MAX / 4})
 
 /* Returns the usage of an organisation; creates it if needed. */
-static struct usage *usage_of(struct sched *s, bstr tenant)
+struct usage *usage_of(struct sched *s, bstr tenant)
 {
 	struct usage *u;
 
@@ -58,6 +58,8 @@
 
 	u->used = sign > 0 ? resources_add(u->used, need)
 			   : resources_sub(u->used, need);
+	if (!task_step(t)->long_running && !task_step(t)->best_effort)
+		u->ending_cpu += sign * need.cpu;
 }
 
 /*
@@ -346,6 +348,7 @@
 {
 	struct usage *u, *next;
 
+	s->shares_exceeded = 0;
 	HASH_ITER(hh, s->usage, u, next) {
 		HASH_DEL(s->usage, u);
 		bstr_free(&u->tenant);
--- a/sched-move.c
+++ b/sched-move.c
@@ -391,6 +391,8 @@
 	machine_cores = machine_mean_cores(&l);
 	pool_loads_log(s, &l, machine_cores);
 	admissions_update(s, &l, machine_cores);
+	fair_queues_update(s, &l, machine_cores);
+	shares_update(s);
 	machines_move(s, &l, machine_cores);
 	pool_loads_free(&l);
 }
--- a/sched-own.c
+++ b/sched-own.c
@@ -480,6 +480,7 @@
 	workers_inherit(s);
 	largest_capacity_inherit(s);
 	admissions_inherit(s);
+	shares_inherit(s);
 	s->own.state = OWN_OWNER;
 	s->own.ready_at = s->now;
 	s->own.load_timeouts = 0;
--- a/sched-place.c
+++ b/sched-place.c
@@ -44,9 +44,12 @@
 	unsigned step;
 	struct resources need;		     /* of each of its tasks */
 	enum pending_reason previous_reason; /* of its job */
-	bool needs_tickets; /* its starts need tickets of the advice service */
-	unsigned rank;	    /* 0: long-running; else 1 + priority */
-	bool late;	    /* its objective can't be met any more */
+	bool needs_tickets;  /* its starts need tickets of the advice service */
+	unsigned rank;	     /* 0: long-running; else 1 + priority */
+	struct usage *usage; /* of its organisation */
+	double share_key; /* what its organisation runs, and asks for before it,
+			   * by weight; 0 while all are within their shares */
+	bool late;	  /* its objective can't be met any more */
 	int64_t due; /* end of its objective; if late, its expected length */
 };
 
@@ -110,6 +113,7 @@
 				.pool = pool,
 				.step = step_index,
 				.need = step_need(st),
+				.usage = job_usage(s, o->job),
 				.previous_reason = o->job->pending_reason};
 	c->needs_tickets = r && r->needs_ticket;
 	c->rank = st->long_running ? 0 : 1 + (r ? r->priority : 0);
@@ -201,19 +205,24 @@
 	}
 }
 
-/*
- * Orders candidates by pool, then by rank, then those that can meet their
- * objective before those that can't, then by due time, or by length if late.
- */
-static int candidate_cmp(const void *a, const void *b)
+/* Orders candidates by pool, then by rank. */
+static int candidate_cmp_rank(const struct candidate *x,
+			      const struct candidate *y)
 {
-	const struct candidate *x = *(struct candidate *const *)a;
-	const struct candidate *y = *(struct candidate *const *)b;
-
 	if (x->pool != y->pool)
 		return x->pool < y->pool ? -1 : 1;
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
+	return 0;
+}
+
+/*
+ * Orders candidates that can meet their objective before those that can't, then
+ * by due time, or by length if late.
+ */
+static int candidate_cmp_due(const struct candidate *x,
+			     const struct candidate *y)
+{
 	if (x->late != y->late)
 		return x->late ? 1 : -1;
 	if (x->due != y->due)
@@ -221,17 +230,79 @@
 	return strcmp(x->job->id, y->job->id);
 }
 
-/* Sorts the candidates into their placement order. */
-static void candidates_sort(struct place_pass *p)
+/* Orders candidates by pool, rank, share and objective. */
+static int candidate_cmp(const void *a, const void *b)
+{
+	const struct candidate *x = *(struct candidate *const *)a;
+	const struct candidate *y = *(struct candidate *const *)b;
+	int n = candidate_cmp_rank(x, y);
+
+	if (n)
+		return n;
+	if (x->share_key != y->share_key)
+		return x->share_key < y->share_key ? -1 : 1;
+	return candidate_cmp_due(x, y);
+}
+
+/* Orders candidates by pool, rank, organisation and objective. */
+static int candidate_cmp_usage(const void *a, const void *b)
+{
+	const struct candidate *x = *(struct candidate *const *)a;
+	const struct candidate *y = *(struct candidate *const *)b;
+	int n = candidate_cmp_rank(x, y);
+
+	if (n)
+		return n;
+	if (x->usage != y->usage)
+		return x->usage < y->usage ? -1 : 1;
+	return candidate_cmp_due(x, y);
+}
+
+/*
+ * Sets the place of each candidate in a weighted fair queue.  The candidates
+ * are sorted by organisation.  Long-running tasks have no share: they are few,
+ * and they keep what they have.
+ */
+static void candidates_set_shares(struct sched *s, struct place_pass *p)
+{
+	const struct candidate *before = NULL;
+	struct candidate *c;
+	double asked = 0; /* cores in thousandths, by the same organisation */
+	size_t i;
+
+	for (i = 0; i < p->count; i++, before = c) {
+		c = p->sorted[i];
+		if (!before || before->usage != c->usage ||
+		    candidate_cmp_rank(before, c))
+			asked = 0;
+		if (c->rank)
+			c->share_key = ((double)c->usage->ending_cpu + asked) /
+				       share_weight(job_tenant(s, c->job));
+		asked += (double)c->need.cpu *
+			 c->occ->pending_tasks[c->step].count;
+	}
+}
+
+/*
+ * Sorts the candidates into their placement order.  While an organisation is
+ * beyond its share, a pool goes to those that have the least of it by their
+ * weight, also if their jobs are late: another's excess has made them late.
+ */
+static void candidates_sort(struct sched *s, struct place_pass *p)
 {
 	size_t i;
 
 	p->sorted = xcalloc(p->count + 1, sizeof(struct candidate *));
 	for (i = 0; i < p->count; i++)
 		p->sorted[i] = &p->candidates[i];
-	if (p->count)
+	if (!p->count)
+		return;
+	if (shares_are_exceeded(s)) {
 		qsort(p->sorted, p->count, sizeof(struct candidate *),
-		      candidate_cmp);
+		      candidate_cmp_usage);
+		candidates_set_shares(s, p);
+	}
+	qsort(p->sorted, p->count, sizeof(struct candidate *), candidate_cmp);
 }
 
 /* Returns the number of tasks of a step that are on a worker. */
@@ -739,7 +810,7 @@
 	 * pending tasks are considered again at the next tick.
 	 */
 	s->has_pending_tasks = s->has_pending_tasks || s->has_delayed_tasks;
-	candidates_sort(&p);
+	candidates_sort(s, &p);
 	pools_assign_candidates(s, &p);
 	candidates_place(s, &p);
 	/*
--- a/sched-row.c
+++ b/sched-row.c
@@ -453,18 +453,20 @@
 bstr heartbeat_row_write(struct sched *s)
 {
 	return json_write(json_pack(
-		"{s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o}", "epoch",
+		"{s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o}", "epoch",
 		(json_int_t)s->own.epoch, "seq",
 		(json_int_t)s->own.heartbeat_seq, "sent_at",
 		(json_int_t)store_clock(s), "told_at",
 		(json_int_t)job_list_as_of(s), "waiting", counts_write(s),
 		"ceilings", ceilings_write(s), "largest",
-		largest_capacity_write(s), "admit", admissions_write(s)));
+		largest_capacity_write(s), "admit", admissions_write(s),
+		"beyond_share", shares_write(s)));
 }
 
 /*
  * Decodes the row of a heartbeat: its epoch, the ceilings, the counts of
- * waiting jobs and the admissions.  Returns false if it is malformed.
+ * waiting jobs, the admissions and the shares.  Returns false if it is
+ * malformed.
  */
 bool heartbeat_row_read(struct sched *s, bstr text, uint64_t *epoch)
 {
@@ -478,6 +480,9 @@
 	s->own.heartbeat_as_of = int_member(row, "sent_at");
 	json_decref(s->own.ceilings);
 	s->own.ceilings = json_incref(json_object_get(row, "ceilings"));
+	json_decref(s->own.shares_exceeded);
+	s->own.shares_exceeded = json_incref(
+		json_object_get(row, "beyond_share"));
 	largest_capacity_read(s, json_object_get(row, "largest"));
 	counts_read(s, json_object_get(row, "waiting"),
 		    int_member(row, "told_at"));
--- a/sched-state.h
+++ b/sched-state.h
@@ -544,6 +544,7 @@
 	bool uncertain;		/* an attempt may have taken effect */
 	bstr row;		/* of a submitted job, kept for retries */
 	uint32_t retry_after_s; /* if the queue is full; 0: it is not */
+	bool refused_by_share;	/* the queue of its own organisation is */
 	UT_hash_handle hh;
 };
 
@@ -649,6 +650,8 @@
 	struct resources largest_capacity; /* of any worker, as recorded by
 					    * earlier owners */
 	bool largest_capacity_known;
+	json_t *shares_exceeded; /* organisations beyond their share, as
+				  * recorded by an earlier owner, or NULL */
 	json_t *ceilings; /* on what earlier owners may have running, or NULL */
 	int64_t settle_by; /* end of the last lease of earlier owners */
 	int64_t owned_at;
@@ -743,9 +746,23 @@
 	UT_hash_handle hh;
 };
 
+/* The rate at which an organisation submits jobs; see sched-share.c. */
+struct share {
+	double tokens;	    /* jobs that it may submit at once */
+	int64_t filled_at;  /* 0: the bucket was never used */
+	bool is_exceeded;   /* it submits more than its share */
+	double queue_ratio; /* its longest queue, in multiples of the mean
+			     * objective of the jobs there */
+	unsigned submitted; /* jobs, since the last log line */
+	int64_t log_at;
+};
+
 /* What an organisation has running on the whole fleet. */
 struct usage {
 	bstr tenant;
+	struct share share;
+	int64_t ending_cpu; /* cores of used, in thousandths, without
+			     * long-running and best-effort tasks */
 	struct resources used;
 	struct resources ceiling; /* nothing is started beyond this; recorded
 				   * in the store */
@@ -871,6 +888,7 @@
 	unsigned last_pool_index; /* order_index of the last pool considered */
 	unsigned unknown_count;	  /* unknown workers of all pools */
 	struct usage *usage;
+	unsigned shares_exceeded; /* organisations beyond their share */
 	struct resources largest_capacity; /* that any worker has had, by
 					    * resource */
 	bool largest_capacity_known;	   /* for all workers that were noted */
@@ -973,6 +991,12 @@
 int64_t store_clock(const struct sched *s);
 void store_clock_update(struct sched *s, const struct answer *a);
 
+/*
+ * A queue that needs more than this multiple of the mean objective of its jobs
+ * is overloaded.
+ */
+#define OVERLOAD_START 2.0
+
 /* sched-admit.c: admission control of new jobs */
 unsigned admission_share(double drain_ms, double objective_ms);
 void admission_set(struct sched *s, bstr service, double drain_ms,
@@ -985,8 +1009,23 @@
 void admissions_read(struct sched *s, const json_t *all);
 void admissions_inherit(struct sched *s);
 void admissions_free(struct sched *s);
-uint32_t admission_refuses(struct sched *s, const struct route *r,
-			   const struct job_body *b, const char *id);
+struct fair_queue;
+void admission_set_shares(struct sched *s, bstr service,
+			  const struct fair_queue *q, size_t count);
+void admissions_drop_shares(struct sched *s);
+bool admission_refuses(struct sched *s, struct call *c, const struct route *r,
+		       const struct job_body *b);
+
+/* sched-share.c: shares of organisations in an overload */
+bool share_take(struct share *h, double weight, int64_t now);
+void share_fill(struct share *h, double weight, int64_t now);
+void share_count_job(struct sched *s, struct job *j);
+bool share_is_exceeded(struct sched *s, struct job *j);
+bool shares_are_exceeded(const struct sched *s);
+double share_weight(const struct tenant *t);
+void shares_update(struct sched *s);
+json_t *shares_write(const struct sched *s);
+void shares_inherit(struct sched *s);
 
 /* sched-call.c: requests of callers */
 void call_refuse(struct sched *s, uint64_t id, int status,
@@ -1159,6 +1198,7 @@
 void crash_check_outlived(struct sched *s, struct task *t);
 
 /* sched-limit.c: upper limits of organisations */
+struct usage *usage_of(struct sched *s, bstr tenant);
 struct usage *job_usage(struct sched *s, struct job *j);
 void usage_add(struct sched *s, const struct task *t, int sign);
 void usage_add_found(struct sched *s, const struct task *t);
--- a/sched.c
+++ b/sched.c
@@ -483,6 +483,7 @@
 	bstr_free(&s->own.holder);
 	json_decref(s->own.workers);
 	json_decref(s->own.ceilings);
+	json_decref(s->own.shares_exceeded);
 	json_decref(s->home_sizes);
 	bstr_free(&s->options.vm);
 	bstr_free(&s->options.zone);
--- a/scheduler.h
+++ b/scheduler.h
@@ -80,7 +80,7 @@
 	bstr name;
 	bstr *keys;
 	size_t key_count;
-	double weight;
+	double weight; /* jobs per second in its share; 0: no bound */
 	struct resources maximum; /* 0: no limit */
 };
 
