Shares: an excess is a part of all jobs, not a rate

Weights of a deployment say how much organisations may submit in relation to each other; in a trial with a flood the bucket, filled at the weight in jobs a second, did not run empty. An organisation is beyond its share now while its part of the submitted jobs exceeds its part of the weights by 0.15.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -14,6 +14,7 @@
  * it is useful.  Above OVERLOAD_START a growing part of the new jobs is
  * refused, from this limit on all of them.
  */
+#define OVERLOAD_START 2.0
 #define OVERLOAD_FULL 3.0
 /* Queues of organisations that are published for a pool, the longest ones. */
 #define ADMISSION_QUEUES_MAX 16
--- a/sched-share.c
+++ b/sched-share.c
@@ -4,27 +4,34 @@
  * run all of it.  Their excess then waits and is refused, and the jobs of the
  * others run about as on a calm day.
  *
- * The owner fills a token bucket for each organisation at its weight in jobs
- * per second.  While the bucket of any organisation is empty, and until what it
- * has queued can be run in time again, the jobs of a pool start in the order of
- * a weighted fair queue, and the queue that decides about an admission is that
- * of the job's own organisation.
+ * An organisation is beyond its share while its part of the jobs that are
+ * submitted exceeds its part of the weights.  Only parts count: a burst of all
+ * organisations alike is no one's excess.  While any organisation is beyond its
+ * share, and until what it has queued can be run in time again, the jobs of a
+ * pool start in the order of a weighted fair queue, and the queue that decides
+ * about an admission is that of the job's own organisation.
  */
 #include "sched-state.h"
 
+#include <math.h>
+
+/* Time over which the submitted jobs are averaged. */
+#define RATE_MS 3000.0
 /*
- * Capacity of a bucket, as the time in which it fills, and at least this many
- * jobs: callers of a small organisation also submit several at once.
- */
-#define BURST_S 6.0
-#define BURST_JOBS_MIN 8.0
-/*
- * An organisation is within its share again once its bucket is this full.
- * Otherwise the order of the queues would change with every few jobs.
+ * An organisation is beyond its share from this excess on, a part of all jobs.
+ * What others lose by less is little, and a few jobs more at once are no flood.
  */
-#define REFILLED_PART 0.5
+#define EXCESS_MIN 0.15
+/* It is within its share again at half of that. */
+#define EXCESS_END (EXCESS_MIN / 2)
+/* With fewer jobs within RATE_MS, the parts of organisations are chance. */
+#define JOBS_MIN 20.0
+/* An organisation with fewer jobs within RATE_MS submits nothing now. */
+#define ACTIVE_JOBS_MIN 0.05
 /* Of an organisation whose configuration has none. */
 #define WEIGHT_DEFAULT 1.0
+/* A queue can be run in time up to this multiple of the objective. */
+#define QUEUE_RATIO_MAX 1.0
 #define LOG_INTERVAL_MS 1000
 
 /* Returns the weight of an organisation in the order of a pool. */
@@ -33,40 +40,54 @@
 	return t && t->weight > 0 ? t->weight : WEIGHT_DEFAULT;
 }
 
-/* Returns the number of tokens in a full bucket. */
-static double share_burst(double weight)
+/* Lets the average of an organisation's jobs fall by the time that passed. */
+static void share_decay(struct share *h, int64_t now)
 {
-	double n = weight * BURST_S;
+	if (now > h->counted_at)
+		h->jobs *= exp((double)(h->counted_at - now) / RATE_MS);
+	h->counted_at = now;
+}
 
-	return n > BURST_JOBS_MIN ? n : BURST_JOBS_MIN;
+/* Counts a submitted job. */
+void share_add(struct share *h, int64_t now)
+{
+	share_decay(h, now);
+	h->jobs++;
+	h->submitted++;
 }
 
-/* Adds the tokens of the time that has passed. */
-void share_fill(struct share *h, double weight, int64_t now)
+/* Adds an organisation to the sums, by its jobs until now. */
+void share_sum(struct share_sums *sums, struct share *h, double weight,
+	       int64_t now)
 {
-	double burst = share_burst(weight);
+	share_decay(h, now);
+	sums->jobs += h->jobs;
+	if (h->jobs >= ACTIVE_JOBS_MIN)
+		sums->weights += weight;
+}
 
-	if (!h->filled_at)
-		h->tokens = burst;
-	else if (now > h->filled_at)
-		h->tokens += weight * (double)(now - h->filled_at) / 1000;
-	if (h->tokens > burst)
-		h->tokens = burst;
-	h->filled_at = now;
+/*
+ * Returns the part of all jobs that an organisation submits beyond its share; 0
+ * or less if it is within.
+ */
+double share_excess(const struct share *h, double weight,
+		    const struct share_sums *sums)
+{
+	if (sums->jobs < JOBS_MIN || sums->weights < weight)
+		return 0;
+	return h->jobs / sums->jobs - weight / sums->weights;
 }
 
 /*
- * Counts a submitted job.  Returns false if its organisation has no token left
- * for it.
+ * Returns true if an organisation is beyond its share.  Jobs that are refused
+ * never reach the owner, so an organisation that was beyond its share stays so
+ * while what it has queued can't be run in time.
  */
-bool share_take(struct share *h, double weight, int64_t now)
+bool share_is_beyond(const struct share *h, double excess)
 {
-	share_fill(h, weight, now);
-	h->submitted++;
-	if (h->tokens < 1)
-		return false;
-	h->tokens--;
-	return true;
+	if (!h->is_exceeded)
+		return excess >= EXCESS_MIN;
+	return excess >= EXCESS_END || h->queue_ratio > QUEUE_RATIO_MAX;
 }
 
 /* Returns true if a job's organisation submits more than its share. */
@@ -92,59 +113,68 @@
 	s->place_due = true;
 }
 
+/* Returns the weight of an organisation; 0 if it has no share. */
+static double tenant_weight(const struct sched *s, const struct tenant *t)
+{
+	return t && policy_is_enabled(s, POLICY_SHARES) ? t->weight : 0;
+}
+
 /* Counts a job that was submitted while this VM owns the scheduling. */
 void share_count_job(struct sched *s, struct job *j)
 {
-	const struct tenant *t = job_tenant(s, j);
-	struct usage *u;
-
-	if (!t || t->weight <= 0 || !policy_is_enabled(s, POLICY_SHARES))
-		return;
-	u = job_usage(s, j);
-	if (!share_take(&u->share, t->weight, s->now))
-		share_set_exceeded(s, u, true);
+	if (tenant_weight(s, job_tenant(s, j)) > 0)
+		share_add(&job_usage(s, j)->share, s->now);
 }
 
 /* Logs an organisation beyond its share, at most once per LOG_INTERVAL_MS. */
-static void share_log(struct sched *s, struct usage *u, double weight)
+static void share_log(struct sched *s, struct usage *u, double weight,
+		      double excess)
 {
 	struct share *h = &u->share;
 
 	if (s->now < h->log_at)
 		return;
 	sched_log(s, LOG_SHARE,
-		  "organisation=%.*s weight=%.2f submitted=%u tokens=%.1f "
+		  "organisation=%.*s weight=%.2f submitted=%u excess=%.2f "
 		  "cores=%lld queue=%.2f",
-		  BSTR_ARG(u->tenant), weight, h->submitted, h->tokens,
+		  BSTR_ARG(u->tenant), weight, h->submitted, excess,
 		  (long long)(u->ending_cpu / 1000), h->queue_ratio);
 	h->log_at = s->now + LOG_INTERVAL_MS;
 	h->submitted = 0;
 }
 
+/* Returns the sums over all organisations that have a weight. */
+static struct share_sums shares_sum(struct sched *s)
+{
+	struct share_sums sums = {0};
+	struct usage *u;
+	double weight;
+
+	for (u = s->usage; u; u = u->hh.next) {
+		weight = tenant_weight(s, tenant_named(s, u->tenant));
+		if (weight > 0)
+			share_sum(&sums, &u->share, weight, s->now);
+	}
+	return sums;
+}
+
 /*
- * Called by the owner after each computation of the queues: determines which
- * organisations are within their shares again.  The jobs that are refused never
- * reach the owner, so the bucket alone would fill while callers still press.
+ * Called by the owner in each pass over the pools: determines which
+ * organisations are beyond their shares.
  */
 void shares_update(struct sched *s)
 {
-	const struct tenant *t;
+	struct share_sums sums = shares_sum(s);
 	struct usage *u;
-	double weight;
+	double weight, excess;
 
-	if (!shares_are_exceeded(s))
-		return;
 	for (u = s->usage; u; u = u->hh.next) {
-		if (!u->share.is_exceeded)
-			continue;
-		t = tenant_named(s, u->tenant);
-		weight = t ? t->weight : 0;
-		share_fill(&u->share, weight, s->now);
-		share_log(s, u, weight);
-		if (weight <= 0 ||
-		    (u->share.queue_ratio <= OVERLOAD_START &&
-		     u->share.tokens >= REFILLED_PART * share_burst(weight)))
-			share_set_exceeded(s, u, false);
+		weight = tenant_weight(s, tenant_named(s, u->tenant));
+		excess = share_excess(&u->share, weight, &sums);
+		share_set_exceeded(
+			s, u, weight > 0 && share_is_beyond(&u->share, excess));
+		if (u->share.is_exceeded)
+			share_log(s, u, weight, excess);
 	}
 }
 
@@ -169,8 +199,9 @@
 
 /*
  * Called by a new owner when it has read all tables: the organisations that
- * were beyond their shares begin with empty buckets.  With full ones a flood
- * would be served like all others until it has used them up again.
+ * were beyond their shares stay so while they have more queued than can be run
+ * in time.  Otherwise a flood would be served like all others until this owner
+ * has seen enough of it.
  */
 void shares_inherit(struct sched *s)
 {
@@ -181,12 +212,9 @@
 
 	json_array_foreach(s->own.shares_exceeded, i, name) {
 		t = tenant_named(s, bstr_lit(json_string_value(name)));
-		if (!t || t->weight <= 0 ||
-		    !policy_is_enabled(s, POLICY_SHARES))
+		if (tenant_weight(s, t) <= 0)
 			continue;
 		u = usage_of(s, t->name);
-		share_fill(&u->share, t->weight, s->now);
-		u->share.tokens = 0;
 		share_set_exceeded(s, u, true);
 	}
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -746,10 +746,10 @@
 	UT_hash_handle hh;
 };
 
-/* The rate at which an organisation submits jobs; see sched-share.c. */
+/* The jobs that an organisation submits; see sched-share.c. */
 struct share {
-	double tokens;	    /* jobs that it may submit at once */
-	int64_t filled_at;  /* 0: the bucket was never used */
+	double jobs;	    /* lately, an average that decays */
+	int64_t counted_at; /* jobs is as of then */
 	bool is_exceeded;   /* it submits more than its share */
 	double queue_ratio; /* its longest queue, in multiples of the mean
 			     * objective of the jobs there */
@@ -757,6 +757,12 @@
 	int64_t log_at;
 };
 
+/* Sums over all organisations. */
+struct share_sums {
+	double jobs;
+	double weights; /* of those that submit any now */
+};
+
 /* What an organisation has running on the whole fleet. */
 struct usage {
 	bstr tenant;
@@ -991,12 +997,6 @@
 int64_t store_clock(const struct sched *s);
 void store_clock_update(struct sched *s, const struct answer *a);
 
-/*
- * A queue that needs more than this multiple of the mean objective of its jobs
- * is overloaded.
- */
-#define OVERLOAD_START 2.0
-
 /* sched-admit.c: admission control of new jobs */
 unsigned admission_share(double drain_ms, double objective_ms);
 void admission_set(struct sched *s, bstr service, double drain_ms,
@@ -1017,8 +1017,12 @@
 		       const struct job_body *b);
 
 /* sched-share.c: shares of organisations in an overload */
-bool share_take(struct share *h, double weight, int64_t now);
-void share_fill(struct share *h, double weight, int64_t now);
+void share_add(struct share *h, int64_t now);
+void share_sum(struct share_sums *sums, struct share *h, double weight,
+	       int64_t now);
+double share_excess(const struct share *h, double weight,
+		    const struct share_sums *sums);
+bool share_is_beyond(const struct share *h, double excess);
 void share_count_job(struct sched *s, struct job *j);
 bool share_is_exceeded(struct sched *s, struct job *j);
 bool shares_are_exceeded(const struct sched *s);
--- /dev/null
+++ b/tests/test-share.c
@@ -0,0 +1,148 @@
+/*
+ * Tests of shares: which organisations are beyond theirs, how long each one's
+ * queue takes in a pool, and who is refused.  Only the last test has a network,
+ * a simulated one.
+ */
+#include "../sched-demand.h"
+#include "support-world.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+/*
+ * Guards against floods that are not seen, and against loads that are taken for
+ * one: a burst of all organisations alike, a few jobs, a light organisation.
+ * Each row submits jobs of up to three organisations at constant rates.
+ */
+static const struct {
+	const char *name;
+	struct {
+		double weight, rate; /* rate: jobs per second */
+	} organisations[3];
+	int64_t ms;
+	bool beyond[3];
+} excess_rows[] = {
+	{"as their weights", {{50, 30}, {30, 18}, {20, 12}}, 9000, {false}},
+	{"a burst of all", {{50, 300}, {30, 180}, {20, 120}}, 9000, {false}},
+	{"one floods", {{50, 240}, {30, 18}, {20, 12}}, 2000, {true}},
+	{"a light one floods",
+	 {{50, 30}, {45, 27}, {5, 30}},
+	 4000,
+	 {false, false, true}},
+	{"two flood",
+	 {{50, 30}, {10, 60}, {10, 60}},
+	 4000,
+	 {false, true, true}},
+	{"one alone", {{50, 240}}, 9000, {false}},
+	{"a few jobs more", {{50, 36}, {30, 16}, {20, 10}}, 9000, {false}},
+	{"hardly any jobs", {{50, 3}, {50, 0.4}}, 9000, {false}},
+	{"the others submit nothing", {{5, 240}, {95, 0}}, 9000, {false}},
+};
+Test(share, an_excess_is_a_part_of_all_jobs)
+{
+	struct share h[3];
+	struct share_sums sums;
+	double due[3], excess;
+	unsigned row, i;
+	int64_t now;
+
+	for (row = 0; row < NELEMS(excess_rows); row++) {
+		memset(h, 0, sizeof(h));
+		memset(due, 0, sizeof(due));
+		for (now = 1; now <= excess_rows[row].ms; now++)
+			for (i = 0; i < 3; i++)
+				for (due[i] +=
+				     excess_rows[row].organisations[i].rate /
+				     1000;
+				     due[i] >= 1; due[i]--)
+					share_add(&h[i], now);
+		sums = (struct share_sums){0};
+		for (i = 0; i < 3; i++)
+			share_sum(&sums, &h[i],
+				  excess_rows[row].organisations[i].weight,
+				  now);
+		for (i = 0; i < 3; i++) {
+			excess = share_excess(
+				&h[i], excess_rows[row].organisations[i].weight,
+				&sums);
+			cr_expect_eq(share_is_beyond(&h[i], excess),
+				     excess_rows[row].beyond[i],
+				     "%s: %u has %.2f", excess_rows[row].name,
+				     i, excess);
+		}
+	}
+}
+
+/*
+ * Guards against an organisation that counts as within its share as soon as its
+ * callers are refused, and floods again.
+ */
+static const struct {
+	const char *name;
+	bool before;
+	double excess, queue_ratio;
+	bool beyond;
+} state_rows[] = {
+	{"much too much", false, 0.4, 0, true},
+	{"little", false, 0.1, 0, false},
+	{"a long queue is no excess", false, 0, 5, false},
+	{"still too much", true, 0.1, 0, true},
+	{"refused, and its queue is long", true, -0.2, 1.5, true},
+	{"its queue is done", true, 0, 0.5, false},
+};
+Test(share, an_excess_ends_with_its_queue)
+{
+	struct share h;
+	unsigned row;
+
+	for (row = 0; row < NELEMS(state_rows); row++) {
+		h = (struct share){.is_exceeded = state_rows[row].before,
+				   .queue_ratio = state_rows[row].queue_ratio};
+		cr_expect_eq(share_is_beyond(&h, state_rows[row].excess),
+			     state_rows[row].beyond, "%s",
+			     state_rows[row].name);
+	}
+}
+
+/*
+ * Guards against a queue of a small organisation that seems as long as that of
+ * a flood, and against unused shares that nobody gets.  All queues together
+ * take 10 s.
+ */
+static const struct {
+	const char *name;
+	size_t count;
+	struct {
+		double weight, work, drain_ms;
+	} queues[3]; /* sorted by work / weight */
+} drain_rows[] = {
+	{"alone", 1, {{5, 700, 10000}}},
+	{"equal", 2, {{1, 50, 10000}, {1, 50, 10000}}},
+	{"small beside a flood", 2, {{1, 1, 200}, {1, 99, 10000}}},
+	{"by weight", 2, {{3, 30, 4000}, {1, 70, 10000}}},
+	{"a light one that floods", 2, {{9, 9, 1000}, {1, 91, 10000}}},
+	{"what one leaves goes to the others",
+	 3,
+	 {{1, 10, 3000}, {1, 30, 7000}, {1, 60, 10000}}},
+	{"no work at all", 1, {{1, 0, 0}}},
+};
+Test(share, each_queue_takes_what_its_share_allows)
+{
+	struct fair_queue q[3];
+	unsigned row, i;
+
+	for (row = 0; row < NELEMS(drain_rows); row++) {
+		for (i = 0; i < drain_rows[row].count; i++)
+			q[i] = (struct fair_queue){
+				.weight = drain_rows[row].queues[i].weight,
+				.work = drain_rows[row].queues[i].work};
+		fair_drain(q, drain_rows[row].count, 10000);
+		for (i = 0; i < drain_rows[row].count; i++)
+			cr_expect_float_eq(q[i].drain_ms,
+					   drain_rows[row].queues[i].drain_ms,
+					   0.01, "%s: %u takes %.0f ms",
+					   drain_rows[row].name, i,
+					   q[i].drain_ms);
+	}
+}
