Shares: a test of a flood beside a small organisation

The world of the tests gets a second organisation. Without shares at most half of the small organisation's jobs are in time; with them all are, and all but those that the takeover takes if the owner dies in the flood.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -9,10 +9,10 @@
 #include <stdlib.h>
 
 /*
- * Limit for the time that a pool needs for its queued work, in multiples of the
- * mean objective of the queued jobs.  More work than that cannot be done while
- * it is useful.  Above OVERLOAD_START a growing part of the new jobs is
- * refused, from this limit on all of them.
+ * Limits for the time that a pool needs for its queued work, in multiples of
+ * the mean objective of the queued jobs.  More work than that cannot be done
+ * while it is useful.  Above the first limit a growing part of the new jobs is
+ * refused, from the second on all of them.
  */
 #define OVERLOAD_START 2.0
 #define OVERLOAD_FULL 3.0
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -318,6 +318,11 @@
 	return a > b ? a : b;
 }
 
+void world_add_organisation(struct world *w)
+{
+	w->has_other_organisation = true;
+}
+
 /*
  * Writes the configuration with another upper limit. The earlier limit may stay
  * in force until all VMs have applied the configuration.
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -62,6 +62,8 @@
 #define EVACUATE "evacuate/" /* key of the operator's row, before its dc */
 #define TENANT "org"
 #define KEY "key"
+#define OTHER_TENANT "other"
+#define OTHER_KEY "other-key"
 
 /*
  * The guarantee for counts of waiting jobs: a VM reports at least one in
@@ -217,6 +219,7 @@
 	int64_t limit_before; /* may be in force until limit_until */
 	int64_t limit_until;
 	bool has_key;
+	bool has_other_organisation;
 	bool needs_advice;
 	bool has_standby_pool; /* a pool of standby machines */
 	uint64_t config_version;
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -69,7 +69,7 @@
 	if (w->has_second_pool)
 		c->services[c->service_count++] = (struct service){
 			.name = bstr_new(SECOND), .checks_capacity = true};
-	c->tenants = xcalloc(1, sizeof(*c->tenants));
+	c->tenants = xcalloc(2, sizeof(*c->tenants));
 	c->tenant_count = 1;
 	c->tenants[0] = (struct tenant){.name = bstr_new(TENANT),
 					.weight = 1,
@@ -79,6 +79,14 @@
 		c->tenants[0].keys[0] = bstr_new(KEY);
 		c->tenants[0].key_count = 1;
 	}
+	if (w->has_other_organisation) {
+		c->tenants[c->tenant_count++] = (struct tenant){
+			.name = bstr_new(OTHER_TENANT),
+			.keys = xcalloc(1, sizeof(bstr)),
+			.key_count = 1,
+			.weight = 1};
+		c->tenants[1].keys[0] = bstr_new(OTHER_KEY);
+	}
 	return c;
 }
 
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -402,7 +402,7 @@
 		.host = bstr_new("h"),
 		.path = bstr_printf("/%s/%s", j && j->second_queue ? "q2" : "q",
 				    id),
-		.key = bstr_new(KEY),
+		.key = bstr_new(j && j->other_organisation ? OTHER_KEY : KEY),
 		.body = body,
 		.deadline = w->now + w->caller_timeout_ms};
 	return ev;
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -53,6 +53,8 @@
 	unsigned max_per_worker; /* tasks of a step; 0: no limit */
 	unsigned may_miss; /* tasks that planned work may have away at once */
 	bool second_queue; /* submitted to the queue of the second pool */
+	bool other_organisation; /* submitted by that; see
+				  * world_add_organisation() */
 	bool crashes;	   /* its first task crashes each worker that runs it */
 	unsigned crash_ms; /* after its start */
 };
@@ -243,6 +245,9 @@
 /* Sets the organisation's upper limit; 0: none. */
 void world_set_limit(struct world *w, int64_t cpu);
 
+/* Adds another organisation, of the same weight, before the world runs. */
+void world_add_organisation(struct world *w);
+
 /* Configures the organisation's key, or removes it. */
 void world_set_key(struct world *w, bool given);
 
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -146,3 +146,94 @@
 					   q[i].drain_ms);
 	}
 }
+
+#define FLOOD_JOBS 200 /* of the organisation that floods */
+#define SMALL_JOBS 10  /* of the other one, meanwhile */
+#define STEP_MS 30     /* between the jobs of the flood */
+/*
+ * Small jobs that a takeover may make late: one comes every 600 ms, and it may
+ * take 2.7 s.
+ */
+#define TAKEOVER_JOBS 4
+
+/*
+ * Guards against an overload by one organisation that makes the jobs of another
+ * late, or has them refused, also when the owner dies in it.  Each job of the
+ * flood takes 10 slots for a second, of 48 to 144; each small one takes one.
+ */
+static const struct {
+	const char *name;
+	bool disabled; /* the order by shares */
+	bool owner_dies;
+	unsigned small_min, small_max; /* in time, of SMALL_JOBS */
+	bool flood_refused;
+} flood_rows[] = {
+	{"a flood", false, false, SMALL_JOBS, SMALL_JOBS, true},
+	{"without shares", true, false, 0, SMALL_JOBS / 2, true},
+	{"the owner dies", false, true, SMALL_JOBS - TAKEOVER_JOBS, SMALL_JOBS,
+	 true},
+};
+
+/*
+ * Submits the jobs of both organisations.  Sets in_time to the number of small
+ * ones that are completed within their objective, and returns how many of the
+ * flood are refused.
+ */
+static unsigned flood(struct world *w, unsigned vm, int dies, unsigned *in_time)
+{
+	static const struct world_job big = {.tasks = 10, .task_ms = 1000};
+	static const struct world_job small = {
+		.tasks = 1, .task_ms = 1000, .other_organisation = true};
+	const unsigned every = FLOOD_JOBS / SMALL_JOBS;
+	const unsigned objective = 2600 / STEP_MS; /* see world_config() */
+	uint64_t calls[FLOOD_JOBS];
+	char id[20], small_id[20];
+	unsigned k, refused = 0;
+
+	*in_time = 0;
+	for (k = 0; k < FLOOD_JOBS + objective; k++) {
+		snprintf(small_id, sizeof(small_id), "a%015x", k - objective);
+		if (k >= objective && (k - objective) % every == 0)
+			*in_time += !strcmp(world_job_state(w, small_id),
+					    "completed");
+		snprintf(small_id, sizeof(small_id), "a%015x", k);
+		if (k < FLOOD_JOBS && k % every == 0)
+			world_submit(w, vm, small_id, &small);
+		snprintf(id, sizeof(id), "%016x", 1000 + 77 * k);
+		if (k < FLOOD_JOBS)
+			calls[k] = world_submit(w, vm, id, &big);
+		if (dies != -1 && k == FLOOD_JOBS / 2)
+			world_kill_vm(w, (unsigned)dies);
+		world_run(w, STEP_MS);
+	}
+	for (k = 0; k < FLOOD_JOBS; k++)
+		refused += world_call_status(w, calls[k]) == 503;
+	return refused;
+}
+
+Test(share, a_flood_pays_for_its_excess)
+{
+	unsigned row, n, k, refused, in_time;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(flood_rows); row++) {
+		w = world_new(2800 + row, WORLD_VMS, WORLD_WORKERS);
+		world_add_organisation(w);
+		world_run(w, 4000);
+		n = (unsigned)world_owner(w);
+		for (k = 0; k < WORLD_VMS && flood_rows[row].disabled; k++)
+			world_sched(w, k)->options.disabled |= 1U
+							       << POLICY_SHARES;
+		refused = flood(w, (n + 1) % WORLD_VMS,
+				flood_rows[row].owner_dies ? (int)n : -1,
+				&in_time);
+		cr_expect_geq(in_time, flood_rows[row].small_min, "%s: %u",
+			      flood_rows[row].name, in_time);
+		cr_expect_leq(in_time, flood_rows[row].small_max, "%s: %u",
+			      flood_rows[row].name, in_time);
+		cr_expect_eq(refused > 0, flood_rows[row].flood_refused,
+			     "%s: %u", flood_rows[row].name, refused);
+		cr_expect_null(world_violation(w), "%s", world_violation(w));
+		world_free(w);
+	}
+}
