Shares: queues of organisations by sorting, no walk of all by all

The pass over the organisations looked each up in the configuration, which is linear. Queues are merged by sorting.

--- a/sched-fair.c
+++ b/sched-fair.c
@@ -8,17 +8,16 @@
 
 #include <stdlib.h>
 
-/* The pool and the organisation of a queue. */
-struct fair_key {
-	const struct pool *pool;
-	const struct usage *usage;
-};
-
-/* The queue of an organisation in a pool, in the table of all of them. */
+/* A queue, or the work of one job in it, and the pool. */
 struct fair_entry {
-	struct fair_key key;
+	const struct pool_load *pool;
 	struct fair_queue queue;
-	UT_hash_handle hh;
+};
+
+struct fair_list {
+	struct fair_entry *entries;
+	size_t count;
+	size_t space;
 };
 
 /*
@@ -51,56 +50,84 @@
 	return q->jobs ? q->objective_sum_ms / q->jobs : 0;
 }
 
-/* Orders the queues by pool, then by work / weight. */
-static int fair_cmp(const struct fair_entry *x, const struct fair_entry *y)
+/* Orders entries by pool, then by organisation. */
+static int fair_cmp_usage(const void *a, const void *b)
 {
-	double a = x->queue.work / x->queue.weight;
-	double b = y->queue.work / y->queue.weight;
+	const struct fair_entry *x = a, *y = b;
+
+	if (x->pool != y->pool)
+		return x->pool < y->pool ? -1 : 1;
+	if (x->queue.usage != y->queue.usage)
+		return x->queue.usage < y->queue.usage ? -1 : 1;
+	return 0;
+}
 
-	if (x->key.pool != y->key.pool)
-		return x->key.pool < y->key.pool ? -1 : 1;
-	if (a != b)
-		return a < b ? -1 : 1;
+/* Orders entries by pool, then by work / weight. */
+static int fair_cmp_work(const void *a, const void *b)
+{
+	const struct fair_entry *x = a, *y = b;
+	double p = x->queue.work / x->queue.weight;
+	double q = y->queue.work / y->queue.weight;
+
+	if (x->pool != y->pool)
+		return x->pool < y->pool ? -1 : 1;
+	if (p != q)
+		return p < q ? -1 : 1;
 	return 0;
 }
 
-/* Returns the queue of a job's organisation in its pool; makes it if needed. */
-static struct fair_queue *fair_queue_of(struct sched *s,
-					struct fair_entry **all, struct job *j)
+/* Adds an entry to the list. */
+static void fair_list_add(struct fair_list *all, const struct pool_load *p,
+			  struct fair_queue q)
 {
-	struct fair_key key = {job_pool(s, j), job_usage(s, j)};
-	struct fair_entry *e;
-
-	HASH_FIND(hh, *all, &key, sizeof(key), e);
-	if (e)
-		return &e->queue;
-	e = xcalloc(1, sizeof(*e));
-	e->key = key;
-	e->queue.usage = job_usage(s, j);
-	e->queue.weight = share_weight(job_tenant(s, j));
-	HASH_ADD(hh, *all, key, sizeof(e->key), e);
-	return &e->queue;
+	if (all->count == all->space) {
+		all->space = all->space ? all->space * 2 : 64;
+		all->entries = xrealloc(all->entries, all->space,
+					sizeof(*all->entries));
+	}
+	all->entries[all->count++] = (struct fair_entry){p, q};
+}
+
+/* Merges the entries of each organisation in a pool. */
+static void fair_list_merge(struct fair_list *all)
+{
+	struct fair_entry *to = all->entries, *e = to;
+	const struct fair_entry *end = to + all->count;
+
+	if (!all->count)
+		return;
+	qsort(all->entries, all->count, sizeof(*e), fair_cmp_usage);
+	for (e++; e < end; e++) {
+		if (fair_cmp_usage(to, e)) {
+			*++to = *e;
+			continue;
+		}
+		to->queue.work += e->queue.work;
+		to->queue.objective_sum_ms += e->queue.objective_sum_ms;
+		to->queue.jobs += e->queue.jobs;
+	}
+	all->count = (size_t)(to - all->entries) + 1;
 }
 
 /* Adds the work of a job that waits for nothing but room. */
-static void fair_add_job(struct sched *s, struct fair_entry **all,
+static void fair_add_job(struct sched *s, struct fair_list *all,
 			 const struct pool_loads *l, struct job *j)
 {
 	const struct pool_load *p = pool_load_find(l, job_service(s, j));
 	const struct occurrence *o;
-	struct fair_queue *q;
-	double work;
+	struct fair_queue q;
 
 	if (!p || !job_waits_for_room(s, p, j))
 		return;
 	TAILQ_FOREACH(o, &j->occs, entry) {
-		work = occurrence_queued_work(p, o);
-		if (work <= 0)
-			continue;
-		q = fair_queue_of(s, all, j);
-		q->work += work;
-		q->objective_sum_ms += (double)job_objective_ms(s, j);
-		q->jobs++;
+		q = (struct fair_queue){
+			.usage = job_usage(s, j),
+			.weight = share_weight(job_tenant(s, j)),
+			.work = occurrence_queued_work(p, o),
+			.objective_sum_ms = (double)job_objective_ms(s, j),
+			.jobs = 1};
+		if (q.work > 0)
+			fair_list_add(all, p, q);
 	}
 }
 
@@ -129,25 +156,21 @@
 }
 
 /* Publishes the queues, which are sorted by pool. */
-static void fair_publish_all(struct sched *s, const struct pool_loads *l,
-			     struct fair_entry *all, double machine_cores)
+static void fair_publish_all(struct sched *s, const struct fair_list *all,
+			     double machine_cores)
 {
-	struct fair_queue *list = xcalloc(HASH_COUNT(all) + 1, sizeof(*list));
-	const struct fair_entry *e, *next;
-	const struct pool_load *p;
-	size_t n = 0;
-
-	for (e = all; e; e = next) {
-		next = e->hh.next;
-		list[n++] = e->queue;
-		if (next && next->key.pool == e->key.pool)
+	struct fair_queue *q = xcalloc(all->count + 1, sizeof(*q));
+	const struct fair_entry *e = all->entries;
+	size_t i, n = 0;
+
+	for (i = 0; i < all->count; i++) {
+		q[n++] = e[i].queue;
+		if (i + 1 < all->count && e[i + 1].pool == e[i].pool)
 			continue;
-		p = pool_load_find(l, e->key.pool->service);
-		if (p)
-			fair_publish(s, p, list, n, machine_cores);
+		fair_publish(s, e[i].pool, q, n, machine_cores);
 		n = 0;
 	}
-	free(list);
+	free(q);
 }
 
 /*
@@ -157,7 +180,7 @@
 void fair_queues_update(struct sched *s, const struct pool_loads *l,
 			double machine_cores)
 {
-	struct fair_entry *all = NULL, *e, *next;
+	struct fair_list all = {0};
 	struct usage *u;
 	struct job *j;
 
@@ -170,10 +193,10 @@
 	TAILQ_FOREACH(j, &s->jobs_by_arrival, entry)
 		if (j->status <= JOB_STATUS_RUNNING)
 			fair_add_job(s, &all, l, j);
-	HASH_SORT(all, fair_cmp);
-	fair_publish_all(s, l, all, machine_cores);
-	HASH_ITER(hh, all, e, next) {
-		HASH_DEL(all, e);
-		free(e);
-	}
+	fair_list_merge(&all);
+	if (all.count)
+		qsort(all.entries, all.count, sizeof(*all.entries),
+		      fair_cmp_work);
+	fair_publish_all(s, &all, machine_cores);
+	free(all.entries);
 }
--- a/sched-share.c
+++ b/sched-share.c
@@ -143,36 +143,66 @@
 	h->submitted = 0;
 }
 
-/* Returns the sums over all organisations that have a weight. */
+/* Returns the usage of a configured organisation that has a share, or NULL. */
+static struct usage *tenant_usage(const struct sched *s, const struct tenant *t)
+{
+	struct usage *u = NULL;
+
+	if (tenant_weight(s, t) > 0)
+		HASH_FIND_BSTR(s->usage, t->name, u);
+	return u;
+}
+
+/* Returns the sums over all organisations that have a share. */
 static struct share_sums shares_sum(struct sched *s)
 {
+	const struct fleet_config *c = s->config;
 	struct share_sums sums = {0};
 	struct usage *u;
-	double weight;
+	size_t i;
 
-	for (u = s->usage; u; u = u->hh.next) {
-		weight = tenant_weight(s, tenant_named(s, u->tenant));
-		if (weight > 0)
-			share_sum(&sums, &u->share, weight, s->now);
+	for (i = 0; i < c->tenant_count; i++) {
+		u = tenant_usage(s, &c->tenants[i]);
+		if (u)
+			share_sum(&sums, &u->share, c->tenants[i].weight,
+				  s->now);
 	}
 	return sums;
 }
 
+/* Ends the excess of organisations that have no share any more. */
+static void shares_end_unconfigured(struct sched *s)
+{
+	struct usage *u;
+
+	if (!shares_are_exceeded(s))
+		return;
+	for (u = s->usage; u; u = u->hh.next)
+		if (u->share.is_exceeded &&
+		    tenant_weight(s, tenant_named(s, u->tenant)) <= 0)
+			share_set_exceeded(s, u, false);
+}
+
 /*
  * Called by the owner in each pass over the pools: determines which
  * organisations are beyond their shares.
  */
 void shares_update(struct sched *s)
 {
+	const struct fleet_config *c = s->config;
 	struct share_sums sums = shares_sum(s);
-	struct usage *u;
 	double weight, excess;
+	struct usage *u;
+	size_t i;
 
-	for (u = s->usage; u; u = u->hh.next) {
-		weight = tenant_weight(s, tenant_named(s, u->tenant));
+	shares_end_unconfigured(s);
+	for (i = 0; i < c->tenant_count; i++) {
+		u = tenant_usage(s, &c->tenants[i]);
+		if (!u)
+			continue;
+		weight = c->tenants[i].weight;
 		excess = share_excess(&u->share, weight, &sums);
-		share_set_exceeded(
-			s, u, weight > 0 && share_is_beyond(&u->share, excess));
+		share_set_exceeded(s, u, share_is_beyond(&u->share, excess));
 		if (u->share.is_exceeded)
 			share_log(s, u, weight, excess);
 	}
--- a/scheduler.h
+++ b/scheduler.h
@@ -80,7 +80,7 @@
 	bstr name;
 	bstr *keys;
 	size_t key_count;
-	double weight; /* its share; 0: none */
+	double weight;		  /* its share; 0: none */
 	struct resources maximum; /* 0: no limit */
 };
 
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -53,10 +53,10 @@
 	unsigned max_per_worker; /* tasks of a step; 0: no limit */
 	unsigned may_miss; /* tasks that planned work may have away at once */
 	bool second_queue; /* submitted to the queue of the second pool */
-	bool other_organisation; /* submitted by that; see
-				  * world_add_organisation() */
 	bool crashes;	   /* its first task crashes each worker that runs it */
 	unsigned crash_ms; /* after its start */
+	bool other_organisation; /* submitted by that; see
+				  * world_add_organisation() */
 };
 
 struct world;
