Shares: a new owner keeps the inherited excesses until it has averages

Until workers have answered, a pool's queue seems short, and an inherited excess could end in the first pass. The gauge follows the ownership, and a function that nothing called is gone.

--- a/sched-share.c
+++ b/sched-share.c
@@ -90,12 +90,6 @@
 	return excess >= EXCESS_END || h->queue_ratio > QUEUE_RATIO_MAX;
 }
 
-/* Returns true if a job's organisation submits more than its share. */
-bool share_is_exceeded(struct sched *s, struct job *j)
-{
-	return job_usage(s, j)->share.is_exceeded;
-}
-
 /* Returns true if any organisation submits more than its share. */
 bool shares_are_exceeded(const struct sched *s)
 {
@@ -108,8 +102,10 @@
 	if (u->share.is_exceeded == exceeded)
 		return;
 	u->share.is_exceeded = exceeded;
-	s->shares_exceeded += exceeded ? 1 : -1U;
-	sched_gauge(s, COUNT_SHARES_EXCEEDED, s->shares_exceeded);
+	if (exceeded)
+		s->shares_exceeded++;
+	else
+		s->shares_exceeded--;
 	s->place_due = true;
 }
 
@@ -185,12 +181,15 @@
 
 /*
  * Called by the owner in each pass over the pools: determines which
- * organisations are beyond their shares.
+ * organisations are beyond their shares.  A new owner has no averages yet, and
+ * its queues seem short until the workers have answered, so it changes nothing
+ * about those that it has inherited.
  */
 void shares_update(struct sched *s)
 {
 	const struct fleet_config *c = s->config;
 	struct share_sums sums = shares_sum(s);
+	bool is_new = (double)(s->now - s->own.ready_at) < RATE_MS;
 	double weight, excess;
 	struct usage *u;
 	size_t i;
@@ -202,7 +201,9 @@
 			continue;
 		weight = c->tenants[i].weight;
 		excess = share_excess(&u->share, weight, &sums);
-		share_set_exceeded(s, u, share_is_beyond(&u->share, excess));
+		if (!u->share.is_exceeded || !is_new)
+			share_set_exceeded(s, u,
+					   share_is_beyond(&u->share, excess));
 		if (u->share.is_exceeded)
 			share_log(s, u, weight, excess);
 	}
--- a/sched-state.h
+++ b/sched-state.h
@@ -1024,7 +1024,6 @@
 		    const struct share_sums *sums);
 bool share_is_beyond(const struct share *h, double excess);
 void share_count_job(struct sched *s, struct job *j);
-bool share_is_exceeded(struct sched *s, struct job *j);
 bool shares_are_exceeded(const struct sched *s);
 double share_weight(const struct tenant *t);
 void shares_update(struct sched *s);
--- a/sched.c
+++ b/sched.c
@@ -338,6 +338,7 @@
 	sched_gauge(s, COUNT_CONFIG_REVISION,
 		    s->config ? s->config->version : 0);
 	sched_gauge(s, COUNT_EVACUATIONS, HASH_COUNT(s->evacuations));
+	sched_gauge(s, COUNT_SHARES_EXCEEDED, s->shares_exceeded);
 	sched_gauge(s, COUNT_STORE_AGE, (uint64_t)(s->now - s->store_ok_at));
 	sched_gauge(s, COUNT_COUNTS_AGE, gauge_of_age(counts_age_ms(s)));
 }
