--- a/sched-row.c
+++ b/sched-row.c
@@ -454,15 +454,16 @@
  */
 bstr heartbeat_row_write(struct sched *s)
 {
-	json_t *row = json_pack("{s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o}",
-				"epoch", (json_int_t)s->own.epoch, "seq",
-				(json_int_t)s->own.heartbeat_seq, "sent_at",
-				(json_int_t)store_clock(s), "told_at",
-				(json_int_t)job_list_as_of(s), "cpu",
-				(json_int_t)offer_own_cpu(s), "waiting",
-				counts_write(s), "ceilings", ceilings_write(s),
-				"largest", largest_capacity_write(s), "admit",
-				admissions_write(s));
+	json_t *row = json_pack(
+		"{s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o}", "epoch",
+		(json_int_t)s->own.epoch, "seq",
+		(json_int_t)s->own.heartbeat_seq, "sent_at",
+		(json_int_t)store_clock(s), "told_at",
+		(json_int_t)job_list_as_of(s), "cpu",
+		(json_int_t)offer_own_cpu(s), "waiting", counts_write(s),
+		"ceilings", ceilings_write(s), "largest",
+		largest_capacity_write(s), "admit", admissions_write(s),
+		"beyond_share", shares_write(s));
 
 	set_if_true(row, "short", offer_is_wanted(s));
 	return json_write(row);
@@ -470,7 +471,8 @@
 
 /*
  * Decodes the row of a heartbeat: its epoch, the ceilings, the counts of
- * waiting jobs and the admissions.  Returns false if it is malformed.
+ * waiting jobs, the admissions and the shares.  Returns false if it is
+ * malformed.
  */
 bool heartbeat_row_read(struct sched *s, bstr text, uint64_t *epoch)
 {
@@ -487,6 +489,9 @@
 				 json_is_true(json_object_get(row, "short"));
 	json_decref(s->own.ceilings);
 	s->own.ceilings = json_incref(json_object_get(row, "ceilings"));
+	json_decref(s->own.shares_exceeded);
+	s->own.shares_exceeded = json_incref(
+		json_object_get(row, "beyond_share"));
 	largest_capacity_read(s, json_object_get(row, "largest"));
 	counts_read(s, json_object_get(row, "waiting"),
 		    int_member(row, "told_at"));
--- a/sched-state.h
+++ b/sched-state.h
@@ -563,6 +563,7 @@
 	bool uncertain;		/* an attempt may have taken effect */
 	bstr row;		/* of a submitted job, kept for retries */
 	uint32_t retry_after_s; /* if the queue is full; 0: it is not */
+	bool refused_by_share;	/* the queue of its own organisation is */
 	UT_hash_handle hh;
 };
 
@@ -668,6 +669,8 @@
 	struct resources largest_capacity; /* of any worker, as recorded by
 					    * earlier owners */
 	bool largest_capacity_known;
+	json_t *shares_exceeded; /* organisations beyond their share, as
+				  * recorded by an earlier owner, or NULL */
 	json_t *ceilings; /* on what earlier owners may have running, or NULL */
 	int64_t settle_by; /* end of the last lease of earlier owners */
 	int64_t owned_at;
@@ -774,9 +777,29 @@
 	UT_hash_handle hh;
 };
 
+/* The jobs that an organisation submits; see sched-share.c. */
+struct share {
+	double jobs;	    /* lately, an average that decays */
+	int64_t counted_at; /* jobs is as of then */
+	bool is_exceeded;   /* it submits more than its share */
+	double queue_ratio; /* its longest queue, in multiples of the mean
+			     * objective of the jobs there */
+	unsigned submitted; /* jobs, since the last log line */
+	int64_t log_at;
+};
+
+/* Sums over all organisations. */
+struct share_sums {
+	double jobs;
+	double weights; /* of those that submit any now */
+};
+
 /* What an organisation has running on the whole fleet. */
 struct usage {
 	bstr tenant;
+	struct share share;
+	int64_t ending_cpu; /* cores of used, in thousandths, without
+			     * long-running and best-effort tasks */
 	struct resources used;
 	struct resources ceiling; /* nothing is started beyond this; recorded
 				   * in the store */
@@ -891,6 +914,7 @@
 	unsigned last_pool_index; /* order_index of the last pool considered */
 	unsigned unknown_count;	  /* unknown workers of all pools */
 	struct usage *usage;
+	unsigned shares_exceeded; /* organisations beyond their share */
 	struct resources largest_capacity; /* that any worker has had, by
 					    * resource */
 	bool largest_capacity_known;	   /* for all workers that were noted */
@@ -1011,8 +1035,26 @@
 void admissions_read(struct sched *s, const json_t *all);
 void admissions_inherit(struct sched *s);
 void admissions_free(struct sched *s);
-uint32_t admission_refuses(struct sched *s, const struct route *r,
-			   const struct job_body *b, const char *id);
+struct fair_queue;
+void admission_set_shares(struct sched *s, bstr service,
+			  const struct fair_queue *q, size_t count);
+void admissions_drop_shares(struct sched *s);
+bool admission_refuses(struct sched *s, struct call *c, const struct route *r,
+		       const struct job_body *b);
+
+/* sched-share.c: shares of organisations in an overload */
+void share_add(struct share *h, int64_t now);
+void share_sum(struct share_sums *sums, struct share *h, double weight,
+	       int64_t now);
+double share_excess(const struct share *h, double weight,
+		    const struct share_sums *sums);
+bool share_is_beyond(const struct share *h, double excess);
+void share_count_job(struct sched *s, struct job *j);
+bool shares_are_exceeded(const struct sched *s);
+double share_weight(const struct tenant *t);
+void shares_update(struct sched *s);
+json_t *shares_write(const struct sched *s);
+void shares_inherit(struct sched *s);
 
 /* sched-call.c: requests of callers */
 void call_refuse(struct sched *s, uint64_t id, int status,
@@ -1194,6 +1236,7 @@
 void crash_check_outlived(struct sched *s, struct task *t);
 
 /* sched-limit.c: upper limits of organisations */
+struct usage *usage_of(struct sched *s, bstr tenant);
 struct usage *job_usage(struct sched *s, struct job *j);
 void usage_add(struct sched *s, const struct task *t, int sign);
 void usage_add_found(struct sched *s, const struct task *t);
--- a/sched.c
+++ b/sched.c
@@ -345,6 +345,7 @@
 	sched_gauge(s, COUNT_EVACUATIONS, HASH_COUNT(s->evacuations));
 	sched_gauge(s, COUNT_CORES_DIVIDED,
 		    own_may_order(s) && s->cores_divided);
+	sched_gauge(s, COUNT_SHARES_EXCEEDED, s->shares_exceeded);
 	sched_gauge(s, COUNT_STORE_AGE, (uint64_t)(s->now - s->store_ok_at));
 	sched_gauge(s, COUNT_COUNTS_AGE, gauge_of_age(counts_age_ms(s)));
 }
@@ -491,6 +492,7 @@
 	bstr_free(&s->own.offer_vm);
 	json_decref(s->own.workers);
 	json_decref(s->own.ceilings);
+	json_decref(s->own.shares_exceeded);
 	json_decref(s->home_sizes);
 	bstr_free(&s->options.vm);
 	bstr_free(&s->options.zone);
