Placement: hold workers for large tasks that wait

Cause: each piece of room that becomes free is taken by a small task, so a task that needs the room of several never finds it on one worker; in a full pool of small tasks it starts only when nothing else waits.

Change: sched-lookahead.c holds a few workers of a pool where the room of the first large steps is expected first. Small tasks that are gone by then, or fit beside it, start there meanwhile (docs/design/lookahead.md). A hold binds only the candidates behind its step in a pass. Needs that found no room are remembered with the run time, as holds make feasibility depend on it. Mechanism "lookahead" can be disabled.

The simulated world gets jobs with larger tasks and gangs.

--- a/sched-place.c
+++ b/sched-place.c
@@ -168,7 +168,8 @@
 			s->has_pending_tasks = true;
 			if (j->has_crashes ||
 			    resources_fit(step_need(&j->body->steps[i]),
-					  pool->max_room))
+					  pool->max_room) ||
+			    lookahead_considers(s, pool, o, i))
 				candidate_add(s, p, r, pool, o, i);
 			else
 				j->pending_reason = pool_full_reason(
@@ -284,6 +285,23 @@
 	return n;
 }
 
+/* Returns true if a worker that has room may run a task. */
+bool worker_suits(struct sched *s, const struct worker *w, const struct task *t)
+{
+	const struct job_step *st = task_step(t);
+	const struct route *r = job_route(s, t->occ->job);
+
+	if (!crash_allows(s, w, t) || !worker_has_label(w, st->required_label))
+		return false;
+	if (st->max_per_worker &&
+	    step_tasks_on_worker(w, t->occ, t->step) >= st->max_per_worker)
+		return false;
+	if (s->now < w->suspect_until && policy_is_enabled(s, POLICY_DOUBT))
+		return false;
+	return !r || !r->needs_ticket ||
+	       advice_ticket(s, t->occ, t->step, w).bstr_len;
+}
+
 /*
  * Returns the score of a worker for a task; the highest score wins.  A negative
  * score means that the worker is not feasible.
@@ -296,15 +314,8 @@
 	double score, idle;
 	bool spread;
 
-	if (!resources_fit(step_need(st), room) || !crash_allows(s, w, t) ||
-	    !worker_has_label(w, st->required_label))
-		return -1;
-	if (st->max_per_worker &&
-	    step_tasks_on_worker(w, t->occ, t->step) >= st->max_per_worker)
-		return -1;
-	if (s->now < w->suspect_until && policy_is_enabled(s, POLICY_DOUBT))
-		return -1;
-	if (c->needs_tickets && !advice_ticket(s, t->occ, t->step, w).bstr_len)
+	if (!resources_fit(step_need(st), room) || !worker_suits(s, w, t) ||
+	    !lookahead_allows(s, w, t))
 		return -1;
 	/*
 	 * Best-effort tasks use idle cores, so they go where many are idle.
@@ -432,7 +443,18 @@
 		return;
 	}
 	c->job->pending_reason = pool_full_reason(c->pool, step_need(st));
-	pool_note_full(c->pool, step_need(st));
+	pool_note_full(c->pool, step_need(st),
+		       lookahead_run_ms(c->job, c->step));
+}
+
+/* Starts a task of a step on a worker. */
+static void candidate_start(struct sched *s, const struct candidate *c,
+			    struct task *t, struct worker *w, uint64_t run)
+{
+	if (!lookahead_binds(s, w))
+		pool_take_room(c->pool, worker_free_room(w), c->need);
+	lookahead_note_start(s, w, t);
+	sched_task_start(s, t, w, run);
 }
 
 /*
@@ -482,11 +504,8 @@
 			step_no_worker(s, c, st);
 			break;
 		}
-		pool_take_room(c->pool,
-			       worker_free_room(c->pool->workers[chosen]),
-			       c->need);
-		sched_task_start(s, t, c->pool->workers[chosen],
-				 task_next_run(s, t));
+		candidate_start(s, c, t, c->pool->workers[chosen],
+				task_next_run(s, t));
 	}
 	free(scores);
 }
@@ -545,7 +564,7 @@
 		checkpoint = bstr_copy(checkpoint);
 		for (i = 0; i < st->count; i++) {
 			bstr_set(&first[i].checkpoint, checkpoint);
-			sched_task_start(s, &first[i], chosen[i], run);
+			candidate_start(s, c, &first[i], chosen[i], run);
 		}
 		bstr_free(&checkpoint);
 	}
@@ -595,6 +614,48 @@
 	return PENDING_NONE;
 }
 
+/* Returns true if it is known that no worker takes a task of a step. */
+static bool candidate_has_no_room(const struct sched *s,
+				  const struct candidate *c)
+{
+	int64_t run_ms = lookahead_run_ms(c->job, c->step);
+
+	if (c->job->has_crashes)
+		return false;
+	if (pool_is_known_full(c->pool, c->need, run_ms))
+		return true;
+	return !resources_fit(c->need, c->pool->max_room) &&
+	       !lookahead_has_room(s, c->pool, c->need, run_ms);
+}
+
+/*
+ * Holds workers for the pending tasks of a step if they are large and only wait
+ * for room, or for the store: the room that they have now would be taken
+ * meanwhile.
+ */
+static void candidate_look_ahead(struct sched *s, const struct candidate *c)
+{
+	const struct task *t = &c->occ->tasks[c->occ->first_task[c->step]];
+	const struct task *first = NULL;
+	enum pending_reason reason;
+	unsigned i, left = 0;
+
+	if (c->job->has_crashes || start_window_is_full(s) ||
+	    !lookahead_applies(s, c->pool, c->occ, c->step))
+		return;
+	for (i = c->job->body->steps[c->step].count; i-- > 0;) {
+		if (t[i].phase != PHASE_PENDING || s->now < t[i].not_before)
+			continue;
+		first = &t[i];
+		left++;
+	}
+	if (!first)
+		return;
+	reason = candidate_blocked_by(s, c);
+	if (!reason || reason == PENDING_STORE || reason == PENDING_CAPACITY)
+		lookahead_hold(s, c->pool, first, left);
+}
+
 /*
  * Places a step as far as there is room for it.  For steps without room only
  * their resource needs are checked, as in an overload nearly all steps are
@@ -604,12 +665,12 @@
 {
 	enum pending_reason reason;
 
-	if (!c->job->has_crashes &&
-	    (!resources_fit(c->need, c->pool->max_room) ||
-	     pool_is_known_full(c->pool, c->need))) {
+	if (candidate_has_no_room(s, c)) {
 		if (c->previous_reason != PENDING_CAPACITY)
 			c->job->pending_reason = pool_full_reason(c->pool,
 								  c->need);
+		candidate_look_ahead(s, c);
+		pool_measure_if_stale(s, c->pool);
 		return;
 	}
 	reason = candidate_blocked_by(s, c);
@@ -621,16 +682,20 @@
 		 */
 		if (reason != PENDING_STORE || !c->job->pending_reason)
 			c->job->pending_reason = reason;
+		if (c->job->pending_reason == PENDING_CAPACITY)
+			candidate_look_ahead(s, c);
+		pool_measure_if_stale(s, c->pool);
 		return;
 	}
-	if (c->job->body->steps[c->step].gang) {
+	if (c->job->body->steps[c->step].gang)
 		gang_place(s, c);
-		pool_measure(s, c->pool);
-		return;
-	}
-	step_place(s, c);
+	else
+		step_place(s, c);
+	if (c->occ->pending_tasks[c->step].count)
+		candidate_look_ahead(s, c);
 	/* Tasks with crashes also open and close workers. */
-	if (c->pool->max_is_stale || c->job->has_crashes)
+	if (c->pool->max_is_stale || c->job->has_crashes ||
+	    c->job->body->steps[c->step].gang)
 		pool_measure(s, c->pool);
 }
 
@@ -714,6 +779,8 @@
 		if (i >= p->pools_left_count)
 			i = 0;
 	}
+	if (!p->pools_left_count)
+		s->place_complete = s->place_serial;
 	candidates_wait_for_window(p);
 }
 
@@ -728,6 +795,7 @@
 		return;
 	s->place_due = s->has_delayed_tasks = s->has_pending_tasks = false;
 	s->load.place_passes++;
+	s->place_serial++;
 	pools_refresh(s);
 	usage_unknown_update(s);
 	candidates_collect(s, &p);
--- a/sched-pool.c
+++ b/sched-pool.c
@@ -127,7 +127,8 @@
 	pool_clear_room(p);
 	s->load.measured_rooms += (unsigned)p->count;
 	for (i = 0; i < p->count; i++)
-		if (!crash_closes_worker(s, p->workers[i]))
+		if (!crash_closes_worker(s, p->workers[i]) &&
+		    !lookahead_binds(s, p->workers[i]))
 			pool_add_room(p, worker_free_room(p->workers[i]));
 }
 
@@ -163,29 +164,45 @@
 		p->max_is_stale = true;
 }
 
+/* Measures a pool again if its largest free amounts may have changed. */
+void pool_measure_if_stale(struct sched *s, struct pool *p)
+{
+	if (p->max_is_stale)
+		pool_measure(s, p);
+}
+
 /*
- * Returns true if it is known that no worker of a pool has room for a need.
- * Free resources only decrease during a placement pass, so a need that was not
- * placeable rules out all equal and larger ones.
+ * Returns true if it is known that no worker of a pool takes a task with a need
+ * and an expected run time.  Free resources only decrease during a placement
+ * pass, and holds are only added, so a task that was not placeable rules out
+ * all that need at least as much for at least as long.
  */
-bool pool_is_known_full(const struct pool *p, struct resources need)
+bool pool_is_known_full(const struct pool *p, struct resources need,
+			int64_t run_ms)
 {
 	size_t i;
 
 	for (i = 0; i < p->unplaceable_count; i++)
-		if (resources_fit(p->unplaceable[i], need))
+		if (resources_fit(p->unplaceable[i].need, need) &&
+		    run_ms >= p->unplaceable[i].run_ms)
 			return true;
 	return false;
 }
 
-/* Records that no worker of a pool has room for a need. */
-void pool_note_full(struct pool *p, struct resources need)
+/*
+ * Records that no worker of a pool takes a task.  Without held workers that
+ * does not depend on how long it would run.
+ */
+void pool_note_full(struct pool *p, struct resources need, int64_t run_ms)
 {
-	if (pool_is_known_full(p, need))
+	if (!p->held_count)
+		run_ms = 0;
+	if (pool_is_known_full(p, need, run_ms))
 		return;
 	if (p->unplaceable_count < UNPLACEABLE_MAX)
 		p->unplaceable_count++;
-	p->unplaceable[p->unplaceable_count - 1] = need;
+	p->unplaceable[p->unplaceable_count - 1] = (struct unplaceable){need,
+									run_ms};
 }
 
 /* Adds a worker to those of its pool that may get tasks. */
@@ -217,16 +234,21 @@
 {
 	struct worker *w, *next;
 	struct pool *p;
+	bool eligible;
 
 	for (p = s->pools; p; p = p->hh.next) {
-		p->count = p->unplaceable_count = 0;
+		p->count = p->unplaceable_count = p->held_count = 0;
+		p->large_steps = 0;
+		p->compared = false;
 		p->reserved = (struct resources){0, 0, 0};
 		p->max_capacity = p->max_evacuated = (struct resources){-1, -1,
 									-1};
 		pool_clear_room(p);
 	}
 	HASH_ITER(hh, s->workers, w, next) {
-		if (worker_is_eligible(s, w))
+		eligible = worker_is_eligible(s, w);
+		lookahead_refresh(s, w, eligible);
+		if (eligible)
 			pool_add(s, w->pool, w);
 		else if (worker_is_evacuated(s, w) && worker_is_healthy(s, w))
 			pool_add_evacuated(w->pool, w);
--- a/sched-state.h
+++ b/sched-state.h
@@ -354,6 +354,23 @@
 };
 TAILQ_HEAD(retired_list, retired);
 
+/* Limit of the workers of a pool that are held. */
+#define HOLDS_MAX 8
+
+/* A hold of a worker for tasks of a step, see sched-lookahead.c. */
+struct hold {
+	unsigned tasks; /* that it serves; 0: there is no hold */
+	char job[JOB_ID_BYTES + 1];
+	unsigned occurrence;
+	unsigned step;
+	uint64_t pass; /* placement pass in which it binds */
+	int64_t made_at;
+	int64_t first_room_at;	/* as expected when it was made */
+	int64_t room_at;	/* their room is expected then */
+	struct resources spare; /* expected then besides their room */
+	int64_t until;		/* given up then */
+};
+
 /*
  * A worker as the owner knows it.  A worker process that restarts under the
  * same id is a new process: its clock and its list of ends begin anew.
@@ -419,6 +436,8 @@
 	bool takedown_pending;	/* its machine is about to be taken away */
 	bool takedown_in_flight; /* the call that takes it is in flight */
 	unsigned requests;
+	struct hold hold;
+	int64_t hold_not_before; /* it was held in vain */
 	struct resources used;
 	struct worker_task_list tasks;
 	UT_hash_handle hh;
@@ -447,6 +466,12 @@
 /* Limit of requirements remembered as unplaceable in one placement pass. */
 #define UNPLACEABLE_MAX 8
 
+/* A need that fits nowhere, if a task runs for this long or longer. */
+struct unplaceable {
+	struct resources need;
+	int64_t run_ms;
+};
+
 struct candidate;
 
 /*
@@ -486,9 +511,12 @@
 				    * tasks only because of where they are */
 	struct resources reserved; /* of total_room, to jobs that wait for the
 				    * store */
-	struct resources
-		unplaceable[UNPLACEABLE_MAX]; /* needs that fit nowhere */
+	struct unplaceable unplaceable[UNPLACEABLE_MAX];
 	size_t unplaceable_count;
+	struct worker *held[HOLDS_MAX]; /* workers with holds */
+	size_t held_count;
+	unsigned large_steps; /* without room, that are considered */
+	bool compared;	      /* its workers, for a hold */
 	struct demand demand;
 	struct candidate **waiting; /* not yet considered in this pass */
 	struct candidate **waiting_end;
@@ -880,8 +908,10 @@
 	bool settled;	  /* each worker has answered or its lease is over */
 	bool place_due;	  /* something changed: a placement pass is needed */
 	int64_t place_at; /* no placement pass before this */
-	bool has_delayed_tasks; /* some task has not_before in the future */
-	bool has_pending_tasks; /* the last pass left some task pending */
+	uint64_t place_serial;	 /* of the placement pass */
+	uint64_t place_complete; /* the latest that considered all candidates */
+	bool has_delayed_tasks;	 /* some task has not_before in the future */
+	bool has_pending_tasks;	 /* the last pass left some task pending */
 	struct machine *machines;
 	bool machine_list_in_flight;
 	int64_t machine_list_at;
@@ -1115,12 +1145,14 @@
 bool pool_is_settled(struct sched *s, bstr service);
 void pools_refresh(struct sched *s);
 void pool_measure(struct sched *s, struct pool *p);
+void pool_measure_if_stale(struct sched *s, struct pool *p);
 void pool_take_room(struct pool *p, struct resources room,
 		    struct resources need);
-bool pool_is_known_full(const struct pool *p, struct resources need);
+bool pool_is_known_full(const struct pool *p, struct resources need,
+			int64_t run_ms);
 enum pending_reason pool_full_reason(const struct pool *p,
 				     struct resources need);
-void pool_note_full(struct pool *p, struct resources need);
+void pool_note_full(struct pool *p, struct resources need, int64_t run_ms);
 void pools_free(struct sched *s);
 struct resources worker_free_room(const struct worker *w);
 
@@ -1177,6 +1209,39 @@
 void place_all(struct sched *s);
 unsigned step_tasks_on_worker(const struct worker *w,
 			      const struct occurrence *o, unsigned step_index);
+bool worker_suits(struct sched *s, const struct worker *w,
+		  const struct task *t);
+
+/* sched-lookahead.c: holds of workers for large tasks */
+#define LOOKAHEAD_NEVER INT64_MAX
+struct lookahead_end {
+	int64_t at;
+	struct resources need;
+};
+bool lookahead_is_large(struct resources need, struct resources capacity);
+unsigned lookahead_holds_max(size_t workers);
+int64_t lookahead_task_end(int64_t now, int64_t started_at,
+			   int64_t expected_ms);
+int64_t lookahead_room_at(struct resources room, int64_t now,
+			  struct lookahead_end *ends, size_t count,
+			  struct resources need, struct resources *spare);
+bool lookahead_leaves_room(const struct hold *h, struct resources need,
+			   int64_t end);
+void lookahead_refresh(struct sched *s, struct worker *w, bool eligible);
+bool lookahead_applies(struct sched *s, const struct pool *p,
+		       const struct occurrence *o, unsigned step_index);
+bool lookahead_considers(struct sched *s, struct pool *p,
+			 const struct occurrence *o, unsigned step_index);
+bool lookahead_binds(const struct sched *s, const struct worker *w);
+int64_t lookahead_run_ms(const struct job *j, unsigned step_index);
+bool lookahead_allows(const struct sched *s, const struct worker *w,
+		      const struct task *t);
+bool lookahead_has_room(const struct sched *s, const struct pool *p,
+			struct resources need, int64_t run_ms);
+void lookahead_hold(struct sched *s, struct pool *p, const struct task *t,
+		    unsigned left);
+void lookahead_note_start(struct sched *s, struct worker *w,
+			  const struct task *t);
 
 /* sched-move.c: which machines go to which pools */
 void move_tick(struct sched *s);
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -308,6 +308,25 @@
 	}
 }
 
+/* Returns the thousandths of a core that a run uses. */
+static int64_t run_cpu(const struct world *w, const char *name)
+{
+	const struct world_job *j = world_job_of(w, name);
+
+	return j && j->cpu ? j->cpu : TASK_CPU;
+}
+
+/* Returns the thousandths of a core that the runs of a worker use. */
+static int64_t worker_used(const struct world *w, const struct world_worker *k)
+{
+	int64_t used = 0;
+	unsigned i;
+
+	for (i = 0; i < k->run_count; i++)
+		used += run_cpu(w, k->runs[i].name);
+	return used;
+}
+
 /* Checks the invariants of a start. */
 static void start_check(struct world *w, const char *name)
 {
@@ -318,7 +337,7 @@
 
 	for (i = 0; i < w->worker_count; i++)
 		for (k = 0; k < w->workers[i].run_count; k++) {
-			used += TASK_CPU;
+			used += run_cpu(w, w->workers[i].runs[k].name);
 			runs += !strcmp(w->workers[i].runs[k].name, name);
 		}
 	ends_mark_restarted(w, name);
@@ -350,7 +369,7 @@
 {
 	const struct world_worker *k = &w->workers[n];
 
-	if ((int64_t)k->run_count * TASK_CPU <= k->capacity ||
+	if (worker_used(w, k) <= k->capacity ||
 	    (k->shrunk_at &&
 	     w->now <= k->shrunk_at + CONTACT_MS + WORKER_HEARTBEAT_MS))
 		return;
@@ -435,7 +454,7 @@
 	}
 	if (w->refusal ||
 	    (!w->unguarded &&
-	     (int64_t)(k->run_count + 1) * TASK_CPU > k->capacity)) {
+	     worker_used(w, k) + run_cpu(w, name) > k->capacity)) {
 		free(name);
 		return w->refusal ? w->refusal : REFUSAL_CAPACITY;
 	}
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -592,7 +592,9 @@
 	b->steps = xcalloc(b->step_count, sizeof(*b->steps));
 	for (i = 0; i < b->step_count; i++) {
 		b->steps[i].count = i ? job->more_tasks : job->tasks;
-		b->steps[i].need = (struct resources){TASK_CPU, 100, 0};
+		b->steps[i].need = (struct resources){
+			job->cpu ? job->cpu : TASK_CPU, 100, 0};
+		b->steps[i].gang = job->gang;
 		b->steps[i].estimated_ms = job->task_ms;
 		b->steps[i].long_running = job->long_running;
 		b->steps[i].max_per_worker = job->max_per_worker;
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -55,6 +55,8 @@
 	bool second_queue; /* submitted to the queue of the second pool */
 	bool crashes;	   /* its first task crashes each worker that runs it */
 	unsigned crash_ms; /* after its start */
+	unsigned cpu;	   /* of a task, in thousandths; 0: 2000 */
+	bool gang;	   /* its tasks start together */
 };
 
 struct world;
