--- a/tests/test-lookahead.c
+++ b/tests/test-lookahead.c
@@ -6,6 +6,7 @@
 #include "world-calm.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define CORE 1000 /* thousandths */
@@ -226,3 +227,79 @@
 			  (long long)with, (long long)without);
 	}
 }
+
+/* What happens while a worker is held. */
+enum trouble { TROUBLE_DRAIN, TROUBLE_CRASH, TROUBLE_OWNER_DIES };
+
+/* Brings trouble about: to the worker that is held, or to the owner. */
+static void bring_about(struct world *w, enum trouble trouble)
+{
+	unsigned n = owner(w);
+	struct worker *k = world_sched(w, n)->workers;
+	unsigned i = 0;
+	char *id;
+
+	while (k && !k->hold.tasks)
+		k = k->hh.next;
+	cr_assert_not_null(k, "no worker is held");
+	id = bstr_cstr(k->id);
+	cr_assert_eq(sscanf(id, "i-%u", &i), 1);
+	free(id);
+	switch (trouble) {
+	case TROUBLE_DRAIN:
+		world_drain_worker(w, i);
+		break;
+	case TROUBLE_CRASH:
+		world_crash_worker(w, i);
+		break;
+	case TROUBLE_OWNER_DIES:
+		world_kill_vm(w, n);
+		break;
+	}
+}
+
+/*
+ * Guards against a large task that waits for a worker that has left, or for an
+ * owner that is gone.
+ */
+static const struct {
+	const char *name;
+	enum trouble trouble;
+} trouble_rows[] = {
+	{"the held worker drains", TROUBLE_DRAIN},
+	{"the held worker crashes", TROUBLE_CRASH},
+	{"the owner dies", TROUBLE_OWNER_DIES},
+};
+Test(lookahead, a_hold_ends_with_its_worker_or_owner)
+{
+	static const struct world_job large = {
+		.tasks = 1, .task_ms = 500, .cpu = 14000};
+	static const char id[] = "0000000000000fff";
+	struct world_job small = {.tasks = 1};
+	struct world *w;
+	unsigned row, n;
+	bool done;
+
+	for (row = 0; row < NELEMS(trouble_rows); row++) {
+		w = world_new_settled(1950 + row);
+		disable(w, 1U << POLICY_ADMISSION);
+		for (n = 0; n < 48; n++) {
+			small.task_ms = 1500 + 400 * (n % 8);
+			submit(w, n, &small);
+		}
+		world_run(w, 300);
+		world_submit(w, other(w), id, &large);
+		world_run(w, 300);
+		bring_about(w, trouble_rows[row].trouble);
+		for (n = 0; n < 160; n++) {
+			world_run(w, 50);
+			done = !strcmp(world_job_state(w, id), "completed");
+			if (done)
+				break;
+		}
+		cr_expect(done, "%s: not done", trouble_rows[row].name);
+		cr_expect_null(world_violation(w), "%s: %s",
+			       trouble_rows[row].name, world_violation(w));
+		world_free(w);
+	}
+}
