--- a/entry-settings.c
+++ b/entry-settings.c
@@ -130,13 +130,16 @@
 }
 
 /*
- * Returns the bit mask of mechanisms that are disabled, to measure the benefit
- * of each.
+ * Mechanisms that are enabled only if the settings name them: what they are
+ * worth depends on the work of a deployment.
  */
-static unsigned disabled_get(const json_t *j, struct error *e)
+#define OPT_IN_POLICIES (1U << POLICY_PARKING | 1U << POLICY_LOOKAHEAD)
+
+/* Returns the bit mask of the mechanisms in a list of their words. */
+static unsigned policies_get(const json_t *j, const char *path, struct error *e)
 {
-	const json_t *list = member(j, "without"), *v;
-	unsigned disabled = 0;
+	const json_t *list = member(j, path), *v;
+	unsigned mask = 0;
 	enum policy p;
 	size_t i;
 
@@ -144,12 +147,23 @@
 		p = policy_find(json_string_value(v) ? json_string_value(v)
 						     : "");
 		if (p == POLICY_MAX)
-			error_add(e, "without",
-				  "entry %zu is not a known mechanism", i);
+			error_add(e, path, "entry %zu is not a known mechanism",
+				  i);
 		else
-			disabled |= 1U << p;
+			mask |= 1U << p;
 	}
-	return disabled;
+	return mask;
+}
+
+/*
+ * Returns the bit mask of disabled mechanisms.  A mechanism that is both in
+ * "with" and in "without" is disabled.
+ */
+static unsigned disabled_get(const json_t *j, struct error *e)
+{
+	unsigned enabled = policies_get(j, "with", e);
+
+	return (OPT_IN_POLICIES & ~enabled) | policies_get(j, "without", e);
 }
 
 /* Reads the settings. Returns false with all errors if any are invalid. */
--- a/sched-divide.c
+++ b/sched-divide.c
@@ -10,6 +10,11 @@
 #include <stdlib.h>
 
 /* Steps of the search for the level that uses up the cores. */
+/*
+ * Cores that are divided stay so until the needs have fallen by this part below
+ * them; otherwise the division would begin and end with single jobs.
+ */
+#define DIVIDED_MARGIN_DIVISOR 8
 #define LEVEL_STEPS 40
 
 /*
@@ -179,6 +184,8 @@
 				  : p->claim.reserve_cores;
 		list[n++] = p->claim;
 	}
+	if (s->cores_divided)
+		needed += needed / DIVIDED_MARGIN_DIVISOR;
 	l->divided = policy_is_enabled(s, POLICY_DIVISION) && needed > total;
 	if (l->divided)
 		claims_divide(list, n, total);
--- a/sched-forecast.c
+++ b/sched-forecast.c
@@ -73,6 +73,19 @@
 		d->peak_cores = d->move_cores;
 }
 
+/*
+ * Has the rates of all pools begin anew at the next update.  A VM that gets the
+ * ownership again would otherwise take all jobs that it reads for work that has
+ * just arrived.
+ */
+void demands_reset(struct sched *s)
+{
+	struct pool *p;
+
+	for (p = s->pools; p; p = p->hh.next)
+		p->demand.updated_at = 0;
+}
+
 /*
  * Updates the demand of a pool.  The operator's size of the pool stands for its
  * mean at first; it is not known until the workers and the list of machines
@@ -221,8 +234,7 @@
 	const struct demand *d = p->demand;
 	double home = machine_cores * p->home_size, keep;
 
-	if (!pool_peak_is_known(s, p, machine_cores) ||
-	    !policy_is_enabled(s, POLICY_PARKING))
+	if (!pool_peak_is_known(s, p, machine_cores))
 		return home;
 	keep = d->move_cores + pool_first_cores(s, p);
 	if (keep < d->mean_cores)
--- a/sched-move.c
+++ b/sched-move.c
@@ -267,9 +267,21 @@
 	return to;
 }
 
+/*
+ * Returns the cores for which idle machines stay in a pool that no other pool
+ * needs them from.
+ */
+static double pool_idle_cores(const struct sched *s, const struct pool_load *p,
+			      double machine_cores)
+{
+	if (!policy_is_enabled(s, POLICY_PARKING))
+		return machine_cores * p->home_size;
+	return pool_keep_cores(s, p, machine_cores);
+}
+
 /*
  * Returns a pool that has fewer machines than its home size and less room than
- * it keeps, or NULL.
+ * its idle machines stay for, or NULL.
  */
 static struct pool_load *pool_below_keep(const struct sched *s,
 					 struct pool_loads *l,
@@ -283,7 +295,7 @@
 		if (p->routed && !p->service->standby &&
 		    p->workers + p->arriving < p->home_size &&
 		    pool_room_cores(p, machine_cores) <
-			    pool_keep_cores(s, p, machine_cores))
+			    pool_idle_cores(s, p, machine_cores))
 			return p;
 	}
 	return NULL;
@@ -315,7 +327,7 @@
 		    !pool_can_spare(
 			    from, machine_cores,
 			    fmax(pool_need_cores(s, from),
-				 pool_keep_cores(s, from, machine_cores))))
+				 pool_idle_cores(s, from, machine_cores))))
 			continue;
 		to = pool_below_keep(s, l, machine_cores);
 		if (!to)
--- a/sched-own.c
+++ b/sched-own.c
@@ -153,7 +153,8 @@
 	s->start_interval_ms = 0;
 	s->own.reached_workers = false;
 	s->own.unresponsive_by = s->own.shortage_ms = 0;
-	s->starts_held_back = false;
+	s->starts_held_back = s->cores_divided = false;
+	demands_reset(s);
 	s->follows[FOLLOW_WORKERS].wanted = s->follows[FOLLOW_JOBS].wanted =
 		false;
 	s->progress.wanted = s->notes.wanted = false;
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -57,6 +57,8 @@
 	unsigned crash_ms; /* after its start */
 	bool other_organisation; /* submitted by that; see
 				  * world_add_organisation() */
+	unsigned cpu;		 /* of a task, in thousandths; 0: 2000 */
+	bool gang;		 /* its tasks start together */
 };
 
 struct world;
