--- a/sched-machine.c
+++ b/sched-machine.c
@@ -132,6 +132,8 @@
 {
 	struct machine *m, *next;
 
+	if (offer_is_accepted(s))
+		return;
 	HASH_ITER(hh, s->machines, m, next)
 		if (m->move_unanswered)
 			move_repeat(s, m);
--- a/sched-own.c
+++ b/sched-own.c
@@ -70,11 +70,12 @@
  * after OWNER_TIMEOUT_MS without a heartbeat.  Workers refuse orders of a
  * replaced owner, but the platform need not check the epoch of orders about
  * machines.  So an owner whose latest confirmation is nearly that old moves no
- * machine and takes none down.
+ * machine and takes none down, and neither does one that is about to release
+ * the ownership to a larger VM.
  */
 bool own_is_exclusive(const struct sched *s)
 {
-	return own_may_order(s) &&
+	return own_may_order(s) && !offer_is_accepted(s) &&
 	       s->now - s->own.confirmed_at <
 		       OWNER_TIMEOUT_MS - EXCLUSIVE_MARGIN_MS;
 }
@@ -153,6 +154,7 @@
 	s->start_interval_ms = 0;
 	s->own.reached_workers = false;
 	s->own.unresponsive_by = s->own.shortage_ms = 0;
+	s->own.is_short = false;
 	s->starts_held_back = false;
 	s->follows[FOLLOW_WORKERS].wanted = s->follows[FOLLOW_JOBS].wanted =
 		false;
@@ -576,6 +578,9 @@
 	case FOR_HEARTBEAT:
 		heartbeat_answer(s, rq, a);
 		break;
+	case FOR_OFFER:
+		offer_answer(s, a);
+		break;
 	default: /* a release: this VM is no owner, whatever the outcome */
 		break;
 	}
@@ -750,6 +755,7 @@
 		}
 		own_heartbeat_if_due(s);
 		responses_check(s);
+		offer_accept_tick(s);
 		break;
 	case OWN_CLAIMING:
 	case OWN_RELEASING:
--- a/sched-place.c
+++ b/sched-place.c
@@ -455,6 +455,7 @@
 			continue;
 		if (start_window_is_full(s)) {
 			c->job->pending_reason = PENDING_WINDOW;
+			s->starts_held_back = true;
 			break;
 		}
 		limit = limit_pending_reason(s, c->job, st);
@@ -727,6 +728,7 @@
 	    start_window_is_full(s))
 		return;
 	s->place_due = s->has_delayed_tasks = s->has_pending_tasks = false;
+	s->starts_held_back = false;
 	s->load.place_passes++;
 	pools_refresh(s);
 	usage_unknown_update(s);
@@ -746,8 +748,8 @@
 	 * If the window is full, the next pass continues when answers have made
 	 * room.
 	 */
-	s->starts_held_back = start_window_is_full(s);
-	s->place_due = s->place_due || s->starts_held_back;
+	s->starts_held_back = s->starts_held_back || p.pools_left_count;
+	s->place_due = s->place_due || start_window_is_full(s);
 	free(p.pools_left);
 	free(p.sorted);
 	free(p.candidates);
--- a/sched-state.h
+++ b/sched-state.h
@@ -676,12 +676,17 @@
 				  * do */
 	int64_t handover_not_before;
 	int64_t shortage_ms; /* of processor time; see sched-offer.c */
+	bool is_short;	     /* as logged */
 	int64_t holder_cpu;  /* the owner's, in thousandths of a core; 0: not
 			      * known */
 	bool holder_is_short;
 	int64_t offer_at;	 /* this VM's next offer; 0: none */
 	uint64_t offer_revision; /* of the offers' row */
 	uint64_t offer_epoch;	 /* that the latest offer is to follow */
+	int64_t offer_cpu;	 /* of the VM that made it */
+	int64_t offer_seen_at;
+	int64_t machine_call_at; /* a call about a machine was sent or
+				  * answered, at the latest */
 	bstr offer_vm;
 	int64_t defer_claims_until; /* lets other VMs claim first until then */
 	bool known; /* the owner row was read, or does not exist */
@@ -896,8 +901,8 @@
 	bool settled;	  /* each worker has answered or its lease is over */
 	bool place_due;	  /* something changed: a placement pass is needed */
 	int64_t place_at; /* no placement pass before this */
-	bool starts_held_back;	/* the last pass ended with too many starts in
-				 * flight for another one */
+	bool starts_held_back;	/* the last pass left tasks, as too many starts
+				 * were in flight for another one */
 	bool has_delayed_tasks; /* some task has not_before in the future */
 	bool has_pending_tasks; /* the last pass left some task pending */
 	struct machine *machines;
@@ -933,6 +938,7 @@
 /* sched.c: effects, requests, logging and metrics */
 struct sched_effect *sched_effect_add(struct sched *s,
 				      enum sched_effect_kind kind);
+bool purpose_is_machine(enum purpose p);
 struct request *sched_ask(struct sched *s, enum purpose purpose,
 			  enum ask_kind kind, int64_t deadline,
 			  struct ask **ask);
@@ -1048,6 +1054,9 @@
 void offer_tick(struct sched *s);
 bool offer_row_apply(struct sched *s, const struct row *r);
 bool offer_is_of_other(const struct sched *s);
+bool offer_is_accepted(const struct sched *s);
+void offer_accept_tick(struct sched *s);
+void offer_answer(struct sched *s, const struct answer *a);
 
 /* sched-job.c: jobs, occurrences and tasks */
 struct job *sched_job_find(struct sched *s, const char *id);
--- a/sched.c
+++ b/sched.c
@@ -26,6 +26,12 @@
 	return fx;
 }
 
+/* Returns true if a request for this purpose orders something of a machine. */
+bool purpose_is_machine(enum purpose p)
+{
+	return p == FOR_MOVE || p == FOR_MAINTENANCE;
+}
+
 /* Adds a request to another service, and records what its answer is for. */
 struct request *sched_ask(struct sched *s, enum purpose purpose,
 			  enum ask_kind kind, int64_t deadline,
@@ -42,6 +48,8 @@
 			    ? s->own.epoch
 			    : 0;
 	HASH_ADD(hh, s->requests, id, sizeof(rq->id), rq);
+	if (purpose_is_machine(purpose))
+		s->own.machine_call_at = s->now;
 	fx->ask.request = rq->id;
 	fx->ask.kind = kind;
 	fx->ask.deadline = deadline;
@@ -223,6 +231,8 @@
 	}
 	if (rq->worker)
 		rq->worker->requests--;
+	if (purpose_is_machine(rq->purpose))
+		s->own.machine_call_at = s->now;
 	answer_dispatch(s, rq, a);
 	bstr_free(&rq->name);
 	free(rq);
