--- a/sched-order.c
+++ b/sched-order.c
@@ -420,20 +420,6 @@
 				   w->clock + (a->sent_at - w->clock_at);
 }
 
-/*
- * Counts the outcome of a start for the window.  One that was not sent has
- * waited in this VM's client: if most do, the owner is short of processor time,
- * and no worker's answer would show that.
- */
-static void start_window_count(struct sched *s, const struct request *rq,
-			       const struct answer *a)
-{
-	if (a->refusal == REFUSAL_NOT_SENT)
-		start_window_update(s, s->now - rq->asked_at);
-	else if (a->clock)
-		start_window_update(s, s->now - a->sent_at);
-}
-
 /*
  * Handles the outcome of an order.  The outcomes of stops and throttles are
  * seen in the workers' lists.
@@ -447,7 +433,8 @@
 		s->starts_in_flight--;
 		if (rq->epoch == s->own.epoch)
 			start_interval_update(s, s->now - rq->asked_at);
-		start_window_count(s, rq, a);
+		if (a->clock)
+			start_window_update(s, s->now - a->sent_at);
 	}
 	if (!w || rq->epoch != s->own.epoch)
 		return;
