Look-ahead: a step without room requests nothing

Cause: to decide whether a step may be held room, candidate_blocked_by was called. It raises ceilings with an immediate heartbeat, reserves free room of the pool, has the start recorded and requests tickets, all of it for steps without room.

Change: a step without room only passes pure checks (limit below the ceiling, placeable, large). The reason already computed decides for those with room, so the requests are made once, when the (held) room is there. The limit is also checked before a step is counted among the few large ones considered.

Not measured. Run: test-lookahead, test-sched, test-crash, test-load, test-order, test-catalogue (san), all pass.

--- a/sched-lookahead.c
+++ b/sched-lookahead.c
@@ -202,9 +202,27 @@
 		w->pool->held[w->pool->held_count++] = w;
 }
 
+/*
+ * Returns true if the limit of a job's organisation is known to allow a task of
+ * a step.  Above the ceiling it is not known, and limit_allows would have the
+ * ceiling raised, which is only for steps with room.
+ */
+static bool limit_is_known_to_allow(struct sched *s, struct job *j,
+				    const struct job_step *st)
+{
+	const struct usage *u;
+
+	if (!job_tenant(s, j))
+		return true;
+	u = job_usage(s, j);
+	return resources_fit(resources_add(u->used, st->need), u->ceiling) &&
+	       limit_allows(s, j, st);
+}
+
 /*
  * Returns true if a ready step may get holds: its tasks are large for the
- * machines of the pool, and they have waited since an earlier pass.
+ * machines of the pool, they have waited since an earlier pass, and the limit
+ * of their organisation allows them.
  */
 bool lookahead_applies(struct sched *s, const struct pool *p,
 		       const struct occurrence *o, unsigned step_index)
@@ -218,7 +236,8 @@
 	return policy_is_enabled(s, POLICY_LOOKAHEAD) &&
 	       lookahead_is_large(all, p->max_capacity) &&
 	       resources_fit(need, p->max_capacity) &&
-	       o->pending_tasks[step_index].ready_at < s->now;
+	       o->pending_tasks[step_index].ready_at < s->now &&
+	       limit_is_known_to_allow(s, o->job, st);
 }
 
 /*
--- a/sched-place.c
+++ b/sched-place.c
@@ -702,14 +702,14 @@
 
 /*
  * Holds workers for the pending tasks of a step if they are large and only wait
- * for room, or for the store: the room that they have now would be taken
- * meanwhile.
+ * for room, or for the store or a higher ceiling: the room that they have now
+ * would be taken meanwhile.  It requests neither of these: what a step needs
+ * besides its room is requested once it has room.
  */
 static void candidate_look_ahead(struct sched *s, const struct candidate *c)
 {
 	const struct task *t = &c->occ->tasks[c->occ->first_task[c->step]];
 	const struct task *first = NULL;
-	enum pending_reason reason;
 	unsigned i, left = 0;
 
 	if (c->job->has_crashes || start_window_is_full(s) ||
@@ -721,13 +721,20 @@
 		first = &t[i];
 		left++;
 	}
-	if (!first)
-		return;
-	reason = candidate_blocked_by(s, c);
-	if (!reason || reason == PENDING_STORE || reason == PENDING_CAPACITY)
+	if (first)
 		lookahead_hold(s, c->pool, first, left);
 }
 
+/*
+ * Returns true if a step that is not started for a reason may be held the room
+ * that it waits for, or has.
+ */
+static bool reason_allows_hold(enum pending_reason reason)
+{
+	return reason == PENDING_CAPACITY || reason == PENDING_STORE ||
+	       reason == PENDING_CEILING;
+}
+
 /*
  * Places a step as far as there is room for it.  For steps without room only
  * their resource needs are checked, as in an overload nearly all steps are
@@ -754,7 +761,7 @@
 		 */
 		if (reason != PENDING_STORE || !c->job->pending_reason)
 			c->job->pending_reason = reason;
-		if (c->job->pending_reason == PENDING_CAPACITY)
+		if (reason_allows_hold(reason))
 			candidate_look_ahead(s, c);
 		pool_measure_if_stale(s, c->pool);
 		return;
