Look-ahead: no holds that cost more than they give

Cause: at least one worker could be held in any pool, so a pool of one worker was held whole, as was the only worker that suits; a hold for a large long-running step bound a smaller long-running one; holds were also made in pools with most of their cores free.

Change: no holds in a pool of fewer than four workers, while less than half of the pool's cores are in use, or if only one worker suits the step; long-running tasks are never bound.

No test of half of the cores or of a labelled worker.

Not measured.

--- a/sched-lookahead.c
+++ b/sched-lookahead.c
@@ -23,6 +23,13 @@
 #define LARGE_DIVISOR 3
 /* At most this part of a pool's workers is held, but at least one. */
 #define HOLDS_DIVISOR 16
+/*
+ * Pools with fewer workers have no holds: one would keep more than a quarter of
+ * the pool from the other tasks.
+ */
+#define HOLDS_MIN_WORKERS 4
+/* No holds are made while less than one part in this many is in use. */
+#define BUSY_DIVISOR 2
 /*
  * Ends of tasks that are considered on one worker.  If it has more, the others
  * count as staying.
@@ -48,6 +55,8 @@
 {
 	size_t n = workers / HOLDS_DIVISOR;
 
+	if (workers < HOLDS_MIN_WORKERS)
+		return 0;
 	if (n < 1)
 		return 1;
 	return n < HOLDS_MAX ? (unsigned)n : HOLDS_MAX;
@@ -269,32 +278,35 @@
 	return j->estimate.step_ms[step_index];
 }
 
-/* Returns true if a task that starts now leaves a hold's room free. */
-static bool hold_leaves_room(const struct sched *s, const struct hold *h,
-			     struct resources need, int64_t run_ms)
+/*
+ * Returns true if a hold lets a task start now, which is if the task leaves the
+ * held room free or is long-running: a service that is not there costs its
+ * callers more than a large task that waits.
+ */
+static bool hold_allows(const struct sched *s, const struct hold *h,
+			struct resources need, int64_t run_ms)
 {
-	return lookahead_leaves_room(
-		h, need,
-		run_ms == LOOKAHEAD_NEVER ? LOOKAHEAD_NEVER : s->now + run_ms);
+	return run_ms == LOOKAHEAD_NEVER ||
+	       lookahead_leaves_room(h, need, s->now + run_ms);
 }
 
 /*
  * Returns true if a worker's hold lets a task start there: there is none, it is
  * the task's own, its step's turn in this pass has not come yet, or the task
- * leaves the held room free.
+ * leaves the held room free or is long-running.
  */
 bool lookahead_allows(const struct sched *s, const struct worker *w,
 		      const struct task *t)
 {
 	if (!lookahead_binds(s, w) || hold_is_for(&w->hold, t->occ, t->step))
 		return true;
-	return hold_leaves_room(s, &w->hold, step_need(task_step(t)),
-				lookahead_run_ms(t->occ->job, t->step));
+	return hold_allows(s, &w->hold, step_need(task_step(t)),
+			   lookahead_run_ms(t->occ->job, t->step));
 }
 
 /*
- * Returns true if a held worker of a pool has room for a task that leaves the
- * held room free.  The free resources of the pool don't include those of held
+ * Returns true if a held worker of a pool has room for a task that its hold
+ * allows.  The free resources of the pool don't include those of held
  * workers.
  */
 bool lookahead_has_room(const struct sched *s, const struct pool *p,
@@ -307,7 +319,7 @@
 		w = p->held[i];
 		if (lookahead_binds(s, w) &&
 		    resources_fit(need, worker_free_room(w)) &&
-		    hold_leaves_room(s, &w->hold, need, run_ms))
+		    hold_allows(s, &w->hold, need, run_ms))
 			return true;
 	}
 	return false;
@@ -394,7 +406,8 @@
 
 /*
  * Lists the workers where the room for tasks of a step is expected first.
- * Returns their number, at most limit.
+ * Returns their number, at most limit, and 0 if only one worker suits:
+ * others that need what only that worker has would find none.
  */
 static unsigned soonest_list(struct sched *s, const struct pool *p,
 			     const struct task *t, unsigned left,
@@ -402,16 +415,18 @@
 {
 	const struct job_step *st = task_step(t);
 	struct soonest new;
-	unsigned count = 0;
+	unsigned count = 0, suitable = 0;
 	size_t i;
 
 	for (i = 0; i < p->count; i++) {
 		new.worker = p->workers[i];
-		if (worker_is_held(new.worker) ||
-		    s->now < new.worker->hold_not_before ||
-		    !resources_fit(step_need(st), new.worker->row.capacity) ||
+		if (!resources_fit(step_need(st), new.worker->row.capacity) ||
 		    !worker_suits(s, new.worker, t))
 			continue;
+		suitable++;
+		if (worker_is_held(new.worker) ||
+		    s->now < new.worker->hold_not_before)
+			continue;
 		new.hold.tasks = hold_task_count(new.worker, st, left);
 		new.hold.room_at = worker_room_at(
 			s, new.worker, tasks_need(st, new.hold.tasks),
@@ -419,7 +434,7 @@
 		if (new.hold.room_at != LOOKAHEAD_NEVER)
 			count = soonest_add(list, count, limit, &new);
 	}
-	return count;
+	return suitable > 1 ? count : 0;
 }
 
 /*
@@ -454,6 +469,22 @@
 		  (long long)ms);
 }
 
+/*
+ * Returns true if enough of a pool's cores is in use for holds.  With fewer in
+ * use a large task soon finds room by itself.
+ */
+static bool pool_allows_holds(const struct pool *p)
+{
+	int64_t used = 0, capacity = 0;
+	size_t i;
+
+	for (i = 0; i < p->count; i++) {
+		used += p->workers[i]->used.cpu;
+		capacity += p->workers[i]->row.capacity.cpu;
+	}
+	return used * BUSY_DIVISOR >= capacity;
+}
+
 /*
  * Holds workers for tasks of a step that has no room, t being the first of
  * them.  Workers are compared for one step of a pool in each pass, which bounds
@@ -470,6 +501,8 @@
 	if (covered >= left || p->held_count >= limit || p->compared)
 		return;
 	p->compared = true;
+	if (!pool_allows_holds(p))
+		return;
 	n = soonest_list(s, p, t, left - covered, list,
 			 limit - (unsigned)p->held_count);
 	for (i = 0; i < n && covered < left; i++)
--- a/sched-pool.c
+++ b/sched-pool.c
@@ -171,6 +171,16 @@
 		pool_measure(s, p);
 }
 
+/*
+ * Returns the run time that counts for what a pool is known to have no room
+ * for.  Holds don't bind long-running tasks, so these only have no room where
+ * the shortest ones have none.
+ */
+static int64_t run_ms_bound(int64_t run_ms)
+{
+	return run_ms == LOOKAHEAD_NEVER ? 0 : run_ms;
+}
+
 /*
  * Returns true if it is known that no worker of a pool takes a task with a need
  * and an expected run time.  Free resources only decrease during a placement
@@ -184,7 +194,7 @@
 
 	for (i = 0; i < p->unplaceable_count; i++)
 		if (resources_fit(p->unplaceable[i].need, need) &&
-		    run_ms >= p->unplaceable[i].run_ms)
+		    run_ms_bound(run_ms) >= p->unplaceable[i].run_ms)
 			return true;
 	return false;
 }
@@ -195,8 +205,7 @@
  */
 void pool_note_full(struct pool *p, struct resources need, int64_t run_ms)
 {
-	if (!p->held_count)
-		run_ms = 0;
+	run_ms = p->held_count ? run_ms_bound(run_ms) : 0;
 	if (pool_is_known_full(p, need, run_ms))
 		return;
 	if (p->unplaceable_count < UNPLACEABLE_MAX)
