Look-ahead: an estimate counts a task's age only once

Cause: the expected run time of a step already rises with how long its tasks have run, and the expected end added half of the age again from two thirds of that time on. And a hold that was used left the pool's largest free amounts as they were, so that what its room left was not seen until the next pass.

Change: the expected run time alone counts until the task overruns it. The pool is measured again after a used hold.

Tests: a row in when_a_task_ends. Not measured. Run: test-lookahead, test-sched, test-crash, test-load, test-order, test-catalogue (san), all pass.

--- a/sched-lookahead.c
+++ b/sched-lookahead.c
@@ -63,15 +63,16 @@
 }
 
 /*
- * Returns when a task is expected to end.  One that has taken longer than two
- * thirds of its expected run time is expected to take half as long again as it
- * has taken so far: what overruns its estimate by much will not end at once.
+ * Returns when a task is expected to end.  The expected run time already takes
+ * into account how long the tasks of the step have run, so it alone counts
+ * until the task overruns it.  From then on the task is expected to take half
+ * as long again as it has taken so far: it will not end at once.
  */
 int64_t lookahead_task_end(int64_t now, int64_t started_at, int64_t expected_ms)
 {
 	int64_t elapsed = now - started_at;
 
-	if (expected_ms - elapsed > elapsed / 2)
+	if (elapsed < expected_ms)
 		return started_at + expected_ms;
 	return now + elapsed / 2;
 }
@@ -522,8 +523,11 @@
 	int64_t run_ms = lookahead_run_ms(t->occ->job, t->step);
 
 	if (hold_is_for(h, t->occ, t->step)) {
-		if (!--h->tasks)
+		if (!--h->tasks) {
 			hold_end(s, w, true, "used");
+			/* What is left of its room is free for others. */
+			w->pool->max_is_stale = true;
+		}
 		return;
 	}
 	if (!lookahead_binds(s, w))
--- a/tests/test-lookahead.c
+++ b/tests/test-lookahead.c
@@ -64,7 +64,7 @@
 	int64_t elapsed, expected, left;
 } end_rows[] = {
 	{0, 900, 900},	 {300, 900, 600},   {600, 900, 300},
-	{900, 900, 450}, {4000, 900, 2000},
+	{900, 900, 450}, {4000, 900, 2000}, {800, 900, 100},
 };
 Test(lookahead, when_a_task_ends)
 {
