Scheduler: retried offers are spread over 1.5 to 3 s

All VMs see an offer in the same instant and set their retries by it, so these reached the owner's part of the table store within 300 ms. Not measured; test-offer, test-handover, test-takeover and test-wave pass.

--- a/sched-offer.c
+++ b/sched-offer.c
@@ -25,8 +25,14 @@
 #define OFFER_RATIO 2
 /* Offers of several VMs are spread over this time. */
 #define OFFER_JITTER_MS 150
-/* An offer that had no effect is repeated after this time. */
+/* An offer that had no effect is repeated after this time or later. */
 #define OFFER_RETRY_MS 5000
+/*
+ * Retries are spread over this many times OFFER_JITTER_MS.  All VMs see an
+ * offer in the same instant, and their retries would reach the part of the
+ * store that takes the heartbeat together.
+ */
+#define OFFER_RETRY_SPREAD 10
 /*
  * An offer tells that its VM reached the store lately.  The time is enough for
  * a call about a machine to be answered, and for MACHINE_LEASE_MS after it.
@@ -105,6 +111,13 @@
 	return part + (int64_t)(s->options.seed % OFFER_JITTER_MS);
 }
 
+/* Returns when this VM repeats its offer; the larger VMs come first here, too.
+ */
+static int64_t offer_retry_at(const struct sched *s)
+{
+	return s->now + OFFER_RETRY_MS + OFFER_RETRY_SPREAD * offer_delay(s);
+}
+
 /* Writes the offer, which is valid for the epoch in force only. */
 static void offer_send(struct sched *s)
 {
@@ -119,7 +132,7 @@
 				      (json_int_t)s->own.epoch, "vm",
 				      bstr_to_json(s->options.vm), "cpu",
 				      (json_int_t)offer_own_cpu(s))));
-	s->own.offer_at = s->now + OFFER_RETRY_MS + offer_delay(s);
+	s->own.offer_at = offer_retry_at(s);
 	sched_count(s, COUNT_OFFERS, 1);
 	sched_log(s, LOG_OWNER_OFFER, "epoch=%llu to=%.*s cpu=%lld of=%lld",
 		  (unsigned long long)s->own.epoch, BSTR_ARG(s->own.holder),
@@ -230,7 +243,7 @@
 	json_decref(row);
 	/* One offer is enough; this VM's would follow if it has no effect. */
 	if (s->own.offer_at)
-		s->own.offer_at = s->now + OFFER_RETRY_MS + offer_delay(s);
+		s->own.offer_at = offer_retry_at(s);
 	offer_accept_tick(s);
 	return true;
 }
