Test: machine calls of an owner that yields and of its successor

An owner that yields during a wave was not tested: between its last call about a machine and its successor's first one the lease of such calls must pass. An owner that tells no processor time gets no offer; without that condition the test sees offers and a change of the owner.

--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -326,6 +326,7 @@
 static void machine_order_receive(struct world *w, unsigned vm,
 				  struct sched_effect *fx)
 {
+	w->machine_order_at[vm] = w->now;
 	if (fx->ask.kind == ASK_MAINTENANCE)
 		maintenance_epoch_check(w, &fx->ask.order);
 	if (w->presence[machine_index(&fx->ask.order)]) {
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -150,6 +150,12 @@
 	return n;
 }
 
+/* Returns when the VM's latest order about a machine arrived; 0: none did. */
+int64_t world_machine_order_at(const struct world *w, unsigned vm)
+{
+	return w->machine_order_at[vm];
+}
+
 /* Returns the first violated invariant, or NULL. */
 const char *world_violation(const struct world *w)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -257,6 +257,7 @@
 						 * the reverse: only pairs
 						 * are exchanged */
 	uint64_t machine_epoch[WORLD_WORKERS_MAX]; /* highest of an order */
+	int64_t machine_order_at[WORLD_VMS]; /* the latest of each; 0: none */
 	enum world_machine_mode machine_mode;
 	bool has_second_pool;
 	bool route_is_moved; /* the first queue's route names the second pool */
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -318,6 +318,9 @@
 unsigned world_maintained_count(const struct world *w);
 unsigned world_move_count(const struct world *w);
 
+/* Returns when the VM's latest order about a machine arrived; 0: none did. */
+int64_t world_machine_order_at(const struct world *w, unsigned vm);
+
 /* Returns the size of the pool as an owner stored it; 0: not stored. */
 unsigned world_home_size(struct world *w);
 bool world_wave_is_completed(const struct world *w);
--- a/tests/test-offer.c
+++ b/tests/test-offer.c
@@ -8,8 +8,9 @@
 #include <criterion/criterion.h>
 
 #define SMALL_CORES 0.1
-#define WORKERS 60 /* have room for all tasks that can be started */
-#define WINDOW 64  /* starts in flight: the least that an owner allows */
+#define WORKERS 60	    /* have room for all tasks that can be started */
+#define CALLS_LEASE_MS 3000 /* of calls about machines, by the platform */
+#define WINDOW 64 /* starts in flight: the least that an owner allows */
 
 /* Four of them take the owner 6 s to start with that window. */
 static const struct world_job wide = {.tasks = 240, .task_ms = 500};
@@ -59,6 +60,7 @@
 		*killed = true;
 	}
 }
+
 Test(offer, small_owner_yields_to_a_larger_vm)
 {
 	struct world *w;
@@ -103,3 +105,83 @@
 		world_free(w);
 	}
 }
+
+/*
+ * Makes a world whose owner is the small VM and answered late, with tasks that
+ * wait; the other VMs reach the store again.
+ */
+static struct world *world_short_new(uint64_t seed, unsigned *small)
+{
+	struct world *w = world_new(seed, WORLD_VMS, WORKERS);
+	unsigned k;
+
+	world_run(w, 2000);
+	*small = (unsigned)(world_owner(w) + 1) % WORLD_VMS;
+	vm_restart(w, *small, SMALL_CORES);
+	for (k = 0; k < WORLD_VMS; k++) {
+		if (k == *small)
+			continue;
+		world_cut_store(w, k, true);
+		vm_restart(w, k, 0.5);
+	}
+	world_run(w, 4000);
+	cr_assert_eq(world_owner(w), (int)*small);
+	world_set_inbox_delay(w, *small, 600);
+	for (k = 0; k < WORLD_VMS; k++)
+		world_cut_store(w, k, false);
+	for (k = 0; k < NELEMS(jobs); k++)
+		world_submit(w, *small, jobs[k], &wide);
+	world_sched(w, *small)->start_window = WINDOW * START_WINDOW_UNIT;
+	return w;
+}
+
+/* Returns when the first order of another VM about a machine arrived. */
+static int64_t other_machine_order_at(const struct world *w, unsigned small)
+{
+	int64_t at = 0;
+	unsigned k;
+
+	for (k = 0; k < WORLD_VMS && !at; k++)
+		if (k != small)
+			at = world_machine_order_at(w, k);
+	return at;
+}
+
+/*
+ * Guards against calls about machines by two owners within the lease of such
+ * calls, if one that yields during a wave is followed at once.
+ */
+Test(offer, machine_calls_of_two_owners_are_a_lease_apart)
+{
+	unsigned small;
+	struct world *w = world_short_new(3200, &small);
+	int64_t ms, old, next = 0;
+
+	world_run(w, 1800); /* so that its calls come just before an offer */
+	world_start_wave(w, WORKERS, 4);
+	for (ms = 0; ms < 12000 && !next; ms += 5) {
+		world_run(w, 5);
+		next = other_machine_order_at(w, small);
+	}
+	old = world_machine_order_at(w, small);
+	cr_expect_neq(world_owner(w), (int)small);
+	cr_expect_neq(old, 0);
+	cr_expect_geq(next, old + CALLS_LEASE_MS, "%lld ms",
+		      (long long)(next - old));
+	cr_expect_null(world_violation(w), "%s", world_violation(w));
+	world_free(w);
+}
+
+/* Guards against offers to an older version, which tells no processor time. */
+Test(offer, owner_of_unknown_size_gets_no_offer)
+{
+	unsigned small;
+	struct world *w = world_short_new(3201, &small);
+
+	world_sched(w, small)->options.cpu_share = 0;
+	world_run(w, 4000);
+	cr_expect_neq(world_log_count(w, LOG_OWNER_SHORT), 0);
+	cr_expect_eq(world_log_count(w, LOG_OWNER_OFFER), 0);
+	cr_expect_eq(world_owner(w), (int)small);
+	world_free(w);
+}
