Scheduler: a reset worker clock shortens no failed runs

Cause: the time that a failed run took was the difference of two readings of its worker's clock without a lower bound; a worker that was restarted between them made it negative, and the estimate of its job shorter. Change: only a positive difference counts. Not measured; no test of its own. test-estimate, test-sched pass (san).

--- a/sched-list.c
+++ b/sched-list.c
@@ -36,6 +36,16 @@
 		  BSTR_ARG(w->id), w->failure_streak);
 }
 
+/*
+ * Counts the time that a failed run took.  The clock of a worker whose process
+ * has restarted may be behind the one at which the run began.
+ */
+static void failed_run_count(struct task *t, int64_t clock)
+{
+	if (t->run_clock && clock > t->run_clock)
+		t->failed_ms += clock - t->run_clock;
+}
+
 /* Handles the end of a task's current run. */
 static void end_apply(struct sched *s, struct worker *w, struct task *t,
 		      const struct answer *a, const struct ended *n)
@@ -47,8 +57,8 @@
 	}
 	if (n->kind == END_DONE)
 		learn_run_time(s, t, a->clock);
-	if (n->kind == END_FAILED && t->run_clock && s->now >= w->suspect_until)
-		t->failed_ms += a->clock - t->run_clock;
+	if (n->kind == END_FAILED && s->now >= w->suspect_until)
+		failed_run_count(t, a->clock);
 	task_unplace(s, t);
 	switch (n->kind) {
 	case END_DONE:
