Scheduler: a repeated job's estimate is not that of its last run

Cause: judging an occurrence wrote what was observed of it into the estimate of the job, which stayed valid for up to 500 ms for the others. Change: the estimate is computed anew when it is next needed. Not measured. test-estimate, test-sched pass (san).

--- a/sched-due.c
+++ b/sched-due.c
@@ -161,13 +161,15 @@
 
 /*
  * Sets the time by which a job had to end, from the observed run times of an
- * occurrence that has just ended.
+ * occurrence that has just ended.  They are no estimate of the occurrences that
+ * follow, so the job's is computed anew when it is next needed.
  */
 void occurrence_judge(struct sched *s, const struct occurrence *o)
 {
 	struct job *j = o->job;
 
 	estimate_compute(s, j, o);
+	j->estimate.valid_until = 0;
 	j->due = occurrence_due_at(s, o, j->estimate.longest_ms);
 }
 
