Scheduler: only runs whose beginning is known are learnt whole

Cause: the answer to a start set the beginning of the run and marked it as whole whatever came before: also when the start had been sent twice, and when a list had shown the run already. The rest of the run was then learnt as all of it, and the route's tasks seemed shorter than they are. Change: a run is whole only if its start was sent once and its task was still starting; otherwise it is a part, from the earliest time known. Tests: four rows of part_rows in test-estimate (new). test-sched passes.

--- a/sched-estimate.h
+++ b/sched-estimate.h
@@ -7,6 +7,8 @@
 
 #include "scheduler.h"
 
+struct task;
+
 /* The run times of a step's tasks, by natural logarithms of milliseconds. */
 struct run_times {
 	double level;	  /* mean logarithm of the step's tasks */
@@ -48,6 +50,7 @@
 		double ms);
 struct run_times learnt_run_times(const struct learnt_time *l,
 				  double declared_ms);
+void learn_run_started(struct task *t, const struct answer *a);
 
 /* sched-step.c */
 struct run_times run_times_observed(const struct run_times *e,
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -103,6 +103,21 @@
 	return e;
 }
 
+/*
+ * Notes when a run began, from the answer to its start.  The answer's clock is
+ * that of the beginning only if the start was sent once and its answer is the
+ * first sign of the run.  The worker may have carried out the first of two
+ * requests, and a list may have shown the run long before; such a run would be
+ * learnt as shorter than it is.
+ */
+void learn_run_started(struct task *t, const struct answer *a)
+{
+	if (t->phase != PHASE_STARTING || a->repeated)
+		t->run_is_part = true;
+	if (!t->run_clock || a->clock < t->run_clock)
+		t->run_clock = a->clock;
+}
+
 /*
  * Learns from a run that has just completed its task, as listed at a time of
  * its worker's clock.  By this VM's clock the run would include what an owner
--- a/sched-order.c
+++ b/sched-order.c
@@ -455,8 +455,7 @@
 	switch (a->outcome) {
 	case OUT_DONE:
 		t->occ->job->run_seen = true;
-		t->run_clock = a->clock;
-		t->run_is_part = false;
+		learn_run_started(t, a);
 		if (t->phase == PHASE_STARTING) {
 			task_set_phase(t, PHASE_RUNNING);
 			t->started_at_worker = a->clock;
--- a/tests/test-estimate.c
+++ b/tests/test-estimate.c
@@ -256,6 +256,9 @@
 	cr_expect_eq(step_waves_ms(1500, 1000, 3), 3500);
 }
 
+static const struct answer once = {.clock = 4000};
+static const struct answer twice = {.clock = 4000, .repeated = true};
+
 /*
  * Guards against run times of which the owner saw only a part: an owner that
  * has taken over took all tasks of a route for shorter than they are.
@@ -268,10 +271,20 @@
 	bool long_running;
 	double weight; /* of what is learnt from its end at 5000 */
 	int64_t longest_ms;
+	const struct answer *start; /* NULL: its answer is not tested */
+	enum run_phase phase;	    /* when that answer is handled */
 } part_rows[] = {
 	{"whole", 4000, false, "", false, 1, 1000},
 	{"adopted", 4000, true, "", false, 0, 1000},
 	{"not known when it began", 0, false, "", false, 0, 0},
+	{"its start was answered", 0, false, "", false, 1, 1000, &once,
+	 PHASE_STARTING},
+	{"its start was sent twice", 0, false, "", false, 0, 1000, &twice,
+	 PHASE_STARTING},
+	{"listed before its start was answered", 3500, true, "", false, 0, 1500,
+	 &once, PHASE_RUNNING},
+	{"its start was answered late", 0, false, "", false, 0, 1000, &once,
+	 PHASE_RUNNING},
 	{"resumed", 4000, false, "half", false, 0, 1000},
 	{"long-running", 4000, false, "", true, 0, 0},
 };
@@ -289,7 +302,10 @@
 	for (i = 0; i < NELEMS(part_rows); i++) {
 		t = (struct task){.occ = &occ,
 				  .run_clock = part_rows[i].run_clock,
-				  .run_is_part = part_rows[i].run_is_part};
+				  .run_is_part = part_rows[i].run_is_part,
+				  .phase = part_rows[i].phase};
+		if (part_rows[i].start)
+			learn_run_started(&t, part_rows[i].start);
 		t.checkpoint = bstr_lit(part_rows[i].checkpoint);
 		st.long_running = part_rows[i].long_running;
 		runs = (struct step_runs){0};
