Scheduler: a stepped clock does not make all open jobs late

Cause: the age of a job was the store's clock less its submission by that clock, without an upper bound; a step forward made all jobs that are read afterwards hours old. Change: if that age is more than a minute above the one by the wall clocks, the latter counts. JOB_SEEN has age_ms. Not measured; no test of its own, and no log line for jobs that are read at a takeover. test-sched, test-takeover pass (san).

--- a/sched-job.c
+++ b/sched-job.c
@@ -14,6 +14,8 @@
  * start too early.
  */
 #define OCCURRENCE_DELAY_MS 20
+/* Wall clocks of VMs are at most seconds apart unless one was stepped. */
+#define CLOCKS_APART_MAX_MS 60000
 /* Jobs whose rows are removed by one transaction; each has up to three rows. */
 #define SWEEP_JOBS_MAX 30
 
@@ -540,6 +542,21 @@
 	return false;
 }
 
+/*
+ * Returns how long ago a job was submitted, by the store's clock, or by the
+ * wall clocks if that says much less.  One of the clocks has been stepped then;
+ * with the longer age, all open jobs would seem to be hours late at once.
+ */
+static int64_t job_age_ms(const struct sched *s, const struct job *j)
+{
+	int64_t age_ms = store_clock(s) - j->submitted_by_store;
+	int64_t by_wall_ms = s->wall - j->submitted;
+
+	if (!j->submitted || age_ms <= by_wall_ms + CLOCKS_APART_MAX_MS)
+		return age_ms;
+	return by_wall_ms > 0 ? by_wall_ms : 0;
+}
+
 /*
  * Returns when a job was submitted, on this VM's clock.  Jobs that were
  * submitted while there was no owner, or while the jobs' feed was late, would
@@ -549,7 +566,7 @@
  */
 static int64_t job_submitted_at(const struct sched *s, const struct job *j)
 {
-	int64_t age_ms = store_clock(s) - j->submitted_by_store;
+	int64_t age_ms = job_age_ms(s, j);
 
 	if (!store_clock(s) || !j->submitted_by_store || age_ms < 0)
 		return s->now;
@@ -610,9 +627,11 @@
 	job_add(s, j);
 	if (!j->inherited)
 		sched_log(s, LOG_JOB_SEEN,
-			  "job=%s queue=%.*s organisation=%.*s revision=%llu",
+			  "job=%s queue=%.*s organisation=%.*s revision=%llu "
+			  "age_ms=%lld",
 			  id, BSTR_ARG(j->route), BSTR_ARG(j->tenant),
-			  (unsigned long long)r->revision);
+			  (unsigned long long)r->revision,
+			  (long long)(s->now - j->submitted_at));
 }
 
 /*
