--- a/sched-due.c
+++ b/sched-due.c
@@ -57,7 +57,8 @@
 
 /*
  * Returns in how many waves a step runs, if its organisation may not run all of
- * its tasks at once.
+ * its tasks at once.  They count in the objective, but not in what is left of
+ * the step; a pool too small for all tasks makes no waves.
  */
 static unsigned step_waves(const struct sched *s, struct job *j,
 			   unsigned step_index)
