--- a/sched-due.c
+++ b/sched-due.c
@@ -57,7 +57,8 @@
 
 /*
  * Returns in how many waves a step runs, if its organisation may not run all of
- * its tasks at once.
+ * its tasks at once.  They count in the objective, but not in what is left of
+ * the step; a pool too small for all tasks makes no waves.
  */
 static unsigned step_waves(const struct sched *s, struct job *j,
 			   unsigned step_index)
@@ -94,15 +95,19 @@
 	struct step_runs r = {.pending = j->body->steps[step_index].count};
 	unsigned waves = step_waves(s, j, step_index);
 	double task_ms;
+	int64_t longest_ms;
 
 	if (o)
 		r = step_runs_now(o, step_index);
-	task_ms = exp(run_times_observed(&e, &r).level);
+	e = run_times_observed(&e, &r);
+	task_ms = exp(e.level);
+	longest_ms = step_longest_ms(&e, &r);
 	j->estimate.step_ms[step_index] = (int64_t)task_ms;
-	chain.whole_ms += step_waves_ms(step_longest_ms(&e, &r), task_ms,
-					waves);
+	chain.whole_ms += step_waves_ms(longest_ms, task_ms, waves);
 	chain.typical_ms += (int64_t)task_ms;
-	if (r.pending + r.running)
+	if (r.pending == j->body->steps[step_index].count)
+		chain.rest_ms += longest_ms - r.failed_ms;
+	else if (r.pending + r.running)
 		chain.rest_ms += step_rest_ms(&e, &r);
 	return chain;
 }
@@ -161,13 +166,15 @@
 
 /*
  * Sets the time by which a job had to end, from the observed run times of an
- * occurrence that has just ended.
+ * occurrence that has just ended.  They are no estimate of the occurrences that
+ * follow, so the job's is computed anew when it is next needed.
  */
 void occurrence_judge(struct sched *s, const struct occurrence *o)
 {
 	struct job *j = o->job;
 
 	estimate_compute(s, j, o);
+	j->estimate.valid_until = 0;
 	j->due = occurrence_due_at(s, o, j->estimate.longest_ms);
 }
 
--- a/tests/test-estimate.c
+++ b/tests/test-estimate.c
@@ -136,6 +136,7 @@
 			e = learnt_run_times(&l, st.declared_ms);
 			runs = (struct step_runs){
 				.pending = draw_rows[i].width};
+			e = run_times_observed(&e, &runs);
 			ratios[k] = (double)step_longest_ms(&e, &runs) /
 				    st.longest_ms;
 		}
@@ -173,6 +174,7 @@
 			takes = due * (0.5 + draw());
 			runs = step_runs_at(&draw_rows[i], &st,
 					    st.longest_ms * 0.8);
+			e = run_times_observed(&e, &runs);
 			seen = STRETCH * (double)step_longest_ms(&e, &runs) +
 			       TARGET_MS;
 			wrong += takes <= due && takes > seen * 1.1;
@@ -240,11 +242,13 @@
 Test(estimate, observed_runs_count)
 {
 	int64_t longest, rest;
+	struct run_times e;
 	unsigned i;
 
 	for (i = 0; i < NELEMS(step_rows); i++) {
-		longest = step_longest_ms(&step_rows[i].e, &step_rows[i].r);
-		rest = step_rest_ms(&step_rows[i].e, &step_rows[i].r);
+		e = run_times_observed(&step_rows[i].e, &step_rows[i].r);
+		longest = step_longest_ms(&e, &step_rows[i].r);
+		rest = step_rest_ms(&e, &step_rows[i].r);
 		cr_expect(longest >= step_rows[i].longest_min &&
 				  longest <= step_rows[i].longest_max,
 			  "%s: longest %lld", step_rows[i].name,
@@ -256,6 +260,9 @@
 	cr_expect_eq(step_waves_ms(1500, 1000, 3), 3500);
 }
 
+static const struct answer once = {.clock = 4000};
+static const struct answer twice = {.clock = 4000, .repeated = true};
+
 /*
  * Guards against run times of which the owner saw only a part: an owner that
  * has taken over took all tasks of a route for shorter than they are.
@@ -268,10 +275,20 @@
 	bool long_running;
 	double weight; /* of what is learnt from its end at 5000 */
 	int64_t longest_ms;
+	const struct answer *start; /* NULL: its answer is not tested */
+	enum run_phase phase;	    /* when that answer is handled */
 } part_rows[] = {
 	{"whole", 4000, false, "", false, 1, 1000},
 	{"adopted", 4000, true, "", false, 0, 1000},
 	{"not known when it began", 0, false, "", false, 0, 0},
+	{"its start was answered", 0, false, "", false, 1, 1000, &once,
+	 PHASE_STARTING},
+	{"its start was sent twice", 0, false, "", false, 0, 1000, &twice,
+	 PHASE_STARTING},
+	{"listed before its start was answered", 3500, true, "", false, 0, 1500,
+	 &once, PHASE_RUNNING},
+	{"its start was answered late", 0, false, "", false, 0, 1000, &once,
+	 PHASE_RUNNING},
 	{"resumed", 4000, false, "half", false, 0, 1000},
 	{"long-running", 4000, false, "", true, 0, 0},
 };
@@ -289,7 +306,10 @@
 	for (i = 0; i < NELEMS(part_rows); i++) {
 		t = (struct task){.occ = &occ,
 				  .run_clock = part_rows[i].run_clock,
-				  .run_is_part = part_rows[i].run_is_part};
+				  .run_is_part = part_rows[i].run_is_part,
+				  .phase = part_rows[i].phase};
+		if (part_rows[i].start)
+			learn_run_started(&t, part_rows[i].start);
 		t.checkpoint = bstr_lit(part_rows[i].checkpoint);
 		st.long_running = part_rows[i].long_running;
 		runs = (struct step_runs){0};
