Shares: queues of organisations end with their pool's entries

Cause: a pool without queued work of any organisation was left out, so the queues of an earlier pass stayed in its row, and were sent with a new time. Callers could be refused by a queue that was gone.

Change: each answered pool is published in each pass; without a queue of an organisation the pool's own decides.

Measured: the new test fails before and passes after.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -280,7 +280,8 @@
  * Called by the owner after admission_set(), while an organisation is beyond
  * its share: records the queues of the organisations in a pool, sorted by how
  * long they take.  If more than ADMISSION_QUEUES_MAX of them are overloaded,
- * the overload is that of all, and the pool's queue decides.
+ * the overload is that of all, and the pool's queue decides.  It decides too if
+ * no organisation has a queue there any more.
  */
 void admission_set_shares(struct sched *s, bstr service,
 			  const struct fair_queue *q, size_t count)
@@ -294,6 +295,10 @@
 	HASH_FIND_BSTR(s->admissions, service, a);
 	if (!a)
 		return;
+	if (!count) {
+		admission_free_queues(a);
+		return;
+	}
 	before = *a;
 	a->queue_count = 0;
 	a->by_organisation = !rest ||
--- a/sched-fair.c
+++ b/sched-fair.c
@@ -155,20 +155,22 @@
 		admission_set_shares(s, p->service->name, q, count);
 }
 
-/* Publishes the queues, which are sorted by pool. */
+/*
+ * Publishes the queues, which are sorted by pool.  A pool without any is
+ * published too: queues of an earlier pass would be taken for new ones.
+ */
 static void fair_publish_all(struct sched *s, const struct fair_list *all,
-			     double machine_cores)
+			     const struct pool_loads *l, double machine_cores)
 {
 	struct fair_queue *q = xcalloc(all->count + 1, sizeof(*q));
-	const struct fair_entry *e = all->entries;
-	size_t i, n = 0;
-
-	for (i = 0; i < all->count; i++) {
-		q[n++] = e[i].queue;
-		if (i + 1 < all->count && e[i + 1].pool == e[i].pool)
-			continue;
-		fair_publish(s, e[i].pool, q, n, machine_cores);
-		n = 0;
+	size_t i, n, next = 0;
+
+	for (i = 0; i < l->count; i++) {
+		for (n = 0; next < all->count &&
+			    all->entries[next].pool == &l->list[i];
+		     next++)
+			q[n++] = all->entries[next].queue;
+		fair_publish(s, &l->list[i], q, n, machine_cores);
 	}
 	free(q);
 }
@@ -197,6 +199,6 @@
 	if (all.count)
 		qsort(all.entries, all.count, sizeof(*all.entries),
 		      fair_cmp_work);
-	fair_publish_all(s, &all, machine_cores);
+	fair_publish_all(s, &all, l, machine_cores);
 	free(all.entries);
 }
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -147,6 +147,39 @@
 	}
 }
 
+/*
+ * Guards against callers that are refused by a queue that is gone, while the
+ * flood in another pool goes on.
+ */
+Test(share, a_queue_that_ends_is_not_published_again)
+{
+	struct world *w = world_new(2790, WORLD_VMS, WORLD_WORKERS);
+	struct service service = {.name = bstr_lit("a-pool")};
+	struct pool_load p = {.service = &service, .answered = 1};
+	struct pool_loads l = {.list = &p, .count = 1};
+	struct fair_queue q = {.drain_ms = 9000, .jobs = 1};
+	struct sched *s;
+	json_t *all;
+
+	world_run(w, 4000);
+	s = world_sched(w, (unsigned)world_owner(w));
+	q.usage = usage_of(s, bstr_lit("flood"));
+	q.objective_sum_ms = 1000;
+	admission_set(s, service.name, 9000, 1000);
+	admission_set_shares(s, service.name, &q, 1);
+	all = admissions_write(s);
+	cr_expect_eq(json_array_size(json_object_get(all, "a-pool")), 7);
+	json_decref(all);
+	s->shares_exceeded = 1;
+	admission_set(s, service.name, 2000, 1000);
+	fair_queues_update(s, &l, 8000);
+	s->shares_exceeded = 0;
+	all = admissions_write(s);
+	cr_expect_eq(json_array_size(json_object_get(all, "a-pool")), 6);
+	json_decref(all);
+	world_free(w);
+}
+
 #define FLOOD_JOBS 200 /* of the organisation that floods */
 #define SMALL_JOBS 10  /* of the other one, meanwhile */
 #define STEP_MS 30     /* between the jobs of the flood */
