Shares: a member that is no string is skipped

Cause: shares_inherit() took the length of a null pointer if the row of the heartbeat named something else than strings.

Change: such a member is logged and skipped. No test, not measured.

--- a/sched-share.c
+++ b/sched-share.c
@@ -242,6 +242,12 @@
 	size_t i;
 
 	json_array_foreach(s->own.shares_exceeded, i, name) {
+		if (!json_is_string(name)) {
+			sched_log(s, LOG_BAD_ROW,
+				  "table=owner member=beyond_share index=%zu",
+				  i);
+			continue;
+		}
 		t = tenant_named(s, bstr_lit(json_string_value(name)));
 		if (tenant_weight(s, t) <= 0)
 			continue;
