Shares: the order of a pool counts what runs in that pool

Cause: the order took what an organisation runs on the whole fleet, so one with much running in one pool went behind all others in every pool, the flood included, for as long as its tasks there ran. The order also changed in pools where the flood asked for nothing.

Change: what runs is summed by organisation in one walk of the tasks of those pools in which an organisation beyond its share waits. A step of an organisation within its share that has waited longer than its objective goes by due time. The usage of a candidate is looked up only while an organisation is beyond its share.

--- a/sched-place.c
+++ b/sched-place.c
@@ -46,10 +46,12 @@
 	enum pending_reason previous_reason; /* of its job */
 	bool needs_tickets;  /* its starts need tickets of the advice service */
 	unsigned rank;	     /* 0: long-running; else 1 + priority */
-	struct usage *usage; /* of its organisation */
-	double share_key; /* what its organisation runs, and asks for before it,
-			   * by weight; 0 while all are within their shares */
-	bool late;	  /* its objective can't be met any more */
+	struct usage *usage; /* of its organisation, while any is beyond its
+			      * share */
+	double share_key;    /* what its organisation runs in the pool, and asks
+			      * for before it, by weight; 0 without an excess
+			      * there */
+	bool late;	     /* its objective can't be met any more */
 	int64_t due; /* end of its objective; if late, its expected length */
 };
 
@@ -113,7 +115,6 @@
 				.pool = pool,
 				.step = step_index,
 				.need = step_need(st),
-				.usage = job_usage(s, o->job),
 				.previous_reason = o->job->pending_reason};
 	c->needs_tickets = r && r->needs_ticket;
 	c->rank = st->long_running ? 0 : 1 + (r ? r->priority : 0);
@@ -259,38 +260,138 @@
 	return candidate_cmp_due(x, y);
 }
 
+/* What an organisation runs on the workers of one pool. */
+struct pool_use {
+	const struct usage *usage;
+	double cpu; /* cores in thousandths, without long-running tasks */
+	UT_hash_handle hh;
+};
+
+/* Adds a task to what its organisation runs. */
+static void pool_use_add(struct sched *s, struct pool_use **all,
+			 const struct task *t)
+{
+	const struct job_step *st = task_step(t);
+	const struct usage *u = job_usage(s, t->occ->job);
+	struct pool_use *r;
+
+	if (st->long_running || st->best_effort)
+		return;
+	HASH_FIND_PTR(*all, &u, r);
+	if (!r) {
+		r = xcalloc(1, sizeof(*r));
+		r->usage = u;
+		HASH_ADD_PTR(*all, usage, r);
+	}
+	r->cpu += (double)st->need.cpu;
+}
+
+/* Returns what each organisation runs on the workers of a pool. */
+static struct pool_use *pool_use_read(struct sched *s, const struct pool *pool)
+{
+	struct pool_use *all = NULL;
+	const struct task *t;
+	size_t i;
+
+	for (i = 0; i < pool->count; i++)
+		TAILQ_FOREACH(t, &pool->workers[i]->tasks, worker_entry)
+			pool_use_add(s, &all, t);
+	return all;
+}
+
+/* Returns the cores in thousandths that an organisation runs. */
+static double pool_use_cpu(struct pool_use *all, const struct usage *u)
+{
+	struct pool_use *r;
+
+	HASH_FIND_PTR(all, &u, r);
+	return r ? r->cpu : 0;
+}
+
+/* Frees what organisations run. */
+static void pool_use_free(struct pool_use *all)
+{
+	struct pool_use *r, *next;
+
+	HASH_ITER(hh, all, r, next) {
+		HASH_DEL(all, r);
+		free(r);
+	}
+}
+
 /*
- * Sets the place of each candidate in a weighted fair queue.  The candidates
- * are sorted by organisation.  Long-running tasks have no share: they are few,
- * and they keep what they have.
+ * Returns true if a step of an organisation that is within its share has waited
+ * longer than its job is useful to the caller.  It goes by its due time then: a
+ * few long tasks of the organisation in the same pool could hold back all its
+ * others until they end.
  */
-static void candidates_set_shares(struct sched *s, struct place_pass *p)
+static bool candidate_has_aged(const struct sched *s, const struct candidate *c)
 {
+	int64_t ready_at = c->occ->pending_tasks[c->step].ready_at;
+
+	return !c->usage->share.is_exceeded &&
+	       s->now - ready_at > job_objective_ms(s, c->job);
+}
+
+/*
+ * Sets the place of each candidate of a pool in a weighted fair queue.  The
+ * candidates are sorted by organisation.  Long-running tasks have no share:
+ * they are few, and they keep what they have.
+ */
+static void pool_set_shares(struct sched *s, struct candidate **sorted,
+			    size_t count)
+{
+	struct pool_use *running = pool_use_read(s, sorted[0]->pool);
 	const struct candidate *before = NULL;
 	struct candidate *c;
 	double asked = 0; /* cores in thousandths, by the same organisation */
 	size_t i;
 
-	for (i = 0; i < p->count; i++, before = c) {
-		c = p->sorted[i];
+	for (i = 0; i < count; i++, before = c) {
+		c = sorted[i];
 		if (!before || before->usage != c->usage ||
 		    candidate_cmp_rank(before, c))
 			asked = 0;
-		if (c->rank)
-			c->share_key = ((double)c->usage->ending_cpu + asked) /
+		if (c->rank && !candidate_has_aged(s, c))
+			c->share_key = (pool_use_cpu(running, c->usage) +
+					asked) /
 				       share_weight(job_tenant(s, c->job));
 		asked += (double)c->need.cpu *
 			 c->occ->pending_tasks[c->step].count;
 	}
+	pool_use_free(running);
+}
+
+/*
+ * Sets the places in the queues of those pools in which an organisation that is
+ * beyond its share has candidates.  The others keep their order.
+ */
+static void candidates_set_shares(struct sched *s, struct place_pass *p)
+{
+	size_t i, first = 0;
+	bool exceeded = false;
+
+	for (i = 0; i < p->count; i++) {
+		exceeded = exceeded || p->sorted[i]->usage->share.is_exceeded;
+		if (i + 1 < p->count &&
+		    p->sorted[i + 1]->pool == p->sorted[i]->pool)
+			continue;
+		if (exceeded)
+			pool_set_shares(s, &p->sorted[first], i + 1 - first);
+		exceeded = false;
+		first = i + 1;
+	}
 }
 
 /*
  * Sorts the candidates into their placement order.  While an organisation is
- * beyond its share, a pool goes to those that have the least of it by their
- * weight, also if their jobs are late: another's excess has made them late.
+ * beyond its share, a pool where it waits goes to those that have the least of
+ * it by their weight, also if their jobs are late: another's excess has made
+ * them late.
  */
 static void candidates_sort(struct sched *s, struct place_pass *p)
 {
+	struct candidate *c;
 	size_t i;
 
 	p->sorted = xcalloc(p->count + 1, sizeof(struct candidate *));
@@ -299,6 +400,8 @@
 	if (!p->count)
 		return;
 	if (shares_are_exceeded(s)) {
+		for (c = p->candidates; c < &p->candidates[p->count]; c++)
+			c->usage = job_usage(s, c->job);
 		qsort(p->sorted, p->count, sizeof(struct candidate *),
 		      candidate_cmp_usage);
 		candidates_set_shares(s, p);
