Shares: an excess counts only beside an overload

Cause: an organisation was beyond its share by its part of the jobs alone, also beside idle pools; the order of the pools changed and queues were published although all could run.

Change: the queues of organisations are computed from the moment that any pool is near overload, and an organisation gets beyond its share only while its own queue in some pool takes longer than its objective. With no pool near overload a pass over the pools returns at once.

--- a/sched-fair.c
+++ b/sched-fair.c
@@ -144,14 +144,41 @@
 	}
 }
 
-/* Publishes the sorted queues of one pool, unless nobody works them off. */
+/*
+ * Returns true if a pool needs longer for its queue than the mean objective of
+ * the jobs there.  While none does, no queue of an organisation matters.
+ */
+static bool pool_is_near_overload(const struct pool_load *p,
+				  double machine_cores)
+{
+	return p->queued_jobs &&
+	       pool_queue_ms(p, machine_cores) * p->queued_jobs >
+		       p->objective_sum_ms;
+}
+
+/* Returns true if any pool is near overload. */
+static bool any_is_near_overload(const struct pool_loads *l,
+				 double machine_cores)
+{
+	size_t i;
+
+	for (i = 0; i < l->count; i++)
+		if (pool_is_near_overload(&l->list[i], machine_cores))
+			return true;
+	return false;
+}
+
+/*
+ * Determines the sorted queues of one pool, and publishes them while an
+ * organisation is beyond its share, unless nobody works them off.
+ */
 static void fair_publish(struct sched *s, const struct pool_load *p,
 			 struct fair_queue *q, size_t count,
 			 double machine_cores)
 {
 	fair_drain(q, count, pool_queue_ms(p, machine_cores));
 	fair_note_ratio(q, count);
-	if (p->answered)
+	if (p->answered && shares_are_exceeded(s))
 		admission_set_shares(s, p->service->name, q, count);
 }
 
@@ -176,8 +203,9 @@
 }
 
 /*
- * Computes and publishes the queues of all organisations while any of them is
- * beyond its share.  Otherwise a pool's queue is that of all.
+ * Computes the queues of all organisations while any pool is near overload or
+ * any organisation is beyond its share, and publishes them in the latter case.
+ * Otherwise a pool's queue is that of all.
  */
 void fair_queues_update(struct sched *s, const struct pool_loads *l,
 			double machine_cores)
@@ -186,12 +214,14 @@
 	struct usage *u;
 	struct job *j;
 
+	for (u = s->usage; u; u = u->hh.next)
+		u->share.queue_ratio = 0;
 	if (!shares_are_exceeded(s)) {
 		admissions_drop_shares(s);
-		return;
+		if (!policy_is_enabled(s, POLICY_SHARES) ||
+		    !any_is_near_overload(l, machine_cores))
+			return;
 	}
-	for (u = s->usage; u; u = u->hh.next)
-		u->share.queue_ratio = 0;
 	TAILQ_FOREACH(j, &s->jobs_by_arrival, entry)
 		if (j->status <= JOB_STATUS_RUNNING)
 			fair_add_job(s, &all, l, j);
--- a/sched-share.c
+++ b/sched-share.c
@@ -5,11 +5,12 @@
  * others run about as on a calm day.
  *
  * An organisation is beyond its share while its part of the jobs that are
- * submitted exceeds its part of the weights.  Only parts count: a burst of all
- * organisations alike is no one's excess.  While any organisation is beyond its
- * share, and until what it has queued can be run in time again, the jobs of a
- * pool start in the order of a weighted fair queue, and the queue that decides
- * about an admission is that of the job's own organisation.
+ * submitted exceeds its part of the weights, and it has more queued in a pool
+ * than can be run in time.  Only parts count: a burst of all organisations
+ * alike is no one's excess.  While any organisation is beyond its share, and
+ * until what it has queued can be run in time again, the jobs of a pool start
+ * in the order of a weighted fair queue, and the queue that decides about an
+ * admission is that of the job's own organisation.
  */
 #include "sched-state.h"
 
@@ -78,6 +79,16 @@
 	return h->jobs / sums->jobs - weight / sums->weights;
 }
 
+/*
+ * Returns true if an organisation may become beyond its share: what it has
+ * queued in some pool can't be run in time.  While the pools can run all, an
+ * excess is at nobody's expense.
+ */
+static bool share_may_begin(const struct share *h)
+{
+	return h->queue_ratio > QUEUE_RATIO_MAX;
+}
+
 /*
  * Returns true if an organisation is beyond its share.  Jobs that are refused
  * never reach the owner, so an organisation that was beyond its share stays so
@@ -201,7 +212,7 @@
 			continue;
 		weight = c->tenants[i].weight;
 		excess = share_excess(&u->share, weight, &sums);
-		if (!u->share.is_exceeded || !is_new)
+		if (u->share.is_exceeded ? !is_new : share_may_begin(&u->share))
 			share_set_exceeded(s, u,
 					   share_is_beyond(&u->share, excess));
 		if (u->share.is_exceeded)
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -270,3 +270,44 @@
 		world_free(w);
 	}
 }
+
+/*
+ * Guards against an order that changes although the pools can run all jobs: an
+ * excess of one organisation is at nobody's expense then.  Both have the same
+ * weight and submit 70:30, for the time of some averages.
+ */
+static const struct {
+	const char *name;
+	unsigned tasks; /* of each job of the organisation with more */
+	bool beyond;
+} beside_rows[] = {
+	{"beside empty pools", 1, false},
+	{"beside full ones", 10, true},
+};
+Test(share, an_excess_counts_beside_an_overload)
+{
+	struct world_job big = {.task_ms = 1000};
+	struct world_job small = {
+		.tasks = 1, .task_ms = 200, .other_organisation = true};
+	unsigned row, vm, k, beyond;
+	struct world *w;
+	char id[20];
+
+	for (row = 0; row < NELEMS(beside_rows); row++) {
+		w = world_new(2850 + row, WORLD_VMS, WORLD_WORKERS);
+		world_add_organisation(w);
+		world_run(w, 4000);
+		vm = (unsigned)world_owner(w);
+		big.tasks = beside_rows[row].tasks;
+		for (k = beyond = 0; k < FLOOD_JOBS; k++) {
+			snprintf(id, sizeof(id), "%016x", 1000 + 77 * k);
+			world_submit(w, vm, id, k % 10 < 7 ? &big : &small);
+			world_run(w, STEP_MS);
+			beyond += world_sched(w, vm)->shares_exceeded > 0;
+		}
+		cr_expect_eq(beyond > 0, beside_rows[row].beyond, "%s: %u",
+			     beside_rows[row].name, beyond);
+		cr_expect_null(world_violation(w), "%s", world_violation(w));
+		world_free(w);
+	}
+}
