Shares: at most 256 queues of organisations in a heartbeat

Cause: 16 queues for each of 182 pools would be 130 kB in each heartbeat.

Change: a limit over all pools; the row of a pool beyond it has no seventh member, and the pool's queue decides there.

Not measured; no test of the limit. test-share and test-admit pass.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -18,6 +18,11 @@
 #define OVERLOAD_FULL 3.0
 /* Queues of organisations that are published for a pool, the longest ones. */
 #define ADMISSION_QUEUES_MAX 16
+/*
+ * The same over all pools: each takes some 50 bytes of the heartbeat.  In a
+ * pool beyond that its own queue decides.
+ */
+#define ADMISSION_QUEUES_TOTAL 256
 /* A pool's queue is published from this multiple on. */
 #define OVERLOAD_NEAR 1.0
 /* Shares are given in units of 1/SHARE_UNIT. */
@@ -348,8 +353,11 @@
 	return all;
 }
 
-/* Returns the row of a queue for the heartbeat. */
-static json_t *admission_write(const struct admission *a)
+/*
+ * Returns the row of a queue for the heartbeat.  Counts down the queues of
+ * organisations that may still be listed.
+ */
+static json_t *admission_write(const struct admission *a, size_t *left)
 {
 	json_t *row;
 	double drain_ms = (double)a->drain_ms;
@@ -362,8 +370,10 @@
 			(json_int_t)(a->as_of + a->drain_ms),
 			(json_int_t)a->drain_ms, (json_int_t)a->objective_ms,
 			(json_int_t)a->as_of);
-	if (a->by_organisation)
-		json_array_append_new(row, admission_write_queues(a));
+	if (!a->by_organisation || a->queue_count > *left)
+		return row;
+	*left -= a->queue_count;
+	json_array_append_new(row, admission_write_queues(a));
 	return row;
 }
 
@@ -375,12 +385,13 @@
 json_t *admissions_write(const struct sched *s)
 {
 	const struct admission *a;
+	size_t left = ADMISSION_QUEUES_TOTAL;
 	json_t *all = json_object();
 	char *service;
 
 	for (a = s->admissions; a; a = a->hh.next) {
 		service = bstr_cstr(a->service);
-		json_object_set_new(all, service, admission_write(a));
+		json_object_set_new(all, service, admission_write(a, &left));
 		free(service);
 	}
 	return all;
