--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -147,6 +147,39 @@
 	}
 }
 
+/*
+ * Guards against callers that are refused by a queue that is gone, while the
+ * flood in another pool goes on.
+ */
+Test(share, a_queue_that_ends_is_not_published_again)
+{
+	struct world *w = world_new(2790, WORLD_VMS, WORLD_WORKERS);
+	struct service service = {.name = bstr_lit("a-pool")};
+	struct pool_load p = {.service = &service, .answered = 1};
+	struct pool_loads l = {.list = &p, .count = 1};
+	struct fair_queue q = {.drain_ms = 9000, .jobs = 1};
+	struct sched *s;
+	json_t *all;
+
+	world_run(w, 4000);
+	s = world_sched(w, (unsigned)world_owner(w));
+	q.usage = usage_of(s, bstr_lit("flood"));
+	q.objective_sum_ms = 1000;
+	admission_set(s, service.name, 9000, 1000);
+	admission_set_shares(s, service.name, &q, 1);
+	all = admissions_write(s);
+	cr_expect_eq(json_array_size(json_object_get(all, "a-pool")), 7);
+	json_decref(all);
+	s->shares_exceeded = 1;
+	admission_set(s, service.name, 2000, 1000);
+	fair_queues_update(s, &l, 8000);
+	s->shares_exceeded = 0;
+	all = admissions_write(s);
+	cr_expect_eq(json_array_size(json_object_get(all, "a-pool")), 6);
+	json_decref(all);
+	world_free(w);
+}
+
 #define FLOOD_JOBS 200 /* of the organisation that floods */
 #define SMALL_JOBS 10  /* of the other one, meanwhile */
 #define STEP_MS 30     /* between the jobs of the flood */
@@ -237,3 +270,44 @@
 		world_free(w);
 	}
 }
+
+/*
+ * Guards against an order that changes although the pools can run all jobs: an
+ * excess of one organisation is at nobody's expense then.  Both have the same
+ * weight and submit 70:30, for the time of some averages.
+ */
+static const struct {
+	const char *name;
+	unsigned tasks; /* of each job of the organisation with more */
+	bool beyond;
+} beside_rows[] = {
+	{"beside empty pools", 1, false},
+	{"beside full ones", 10, true},
+};
+Test(share, an_excess_counts_beside_an_overload)
+{
+	struct world_job big = {.task_ms = 1000};
+	struct world_job small = {
+		.tasks = 1, .task_ms = 200, .other_organisation = true};
+	unsigned row, vm, k, beyond;
+	struct world *w;
+	char id[20];
+
+	for (row = 0; row < NELEMS(beside_rows); row++) {
+		w = world_new(2850 + row, WORLD_VMS, WORLD_WORKERS);
+		world_add_organisation(w);
+		world_run(w, 4000);
+		vm = (unsigned)world_owner(w);
+		big.tasks = beside_rows[row].tasks;
+		for (k = beyond = 0; k < FLOOD_JOBS; k++) {
+			snprintf(id, sizeof(id), "%016x", 1000 + 77 * k);
+			world_submit(w, vm, id, k % 10 < 7 ? &big : &small);
+			world_run(w, STEP_MS);
+			beyond += world_sched(w, vm)->shares_exceeded > 0;
+		}
+		cr_expect_eq(beyond > 0, beside_rows[row].beyond, "%s: %u",
+			     beside_rows[row].name, beyond);
+		cr_expect_null(world_violation(w), "%s", world_violation(w));
+		world_free(w);
+	}
+}
