--- a/sched-divide.c
+++ b/sched-divide.c
@@ -9,12 +9,12 @@
 
 #include <stdlib.h>
 
-/* Steps of the search for the level that uses up the cores. */
 /*
  * Cores that are divided stay so until the needs have fallen by this part below
  * them; otherwise the division would begin and end with single jobs.
  */
 #define DIVIDED_MARGIN_DIVISOR 8
+/* Steps of the search for the level that uses up the cores. */
 #define LEVEL_STEPS 40
 
 /*
--- a/sched-fair.c
+++ b/sched-fair.c
@@ -2,7 +2,7 @@
  * How long the queue of each organisation in a pool takes if the pool serves
  * the organisations by their weights.  What one does not use goes to the
  * others, so a short queue of a small organisation takes little time beside a
- * flood, and the flood's own queue as long as that of the whole pool.
+ * long one, and the longest as much as that of the whole pool.
  */
 #include "sched-demand.h"
 
--- a/sched-share.c
+++ b/sched-share.c
@@ -20,7 +20,7 @@
 #define RATE_MS 3000.0
 /*
  * An organisation is beyond its share from this excess on, a part of all jobs.
- * What others lose by less is little, and a few jobs more at once are no flood.
+ * What others lose by less is little, and a few jobs more at once are usual.
  */
 #define EXCESS_MIN 0.15
 /* It is within its share again at half of that. */
@@ -242,8 +242,8 @@
 /*
  * Called by a new owner when it has read all tables: the organisations that
  * were beyond their shares stay so while they have more queued than can be run
- * in time.  Otherwise a flood would be served like all others until this owner
- * has seen enough of it.
+ * in time.  Otherwise the excess would be served like all others until this
+ * owner has seen enough of it.
  */
 void shares_inherit(struct sched *s)
 {
