--- a/sched-job.c
+++ b/sched-job.c
@@ -219,6 +219,7 @@
 		return;
 	j->start_durable = true;
 	s->place_due = true;
+	flow_add_begun(s, j);
 }
 
 /*
@@ -463,6 +464,8 @@
 		  (long long)j->estimate.first_longest_ms);
 	if (!j->inherited)
 		sched_observe(s, HISTOGRAM_JOB, s->now - j->arrived);
+	if (status == JOB_STATUS_COMPLETED)
+		flow_add_completed(s, j);
 	job_stop_tasks(s, j);
 	job_mark_dirty(s, j);
 	s->place_due = true;
@@ -625,13 +628,15 @@
 		return;
 	}
 	job_add(s, j);
-	if (!j->inherited)
-		sched_log(s, LOG_JOB_SEEN,
-			  "job=%s queue=%.*s organisation=%.*s revision=%llu "
-			  "age_ms=%lld",
-			  id, BSTR_ARG(j->route), BSTR_ARG(j->tenant),
-			  (unsigned long long)r->revision,
-			  (long long)(s->now - j->submitted_at));
+	if (j->inherited)
+		return;
+	flow_add_seen(s, j);
+	sched_log(s, LOG_JOB_SEEN,
+		  "job=%s queue=%.*s organisation=%.*s revision=%llu "
+		  "age_ms=%lld",
+		  id, BSTR_ARG(j->route), BSTR_ARG(j->tenant),
+		  (unsigned long long)r->revision,
+		  (long long)(s->now - j->submitted_at));
 }
 
 /*
--- a/sched-load.c
+++ b/sched-load.c
@@ -212,8 +212,10 @@
 	if (s->own.state == OWN_OWNER) {
 		waits_log(s);
 		longest_run_log(s);
+		flows_log(s);
 		if (HASH_COUNT(s->jobs) || l->ends)
 			load_log(s);
 	}
+	flows_free(s);
 	*l = (struct load){.log_at = s->now + LOAD_LOG_INTERVAL_MS};
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -993,6 +993,7 @@
 	size_t backlog_count;
 	struct admission *admissions; /* queues of pools near overload */
 	struct load load;
+	struct queue_flow *flows; /* since the last line of the log */
 	struct learnt_time *learnt_times;
 };
 
@@ -1362,6 +1363,13 @@
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest);
 
+/* sched-flow.c: the flow of jobs through each queue */
+void flow_add_seen(struct sched *s, const struct job *j);
+void flow_add_begun(struct sched *s, const struct job *j);
+void flow_add_completed(struct sched *s, const struct job *j);
+void flows_log(struct sched *s);
+void flows_free(struct sched *s);
+
 /* sched-load.c: log line on the owner's activity */
 void load_add_poll(struct sched *s, const struct worker *w,
 		   const struct answer *a);
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -638,3 +638,23 @@
 		check_free(w, room_rows[row].name);
 	}
 }
+
+/*
+ * Guards against a log that can't tell which queue's jobs were late and when:
+ * an outage in the turn of one queue looks like a slow owner.
+ */
+Test(load, each_queue_with_jobs_is_logged)
+{
+	static const struct world_job quick = {.tasks = 1, .task_ms = 200};
+	struct world *w = world_new_settled(1990);
+	unsigned before = world_log_count(w, LOG_QUEUE_LOAD);
+
+	world_run(w, 3000);
+	cr_expect_eq(world_log_count(w, LOG_QUEUE_LOAD), before,
+		     "a line without jobs");
+	world_submit(w, 0, "00000000000000aa", &quick);
+	world_run(w, 3000);
+	cr_expect_geq(world_log_count(w, LOG_QUEUE_LOAD), before + 1);
+	cr_expect_leq(world_log_count(w, LOG_QUEUE_LOAD), before + 2);
+	check_free(w, "the queue's jobs are logged");
+}
