HTTP client: connections of its own for numeric addresses

The owner makes all exchanges with 1,100 workers on half a core and was out of processor, so in a queue's turn its starts were late.

A profile of before names libcurl for two fifths of a start: it sets up each transfer anew.

Change: requests of the platform's adapter go over connections of the client's own (http-direct.c), and http-parser reads the responses (http-reply.c). What the client promises stays: the deadline is checked right before the first byte, the age of the connection is that of its establishment, connections older than a timeout of the queue aren't used, nothing leaves after the outcome. New: a request is never sent twice. Everything else (TLS, names, the product's own edges) stays with libcurl.

The client's own test of second copies stays, over libcurl.

--- a/http-client.c
+++ b/http-client.c
@@ -96,6 +96,7 @@
 		http_transfers_expire(c, clock_now());
 		http_shards_run_timers(c, clock_now());
 		http_queues_expire(c, clock_now());
+		http_direct_expire(c, clock_now());
 		n = epoll_wait(c->epoll, events, EPOLL_EVENTS_MAX,
 			       client_timeout_ms(c));
 		for (i = 0; i < n; i++)
@@ -111,12 +112,14 @@
 static void client_free(struct http_client *c)
 {
 	http_queues_expire(c, INT64_MAX);
+	http_direct_expire(c, INT64_MAX);
 	http_transfers_free(c);
 	http_sockets_free(c);
 	heap_free(&c->shard_timers);
 	heap_free(&c->request_timers);
 	heap_free(&c->transfer_timers);
 	curl_slist_free_all(c->headers);
+	bstr_free(&c->header_lines);
 	mailbox_free(c->mailbox);
 	close(c->epoll);
 	free(c->tls_ca);
@@ -126,6 +129,10 @@
 /* Adds a header that is sent with all requests. */
 static void client_add_header(struct http_client *c, const char *line)
 {
+	bstr lines = bstr_printf("%.*s%s\r\n", BSTR_ARG(c->header_lines), line);
+
+	bstr_free(&c->header_lines);
+	c->header_lines = lines;
 	c->headers = curl_slist_append(c->headers, line);
 	if (!c->headers)
 		abort(); /* out of memory */
@@ -152,18 +159,22 @@
 	TAILQ_INIT(&c->running);
 	TAILQ_INIT(&c->free_transfers);
 	TAILQ_INIT(&c->unhashed);
+	TAILQ_INIT(&c->idle_conns);
 	c->epoll = epoll_create1(EPOLL_CLOEXEC);
 	e.data.fd = mailbox_fd(c->mailbox);
 	if (c->epoll < 0 ||
 	    epoll_ctl(c->epoll, EPOLL_CTL_ADD, e.data.fd, &e) != 0)
 		abort(); /* out of descriptors or memory */
 	client_add_header(c, "Content-Type: application/json");
-	client_add_header(c, "Expect:");
 	if (o->token) {
 		line = xasprintf("Authorization: Bearer %s", o->token);
 		client_add_header(c, line);
 		free(line);
 	}
+	/* Keeps libcurl from sending this header. */
+	c->headers = curl_slist_append(c->headers, "Expect:");
+	if (!c->headers)
+		abort(); /* out of memory */
 	return c;
 }
 
--- a/http-client.h
+++ b/http-client.h
@@ -1,5 +1,6 @@
 /*
- * HTTP/1.1 client. One thread runs many concurrent requests over libcurl.
+ * HTTP/1.1 client. One thread runs many concurrent requests, over libcurl or
+ * over connections of its own (http-direct.h).
  *
  * Requests with the same queue name share max_per_queue concurrent transfers.
  * A request waits in its queue for a free transfer until its deadline; queues
@@ -75,6 +76,11 @@
 	unsigned max_per_queue; /* concurrent requests of a queue */
 	unsigned max_requests;	/* in all queues, waiting ones included */
 	uint32_t connect_ms;
+	/*
+	 * Requests to numeric addresses without TLS go over connections of the
+	 * client's own, which cost less and never carry a request twice.
+	 */
+	bool direct;
 };
 
 struct http_client;
--- a/http-queue.c
+++ b/http-queue.c
@@ -9,18 +9,17 @@
 
 /*
  * A queue without requests is kept for this long. It must outlive its idle
- * connections (CONNECTION_IDLE_S): its timeout_serial tells which of them must
- * not be reused after a timeout.
+ * connections (HTTP_CONNECTION_IDLE_MS): its timeout_serial tells which of them
+ * must not be reused after a timeout.
  */
 #define QUEUE_IDLE_MS 120000
 
-/* Creates a queue and assigns it to a shard. */
+/* Creates a queue. */
 static struct http_queue *queue_new(struct http_client *c, const char *name)
 {
 	struct http_queue *q = xcalloc(1, sizeof(*q));
 
 	q->name = xstrdup(name);
-	q->shard = http_shard_acquire(c);
 	TAILQ_INIT(&q->waiting);
 	HASH_ADD_KEYPTR(hh, c->queues, q->name, strlen(q->name), q);
 	return q;
@@ -62,7 +61,8 @@
 {
 	if (c->queues)
 		HASH_DEL(c->queues, q);
-	http_shard_release(q->shard);
+	if (q->shard)
+		http_shard_release(q->shard);
 	free(q->name);
 	free(q);
 }
--- a/http-socket.c
+++ b/http-socket.c
@@ -224,6 +224,10 @@
 	struct http_shard *sh = s->shard;
 	int mask = 0, running;
 
+	if (s->conn) {
+		http_direct_ready(s->conn, events);
+		return;
+	}
 	/* Closed, and maybe reopened, while earlier events were handled. */
 	if (!s->watched_events)
 		return;
--- a/http-state.h
+++ b/http-state.h
@@ -9,6 +9,7 @@
 #define HTTP_STATE_H
 
 #include "http-client.h"
+#include "http-direct.h"
 
 #include <curl/curl.h>
 #include <netinet/in.h>
@@ -16,6 +17,9 @@
 #include <stdatomic.h>
 #include <uthash.h>
 
+/* Before an idle connection is closed. */
+#define HTTP_CONNECTION_IDLE_MS 60000
+
 TAILQ_HEAD(http_request_list, http_request);
 
 /*
@@ -41,7 +45,7 @@
  */
 struct http_queue {
 	TAILQ_ENTRY(http_queue) entry; /* in ready or idle */
-	struct http_shard *shard;
+	struct http_shard *shard;      /* NULL until libcurl runs a transfer */
 	char *name;
 	bool ready; /* may have requests to start */
 	bool idle;
@@ -54,9 +58,10 @@
 TAILQ_HEAD(http_queue_list, http_queue);
 
 /*
- * A request in progress. The struct and its easy handle are reused for later
- * requests. A transfer whose connection turns out to be stale is repeated once
- * on a new connection (fresh_connect).
+ * A request in progress, on a connection of the client's own (conn) or run by
+ * libcurl. The struct and its easy handle, created for the first transfer that
+ * libcurl runs, are reused for later requests. Such a transfer whose connection
+ * turns out to be stale is repeated once on a new connection (fresh_connect).
  */
 struct http_transfer {
 	TAILQ_ENTRY(http_transfer) entry;
@@ -64,6 +69,7 @@
 	struct http_client *client;
 	struct http_queue *queue;
 	struct http_request *request;
+	struct http_conn *conn;
 	CURL *easy;
 	bool sent;	    /* the server may have received the request */
 	bool stale;	    /* libcurl chose an unusable connection */
@@ -96,6 +102,7 @@
 	TAILQ_ENTRY(http_socket) entry; /* in unhashed */
 	uint64_t serial;
 	int64_t opened_at; /* established by then; set by its first request */
+	struct http_conn *conn; /* of the client's own; else of libcurl */
 	int fd;
 	bool used; /* has carried a request */
 	bool hashed;
@@ -113,6 +120,7 @@
 	struct mailbox *mailbox;
 	int epoll;
 	struct curl_slist *headers;
+	bstr header_lines; /* the same, as sent */
 	char *tls_ca;
 	struct http_queue *queues;
 	struct http_queue_list ready; /* may have requests to start */
@@ -127,6 +135,8 @@
 	size_t socket_count;
 	struct http_socket *socket_hash;
 	struct http_socket_list unhashed; /* no local port yet */
+	struct http_peer *peers;
+	struct http_conn_list idle_conns; /* by idle_until */
 	uint64_t last_serial;		  /* of a socket */
 	int64_t post_deadline;		  /* for a full inbox, while stopping */
 	atomic_uint request_count;	  /* waiting and running */
@@ -163,9 +173,12 @@
 void http_queues_abort(struct http_client *c);
 void http_queues_expire(struct http_client *c, int64_t now);
 
-/* http-transfer.c: transfers with libcurl easy handles */
+/* http-transfer.c: transfers, and their way through libcurl easy handles */
 void http_transfer_start(struct http_client *c, struct http_queue *q,
 			 struct http_request *r);
+void http_transfer_end(struct http_transfer *t, enum http_outcome outcome);
+bool http_response_append(struct http_transfer *t, const char *p, size_t n);
+uint32_t http_retry_after_parse(const char *p, size_t len);
 void http_transfers_reap(struct http_shard *sh);
 void http_transfers_expire(struct http_client *c, int64_t now);
 void http_transfers_abort(struct http_client *c);
--- a/http-transfer.c
+++ b/http-transfer.c
@@ -1,6 +1,6 @@
 /*
- * Transfers: runs each request on a libcurl easy handle, parses the response
- * and decides on the outcome.
+ * Transfers: runs each request on a connection of the client's own
+ * (http-direct.c) or on a libcurl easy handle, and decides on the outcome.
  */
 #include "http-state.h"
 
@@ -11,18 +11,19 @@
 
 #define HEADER_BYTES_MAX 65536	 /* all header lines of a response */
 #define RETRY_AFTER_MAX_MS 60000 /* longer values are reduced to this */
-#define CONNECTION_IDLE_S 60	 /* before an idle connection is closed */
 
-/* Callback of libcurl: appends to the body, up to max_response bytes. */
-static size_t response_body(char *p, size_t size, size_t count, void *arg)
+/*
+ * Appends to the body of the response. Returns false if it exceeds max_response
+ * bytes.
+ */
+bool http_response_append(struct http_transfer *t, const char *p, size_t n)
 {
-	struct http_transfer *t = arg;
 	bstr *body = &t->response.body;
-	size_t n = size * count, need = body->bstr_len + n;
+	size_t need = body->bstr_len + n;
 
 	if (need > t->request->max_response) {
 		t->response.too_long = true;
-		return 0;
+		return false;
 	}
 	if (need > t->body_capacity) {
 		t->body_capacity = need < 2 * t->body_capacity
@@ -33,14 +34,20 @@
 	if (n)
 		memcpy(body->bstr_val + body->bstr_len, p, n);
 	body->bstr_len = (u_int)need;
-	return n;
+	return true;
+}
+
+/* Callback of libcurl: appends to the body. */
+static size_t response_body(char *p, size_t size, size_t count, void *arg)
+{
+	return http_response_append(arg, p, size * count) ? size * count : 0;
 }
 
 /*
  * Returns the value of a Retry-After header in ms, at most RETRY_AFTER_MAX_MS,
  * or 0 if it is not a positive number of seconds. Decimals are accepted.
  */
-static uint32_t retry_after_parse(const char *p, size_t len)
+uint32_t http_retry_after_parse(const char *p, size_t len)
 {
 	char text[32], *end;
 	double s;
@@ -95,7 +102,7 @@
 		t->headers_done = true;
 	value = header_value(p, n, "Retry-After", &len);
 	if (value)
-		t->response.retry_after_ms = retry_after_parse(value, len);
+		t->response.retry_after_ms = http_retry_after_parse(value, len);
 	if (header_value(p, n, "Content-Length", &len))
 		t->framed = true;
 	value = header_value(p, n, "Transfer-Encoding", &len);
@@ -150,15 +157,14 @@
 	return CURL_PREREQFUNC_OK;
 }
 
-/* Creates a transfer with the options that are the same for all requests. */
-static struct http_transfer *transfer_new(struct http_client *c)
+/* Sets up an easy handle with the options that all requests share. */
+static void transfer_init_easy(struct http_transfer *t)
 {
-	struct http_transfer *t = xcalloc(1, sizeof(*t));
+	struct http_client *c = t->client;
 	CURL *h = curl_easy_init();
 
 	if (!h)
 		abort(); /* out of memory */
-	t->client = c;
 	t->easy = h;
 	curl_easy_setopt(h, CURLOPT_PRIVATE, t);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
@@ -168,7 +174,8 @@
 	curl_easy_setopt(h, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(h, CURLOPT_HTTP09_ALLOWED, 0L);
 	curl_easy_setopt(h, CURLOPT_PATH_AS_IS, 1L);
-	curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_S);
+	curl_easy_setopt(h, CURLOPT_MAXAGE_CONN,
+			 HTTP_CONNECTION_IDLE_MS / 1000L);
 	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)c->options.connect_ms);
 	if (c->tls_ca)
@@ -183,7 +190,6 @@
 	curl_easy_setopt(h, CURLOPT_CLOSESOCKETDATA, c);
 	curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, transfer_prereq);
 	curl_easy_setopt(h, CURLOPT_PREREQDATA, t);
-	return t;
 }
 
 /*
@@ -203,7 +209,7 @@
 }
 
 /* Ends a transfer, keeps it for reuse and reports the response. */
-static void transfer_end(struct http_transfer *t, enum http_outcome outcome)
+void http_transfer_end(struct http_transfer *t, enum http_outcome outcome)
 {
 	struct http_client *c = t->client;
 	struct http_response res = t->response;
@@ -258,6 +264,21 @@
 			 r->body.bstr_val ? r->body.bstr_val : "");
 }
 
+/* Starts a transfer with libcurl. */
+static void transfer_start_easy(struct http_transfer *t)
+{
+	if (!t->easy)
+		transfer_init_easy(t);
+	if (!t->queue->shard)
+		t->queue->shard = http_shard_acquire(t->client);
+	curl_easy_setopt(t->easy, CURLOPT_URL, t->request->url);
+	transfer_set_headers(t, t->request);
+	curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, 0L);
+	transfer_set_method(t, t->request);
+	if (!transfer_add(t))
+		http_transfer_end(t, HTTP_NOT_SENT);
+}
+
 /*
  * Starts a request, whose queue must have capacity for it. The request ends at
  * once if its deadline has passed or its body cannot be built.
@@ -266,16 +287,17 @@
 			 struct http_request *r)
 {
 	struct http_transfer *t = TAILQ_FIRST(&c->free_transfers);
-	CURL *h;
 
 	if (r->deadline <= clock_now() || (r->build && !r->build(r))) {
 		http_request_not_sent(c, r);
 		return;
 	}
-	if (t)
+	if (t) {
 		TAILQ_REMOVE(&c->free_transfers, t, entry);
-	else
-		t = transfer_new(c);
+	} else {
+		t = xcalloc(1, sizeof(*t));
+		t->client = c;
+	}
 	TAILQ_INSERT_TAIL(&c->running, t, entry);
 	http_queue_begin(q);
 	t->queue = q;
@@ -284,14 +306,8 @@
 	t->headers_done = t->framed = false;
 	t->header_bytes = t->body_capacity = 0;
 	memset(&t->response, 0, sizeof(t->response));
-
-	h = t->easy;
-	curl_easy_setopt(h, CURLOPT_URL, r->url);
-	transfer_set_headers(t, r);
-	curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 0L);
-	transfer_set_method(t, r);
-	if (!transfer_add(t))
-		transfer_end(t, HTTP_NOT_SENT);
+	if (!c->options.direct || !http_direct_start(t))
+		transfer_start_easy(t);
 }
 
 /*
@@ -357,7 +373,7 @@
 	if (rc != CURLE_OK)
 		log_debug("%s %s: %s", t->request->method, t->request->url,
 			  curl_easy_strerror(rc));
-	transfer_end(t, transfer_outcome(t, rc));
+	http_transfer_end(t, transfer_outcome(t, rc));
 }
 
 /* Ends the transfers of a shard that libcurl has completed. */
@@ -378,8 +394,11 @@
 /* Ends a running transfer: if it was sent, it has no response. */
 static void transfer_abort(struct http_transfer *t)
 {
-	curl_multi_remove_handle(t->queue->shard->multi, t->easy);
-	transfer_end(t, t->sent ? HTTP_NO_RESPONSE : HTTP_NOT_SENT);
+	if (t->conn)
+		http_direct_abort(t);
+	else
+		curl_multi_remove_handle(t->queue->shard->multi, t->easy);
+	http_transfer_end(t, t->sent ? HTTP_NO_RESPONSE : HTTP_NOT_SENT);
 }
 
 /*
@@ -417,7 +436,8 @@
 
 	while ((t = TAILQ_FIRST(&c->free_transfers))) {
 		TAILQ_REMOVE(&c->free_transfers, t, entry);
-		curl_easy_cleanup(t->easy);
+		if (t->easy)
+			curl_easy_cleanup(t->easy);
 		free(t);
 	}
 }
