Moves: only tasks that another machine could run call for machines

Cause of a part of it: long-running tasks that had waited for 0.3 s counted as stranded, whatever they waited for, and each called a machine. After the outage 40 of them waited until their crashes were durable and for workers without other tasks that had crashed, so in the first 0.5 s 46 of 126 moves went to a pool that needed nothing (need=0, 25 empty workers), and 14 from it. Class: a wait for something else taken for a lack of machines.

Now a task counts only if its job waits for room, a suitable worker or another data centre. Those kept apart start beside others after 2 s anyway.

Test: move/tasks_that_lack_no_room_call_no_machines, three rows, all red before (one move each), the third also if isolation still counts.

--- a/sched-demand.c
+++ b/sched-demand.c
@@ -196,6 +196,23 @@
 	p->queued_jobs++;
 }
 
+/*
+ * Returns true if another machine could run the tasks of a job that wait. Those
+ * that wait for the store, for leases or for a limit do so on any machine, and
+ * would draw machines from pools that need them.
+ */
+static bool job_lacks_a_worker(const struct job *j)
+{
+	switch (j->pending_reason) {
+	case PENDING_CAPACITY:
+	case PENDING_CONSTRAINTS:
+	case PENDING_EVACUATION:
+		return true;
+	default:
+		return false;
+	}
+}
+
 /*
  * Returns the number of long-running tasks of an occurrence that have found no
  * worker for STRANDED_MIN_MS.
@@ -206,6 +223,8 @@
 	const struct task *t;
 	unsigned i, k, n = 0;
 
+	if (!job_lacks_a_worker(o->job))
+		return 0;
 	for (i = 0; i < o->job->body->step_count; i++, st++) {
 		if (!st->long_running || !o->pending_tasks[i].count)
 			continue;
--- a/tests/test-move.c
+++ b/tests/test-move.c
@@ -8,6 +8,7 @@
 
 #define JOB_A "00000000000000aa"
 #define JOB_B "00000000000000bb"
+#define POOL_WORKERS 3 /* of each pool of world_new_pools() */
 
 /* Work of the second pool that its machines can't finish soon. */
 static const struct world_job burst = {
@@ -24,7 +25,7 @@
 {
 	struct world *w = world_new(seed, WORLD_VMS, WORLD_WORKERS);
 
-	world_add_second_pool(w, 3);
+	world_add_second_pool(w, WORLD_WORKERS - POOL_WORKERS);
 	world_run(w, 4000);
 	return w;
 }
@@ -260,3 +261,45 @@
 			for (n = 0; n < NELEMS(takeovers_ms); n++)
 				next_worker_after(i, k, n);
 }
+
+/*
+ * Guards against calling a machine for each long-running task that waits for
+ * something else than room: after an outage hundreds wait until their crashes
+ * are durable, or apart from others with crashes, and the pools whose queues
+ * have grown get no machines meanwhile.
+ */
+static const struct {
+	const char *name;
+	unsigned tasks;
+	unsigned crashes; /* of all workers of the pool */
+	int64_t store_delay_ms;
+} waiting_rows[] = {
+	{"the store is slow", 2, 1, 400},
+	{"the store is slower", 2, 1, 550},
+	{"more tasks than workers to keep them apart", 6, 2, 0},
+};
+Test(move, tasks_that_lack_no_room_call_no_machines)
+{
+	unsigned row, before, worker, n;
+	struct world_job lasting;
+	struct world *w;
+
+	for (row = 0; row < NELEMS(waiting_rows); row++) {
+		w = world_new_pools(2100 + row);
+		lasting = (struct world_job){.tasks = waiting_rows[row].tasks,
+					     .long_running = true};
+		world_submit(w, 0, JOB_A, &lasting);
+		world_run(w, 4000);
+		before = world_move_count(w);
+		world_set_store_delay(w, waiting_rows[row].store_delay_ms);
+		for (n = 0; n < waiting_rows[row].crashes; n++) {
+			for (worker = 0; worker < POOL_WORKERS; worker++)
+				world_crash_worker(w, worker);
+			world_run(w, 2500);
+		}
+		cr_expect_eq(world_move_count(w), before, "%s: %u moves",
+			     waiting_rows[row].name,
+			     world_move_count(w) - before);
+		check_free(w, waiting_rows[row].name);
+	}
+}
