--- a/sched-job.c
+++ b/sched-job.c
@@ -1,6 +1,6 @@
 /*
- * The jobs that the owner tracks: their occurrences and tasks, which steps are
- * ready to run, and when a job is final.
+ * The jobs that the owner tracks: how they are read, what ended tasks change,
+ * and when a job is final.
  */
 #include "sched-state.h"
 
@@ -8,12 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * An occurrence may start at most 250 ms before its time.  It is created this
- * long after its time, so that small jumps of the wall clock don't make it
- * start too early.
- */
-#define OCCURRENCE_DELAY_MS 20
 /* Wall clocks of VMs are at most seconds apart unless one was stepped. */
 #define CLOCKS_APART_MAX_MS 60000
 /* Jobs whose rows are removed by one transaction; each has up to three rows. */
@@ -279,58 +273,6 @@
 			   : t->occ->pending_tasks[t->step].ready_at;
 }
 
-/* Creates an occurrence of a job, with all its tasks pending. */
-void job_make_occurrence(struct job *j, unsigned number)
-{
-	struct occurrence *o = xcalloc(1, sizeof(*o));
-	const struct job_body *b = j->body;
-	struct task *t;
-	size_t i;
-	unsigned n;
-
-	o->job = j;
-	o->number = number;
-	o->unfinished_in_step = xcalloc(b->step_count,
-					sizeof(*o->unfinished_in_step));
-	o->pending_tasks = xcalloc(b->step_count, sizeof(*o->pending_tasks));
-	o->first_task = xcalloc(b->step_count, sizeof(*o->first_task));
-	o->runs = xcalloc(b->step_count, sizeof(*o->runs));
-	for (i = 0; i < b->step_count; i++) {
-		o->first_task[i] = o->task_count;
-		o->unfinished_in_step[i] = b->steps[i].count;
-		o->pending_tasks[i].count = b->steps[i].count;
-		o->task_count += b->steps[i].count;
-	}
-	o->unfinished = o->task_count;
-	o->tasks = xcalloc(o->task_count, sizeof(*o->tasks));
-	for (i = 0; i < b->step_count; i++) {
-		for (n = 0; n < b->steps[i].count; n++) {
-			t = &o->tasks[o->first_task[i] + n];
-			t->occ = o;
-			t->step = (unsigned)i;
-			t->index = n;
-			t->pace_percent = 100;
-		}
-	}
-	TAILQ_INSERT_TAIL(&j->occs, o, entry);
-}
-
-/* Frees an occurrence.  None of its tasks may be placed on a worker. */
-static void occurrence_free(struct occurrence *o)
-{
-	unsigned i;
-
-	advice_free(o);
-	for (i = 0; i < o->task_count; i++)
-		bstr_free(&o->tasks[i].checkpoint);
-	free(o->tasks);
-	free(o->unfinished_in_step);
-	free(o->pending_tasks);
-	free(o->first_task);
-	free(o->runs);
-	free(o);
-}
-
 /*
  * Removes a job's tasks from the lists of their workers, without stopping them.
  */
@@ -375,18 +317,6 @@
 	free(j);
 }
 
-/* Returns true if all prerequisites of a step are done. */
-bool step_is_ready(const struct occurrence *o, unsigned step_index)
-{
-	const struct job_step *st = &o->job->body->steps[step_index];
-	size_t i;
-
-	for (i = 0; i < st->prerequisite_count; i++)
-		if (o->unfinished_in_step[st->prerequisites[i]])
-			return false;
-	return true;
-}
-
 /* Queues a job whose progress has changed for the next commit. */
 void job_mark_dirty(struct sched *s, struct job *j)
 {
@@ -477,7 +407,7 @@
  * stopped, and they count towards the organisation's usage until they have
  * ended.  Without that, tasks started beside them would exceed its upper limit.
  */
-static bool job_may_have_unknown_runs(struct sched *s, struct job *j)
+bool job_may_have_unknown_runs(struct sched *s, struct job *j)
 {
 	return j->inherited && !s->settled && !job_is_settled(s, j);
 }
@@ -495,45 +425,6 @@
 	sched_job_free(s, j);
 }
 
-/* Returns true if all occurrences of a job are done. */
-static bool job_is_done(const struct job *j)
-{
-	unsigned count = j->body->repeat_count ? j->body->repeat_count : 1;
-
-	return j->next_occurrence >= count && TAILQ_EMPTY(&j->occs);
-}
-
-/* Creates the occurrences of a job that are due. */
-static void job_make_due_occurrences(struct sched *s, struct job *j)
-{
-	const struct job_body *b = j->body;
-	int64_t due;
-
-	if (j->status > JOB_STATUS_RUNNING)
-		return;
-	if (!b->repeat_count) {
-		if (!j->next_occurrence) {
-			job_make_occurrence(j, 0);
-			demand_add(s, j);
-			job_queue_placing(s, j);
-			j->next_occurrence = 1;
-			s->place_due = true;
-		}
-		return;
-	}
-	while (j->next_occurrence < b->repeat_count) {
-		due = b->first_at +
-		      (int64_t)j->next_occurrence * b->interval_ms;
-		if (s->wall < due + OCCURRENCE_DELAY_MS)
-			return;
-		job_make_occurrence(j, j->next_occurrence++);
-		demand_add(s, j);
-		job_queue_placing(s, j);
-		s->place_due = true;
-		job_mark_dirty(s, j);
-	}
-}
-
 /* Returns true if a job has best-effort tasks. */
 static bool body_has_best_effort(const struct job_body *b)
 {
@@ -762,93 +653,6 @@
 		job_finish(s, j, JOB_STATUS_FAILED);
 }
 
-/* Returns occurrence k of a job, or NULL. */
-struct occurrence *occurrence_find(const struct job *j, unsigned number)
-{
-	struct occurrence *o;
-
-	TAILQ_FOREACH(o, &j->occs, entry)
-		if (o->number == number)
-			return o;
-	return NULL;
-}
-
-/*
- * Creates the occurrence k that a worker has named.  If the wall clock of an
- * earlier owner was ahead of this VM's, the occurrences up to k are created
- * early.  A job that was final when it was read has no occurrences; only the
- * named one is created, so that its runs can be stopped.
- */
-static void job_make_missing_occurrences(struct sched *s, struct job *j,
-					 unsigned number)
-{
-	unsigned count = j->body->repeat_count ? j->body->repeat_count : 1;
-
-	if (number >= count)
-		return;
-	if (j->status > JOB_STATUS_RUNNING) {
-		if (job_may_have_unknown_runs(s, j) &&
-		    !occurrence_find(j, number))
-			job_make_occurrence(j, number);
-		return;
-	}
-	while (j->next_occurrence <= number) {
-		job_make_occurrence(j, j->next_occurrence++);
-		job_queue_placing(s, j);
-		job_mark_dirty(s, j);
-	}
-}
-
-/*
- * Parses ".NUMBER" at the start of text and removes it from there.  Returns
- * false if text does not start with that.
- */
-static bool name_take_number(bstr *text, unsigned *n)
-{
-	const char *p = text->bstr_val, *end = p + text->bstr_len;
-	uint64_t value = 0;
-
-	if (end - p < 2 || *p != '.' || p[1] < '0' || p[1] > '9')
-		return false;
-	for (p++; p < end && *p >= '0' && *p <= '9'; p++) {
-		value = value * 10 + (unsigned)(*p - '0');
-		if (value > UINT32_MAX)
-			return false;
-	}
-	*n = (unsigned)value;
-	*text = bstr_ref(p, (size_t)(end - p));
-	return true;
-}
-
-/*
- * Returns the task with this name on a worker, or NULL.  Sets *job to its job,
- * or to NULL if the owner does not track it.  Every list of a worker contains
- * the names of all its runs, so this parses thousands of names per second.
- */
-struct task *task_find(struct sched *s, bstr name, struct job **job)
-{
-	struct occurrence *o;
-	unsigned number, step_index, index;
-	bstr rest;
-
-	*job = NULL;
-	if (name.bstr_len <= JOB_ID_BYTES)
-		return NULL;
-	*job = sched_job_find(s, name.bstr_val);
-	rest = bstr_ref(name.bstr_val + JOB_ID_BYTES,
-			name.bstr_len - JOB_ID_BYTES);
-	if (!*job || !name_take_number(&rest, &number) ||
-	    !name_take_number(&rest, &step_index) ||
-	    !name_take_number(&rest, &index) || rest.bstr_len)
-		return NULL;
-	if (step_index >= (*job)->body->step_count ||
-	    index >= (*job)->body->steps[step_index].count)
-		return NULL;
-	job_make_missing_occurrences(s, *job, number);
-	o = occurrence_find(*job, number);
-	return o ? &o->tasks[o->first_task[step_index] + index] : NULL;
-}
-
 /*
  * Removes the rows of jobs whose retention time is over.  The jobs are
  * remembered as final until the removal is done: a row that is read again would
--- a/sched-state.h
+++ b/sched-state.h
@@ -1145,14 +1145,13 @@
 void sched_job_free(struct sched *s, struct job *j);
 void job_queue_placing(struct sched *s, struct job *j);
 void job_unqueue_placing(struct sched *s, struct job *j);
-void job_make_occurrence(struct job *j, unsigned number);
-struct occurrence *occurrence_find(const struct job *j, unsigned number);
 void job_mark_dirty(struct sched *s, struct job *j);
 void job_tick(struct sched *s);
 void job_task_done(struct sched *s, struct task *t);
 void job_task_failed(struct sched *s, struct task *t, uint64_t run);
 void job_finish(struct sched *s, struct job *j, enum job_status status);
 void job_unretire(struct sched *s, struct retired *r);
+bool job_may_have_unknown_runs(struct sched *s, struct job *j);
 void job_retire_if_done(struct sched *s, struct job *j);
 bool job_is_waiting(const struct job *j);
 bool job_is_settled(struct sched *s, struct job *j);
@@ -1160,8 +1159,6 @@
 bool job_start_is_durable(struct sched *s, struct job *j);
 bool job_request_start(struct sched *s, struct job *j);
 void job_mark_durable(struct sched *s, struct job *j);
-bool step_is_ready(const struct occurrence *o, unsigned step_index);
-struct task *task_find(struct sched *s, bstr name, struct job **job);
 bstr task_name(const struct task *t);
 const struct job_step *task_step(const struct task *t);
 const struct route *job_route(const struct sched *s, struct job *j);
@@ -1363,6 +1360,15 @@
 int64_t occurrence_due_at(const struct sched *s, const struct occurrence *o,
 			  int64_t longest);
 
+/* sched-occurrence.c: occurrences of jobs, and their tasks by name */
+bool step_is_ready(const struct occurrence *o, unsigned step_index);
+void job_make_occurrence(struct job *j, unsigned number);
+void occurrence_free(struct occurrence *o);
+bool job_is_done(const struct job *j);
+void job_make_due_occurrences(struct sched *s, struct job *j);
+struct occurrence *occurrence_find(const struct job *j, unsigned number);
+struct task *task_find(struct sched *s, bstr name, struct job **job);
+
 /* sched-flow.c: the flow of jobs through each queue */
 void flow_add_seen(struct sched *s, const struct job *j);
 void flow_add_begun(struct sched *s, const struct job *j);
