Moves: a silent machine is not taken off the room of its pool

The pool then seemed to have less room, so it gave away fewer machines in that pass, and its queue seemed longer, so callers could be refused beside free room. Class: subtracted without having been added.

What is taken off is now what was counted (worker_counts), in one place for both kinds of move.

Test: move/a_silent_machine_is_not_taken_off_the_room, red with the guard out.

--- a/sched-demand.c
+++ b/sched-demand.c
@@ -33,6 +33,32 @@
 	       s->now - s->own.ready_at < WORKER_TIMEOUT_MS;
 }
 
+/* Returns true if a worker counts towards the capacity of its pool. */
+static bool worker_counts(const struct sched *s, const struct worker *w)
+{
+	return !worker_is_evacuated(s, w) &&
+	       (worker_is_healthy(s, w) || worker_may_answer(s, w));
+}
+
+/*
+ * Takes a machine without tasks, which is about to move, out of the load of its
+ * pool. One whose worker is silent was not counted there: taken out all the
+ * same, the counts would fall below zero, and the pool would seem to have less
+ * room and a longer queue than it has.
+ */
+void pool_load_remove_machine(struct sched *s, struct pool_load *p,
+			      const struct machine *m, double machine_cores)
+{
+	const struct worker *w = m->worker.bstr_len ? worker_find(s, m->worker)
+						    : NULL;
+
+	if (!w || !worker_counts(s, w))
+		return;
+	p->empty--;
+	p->workers--;
+	p->cores -= machine_cores;
+}
+
 /* Adds the capacity and the usage of all workers. */
 static void pool_loads_add_workers(struct sched *s, struct pool_loads *l)
 {
@@ -51,7 +77,7 @@
 			p->evacuated += w->listed && !w->gone;
 			continue;
 		}
-		if (!p || !(worker_is_healthy(s, w) || worker_may_answer(s, w)))
+		if (!p || !worker_counts(s, w))
 			continue;
 		p->workers++;
 		p->unlisted += !w->machine.bstr_len;
--- a/sched-demand.h
+++ b/sched-demand.h
@@ -68,6 +68,8 @@
 void pool_loads_log(struct sched *s, const struct pool_loads *l,
 		    double machine_cores);
 struct pool_load *pool_load_find(const struct pool_loads *l, bstr service);
+void pool_load_remove_machine(struct sched *s, struct pool_load *p,
+			      const struct machine *m, double machine_cores);
 double machine_mean_cores(const struct pool_loads *l);
 double pool_drain_ms(const struct pool_load *p, double machine_cores);
 double pool_lacks_machines_ms(const struct pool_load *p, double machine_cores);
--- a/sched-move.c
+++ b/sched-move.c
@@ -254,9 +254,8 @@
 		spare = idle_machine_choose(list, count, to);
 		if (!spare)
 			break;
-		spare->from->empty--;
-		spare->from->workers--;
-		spare->from->cores -= machine_cores;
+		pool_load_remove_machine(s, spare->from, spare->machine,
+					 machine_cores);
 		to->arriving++;
 		machine_move(s, spare->machine, to->service->name, "burst");
 		spare->machine = NULL;
@@ -332,9 +331,7 @@
 		to = pool_below_keep(s, l, machine_cores);
 		if (!to)
 			to = standby;
-		from->empty--;
-		from->workers--;
-		from->cores -= machine_cores;
+		pool_load_remove_machine(s, from, m, machine_cores);
 		to->arriving++;
 		machine_move(s, m, to->service->name,
 			     to == standby ? "idle" : "home");
--- a/tests/test-move.c
+++ b/tests/test-move.c
@@ -1,7 +1,7 @@
 /*
  * Tests of moves and maintenance of machines: what late or missing answers do.
  */
-#include "../sched-state.h"
+#include "../sched-demand.h"
 #include "support-world.h"
 
 #include <criterion/criterion.h>
@@ -303,3 +303,44 @@
 		check_free(w, waiting_rows[row].name);
 	}
 }
+
+/*
+ * Guards against a pool that seems to have less room and a longer queue than it
+ * has, as idle machines behind a cut are moved away that were not counted: its
+ * callers would be refused although there is room.
+ */
+Test(move, a_silent_machine_is_not_taken_off_the_room)
+{
+	struct world *w = world_new_pools(2150);
+	struct sched *s = world_sched(w, owner(w));
+	struct pool_load before, *p;
+	unsigned taken = 0, silent = 0;
+	struct pool_loads l;
+	struct machine *m;
+	struct worker *k;
+
+	world_cut_workers(w, owner(w), 2, true);
+	world_run(w, 4000);
+	cr_assert_eq(world_sched(w, owner(w)), s);
+	pool_loads_read(s, &l);
+	for (m = s->machines; m; m = m->hh.next) {
+		p = pool_load_find(&l, m->pool);
+		k = worker_find(s, m->worker);
+		if (!p || !k)
+			continue;
+		before = *p;
+		pool_load_remove_machine(s, p, m, 1);
+		taken += before.workers - p->workers;
+		silent += !worker_is_healthy(s, k);
+		cr_expect_eq(before.workers - p->workers,
+			     worker_is_healthy(s, k));
+		cr_expect_eq(before.workers - p->workers,
+			     before.empty - p->empty);
+		cr_expect_eq(before.cores - p->cores,
+			     before.workers - p->workers);
+	}
+	cr_expect_eq(silent, 2);
+	cr_expect_eq(taken, WORLD_WORKERS - 2);
+	pool_loads_free(&l);
+	check_free(w, "a silent machine is taken");
+}
