HTTP client: a request that waits to be written observes its deadline

A connection whose buffer was full at the first write would have taken the first byte whenever there was room again, also after the deadline if the thread got no processor time in between. The deadline is now checked there as well. Failures are logged with their reason.

--- a/http-direct.c
+++ b/http-direct.c
@@ -325,14 +325,14 @@
 	int e = 0;
 
 	if (getsockopt(n->fd, SOL_SOCKET, SO_ERROR, &e, &size) != 0 || e) {
-		conn_fail(n, HTTP_NOT_SENT, "can't connect");
+		conn_fail(n, HTTP_NOT_SENT, strerror(e));
 		return;
 	}
 	n->opened_at = clock_now();
 	heap_set(&t->client->transfer_timers, &t->timer, t->request->deadline);
 	conn_watch(n, EPOLL_CTL_MOD, false);
 	if (!conn_begin(n))
-		conn_fail(n, HTTP_NO_RESPONSE, "can't send");
+		conn_fail(n, HTTP_NO_RESPONSE, strerror(errno));
 }
 
 /* Ends the transfer of a connection with the response received. */
@@ -360,7 +360,8 @@
 	if (length < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (length <= 0) {
-		conn_fail(n, HTTP_NO_RESPONSE, "closed without a response");
+		conn_fail(n, HTTP_NO_RESPONSE,
+			  length ? strerror(errno) : "closed by the server");
 		return;
 	}
 	switch (http_reply_read(&n->reply, data, (size_t)length)) {
@@ -375,6 +376,12 @@
 	}
 }
 
+/* Returns true if a request may not be sent any more, and wasn't. */
+static bool transfer_is_late(const struct http_transfer *t)
+{
+	return !t->sent && t->request->deadline <= clock_now();
+}
+
 /* Handles the epoll events of a connection. */
 void http_direct_ready(struct http_conn *n, uint32_t events)
 {
@@ -386,8 +393,12 @@
 		conn_established(n);
 		return;
 	}
+	if ((events & EPOLLOUT) && transfer_is_late(n->transfer)) {
+		conn_fail(n, HTTP_NO_RESPONSE, "deadline");
+		return;
+	}
 	if ((events & EPOLLOUT) && !conn_write(n)) {
-		conn_fail(n, HTTP_NO_RESPONSE, "can't send");
+		conn_fail(n, HTTP_NO_RESPONSE, strerror(errno));
 		return;
 	}
 	if (events & (EPOLLIN | EPOLLERR | EPOLLHUP))
@@ -428,10 +439,13 @@
 		conn_close(n);
 	}
 	n = conn_open(c, &u.address);
-	if (n)
+	if (n) {
 		transfer_assign(t, n, &u);
-	else
-		http_transfer_end(t, HTTP_NOT_SENT);
+		return true;
+	}
+	log_debug("%s %s: %s", t->request->method, t->request->url,
+		  strerror(errno));
+	http_transfer_end(t, HTTP_NOT_SENT);
 	return true;
 }
 
