Test: nothing leaves after its deadline, over either transport

Traced: it blocks the client's thread after the order was queued in libcurl. Over own connections nothing is queued there: if the answer before had come by then, the order was sent at once, before its deadline, which is right. So that test is libcurl's again, as it was, and nothing_leaves_if_the_deadline_passes_meanwhile brings the failure about over both: the thread blocks between the begin of the order itself and its first byte.

--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -171,7 +171,7 @@
  * The order is ready before the call that blocks the thread, as both are
  * processed in the one round after the call that waits at the gate.
  */
-TEST_TRANSPORTS(nothing_leaves_after_its_deadline)
+Test(http_client, nothing_leaves_after_its_deadline, .timeout = 60)
 {
 	static const struct fake_step steps[] = {{FAKE_ANSWER, 200, "a"},
 						 {FAKE_ANSWER, 200, "b"},
@@ -188,7 +188,7 @@
 		unsigned count = 0;
 
 		f = fake_start(steps, NELEMS(steps));
-		client = client_start(direct);
+		client = client_start(false);
 		if (kept) {
 			/* Leaves a connection for the order. */
 			call_set(&warm, fake_port(f), "warm", LONG_MS, &ended);
@@ -223,6 +223,49 @@
 	}
 }
 
+/*
+ * Guards against the same over either transport: the client's thread gets no
+ * processor time between the begin of a request and its first byte.
+ */
+TEST_TRANSPORTS(nothing_leaves_if_the_deadline_passes_meanwhile)
+{
+	static const struct fake_step steps[] = {{FAKE_ANSWER, 200, "a"},
+						 {FAKE_ANSWER, 200, "b"},
+						 {FAKE_ANSWER, 200, "c"}};
+	struct http_client *client;
+	struct call other, order;
+	struct fake *f;
+	int kept;
+
+	for (kept = 0; kept < 2; kept++) {
+		struct gate ended = GATE;
+
+		f = fake_start(steps, NELEMS(steps));
+		client = client_start(direct);
+		if (kept) {
+			/* Leaves a connection for the order. */
+			call_set(&other, fake_port(f), "o", LONG_MS, &ended);
+			cr_assert(http_client_send(client, &other.http));
+			gate_wait(&ended, 1);
+		}
+		call_set(&order, fake_port(f), "order", SHORT_MS / 5, &ended);
+		order.outlast = &order;
+		order.http.build = call_build;
+		cr_assert(http_client_send(client, &order.http));
+		gate_wait(&ended, kept + 1);
+		cr_expect_eq(order.outcome, HTTP_NOT_SENT, "kept %d: %d", kept,
+			     order.outcome);
+		call_set(&other, fake_port(f), "o", LONG_MS, &ended);
+		cr_assert(http_client_send(client, &other.http));
+		gate_wait(&ended, kept + 2);
+		cr_expect_eq(other.outcome, HTTP_OK);
+		cr_expect_eq(fake_request_count(f), kept + 1,
+			     "kept %d: the order arrived", kept);
+		http_client_stop(client);
+		fake_stop(f);
+	}
+}
+
 /*
  * Guards against sending an order on a connection that is established after the
  * deadline.  The order's connection hangs, and is accepted while the client's
