--- a/http-direct.c
+++ b/http-direct.c
@@ -17,6 +17,7 @@
 #define REQUEST_LINE_END " HTTP/1.1\r\nHost: "
 #define REQUEST_PARTS_MAX (9 + 2 * HTTP_HEADERS_MAX)
 
+/* A part of a request's text. */
 struct text_part {
 	const char *text;
 	size_t length;
@@ -53,11 +54,17 @@
 	return inet_pton(AF_INET, ip, &u->address.sin_addr) == 1;
 }
 
+/* Returns the hash key of an address. */
+static uint64_t address_key(const struct sockaddr_in *a)
+{
+	return (uint64_t)a->sin_addr.s_addr << 16 | a->sin_port;
+}
+
 /* Returns the server at an address, or NULL if there is no connection to it. */
 static struct http_peer *peer_find(const struct http_client *c,
 				   const struct sockaddr_in *a)
 {
-	uint64_t key = (uint64_t)a->sin_addr.s_addr << 16 | a->sin_port;
+	uint64_t key = address_key(a);
 	struct http_peer *p;
 
 	HASH_FIND(hh, c->peers, &key, sizeof(key), p);
@@ -73,7 +80,7 @@
 	if (p)
 		return p;
 	p = xcalloc(1, sizeof(*p));
-	p->key = (uint64_t)a->sin_addr.s_addr << 16 | a->sin_port;
+	p->key = address_key(a);
 	TAILQ_INIT(&p->idle);
 	HASH_ADD(hh, c->peers, key, sizeof(p->key), p);
 	return p;
@@ -134,9 +141,7 @@
 	conn_close(n);
 }
 
-/*
- * Opens a connection; it is established later. Returns NULL on failure.
- */
+/* Opens a connection; it is established later. Returns NULL on failure. */
 static struct http_conn *conn_open(struct http_client *c,
 				   const struct sockaddr_in *a)
 {
--- a/http-direct.h
+++ b/http-direct.h
@@ -54,6 +54,7 @@
 	char value[HTTP_VALUE_MAX];
 };
 
+/* A connection of the client's own. */
 struct http_conn {
 	TAILQ_ENTRY(http_conn) entry;	   /* in idle of its peer */
 	TAILQ_ENTRY(http_conn) idle_entry; /* in idle_conns of the client */
--- a/sched-flow.c
+++ b/sched-flow.c
@@ -53,7 +53,7 @@
 	f->late += j->due && s->now > j->due;
 }
 
-/* Forgets the counts. */
+/* Frees the counts. */
 void flows_free(struct sched *s)
 {
 	struct queue_flow *f, *next;
