--- /dev/null
+++ b/review/cases.h
@@ -0,0 +1,205 @@
+/* The cases: each returns the exit status.  Included by stage.c. */
+
+/* Returns the longest time that a file's jobs are kept: status_s. */
+static int64_t status_ms(void)
+{
+	const char *s = getenv("STATUS_S");
+
+	return 1000 * strtoll(s ? s : "120", NULL, 10);
+}
+
+/*
+ * Jobs that ended longer ago than status_s, and then a new process or another
+ * machine takes over: their tasks must not start again.
+ */
+#define OLD_JOBS 6
+#define OLD_MARGIN_MS 36000 /* the daemons keep jobs for 30 s more */
+#define WATCH_MS 12000
+
+static int case_old_jobs(void)
+{
+	static const char body[] =
+		"{\"specification\":\"work=500 cpu=1800\",\"steps\":[{"
+		"\"count\":2,\"cpu\":1800,\"requested_memory_mb\":1800,"
+		"\"estimated_ms\":500}]}";
+	struct daemon_process *d;
+	char id[OLD_JOBS][20], state[32];
+	int i, before;
+
+	for (i = 0; i < OLD_JOBS; i++) {
+		snprintf(id[i], sizeof(id[i]), "5c0e7a21d94b36f%d", i);
+		submit(id[i], body);
+	}
+	for (i = 0; i < OLD_JOBS; i++)
+		if (!wait_state(id[i], "completed", 10000))
+			return 2;
+	rec("driver: all jobs are completed; waits until status_s is over");
+	wait_ms(status_ms() + OLD_MARGIN_MS);
+	before = counter(&starts);
+	d = owner();
+	if (!d)
+		return 2;
+	if (trouble) {
+		daemon_kill(d);
+		wait_ms(500);
+		daemon_start(d);
+	}
+	wait_ms(WATCH_MS);
+	for (i = 0; i < OLD_JOBS; i++)
+		state_get(id[i], state, sizeof(state));
+	rec("driver: %d starts since then, %d of them of tasks that had ended "
+	    "done",
+	    counter(&starts) - before, counter(&starts_after_done));
+	return counter(&starts_after_done) || counter(&doubles) ? 1 : 0;
+}
+
+/*
+ * The worker that runs one task of a lasting job crashes three times.  No run
+ * ends as failed, so the job must not be shown as failed.
+ */
+#define CRASHES 3
+#define DOWN_MS 4500 /* as long as the site's crashes last */
+#define AT_WORK_MS 1500
+
+static int case_crashes(void)
+{
+	static const char id[] = "5c0e7a21d94b36f8", task[] =
+		"5c0e7a21d94b36f8.0.0.0";
+	static const char body[] =
+		"{\"specification\":\"lasts=1 cpu=2600\",\"steps\":[{"
+		"\"count\":5,\"cpu\":2600,\"requested_memory_mb\":4800,"
+		"\"estimated_ms\":700,\"long_running\":true,"
+		"\"anti_affinity\":1,\"may_miss\":1}]}";
+	struct worker *w;
+	char state[32];
+	int i, failed;
+
+	submit(id, body);
+	if (!wait_state(id, "running", 10000))
+		return 2;
+	for (i = 0; trouble && i < CRASHES; i++) {
+		w = wait_worker(task, AT_WORK_MS, FINISH_MS);
+		if (!w)
+			break; /* it isn't started again; see the state */
+		worker_do(w, WISH_CRASH);
+		wait_ms(DOWN_MS);
+		worker_do(w, WISH_START);
+	}
+	wait_ms(trouble ? FINISH_MS : 2 * FINISH_MS);
+	if (state_get(id, state, sizeof(state)) != 200)
+		return 2;
+	pthread_mutex_lock(&lock);
+	failed = (int)json_object_size(failed_ends);
+	pthread_mutex_unlock(&lock);
+	rec("driver: the job is shown as %s; %d tasks have an end `failed`",
+	    state, failed);
+	if (counter(&stopped_at_work) > 1 && !failed)
+		rec("driver: these stops are of a job that nobody cancelled");
+	if (!strcmp(state, "failed") && !failed) {
+		rec("BROKEN LOST: a job that nobody cancelled is shown as "
+		    "failed, and none of its runs has ended `failed`");
+		return 1;
+	}
+	if (counter(&stopped_at_work) > 1)
+		return 1;
+	return strcmp(state, "running") ? 2 : 0;
+}
+
+/*
+ * A gang of two ends done.  One member's worker is cut off before, runs on, and
+ * crashes behind the cut after the end.  The other member's end represents
+ * both, so the job's next step must run.
+ */
+#define CUT_MS 5500
+#define GANG_WORK_MS 4000
+
+static int case_gang(void)
+{
+	static const char id[] = "5c0e7a21d94b36f8";
+	static const char body[] =
+		"{\"specification\":\"work=4000 cpu=20000 gang=2\",\"steps\":[{"
+		"\"count\":2,\"cpu\":20000,\"requested_memory_mb\":5500,"
+		"\"estimated_ms\":4000,\"gang\":true},{"
+		"\"count\":1,\"cpu\":20000,\"requested_memory_mb\":5500,"
+		"\"estimated_ms\":4000,\"after\":[0]}]}";
+	struct worker *w;
+	bool done;
+
+	submit(id, body);
+	w = wait_worker("5c0e7a21d94b36f8.0.0.1", GANG_WORK_MS / 2, 10000);
+	if (!w)
+		return 2;
+	if (trouble) {
+		worker_do(w, WISH_CUT);
+		wait_ms(GANG_WORK_MS / 2 + 1000);
+		worker_do(w, WISH_CRASH);
+		wait_ms(500);
+		worker_do(w, WISH_START);
+		wait_ms(CUT_MS - GANG_WORK_MS / 2 - 1500);
+		worker_do(w, WISH_HEAL);
+		wait_ms(CONTACT_MS);
+		rec("driver: everything is calm again");
+	}
+	done = wait_state(id, "completed", FINISH_MS);
+	if (!done)
+		rec("BROKEN LOST: for %d s nothing of the job has run, though "
+		    "its next task's turn has come and the workers are empty",
+		    FINISH_MS / 1000);
+	return done ? 0 : 1;
+}
+
+/* A job with many tasks that save checkpoints. */
+static int case_large(void)
+{
+	const char *n = getenv("TASKS");
+	char *body = xasprintf(
+		"{\"specification\":\"work=30000 cpu=90 saves=1\",\"steps\":["
+		"{\"count\":%s,\"cpu\":90,\"requested_memory_mb\":10,"
+		"\"estimated_ms\":30000,\"checkpointing\":true}]}",
+		n ? n : "3000");
+	static const char small[] =
+		"{\"specification\":\"work=500 cpu=90\",\"steps\":[{"
+		"\"count\":2,\"cpu\":90,\"requested_memory_mb\":10,"
+		"\"estimated_ms\":500}]}";
+	char id[20], state[32];
+	struct worker *w;
+	int i, left = 0;
+
+	submit("5c0e7a21d94b36f8", body);
+	wait_ms(5000);
+	if (trouble) {
+		w = wait_worker("5c0e7a21d94b36f8.0.0.0", 1, 1000);
+		worker_do(w, WISH_CRASH);
+		wait_ms(DOWN_MS);
+		worker_do(w, WISH_START);
+	}
+	wait_ms(3000);
+	for (i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "77480b35adfbae9%d", i);
+		submit(id, small);
+		wait_ms(500);
+	}
+	wait_ms(5000);
+	for (i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "77480b35adfbae9%d", i);
+		state_get(id, state, sizeof(state));
+		left += strcmp(state, "completed") != 0;
+	}
+	rec("driver: %d left", left);
+	wait_state("5c0e7a21d94b36f8", "completed", 40000);
+	for (i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "77480b35adfbae9%d", i);
+		state_get(id, state, sizeof(state));
+	}
+	return left > 0;
+}
+
+static const struct {
+	const char *name;
+	int (*run)(void);
+} cases[] = {
+	{"old-jobs", case_old_jobs},
+	{"crashes", case_crashes},
+	{"gang", case_gang},
+	{"large", case_large},
+};
