--- a/review/stage.c
+++ b/review/stage.c
@@ -1015,19 +1015,27 @@
 };
 static struct daemon_process daemons[DAEMONS];
 
+#define PORTS_FIRST 12000 /* below those that connections get */
+#define PORTS_EACH 12	  /* for a run of a script */
+#define PORTS_BLOCKS 1500
+
 /*
- * Returns a free port below those that the kernel gives to connections, which
- * could take one before its daemon listens there.
+ * Returns a free port from this run's own block, so that no connection and no
+ * other run takes it before its daemon listens there.
  */
 static uint16_t port_free(void)
 {
 	struct sockaddr_in a = {.sin_family = AF_INET};
-	unsigned tries;
+	static unsigned next;
+	unsigned block = (unsigned)getpid() % PORTS_BLOCKS;
 	int fd, rc;
 
 	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	for (tries = 0; tries < 1000; tries++) {
-		a.sin_port = htons((uint16_t)(12000 + standin_random(18000)));
+	while (next < PORTS_EACH * PORTS_BLOCKS) {
+		a.sin_port = htons((uint16_t)(
+			PORTS_FIRST +
+			(block * PORTS_EACH + next++) %
+				(PORTS_EACH * PORTS_BLOCKS)));
 		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 		rc = bind(fd, (struct sockaddr *)&a, sizeof(a));
 		close(fd);
@@ -1380,7 +1388,6 @@
 	if (!record || !mkdtemp(temp_dir))
 		return 2;
 	start_time = clock_now();
-	standin_seed((uint64_t)getpid() << 20 ^ (uint64_t)clock_wall());
 	rec("case %s, trouble %d", argv[1], trouble);
 	noted_done = json_object();
 	failed_ends = json_object();
