--- a/review/cases.h
+++ b/review/cases.h
@@ -148,50 +148,54 @@
 	return done ? 0 : 1;
 }
 
-/* A job with many tasks that save checkpoints. */
+/*
+ * Not one of the three cases, see REPORT.md: a worker crashes while a job of
+ * many tasks with checkpoints runs.  The jobs handed in after that must start.
+ */
+#define LARGE_SMALL_JOBS 3
+
 static int case_large(void)
 {
-	const char *n = getenv("TASKS");
-	char *body = xasprintf(
-		"{\"specification\":\"work=30000 cpu=90 saves=1\",\"steps\":["
-		"{\"count\":%s,\"cpu\":90,\"requested_memory_mb\":10,"
-		"\"estimated_ms\":30000,\"checkpointing\":true}]}",
-		n ? n : "3000");
+	static const char large[] =
+		"{\"specification\":\"work=100000 cpu=40 saves=1\",\"steps\":[{"
+		"\"count\":3000,\"cpu\":40,\"requested_memory_mb\":10,"
+		"\"estimated_ms\":100000,\"checkpointing\":true}]}";
 	static const char small[] =
-		"{\"specification\":\"work=500 cpu=90\",\"steps\":[{"
-		"\"count\":2,\"cpu\":90,\"requested_memory_mb\":10,"
-		"\"estimated_ms\":500}]}";
-	char id[20], state[32];
+		"{\"specification\":\"work=1000 cpu=1800\",\"steps\":[{"
+		"\"count\":2,\"cpu\":1800,\"requested_memory_mb\":1800,"
+		"\"estimated_ms\":1000}]}";
+	char id[LARGE_SMALL_JOBS][20], state[32];
 	struct worker *w;
-	int i, left = 0;
+	int i, before, left = 0;
 
-	submit("5c0e7a21d94b36f8", body);
-	wait_ms(5000);
+	submit("5c0e7a21d94b36f8", large);
+	w = wait_worker("5c0e7a21d94b36f8.0.0.0", 3000, 10000);
+	if (!w)
+		return 2;
 	if (trouble) {
-		w = wait_worker("5c0e7a21d94b36f8.0.0.0", 1, 1000);
 		worker_do(w, WISH_CRASH);
 		wait_ms(DOWN_MS);
 		worker_do(w, WISH_START);
 	}
-	wait_ms(3000);
-	for (i = 0; i < 10; i++) {
-		snprintf(id, sizeof(id), "77480b35adfbae9%d", i);
-		submit(id, small);
-		wait_ms(500);
+	wait_ms(CONTACT_MS);
+	before = counter(&starts);
+	for (i = 0; i < LARGE_SMALL_JOBS; i++) {
+		snprintf(id[i], sizeof(id[i]), "77480b35adfbae9%d", i);
+		submit(id[i], small);
 	}
-	wait_ms(5000);
-	for (i = 0; i < 10; i++) {
-		snprintf(id, sizeof(id), "77480b35adfbae9%d", i);
-		state_get(id, state, sizeof(state));
+	wait_ms(FINISH_MS);
+	for (i = 0; i < LARGE_SMALL_JOBS; i++) {
+		state_get(id[i], state, sizeof(state));
 		left += strcmp(state, "completed") != 0;
 	}
-	rec("driver: %d left", left);
-	wait_state("5c0e7a21d94b36f8", "completed", 40000);
-	for (i = 0; i < 10; i++) {
-		snprintf(id, sizeof(id), "77480b35adfbae9%d", i);
-		state_get(id, state, sizeof(state));
-	}
-	return left > 0;
+	rec("driver: %d of %d jobs are not completed, %d starts since they "
+	    "were handed in",
+	    left, LARGE_SMALL_JOBS, counter(&starts) - before);
+	if (left)
+		rec("BROKEN LOST: for %d s nothing of these jobs has run, though "
+		    "their turn has come and half of the workers' room is free",
+		    FINISH_MS / 1000);
+	return left ? 1 : 0;
 }
 
 static const struct {
