--- a/review/cases.h
+++ b/review/cases.h
@@ -198,6 +198,30 @@
 	return left ? 1 : 0;
 }
 
+/*
+ * Not one of the three cases, as it needs no disruption: the members of a gang
+ * with anti_affinity 1 must start on different workers.
+ */
+static int case_gang_apart(void)
+{
+	static const char body[] =
+		"{\"specification\":\"work=1000 cpu=3800 gang=2\",\"steps\":[{"
+		"\"count\":2,\"cpu\":3800,\"requested_memory_mb\":5500,"
+		"\"estimated_ms\":1000,\"gang\":true,\"anti_affinity\":1}]}";
+	struct worker *a, *b;
+
+	submit("5c0e7a21d94b36f8", body);
+	a = wait_worker("5c0e7a21d94b36f8.0.0.0", 1, 10000);
+	b = wait_worker("5c0e7a21d94b36f8.0.0.1", 1, 10000);
+	if (!a || !b)
+		return 2;
+	if (a == b)
+		rec("BROKEN ROUTE: two tasks of a step run on %s, and its "
+		    "anti_affinity is 1",
+		    a->id);
+	return a == b ? 1 : 0;
+}
+
 static const struct {
 	const char *name;
 	int (*run)(void);
@@ -206,4 +230,5 @@
 	{"crashes", case_crashes},
 	{"gang", case_gang},
 	{"large", case_large},
+	{"gang-apart", case_gang_apart},
 };
