Scheduler: removals of final jobs are logged and counted, in a file of their own

From a job's id one couldn't find out when it was forgotten, nor how many final jobs wait for their removal. The functions move from sched-job.c and sched-commit.c to sched-retention.c; what they do is unchanged.

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -154,29 +154,3 @@
 	load_add_commit(s, rows, s->now - a->sent_at);
 	worker_acknowledge(s);
 }
-
-/*
- * Handles the outcome of a removal of rows.  A conflict means that there is a
- * new owner.  While the jobs table is being read again, a page may arrive that
- * was read before the rows were removed.  In that case the jobs stay known as
- * final, and their rows are removed once more.
- */
-void sweep_answer(struct sched *s, struct request *rq, struct answer *a)
-{
-	struct retired *r, *next;
-
-	if (rq->epoch != s->own.epoch || s->own.state != OWN_OWNER)
-		return;
-	if (a->outcome == OUT_CONFLICT) {
-		own_lose(s, "replaced");
-		return;
-	}
-	for (r = TAILQ_FIRST(&s->retired_order); r; r = next) {
-		next = TAILQ_NEXT(r, entry);
-		if (!r->removing)
-			break;
-		r->removing = false;
-		if (a->outcome == OUT_DONE && s->follows[FOLLOW_JOBS].complete)
-			job_unretire(s, r);
-	}
-}
--- a/sched-job.c
+++ b/sched-job.c
@@ -10,8 +10,6 @@
 
 /* Wall clocks of VMs are at most seconds apart unless one was stepped. */
 #define CLOCKS_APART_MAX_MS 60000
-/* Jobs whose rows are removed by one transaction; each has up to three rows. */
-#define SWEEP_JOBS_MAX 30
 
 /* Returns the job with this id, or NULL if the owner does not track it. */
 struct job *sched_job_find(struct sched *s, const char *id)
@@ -334,30 +332,6 @@
 	TAILQ_INSERT_TAIL(&s->dirty, j, dirty);
 }
 
-/* Adds a job to the final ones, whose rows are removed later. */
-static void job_retire(struct sched *s, const char *id, int64_t ended)
-{
-	struct retired *r;
-
-	HASH_FIND(hh, s->retired, id, JOB_ID_BYTES, r);
-	if (r)
-		return;
-	r = xcalloc(1, sizeof(*r));
-	memcpy(r->id, id, JOB_ID_BYTES);
-	r->ended = ended ? ended : s->wall;
-	HASH_ADD(hh, s->retired, id, JOB_ID_BYTES, r);
-	TAILQ_INSERT_TAIL(&s->retired_order, r, entry);
-}
-
-/* Removes a job from the final ones. */
-void job_unretire(struct sched *s, struct retired *r)
-{
-	TAILQ_REMOVE(&s->retired_order, r, entry);
-	if (s->retired)
-		HASH_DEL(s->retired, r);
-	free(r);
-}
-
 /* Orders the stop of all tasks that a job has on workers. */
 static void job_stop_tasks(struct sched *s, struct job *j)
 {
@@ -421,7 +395,7 @@
 	if (j->status <= JOB_STATUS_RUNNING || j->dirty_seq || j->commit_seq ||
 	    j->placed || job_may_have_unknown_runs(s, j))
 		return;
-	job_retire(s, j->id, j->ended);
+	retention_add(s, j->id, j->ended);
 	sched_job_free(s, j);
 }
 
@@ -499,7 +473,6 @@
 void job_row_apply(struct sched *s, struct row *r)
 {
 	char id[JOB_ID_BYTES + 1] = "";
-	struct retired *retired;
 	struct job *j;
 
 	if (r->removed || r->kind == ROW_BAD || r->key.bstr_len < JOB_ID_BYTES)
@@ -509,8 +482,7 @@
 		job_cancel(s, id);
 		return;
 	}
-	HASH_FIND(hh, s->retired, id, JOB_ID_BYTES, retired);
-	if (retired || sched_job_find(s, id))
+	if (retention_find(s, id) || sched_job_find(s, id))
 		return;
 	j = job_row_read(id, r->value);
 	if (!j) {
@@ -553,7 +525,7 @@
 	bstr_free(&tenant);
 	j = sched_job_find(s, id);
 	if (status > JOB_STATUS_RUNNING) {
-		job_retire(s, id, ended);
+		retention_add(s, id, ended);
 		if (j && j->inherited) {
 			s->open_jobs -= j->status <= JOB_STATUS_RUNNING;
 			j->status = status;
@@ -653,40 +625,7 @@
 		job_finish(s, j, JOB_STATUS_FAILED);
 }
 
-/*
- * Removes the rows of jobs whose retention time is over.  The jobs are
- * remembered as final until the removal is done: a row that is read again would
- * be taken for a new job and run a second time.
- */
-static void job_sweep(struct sched *s)
-{
-	struct retired *r;
-	struct request *rq;
-	struct tx *t = NULL;
-	unsigned n = 0;
-	bstr key;
-
-	TAILQ_FOREACH(r, &s->retired_order, entry) {
-		if (n++ == SWEEP_JOBS_MAX || r->removing ||
-		    s->wall - r->ended <= s->options.keep_ms)
-			break;
-		if (!t) {
-			t = sched_tx(s, FOR_SWEEP, s->now + STORE_TIMEOUT_MS,
-				     &rq);
-			tx_expect(t, TABLE_OWNER, bstr_lit("epoch"),
-				  s->own.revision);
-		}
-		key = bstr_printf("%s/cancel", r->id);
-		tx_remove(t, TABLE_JOBS, bstr_lit(r->id));
-		tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
-		tx_remove(t, TABLE_JOBS, key);
-		bstr_free(&key);
-		r->removing = true;
-	}
-	s->sweep_at = s->now + 1000;
-}
-
-/* Creates due occurrences, retires final jobs and removes old rows. */
+/* Creates due occurrences and stops tracking jobs that are final. */
 void job_tick(struct sched *s)
 {
 	struct job *j, *next;
@@ -699,6 +638,4 @@
 			job_make_due_occurrences(s, j);
 		job_retire_if_done(s, j);
 	}
-	if (s->now >= s->sweep_at && own_may_order(s))
-		job_sweep(s);
 }
--- a/sched-own.c
+++ b/sched-own.c
@@ -132,13 +132,11 @@
 /* Discards all state that only an owner has. */
 static void own_reset_state(struct sched *s)
 {
-	struct retired *r;
 	struct job *j;
 
 	while ((j = TAILQ_FIRST(&s->jobs_by_arrival)))
 		sched_job_free(s, j);
-	while ((r = TAILQ_FIRST(&s->retired_order)))
-		job_unretire(s, r);
+	retention_reset(s);
 	sched_workers_free(s);
 	waves_reset_owner_state(s);
 	usage_free(s);
--- a/sched-state.h
+++ b/sched-state.h
@@ -358,15 +358,15 @@
 };
 TAILQ_HEAD(job_queue, job);
 
-/* A final job, kept until its rows may be removed. */
-struct retired {
-	TAILQ_ENTRY(retired) entry;
+/* A final job whose rows are still in the store. */
+struct retained {
+	TAILQ_ENTRY(retained) entry;
 	char id[JOB_ID_BYTES + 1];
 	int64_t ended; /* wall clock */
 	bool removing; /* the removal of its rows is in flight */
 	UT_hash_handle hh;
 };
-TAILQ_HEAD(retired_list, retired);
+TAILQ_HEAD(retained_list, retained);
 
 /* Limit of the workers of a pool that are held. */
 #define HOLDS_MAX 8
@@ -560,7 +560,7 @@
 	FOR_RELEASE,
 	FOR_OFFER,
 	FOR_COMMIT,
-	FOR_SWEEP,
+	FOR_REMOVE_JOBS,
 	FOR_SUBMIT,
 	FOR_SUBMIT_READ, /* queue is full: check whether the job exists */
 	FOR_STATE,
@@ -934,10 +934,10 @@
 	bool commit_in_flight;
 	uint64_t commit_first_seq; /* lowest dirty_seq in that commit */
 	int64_t commit_at;
-	uint64_t commit_revision; /* of the row that each commit rewrites */
-	struct retired *retired;
-	struct retired_list retired_order;
-	int64_t sweep_at;
+	uint64_t commit_revision;  /* of the row that each commit rewrites */
+	struct retained *retained; /* by id */
+	struct retained_list retained_order;
+	int64_t remove_at;
 	struct worker *workers;
 	struct worker_queue unacked;	     /* by last_end_seq */
 	struct open_start_queue open_starts; /* hold back acknowledgements */
@@ -1150,7 +1150,6 @@
 void job_task_done(struct sched *s, struct task *t);
 void job_task_failed(struct sched *s, struct task *t, uint64_t run);
 void job_finish(struct sched *s, struct job *j, enum job_status status);
-void job_unretire(struct sched *s, struct retired *r);
 bool job_may_have_unknown_runs(struct sched *s, struct job *j);
 void job_retire_if_done(struct sched *s, struct job *j);
 bool job_is_waiting(const struct job *j);
@@ -1168,12 +1167,19 @@
 void task_delay(struct task *t, int64_t until);
 int64_t task_ready_at(const struct task *t);
 
-/* sched-commit.c: writing progress, removing rows of final jobs */
+/* sched-commit.c: writing progress */
 bool commit_row_apply(struct sched *s, const struct row *r);
 void commit_tick(struct sched *s);
 uint64_t commit_durable(const struct sched *s);
 void commit_answer(struct sched *s, struct request *rq, struct answer *a);
-void sweep_answer(struct sched *s, struct request *rq, struct answer *a);
+
+/* sched-retention.c: final jobs, and the removal of their rows */
+void retention_add(struct sched *s, const char *id, int64_t ended);
+const struct retained *retention_find(const struct sched *s, const char *id);
+uint64_t retention_late_ms(const struct sched *s);
+void retention_reset(struct sched *s);
+void retention_tick(struct sched *s);
+void retention_answer(struct sched *s, struct request *rq, struct answer *a);
 
 /* sched-note.c: the note of workers that may hold leases */
 bool worker_is_unused(const struct worker *w);
--- a/sched.c
+++ b/sched.c
@@ -174,8 +174,8 @@
 	case FOR_COMMIT:
 		commit_answer(s, rq, a);
 		break;
-	case FOR_SWEEP:
-		sweep_answer(s, rq, a);
+	case FOR_REMOVE_JOBS:
+		retention_answer(s, rq, a);
 		break;
 	case FOR_SUBMIT:
 	case FOR_SUBMIT_READ:
@@ -348,6 +348,8 @@
 		eligible += worker_is_eligible(s, w);
 	sched_gauge(s, COUNT_OWNER, s->own.state == OWN_OWNER);
 	sched_gauge(s, COUNT_JOBS_OPEN, HASH_COUNT(s->jobs));
+	sched_gauge(s, COUNT_JOBS_RETAINED, HASH_COUNT(s->retained));
+	sched_gauge(s, COUNT_REMOVAL_LATE, retention_late_ms(s));
 	sched_gauge(s, COUNT_WORKERS_KNOWN, HASH_COUNT(s->workers));
 	sched_gauge(s, COUNT_WORKERS_TAKING, eligible);
 	sched_gauge(s, COUNT_CONFIG_REVISION,
@@ -369,6 +371,7 @@
 	own_tick(s);
 	call_tick(s);
 	job_tick(s);
+	retention_tick(s);
 	worker_tick(s);
 	evacuations_tick(s);
 	wave_tick(s);
@@ -456,7 +459,7 @@
 	TAILQ_INIT(&s->placing);
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->committing_jobs);
-	TAILQ_INIT(&s->retired_order);
+	TAILQ_INIT(&s->retained_order);
 	TAILQ_INIT(&s->unacked);
 	TAILQ_INIT(&s->open_starts);
 	return s;
