--- a/sched-data.c
+++ b/sched-data.c
@@ -159,9 +159,9 @@
 	size_t i;
 
 	for (i = 0; i < t->condition_count; i++)
-		bstr_free(&t->conditions[i].key);
+		bstr_free(&t->conditions[i].row.key);
 	for (i = 0; i < t->write_count; i++) {
-		bstr_free(&t->writes[i].key);
+		bstr_free(&t->writes[i].row.key);
 		bstr_free(&t->writes[i].value);
 	}
 	for (i = 0; i < t->remove_count; i++)
--- a/sched-tx.c
+++ b/sched-tx.c
@@ -28,16 +28,21 @@
 	return 1 + 10 + ((unsigned)c - 'a') % 6;
 }
 
+/* Returns the name of a row; the key is copied. */
+static struct row_ref row_ref(enum table table, bstr key)
+{
+	return (struct row_ref){.table = table,
+				.part = row_part(table, key),
+				.key = bstr_copy(key)};
+}
+
 /* Adds the condition that a row still has a revision. */
 void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision)
 {
 	t->conditions = xrealloc(t->conditions, t->condition_count + 1,
 				 sizeof(*t->conditions));
 	t->conditions[t->condition_count++] = (struct tx_expect){
-		.table = table,
-		.part = row_part(table, key),
-		.key = bstr_copy(key),
-		.revision = revision};
+		.row = row_ref(table, key), .revision = revision};
 }
 
 /*
@@ -70,17 +75,16 @@
 {
 	t->writes = xrealloc(t->writes, t->write_count + 1, sizeof(*t->writes));
 	t->writes[t->write_count++] = (struct tx_write){
-		.table = table,
-		.part = row_part(table, key),
-		.key = bstr_copy(key),
-		.value = value};
+		.row = row_ref(table, key), .value = value};
 }
 
-/* Adds the removal of a row. */
+/*
+ * Adds the removal of a row.  The store takes the removal of a row that doesn't
+ * exist for done, so a wrong name would go unnoticed.
+ */
 void tx_remove(struct tx *t, enum table table, bstr key)
 {
 	t->removes = xrealloc(t->removes, t->remove_count + 1,
 			      sizeof(*t->removes));
-	t->removes[t->remove_count++] = (struct tx_write){
-		.table = table, .key = bstr_copy(key)};
+	t->removes[t->remove_count++] = row_ref(table, key);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -314,17 +314,20 @@
  */
 #define JOB_PARTS 16
 
-/* A condition of a transaction: a row has this revision. */
-struct tx_expect {
+/* The name of a row; row_ref() makes it, as a key alone doesn't tell the part.
+ */
+struct row_ref {
 	enum table table;
 	unsigned part;
 	bstr key;
+};
+/* A condition of a transaction: a row has this revision. */
+struct tx_expect {
+	struct row_ref row;
 	uint64_t revision; /* 0: the row must not exist */
 };
 struct tx_write {
-	enum table table;
-	unsigned part;
-	bstr key;
+	struct row_ref row;
 	bstr value;
 };
 struct tx {
@@ -332,7 +335,7 @@
 	size_t condition_count;
 	struct tx_write *writes;
 	size_t write_count;
-	struct tx_write *removes; /* values unused */
+	struct row_ref *removes;
 	size_t remove_count;
 };
 
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -139,6 +139,17 @@
 	w->vms[vm].pages_stalled[table] = stalled;
 }
 
+/* Sets how long the VMs keep final jobs, also those that run already. */
+void world_set_retention(struct world *w, int64_t ms)
+{
+	unsigned i;
+
+	w->keep_ms = ms;
+	for (i = 0; i < w->vm_count; i++)
+		if (w->vms[i].sched)
+			w->vms[i].sched->options.keep_ms = ms;
+}
+
 /* Drops the history of changes; feeds from an older revision fail. */
 void world_compact_history(struct world *w)
 {
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -123,6 +123,17 @@
 	return "";
 }
 
+/* Returns how many rows of a job the store has, in all tables. */
+unsigned world_stored_rows(const struct world *w, const char *id)
+{
+	unsigned i, n = 0;
+
+	for (i = 0; i < w->row_count; i++)
+		n += !w->rows[i].removed &&
+		     !strncmp(w->rows[i].key, id, JOB_ID_BYTES);
+	return n;
+}
+
 /* Returns how many workers have crashed under tasks of a job. */
 unsigned world_crashes_under(const struct world *w, const char *id)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -78,6 +78,7 @@
 
 struct world_row {
 	enum table table;
+	unsigned part;
 	char *key;
 	bstr value;
 	uint64_t revision;
@@ -212,6 +213,7 @@
 	int64_t order_delay_ms;		  /* of starts and stops */
 	unsigned ends_listed;  /* most ends in one answer of a worker */
 	bool old_connections;  /* timeouts report an old connection */
+	int64_t keep_ms;       /* retention of final jobs */
 	bool polls_reset;      /* when their worker restarts */
 	bool late_orders_kept; /* a restart doesn't discard late orders */
 	enum refusal refusal;  /* answer to all starts */
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -1,27 +1,61 @@
 /* The simulated store: its rows, transactions and feeds. */
 #include "support-world-state.h"
 
-/* Returns a row, which is made as a removed one if need be. */
-struct world_row *world_row_get(struct world *w, enum table table,
-				const char *key)
+/*
+ * Returns the part that a row belongs to: jobs and their cancellations are in
+ * parts 1 to 16, by the first digit of the id, all other rows in part 0.
+ */
+static unsigned part_of(enum table table, const char *key)
+{
+	if (table != TABLE_JOBS)
+		return 0;
+	return 1 + (unsigned)(key[0] <= '9' ? key[0] - '0'
+					    : 10 + (key[0] - 'a') % 6);
+}
+
+/*
+ * Returns the row of a part of a table, which is made as a removed one if need
+ * be.  Rows with one key in two parts are two rows.
+ */
+static struct world_row *row_in_part(struct world *w, enum table table,
+				     unsigned part, const char *key)
 {
 	struct world_row *r;
 	unsigned i;
 
 	for (i = 0; i < w->row_count; i++)
-		if (w->rows[i].table == table && !strcmp(w->rows[i].key, key))
+		if (w->rows[i].table == table && w->rows[i].part == part &&
+		    !strcmp(w->rows[i].key, key))
 			return &w->rows[i];
 	if (w->row_count == ROWS_MAX)
 		abort();
 	r = &w->rows[w->row_count++];
 	memset(r, 0, sizeof(*r));
 	r->table = table;
+	r->part = part;
 	r->key = xstrdup(key);
 	r->removed = true;
 	r->worker = -1;
 	return r;
 }
 
+/* Returns the row that a transaction names. */
+static struct world_row *row_of(struct world *w, const struct row_ref *ref)
+{
+	char *key = bstr_cstr(ref->key);
+	struct world_row *r = row_in_part(w, ref->table, ref->part, key);
+
+	free(key);
+	return r;
+}
+
+/* Returns a row of the part that it belongs to. */
+struct world_row *world_row_get(struct world *w, enum table table,
+				const char *key)
+{
+	return row_in_part(w, table, part_of(table, key), key);
+}
+
 /* Writes a row as another writer of the platform does. */
 void world_row_write(struct world *w, enum table table, const char *key,
 		     int worker)
@@ -198,19 +232,6 @@
 	}
 }
 
-/*
- * Returns true if a row is in the part of the table that a request asks for.
- * Parts go by the first digit of the key; 0 is the whole table.
- */
-static bool row_in_part(const struct world_row *r, unsigned part)
-{
-	char c = r->key[0];
-
-	if (!part)
-		return true;
-	return part == 1 + (unsigned)(c <= '9' ? c - '0' : 10 + (c - 'a') % 6);
-}
-
 /* Reads a page of a range, starting at a key. */
 static void range_read(struct world *w, const struct range *range,
 		       struct answer *a)
@@ -229,7 +250,7 @@
 		for (i = 0; i < w->row_count; i++) {
 			r = &w->rows[i];
 			if (r->table != range->table || r->removed ||
-			    !row_in_part(r, range->part) ||
+			    r->part != range->part ||
 			    strcmp(r->key, from) < 0 ||
 			    (last && strcmp(r->key, last) <= 0))
 				continue;
@@ -289,11 +310,12 @@
 
 	if (n < 0)
 		return;
-	if (row->table == TABLE_JOBS && key[JOB_ID_BYTES])
+	if (row->row.table == TABLE_JOBS && key[JOB_ID_BYTES])
 		w->jobs[n].over = true;
-	else if (row->table == TABLE_JOBS && !w->jobs[n].stored_at)
+	else if (row->row.table == TABLE_JOBS && !w->jobs[n].stored_at)
 		w->jobs[n].stored_at = w->now;
-	for (i = 0; row->table == TABLE_PROGRESS && i < NELEMS(final); i++) {
+	for (i = 0; row->row.table == TABLE_PROGRESS && i < NELEMS(final);
+	     i++) {
 		snprintf(want, sizeof(want), "\"state\":\"%s\"", final[i]);
 		if (memmem(row->value.bstr_val, row->value.bstr_len, want,
 			   strlen(want))) {
@@ -321,36 +343,29 @@
 bool world_tx_apply(struct world *w, const struct tx *t)
 {
 	struct world_row *r;
-	char *key;
 	size_t i;
 	bool ok = true;
 
 	tx_check(w, t);
 	for (i = 0; i < t->condition_count && ok; i++) {
-		key = bstr_cstr(t->conditions[i].key);
-		r = world_row_get(w, t->conditions[i].table, key);
+		r = row_of(w, &t->conditions[i].row);
 		ok = (r->removed ? 0 : r->revision) ==
 		     t->conditions[i].revision;
-		free(key);
 	}
 	if (!ok)
 		return false;
 	w->revision++;
 	for (i = 0; i < t->write_count; i++) {
-		key = bstr_cstr(t->writes[i].key);
-		r = world_row_get(w, t->writes[i].table, key);
+		r = row_of(w, &t->writes[i].row);
 		bstr_set(&r->value, t->writes[i].value);
 		r->revision = w->revision;
 		r->removed = false;
-		job_row_record(w, &t->writes[i], key);
-		free(key);
+		job_row_record(w, &t->writes[i], r->key);
 	}
 	for (i = 0; i < t->remove_count; i++) {
-		key = bstr_cstr(t->removes[i].key);
-		r = world_row_get(w, t->removes[i].table, key);
+		r = row_of(w, &t->removes[i]);
 		r->revision = w->revision;
 		r->removed = true;
-		free(key);
 	}
 	return true;
 }
@@ -363,14 +378,11 @@
 			     struct answer *a)
 {
 	const struct world_row *r;
-	char *key;
 	size_t i;
 
 	a->rows = xcalloc(t->condition_count + 1, sizeof(*a->rows));
 	for (i = 0; i < t->condition_count; i++) {
-		key = bstr_cstr(t->conditions[i].key);
-		r = world_row_get(w, t->conditions[i].table, key);
-		free(key);
+		r = row_of(w, &t->conditions[i].row);
 		if (!r->removed && r->revision)
 			row_copy(w, r, &a->rows[a->row_count++]);
 	}
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -475,7 +475,7 @@
 		.seed = (random_next(&w->random) >> 2) + 1,
 		.lease_max_ms = LEASE_MAX_MS,
 		.stop_ms = STOP_MS,
-		.keep_ms = 100000,
+		.keep_ms = w->keep_ms,
 		.grace_ms = 6000,
 		.harm_ms = 4000,
 		.notice_ms = 4500,
@@ -515,6 +515,7 @@
 	w->config_version = 1;
 	w->ends_listed = ENDS_LISTED;
 	w->crash_down_ms = 2500;
+	w->keep_ms = 100000;
 	TAILQ_INIT(&w->pending);
 	TAILQ_INIT(&w->waiting);
 	world_row_write(w, TABLE_OPERATOR, "config", -1);
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -149,6 +149,9 @@
 /* Drops the history of changes; feeds from an older revision fail. */
 void world_compact_history(struct world *w);
 
+/* Sets how long the VMs keep final jobs. */
+void world_set_retention(struct world *w, int64_t ms);
+
 /* Removes a worker's row, or writes it again. */
 void world_unlist_worker(struct world *w, unsigned worker, bool removed);
 
@@ -331,6 +334,9 @@
 /* Returns a job's state in the store; "" if it has none. */
 const char *world_job_state(struct world *w, const char *id);
 
+/* Returns how many rows of a job the store has, in all tables. */
+unsigned world_stored_rows(const struct world *w, const char *id);
+
 /* Returns the first violated invariant, or NULL. */
 const char *world_violation(const struct world *w);
 struct sched *world_sched(struct world *w, unsigned vm);
