Rows of final jobs are removed as fast as jobs end

What is seen: at most 30 jobs a second were removed, one request a second.

Cause: a fixed pace, and a list in the order in which jobs were read: after a takeover that is the order of ids, so a job that ended last kept back those behind it.

Mend: final jobs are in heaps by the end of their retention, one for each part of the jobs' table, and a request takes up to 33 jobs of one part. Rows wait 5 s for others of their part; while a part is beyond that, requests follow one another, 40 ms apart at least, 800 jobs a second.

--- a/sched-retention.c
+++ b/sched-retention.c
@@ -8,19 +8,36 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Jobs whose rows are removed by one transaction; each has up to three rows. */
-#define REMOVE_JOBS_MAX 30
-#define REMOVE_INTERVAL_MS 1000
+/* Entries of the store's transactions, and those for each removed job. */
+#define TX_ENTRIES_MAX 100
+#define ENTRIES_PER_JOB 3
+/* One entry is the condition that this VM is still the owner. */
+#define REMOVE_JOBS_MAX ((TX_ENTRIES_MAX - 1) / ENTRIES_PER_JOB)
+/* Rows wait this long for others of their part, to be removed together. */
+#define REMOVE_GATHER_MS 5000
+/*
+ * Least time between two requests.  They take a tenth of what the part of the
+ * progress rows can do, and leave the rest to commits; at that, 800 jobs a
+ * second are removed.
+ */
+#define REMOVE_INTERVAL_MS 40
+#define REMOVE_RETRY_MS 1000
 
 /* Returns the final job with this id, or NULL. */
 const struct retained *retention_find(const struct sched *s, const char *id)
 {
 	struct retained *r;
 
-	HASH_FIND(hh, s->retained, id, JOB_ID_BYTES, r);
+	HASH_FIND(hh, s->retention.jobs, id, JOB_ID_BYTES, r);
 	return r;
 }
 
+/* Returns the heap of the final jobs in the same part of the jobs' table. */
+static struct heap *retained_part(struct sched *s, const struct retained *r)
+{
+	return &s->retention.parts[row_part(TABLE_JOBS, bstr_lit(r->id)) - 1];
+}
+
 /* Adds a final job.  If the time of its end isn't known, it ended now. */
 void retention_add(struct sched *s, const char *id, int64_t ended)
 {
@@ -30,89 +47,128 @@
 		return;
 	r = xcalloc(1, sizeof(*r));
 	memcpy(r->id, id, JOB_ID_BYTES);
-	r->ended = ended ? ended : s->wall;
-	HASH_ADD(hh, s->retained, id, JOB_ID_BYTES, r);
-	TAILQ_INSERT_TAIL(&s->retained_order, r, entry);
+	HASH_ADD(hh, s->retention.jobs, id, JOB_ID_BYTES, r);
+	heap_set(retained_part(s, r), &r->due,
+		 (ended ? ended : s->wall) + s->options.keep_ms);
 }
 
 /* Forgets a final job. */
 static void retained_free(struct sched *s, struct retained *r)
 {
-	TAILQ_REMOVE(&s->retained_order, r, entry);
-	HASH_DEL(s->retained, r);
+	if (r->due.index)
+		heap_remove(retained_part(s, r), &r->due);
+	else
+		TAILQ_REMOVE(&s->retention.removing, r, removing);
+	HASH_DEL(s->retention.jobs, r);
 	free(r);
 }
 
 /* Forgets all final jobs. */
 void retention_reset(struct sched *s)
 {
-	struct retained *r;
+	struct retained *r, *next;
+	unsigned i;
 
-	while ((r = TAILQ_FIRST(&s->retained_order)))
+	HASH_ITER(hh, s->retention.jobs, r, next)
 		retained_free(s, r);
+	for (i = 0; i < JOB_PARTS; i++)
+		heap_free(&s->retention.parts[i]);
+	s->retention.in_flight = false;
 }
 
-/* Returns how long the rows of a final job are due for removal; 0: not yet. */
-static int64_t retained_late_ms(const struct sched *s, const struct retained *r)
+/* Returns for how long a part has had rows to remove; 0: it has none. */
+static int64_t part_late_ms(const struct sched *s, unsigned part)
 {
-	int64_t late_ms = s->wall - r->ended - s->options.keep_ms;
+	const struct heap_node *n = heap_first(&s->retention.parts[part]);
 
-	return late_ms > 0 ? late_ms : 0;
+	return n && s->wall > n->due ? s->wall - n->due : 0;
 }
 
-/* Returns the same for the oldest final job. */
+/* Returns for how long the oldest final job has been due for removal. */
 uint64_t retention_late_ms(const struct sched *s)
 {
-	const struct retained *r = TAILQ_FIRST(&s->retained_order);
+	int64_t ms, most = 0;
+	unsigned i;
+
+	for (i = 0; i < JOB_PARTS; i++) {
+		ms = part_late_ms(s, i);
+		if (ms > most)
+			most = ms;
+	}
+	return (uint64_t)most;
+}
 
-	return r ? (uint64_t)retained_late_ms(s, r) : 0;
+/* Sends the removal of the rows of the jobs in the list. */
+static void removal_send(struct sched *s)
+{
+	struct retained *r;
+	struct request *rq;
+	struct tx *t = sched_tx(s, FOR_REMOVE_JOBS, s->now + STORE_TIMEOUT_MS,
+				&rq);
+	bstr cancellation;
+
+	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	TAILQ_FOREACH(r, &s->retention.removing, removing) {
+		cancellation = bstr_printf("%s/cancel", r->id);
+		tx_remove(t, TABLE_JOBS, bstr_lit(r->id));
+		tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
+		tx_remove(t, TABLE_JOBS, cancellation);
+		bstr_free(&cancellation);
+	}
+	s->retention.in_flight = true;
+	s->retention.remove_at = s->now + REMOVE_INTERVAL_MS;
 }
 
-/* Adds the removal of a job's rows to a transaction. */
-static void removal_add(struct tx *t, struct retained *r)
+/* Moves the jobs of a part that are due to the list, up to its limit. */
+static void removal_fill(struct sched *s, unsigned part)
 {
-	bstr key = bstr_printf("%s/cancel", r->id);
+	struct heap *h = &s->retention.parts[part];
+	struct retained *r;
+	unsigned n;
 
-	tx_remove(t, TABLE_JOBS, bstr_lit(r->id));
-	tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
-	tx_remove(t, TABLE_JOBS, key);
-	bstr_free(&key);
-	r->removing = true;
+	for (n = 0; n < REMOVE_JOBS_MAX && part_late_ms(s, part); n++) {
+		r = HEAP_ENTRY(heap_first(h), struct retained, due);
+		heap_remove(h, &r->due);
+		TAILQ_INSERT_TAIL(&s->retention.removing, r, removing);
+	}
 }
 
-/* Removes the rows of jobs whose retention time is over. */
+/*
+ * Removes the rows of jobs whose retention is over, part by part.  A request
+ * holds rows of one part only, beside those of progress: rows of all parts
+ * would hold up the writes of callers in each of them.  Requests follow one
+ * another while a part has had rows to remove for REMOVE_GATHER_MS.
+ */
 void retention_tick(struct sched *s)
 {
-	struct retained *r;
-	struct request *rq;
-	struct tx *t = NULL;
-	unsigned n = 0;
+	struct retention *k = &s->retention;
+	unsigned i;
 
-	if (s->now < s->remove_at || !own_may_order(s))
+	if (k->in_flight || s->now < k->remove_at || !own_may_order(s))
 		return;
-	s->remove_at = s->now + REMOVE_INTERVAL_MS;
-	TAILQ_FOREACH(r, &s->retained_order, entry) {
-		if (n++ == REMOVE_JOBS_MAX || r->removing ||
-		    !retained_late_ms(s, r))
-			break;
-		if (!t) {
-			t = sched_tx(s, FOR_REMOVE_JOBS,
-				     s->now + STORE_TIMEOUT_MS, &rq);
-			tx_expect(t, TABLE_OWNER, bstr_lit("epoch"),
-				  s->own.revision);
-		}
-		removal_add(t, r);
+	for (i = 0; i < JOB_PARTS && TAILQ_EMPTY(&k->removing); i++) {
+		if (part_late_ms(s, k->next_part) >= REMOVE_GATHER_MS)
+			removal_fill(s, k->next_part);
+		k->next_part = (k->next_part + 1) % JOB_PARTS;
 	}
+	if (!TAILQ_EMPTY(&k->removing))
+		removal_send(s);
 }
 
-/* Logs the ids of jobs whose rows were removed, in one line. */
-static void removal_log(struct sched *s, unsigned count, const char *ids)
+/* Forgets the jobs whose rows were removed, and logs their ids in one line. */
+static void removal_finish(struct sched *s)
 {
-	if (!count)
-		return;
+	char ids[REMOVE_JOBS_MAX * (JOB_ID_BYTES + 1) + 1] = "", *at = ids;
+	struct retained *r;
+	unsigned count = 0;
+
+	while ((r = TAILQ_FIRST(&s->retention.removing))) {
+		at += sprintf(at, "%s%s", count++ ? "," : "", r->id);
+		retained_free(s, r);
+	}
 	sched_count(s, COUNT_JOBS_REMOVED, count);
 	sched_log(s, LOG_JOBS_REMOVED, "jobs=%s retained=%u late_ms=%llu", ids,
-		  HASH_COUNT(s->retained),
+		  HASH_COUNT(s->retention.jobs),
 		  (unsigned long long)retention_late_ms(s));
 }
 
@@ -124,25 +180,15 @@
  */
 void retention_answer(struct sched *s, struct request *rq, struct answer *a)
 {
-	char ids[REMOVE_JOBS_MAX * (JOB_ID_BYTES + 1) + 1] = "", *at = ids;
-	struct retained *r, *next;
-	unsigned count = 0;
-
 	if (rq->epoch != s->own.epoch || s->own.state != OWN_OWNER)
 		return;
+	s->retention.in_flight = false;
 	if (a->outcome == OUT_CONFLICT) {
 		own_lose(s, "replaced");
 		return;
 	}
-	for (r = TAILQ_FIRST(&s->retained_order); r; r = next) {
-		next = TAILQ_NEXT(r, entry);
-		if (!r->removing)
-			break;
-		r->removing = false;
-		if (a->outcome != OUT_DONE || !s->follows[FOLLOW_JOBS].complete)
-			continue;
-		at += sprintf(at, "%s%s", count++ ? "," : "", r->id);
-		retained_free(s, r);
-	}
-	removal_log(s, count, ids);
+	if (a->outcome == OUT_DONE && s->follows[FOLLOW_JOBS].complete)
+		removal_finish(s);
+	else
+		s->retention.remove_at = s->now + REMOVE_RETRY_MS;
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -5,6 +5,7 @@
 #define SCHED_STATE_H
 
 #include "scheduler.h"
+#include "heap.h"
 #include "sched-estimate.h"
 
 /*
@@ -360,14 +361,24 @@
 
 /* A final job whose rows are still in the store. */
 struct retained {
-	TAILQ_ENTRY(retained) entry;
 	char id[JOB_ID_BYTES + 1];
-	int64_t ended; /* wall clock */
-	bool removing; /* the removal of its rows is in flight */
+	struct heap_node due;		/* the end of its retention */
+	TAILQ_ENTRY(retained) removing; /* not in the heap then */
 	UT_hash_handle hh;
 };
 TAILQ_HEAD(retained_list, retained);
 
+/* The final jobs, which the owner remembers until their rows are removed. */
+struct retention {
+	struct retained *jobs;	      /* by id */
+	struct heap parts[JOB_PARTS]; /* by part of the table, of those whose
+				       * rows are not being removed */
+	unsigned next_part;	      /* whose turn it is */
+	struct retained_list removing;
+	bool in_flight;	   /* the request that removes their rows */
+	int64_t remove_at; /* no such request before this */
+};
+
 /* Limit of the workers of a pool that are held. */
 #define HOLDS_MAX 8
 
@@ -934,10 +945,8 @@
 	bool commit_in_flight;
 	uint64_t commit_first_seq; /* lowest dirty_seq in that commit */
 	int64_t commit_at;
-	uint64_t commit_revision;  /* of the row that each commit rewrites */
-	struct retained *retained; /* by id */
-	struct retained_list retained_order;
-	int64_t remove_at;
+	uint64_t commit_revision; /* of the row that each commit rewrites */
+	struct retention retention;
 	struct worker *workers;
 	struct worker_queue unacked;	     /* by last_end_seq */
 	struct open_start_queue open_starts; /* hold back acknowledgements */
--- a/sched.c
+++ b/sched.c
@@ -348,7 +348,7 @@
 		eligible += worker_is_eligible(s, w);
 	sched_gauge(s, COUNT_OWNER, s->own.state == OWN_OWNER);
 	sched_gauge(s, COUNT_JOBS_OPEN, HASH_COUNT(s->jobs));
-	sched_gauge(s, COUNT_JOBS_RETAINED, HASH_COUNT(s->retained));
+	sched_gauge(s, COUNT_JOBS_RETAINED, HASH_COUNT(s->retention.jobs));
 	sched_gauge(s, COUNT_REMOVAL_LATE, retention_late_ms(s));
 	sched_gauge(s, COUNT_WORKERS_KNOWN, HASH_COUNT(s->workers));
 	sched_gauge(s, COUNT_WORKERS_TAKING, eligible);
@@ -459,7 +459,7 @@
 	TAILQ_INIT(&s->placing);
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->committing_jobs);
-	TAILQ_INIT(&s->retained_order);
+	TAILQ_INIT(&s->retention.removing);
 	TAILQ_INIT(&s->unacked);
 	TAILQ_INIT(&s->open_starts);
 	return s;
--- a/tests/test-retention.c
+++ b/tests/test-retention.c
@@ -124,3 +124,35 @@
 	cr_expect_eq(world_stored_rows(w, id), 0);
 	check_free(w, "cancelled");
 }
+
+/* Jobs are submitted at the target's rate, 400 a second. */
+#define BURST_JOBS 600
+#define BURST_INTERVALS_MS 5 /* for two jobs */
+
+/*
+ * The store, the owner's memory and the reading at a takeover grow without end:
+ * rows are removed more slowly than jobs end.
+ */
+Test(retention, rows_are_removed_as_fast_as_jobs_end)
+{
+	static const struct world_job tiny = {
+		.tasks = 1, .task_ms = 40, .cpu = 250};
+	struct world *w = world_new_settled(2020);
+	unsigned i, left = 0;
+	uint64_t call;
+
+	world_set_retention(w, 10000);
+	for (i = 0; i < BURST_JOBS; i++) {
+		call = world_submit(w, other(w), job_id(i), &tiny);
+		if (i % 2)
+			world_run(w, BURST_INTERVALS_MS);
+	}
+	world_run(w, 10000);
+	cr_expect_eq(world_call_status(w, call), 200);
+	cr_expect_eq(world_starts(w), BURST_JOBS);
+	world_run(w, REMOVAL_MS);
+	for (i = 0; i < BURST_JOBS; i++)
+		left += world_stored_rows(w, job_id(i));
+	cr_expect_eq(left, 0);
+	check_free(w, "burst");
+}
