A change of the version doesn't run old jobs once more (TWICE)

What callers would see: the landed version leaves, of each job that ended longer ago than status_s and 30 s, the job's own row without progress. The first owner of the mended version reads it as a new job, and all jobs of the store's life start again, once, at the upgrade.

Cause: a job's row without progress has two meanings, new and forgotten, and nothing in the store tells them apart.

Mend: the owner's row says since when all owners have removed the rows of a job together. A version that doesn't know that drops the word when it claims, so the time begins anew after it, also in a replacement of one VM after another. An owner starts nothing that could have ended and been forgotten before that time: accepted, or if repeated with its last time, longer ago than the retention. It removes those rows. Jobs whose progress is there, whose last time is yet to come, or that were accepted later are not concerned.

--- a/sched-job.c
+++ b/sched-job.c
@@ -415,7 +415,7 @@
  * wall clocks if that says much less.  One of the clocks has been stepped then;
  * with the longer age, all open jobs would seem to be hours late at once.
  */
-static int64_t job_age_ms(const struct sched *s, const struct job *j)
+int64_t job_age_ms(const struct sched *s, const struct job *j)
 {
 	int64_t age_ms = store_clock(s) - j->submitted_by_store;
 	int64_t by_wall_ms = s->wall - j->submitted;
--- a/sched-own.c
+++ b/sched-own.c
@@ -405,9 +405,11 @@
  */
 static void own_claim(struct sched *s)
 {
-	struct ownership next = {.epoch = s->own.epoch + TOKENS_PER_EPOCH,
-				 .holder = s->options.vm,
-				 .holder_seed = s->options.seed};
+	struct ownership next = {
+		.epoch = s->own.epoch + TOKENS_PER_EPOCH,
+		.holder = s->options.vm,
+		.holder_seed = s->options.seed,
+		.removals_whole_since = retention_whole_since(s)};
 	bool released = !s->own.holder.bstr_len;
 	bstr key = bstr_lit(KEY_EPOCH);
 	struct request *rq;
@@ -423,6 +425,7 @@
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT),
 		  s->own.heartbeat_revision);
 	next.handovers = s->own.handovers = released ? s->own.handovers : 0;
+	s->own.claimed_whole_since = next.removals_whole_since;
 	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
 	rq->number = next.epoch;
 	s->own.claimed_at = s->now;
@@ -488,6 +491,7 @@
 	largest_capacity_inherit(s);
 	admissions_inherit(s);
 	shares_inherit(s);
+	retention_add_leftovers(s);
 	s->own.state = OWN_OWNER;
 	s->own.ready_at = s->now;
 	s->own.load_timeouts = 0;
@@ -509,6 +513,7 @@
 	if (s->own.state != OWN_CLAIMING)
 		return;
 	if (a->outcome == OUT_DONE) {
+		s->own.removals_whole_since = s->own.claimed_whole_since;
 		own_gain(s, rq->number, a->revision);
 		return;
 	}
@@ -669,9 +674,11 @@
  */
 void own_write_release(struct sched *s, bool settled, unsigned handovers)
 {
-	struct ownership released = {.epoch = s->own.epoch,
-				     .settled = settled,
-				     .handovers = handovers};
+	struct ownership released = {
+		.epoch = s->own.epoch,
+		.settled = settled,
+		.handovers = handovers,
+		.removals_whole_since = s->own.removals_whole_since};
 	struct request *rq;
 	struct tx *t;
 
--- a/sched-retention.c
+++ b/sched-retention.c
@@ -52,6 +52,73 @@
 		 (ended ? ended : s->wall) + s->options.keep_ms);
 }
 
+/*
+ * Returns the time by the store's clock since when all owners have removed the
+ * rows of a job together, for the row of this VM's claim.  Earlier versions
+ * removed the row of a job's progress, and left that of the job.  They don't
+ * write that time into the owner's row, so it begins anew after each of them.
+ */
+int64_t retention_whole_since(const struct sched *s)
+{
+	if (!s->own.revision)
+		return 0; /* nobody has owned the scheduling yet */
+	return s->own.removals_whole_since >= 0 ? s->own.removals_whole_since
+						: store_clock(s);
+}
+
+/*
+ * Returns the earliest time, by the store's clock, at which a job that has not
+ * run can have ended.
+ */
+static int64_t job_earliest_end(const struct sched *s, const struct job *j)
+{
+	const struct job_body *b = j->body;
+	int64_t at = store_clock(s) - job_age_ms(s, j), due;
+
+	if (!b->repeat_count)
+		return at;
+	due = b->first_at + (b->repeat_count - 1) * b->interval_ms;
+	due += store_clock(s) - s->wall;
+	return due > at ? due : at;
+}
+
+/*
+ * Returns true if a job without progress has most likely run, and an owner of
+ * an earlier version has removed the row of its progress: its retention could
+ * be over while such an owner was there.
+ */
+static bool job_is_leftover(const struct sched *s, const struct job *j)
+{
+	return j->status == JOB_STATUS_QUEUED && !j->start_was_durable &&
+	       !j->next_occurrence &&
+	       job_earliest_end(s, j) + s->options.keep_ms <
+		       s->own.removals_whole_since;
+}
+
+/*
+ * Has the rows of jobs removed that an owner of an earlier version has left,
+ * and starts none of their tasks; called once all tables are read.  A job that
+ * has waited for longer than its retention when the version changes can't be
+ * told from them.
+ */
+void retention_add_leftovers(struct sched *s)
+{
+	struct job *j, *next;
+	unsigned n = 0;
+
+	for (j = TAILQ_FIRST(&s->jobs_by_arrival); j; j = next) {
+		next = TAILQ_NEXT(j, entry);
+		if (!job_is_leftover(s, j))
+			continue;
+		retention_add(s, j->id, s->wall - s->options.keep_ms);
+		sched_job_free(s, j);
+		n++;
+	}
+	if (n)
+		sched_log(s, LOG_JOBS_LEFT_OVER, "jobs=%u whole_since=%lld", n,
+			  (long long)s->own.removals_whole_since);
+}
+
 /* Forgets a final job. */
 static void retained_free(struct sched *s, struct retained *r)
 {
--- a/sched-row.c
+++ b/sched-row.c
@@ -424,10 +424,11 @@
 bstr owner_row_write(const struct ownership *o, bool release)
 {
 	return json_write(json_pack(
-		"{s:I, s:o, s:I, s:b, s:I}", "epoch", (json_int_t)o->epoch,
+		"{s:I, s:o, s:I, s:b, s:I, s:I}", "epoch", (json_int_t)o->epoch,
 		"vm", bstr_to_json(release ? BSTR_NONE : o->holder), "life",
 		(json_int_t)o->holder_seed, "settled", o->settled, "handovers",
-		(json_int_t)o->handovers));
+		(json_int_t)o->handovers, "removals_whole_since",
+		(json_int_t)o->removals_whole_since));
 }
 
 /* Decodes the owner row.  Returns false if it is malformed. */
@@ -443,6 +444,10 @@
 		o->holder = bstr_from_json(json_object_get(row, "vm"));
 		o->settled = json_is_true(json_object_get(row, "settled"));
 		o->handovers = (unsigned)int_member(row, "handovers");
+		o->removals_whole_since =
+			json_object_get(row, "removals_whole_since")
+				? int_member(row, "removals_whole_since")
+				: -1;
 	}
 	json_decref(row);
 	return ok;
--- a/sched-state.h
+++ b/sched-state.h
@@ -684,10 +684,14 @@
 	uint64_t epoch;	    /* the latest seen */
 	uint64_t token_max; /* highest fencing token given in this epoch */
 	bool tokens_used_up;
-	uint64_t revision;    /* of the owner row */
-	bstr holder;	      /* empty: nobody */
-	uint64_t holder_seed; /* identifies the holder's process */
-	int64_t silent_since; /* the owner's timeout counts from here */
+	uint64_t revision;	      /* of the owner row */
+	bstr holder;		      /* empty: nobody */
+	int64_t removals_whole_since; /* by the store's clock; all owners since
+				       * have removed the rows of a job
+				       * together, -1: not known, 0: always */
+	int64_t claimed_whole_since;  /* the same, in the latest claim */
+	uint64_t holder_seed;	      /* identifies the holder's process */
+	int64_t silent_since;	      /* the owner's timeout counts from here */
 	unsigned answers_without_heartbeat; /* store answers since then */
 	int64_t heartbeat_at;		    /* next, if this VM is the owner */
 	bool heartbeat_in_flight;
@@ -1162,6 +1166,7 @@
 bool job_may_have_unknown_runs(struct sched *s, struct job *j);
 void job_retire_if_done(struct sched *s, struct job *j);
 bool job_is_waiting(const struct job *j);
+int64_t job_age_ms(const struct sched *s, const struct job *j);
 bool job_is_settled(struct sched *s, struct job *j);
 void job_add_service(struct sched *s, struct job *j, bstr service);
 bool job_start_is_durable(struct sched *s, struct job *j);
@@ -1186,6 +1191,8 @@
 void retention_add(struct sched *s, const char *id, int64_t ended);
 const struct retained *retention_find(const struct sched *s, const char *id);
 uint64_t retention_late_ms(const struct sched *s);
+int64_t retention_whole_since(const struct sched *s);
+void retention_add_leftovers(struct sched *s);
 void retention_reset(struct sched *s);
 void retention_tick(struct sched *s);
 void retention_answer(struct sched *s, struct request *rq, struct answer *a);
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -67,6 +67,17 @@
 	r->worker = worker;
 }
 
+/* Writes a row with the given text. */
+void world_put_row(struct world *w, enum table table, const char *key,
+		   const char *text)
+{
+	struct world_row *r = world_row_get(w, table, key);
+
+	bstr_set(&r->value, bstr_lit(text));
+	r->revision = ++w->revision;
+	r->removed = false;
+}
+
 /* Makes the current configuration. */
 static struct fleet_config *config_make(const struct world *w)
 {
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -576,6 +576,16 @@
 	return call;
 }
 
+/* Makes a job known to the checks. */
+void world_expect_job(struct world *w, const char *id,
+		      const struct world_job *job)
+{
+	if (world_job_number(w, id) >= 0)
+		return;
+	snprintf(w->jobs[w->job_count].id, sizeof(w->jobs[0].id), "%s", id);
+	w->jobs[w->job_count++].job = *job;
+}
+
 /* Submits a job. */
 uint64_t world_submit(struct world *w, unsigned vm, const char *id,
 		      const struct world_job *job)
@@ -583,11 +593,7 @@
 	struct job_body *b = xcalloc(1, sizeof(*b));
 	unsigned i;
 
-	if (world_job_number(w, id) < 0) {
-		snprintf(w->jobs[w->job_count].id, sizeof(w->jobs[0].id), "%s",
-			 id);
-		w->jobs[w->job_count++].job = *job;
-	}
+	world_expect_job(w, id, job);
 	b->payload = bstr_new("p");
 	b->step_count = job->more_tasks ? 2 : 1;
 	b->steps = xcalloc(b->step_count, sizeof(*b->steps));
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -149,6 +149,15 @@
 /* Drops the history of changes; feeds from an older revision fail. */
 void world_compact_history(struct world *w);
 
+/*
+ * Writes a row with the given text.  Jobs whose row was not written by a VM are
+ * made known to the checks by world_expect_job().
+ */
+void world_put_row(struct world *w, enum table table, const char *key,
+		   const char *text);
+void world_expect_job(struct world *w, const char *id,
+		      const struct world_job *job);
+
 /* Sets how long the VMs keep final jobs. */
 void world_set_retention(struct world *w, int64_t ms);
 
--- a/tests/test-retention.c
+++ b/tests/test-retention.c
@@ -156,3 +156,122 @@
 	cr_expect_eq(left, 0);
 	check_free(w, "burst");
 }
+
+/* Owner's rows that a process which isn't there any more has left. */
+#define OWNER_ROW(more)                                                 \
+	"{\"epoch\":5000,\"vm\":\"gone\",\"life\":1,\"settled\":false," \
+	"\"handovers\":0" more "}"
+#define RUNNING                                                             \
+	"{\"state\":\"running\",\"tenant\":\"org\",\"next\":1,\"times\":[{" \
+	"\"k\":0,\"done\":\"00\",\"fails\":{},\"saved\":{}}]}"
+#define UPGRADE_KEEP_MS 100000
+
+/*
+ * A change of the version runs jobs once more: an earlier one removed the
+ * progress of jobs that had ended, and left their own rows.
+ */
+static const struct {
+	const char *name;
+	const char *owner_row;
+	int64_t age_ms; /* of the job */
+	const char *progress;
+	int64_t last_due_ms; /* of a repeated job, from now; 0: not repeated */
+	bool starts;
+} upgrade_rows[] = {
+	{"it has ended", OWNER_ROW(""), UPGRADE_KEEP_MS + 5000, NULL, 0, false},
+	{"its progress was just removed", OWNER_ROW(""), UPGRADE_KEEP_MS + 1,
+	 NULL, 0, false},
+	{"its retention can't be over", OWNER_ROW(""), UPGRADE_KEEP_MS / 2,
+	 NULL, 0, true},
+	{"it runs", OWNER_ROW(""), UPGRADE_KEEP_MS + 5000, RUNNING, 0, true},
+	{"its last time is still to come", OWNER_ROW(""),
+	 UPGRADE_KEEP_MS + 5000, NULL, 500, true},
+	{"its last time was long ago", OWNER_ROW(""), 3 * UPGRADE_KEEP_MS, NULL,
+	 -2 * UPGRADE_KEEP_MS, false},
+	{"it waited under this version",
+	 OWNER_ROW(",\"removals_whole_since\":0"), UPGRADE_KEEP_MS + 5000, NULL,
+	 0, true},
+	{"it was accepted under this version",
+	 OWNER_ROW(",\"removals_whole_since\":4890000"), UPGRADE_KEEP_MS + 5000,
+	 NULL, 0, true},
+	{"the time isn't known", OWNER_ROW(",\"removals_whole_since\":-1"),
+	 UPGRADE_KEEP_MS + 5000, NULL, 0, false},
+	{"nobody was the owner yet", NULL, UPGRADE_KEEP_MS + 5000, NULL, 0,
+	 true},
+};
+
+/* Writes the row of a job that was accepted some time ago. */
+static void put_job(struct world *w, const char *id, int64_t age_ms,
+		    int64_t last_due_ms)
+{
+	const int64_t wall = 1700000001000, clock = 5001000;
+	char text[512], repeat[96] = "";
+
+	if (last_due_ms)
+		snprintf(repeat, sizeof(repeat),
+			 "\"repeat\":2,\"first_at\":%lld,\"interval_ms\":100,",
+			 (long long)(wall + last_due_ms - 100));
+	snprintf(text, sizeof(text),
+		 "{\"tenant\":\"org\",\"route\":\"q\",\"service\":\"pool\","
+		 "\"submitted\":%lld,\"submitted_by_store\":%lld,%s"
+		 "\"payload\":\"p\",\"steps\":[{\"count\":2,\"cpu\":2000,"
+		 "\"memory\":100,\"estimated_ms\":200,\"after\":[]}]}",
+		 (long long)(wall - age_ms), (long long)(clock - age_ms),
+		 repeat);
+	world_put_row(w, TABLE_JOBS, id, text);
+	world_expect_job(w, id, &quick);
+}
+
+Test(retention, what_an_earlier_version_left_does_not_start)
+{
+	const char *id = job_id(3);
+	struct world *w;
+	unsigned i;
+
+	for (i = 0; i < NELEMS(upgrade_rows); i++) {
+		w = world_new(2030 + i, 4, 6);
+		if (upgrade_rows[i].owner_row)
+			world_put_row(w, TABLE_OWNER, "epoch",
+				      upgrade_rows[i].owner_row);
+		put_job(w, id, upgrade_rows[i].age_ms,
+			upgrade_rows[i].last_due_ms);
+		if (upgrade_rows[i].progress)
+			world_put_row(w, TABLE_PROGRESS, id,
+				      upgrade_rows[i].progress);
+		world_run(w, 20000);
+		cr_expect_eq(world_starts(w) > 0, upgrade_rows[i].starts, "%s",
+			     upgrade_rows[i].name);
+		if (upgrade_rows[i].starts) {
+			cr_expect_str_eq(world_job_state(w, id), "completed",
+					 "%s", upgrade_rows[i].name);
+		} else {
+			cr_expect_eq(world_stored_rows(w, id), 0, "%s",
+				     upgrade_rows[i].name);
+			expect_unknown(w, id, upgrade_rows[i].name);
+		}
+		check_free(w, upgrade_rows[i].name);
+	}
+}
+
+/* A job that waits is taken for one that an earlier version has left. */
+Test(retention, the_time_of_the_upgrade_is_handed_on)
+{
+	struct world *w = world_new(2050, 4, 6);
+	int64_t since;
+	unsigned i;
+
+	world_put_row(w, TABLE_OWNER, "epoch", OWNER_ROW(""));
+	world_run(w, 4000);
+	since = world_sched(w, owner(w))->own.removals_whole_since;
+	cr_expect_gt(since, 0);
+	for (i = 0; i < 3; i++) {
+		if (i == 1)
+			world_stop_vm(w, owner(w));
+		else
+			world_kill_vm(w, owner(w));
+		world_run(w, 6000);
+		cr_expect_eq(world_sched(w, owner(w))->own.removals_whole_since,
+			     since);
+	}
+	check_free(w, "handed on");
+}
