--- a/sched-job.c
+++ b/sched-job.c
@@ -395,7 +395,7 @@
 	if (j->status <= JOB_STATUS_RUNNING || j->dirty_seq || j->commit_seq ||
 	    j->placed || job_may_have_unknown_runs(s, j))
 		return;
-	retention_add(s, j->id, j->ended);
+	retention_add(s, j->id, j->revision, j->ended);
 	sched_job_free(s, j);
 }
 
@@ -482,7 +482,7 @@
 		job_cancel(s, id);
 		return;
 	}
-	if (retention_find(s, id) || sched_job_find(s, id))
+	if (retention_covers(s, id, r->revision) || sched_job_find(s, id))
 		return;
 	j = job_row_read(id, r->value);
 	if (!j) {
@@ -490,6 +490,7 @@
 			  (unsigned long long)r->revision);
 		return;
 	}
+	j->revision = r->revision;
 	job_add(s, j);
 	if (j->inherited)
 		return;
@@ -525,7 +526,7 @@
 	bstr_free(&tenant);
 	j = sched_job_find(s, id);
 	if (status > JOB_STATUS_RUNNING) {
-		retention_add(s, id, ended);
+		retention_add(s, id, j ? j->revision : 0, ended);
 		if (j && j->inherited) {
 			s->open_jobs -= j->status <= JOB_STATUS_RUNNING;
 			j->status = status;
--- a/sched-retention.c
+++ b/sched-retention.c
@@ -10,21 +10,21 @@
 
 /* Entries of the store's transactions, and those for each removed job. */
 #define TX_ENTRIES_MAX 100
-#define ENTRIES_PER_JOB 3
+#define ENTRIES_PER_JOB 4
 /* One entry is the condition that this VM is still the owner. */
 #define REMOVE_JOBS_MAX ((TX_ENTRIES_MAX - 1) / ENTRIES_PER_JOB)
 /* Rows wait this long for others of their part, to be removed together. */
 #define REMOVE_GATHER_MS 5000
 /*
  * Least time between two requests.  They take a tenth of what the part of the
- * progress rows can do, and leave the rest to commits; at that, 800 jobs a
+ * progress rows can do, and leave the rest to commits; at that, 600 jobs a
  * second are removed.
  */
 #define REMOVE_INTERVAL_MS 40
 #define REMOVE_RETRY_MS 1000
 
 /* Returns the final job with this id, or NULL. */
-const struct retained *retention_find(const struct sched *s, const char *id)
+static struct retained *retained_find(const struct sched *s, const char *id)
 {
 	struct retained *r;
 
@@ -38,20 +38,61 @@
 	return &s->retention.parts[row_part(TABLE_JOBS, bstr_lit(r->id)) - 1];
 }
 
-/* Adds a final job.  If the time of its end isn't known, it ended now. */
-void retention_add(struct sched *s, const char *id, int64_t ended)
+/* Moves a final job from the heap, or from its list, to a list. */
+static void retained_set_list(struct sched *s, struct retained *r,
+			      struct retained_list *list)
+{
+	heap_remove(retained_part(s, r), &r->due);
+	if (r->list)
+		TAILQ_REMOVE(r->list, r, entry);
+	r->list = list;
+	if (list)
+		TAILQ_INSERT_TAIL(list, r, entry);
+}
+
+/* Forgets a final job. */
+static void retained_free(struct sched *s, struct retained *r)
+{
+	retained_set_list(s, r, NULL);
+	HASH_DEL(s->retention.jobs, r);
+	free(r);
+}
+
+/*
+ * Adds a final job, with the revision of its row.  If the time of its end isn't
+ * known, it ended now.
+ */
+void retention_add(struct sched *s, const char *id, uint64_t revision,
+		   int64_t ended)
 {
 	struct retained *r;
 
-	if (retention_find(s, id))
+	if (retained_find(s, id))
 		return;
 	r = xcalloc(1, sizeof(*r));
 	memcpy(r->id, id, JOB_ID_BYTES);
+	r->revision = revision;
 	HASH_ADD(hh, s->retention.jobs, id, JOB_ID_BYTES, r);
 	heap_set(retained_part(s, r), &r->due,
 		 (ended ? ended : s->wall) + s->options.keep_ms);
 }
 
+/*
+ * Returns true if the row of a job, with this revision, is that of a final job.
+ * A job's row is written once, so a newer one is a new job under the same id:
+ * the rows of the old one have been removed, though the answer that says so may
+ * be late or lost.
+ */
+bool retention_covers(struct sched *s, const char *id, uint64_t revision)
+{
+	struct retained *r = retained_find(s, id);
+
+	if (!r || revision <= r->revision)
+		return r != NULL;
+	retained_free(s, r);
+	return false;
+}
+
 /*
  * Returns the time by the store's clock since when all owners have removed the
  * rows of a job together, for the row of this VM's claim.  Earlier versions
@@ -110,7 +151,8 @@
 		next = TAILQ_NEXT(j, entry);
 		if (!job_is_leftover(s, j))
 			continue;
-		retention_add(s, j->id, s->wall - s->options.keep_ms);
+		retention_add(s, j->id, j->revision,
+			      s->wall - s->options.keep_ms);
 		sched_job_free(s, j);
 		n++;
 	}
@@ -119,17 +161,6 @@
 			  (long long)s->own.removals_whole_since);
 }
 
-/* Forgets a final job. */
-static void retained_free(struct sched *s, struct retained *r)
-{
-	if (r->due.index)
-		heap_remove(retained_part(s, r), &r->due);
-	else
-		TAILQ_REMOVE(&s->retention.removing, r, removing);
-	HASH_DEL(s->retention.jobs, r);
-	free(r);
-}
-
 /* Forgets all final jobs. */
 void retention_reset(struct sched *s)
 {
@@ -165,7 +196,11 @@
 	return (uint64_t)most;
 }
 
-/* Sends the removal of the rows of the jobs in the list. */
+/*
+ * Sends the removal of the rows of the jobs in the list, on condition that they
+ * are still the rows of these jobs.  A request without an answer may be carried
+ * out seconds later, when an id has been used for a new job.
+ */
 static void removal_send(struct sched *s)
 {
 	struct retained *r;
@@ -175,8 +210,9 @@
 	bstr cancellation;
 
 	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
-	TAILQ_FOREACH(r, &s->retention.removing, removing) {
+	TAILQ_FOREACH(r, &s->retention.removing, entry) {
 		cancellation = bstr_printf("%s/cancel", r->id);
+		tx_expect(t, TABLE_JOBS, bstr_lit(r->id), r->revision);
 		tx_remove(t, TABLE_JOBS, bstr_lit(r->id));
 		tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
 		tx_remove(t, TABLE_JOBS, cancellation);
@@ -189,17 +225,30 @@
 /* Moves the jobs of a part that are due to the list, up to its limit. */
 static void removal_fill(struct sched *s, unsigned part)
 {
-	struct heap *h = &s->retention.parts[part];
+	const struct heap *h = &s->retention.parts[part];
 	struct retained *r;
 	unsigned n;
 
 	for (n = 0; n < REMOVE_JOBS_MAX && part_late_ms(s, part); n++) {
 		r = HEAP_ENTRY(heap_first(h), struct retained, due);
-		heap_remove(h, &r->due);
-		TAILQ_INSERT_TAIL(&s->retention.removing, r, removing);
+		retained_set_list(s, r, &s->retention.removing);
 	}
 }
 
+/*
+ * Forgets the jobs whose rows were removed while the jobs' table was being read
+ * again, once it is complete: no page with their rows can arrive any more.
+ */
+static void removed_forget(struct sched *s)
+{
+	struct retained *r;
+
+	if (!s->follows[FOLLOW_JOBS].complete)
+		return;
+	while ((r = TAILQ_FIRST(&s->retention.removed)))
+		retained_free(s, r);
+}
+
 /*
  * Removes the rows of jobs whose retention is over, part by part.  A request
  * holds rows of one part only, beside those of progress: rows of all parts
@@ -211,6 +260,7 @@
 	struct retention *k = &s->retention;
 	unsigned i;
 
+	removed_forget(s);
 	if (k->in_flight || s->now < k->remove_at || !own_may_order(s))
 		return;
 	for (i = 0; i < JOB_PARTS && TAILQ_EMPTY(&k->removing); i++) {
@@ -222,16 +272,39 @@
 		removal_send(s);
 }
 
-/* Forgets the jobs whose rows were removed, and logs their ids in one line. */
-static void removal_finish(struct sched *s)
+/* Returns true if a refused removal shows that a job's row is still there. */
+static bool removal_is_pending(const struct answer *a, const struct retained *r)
+{
+	size_t i;
+
+	for (i = 0; i < a->row_count; i++)
+		if (a->rows[i].table == TABLE_JOBS &&
+		    bstr_eq_str(a->rows[i].key, r->id))
+			return a->rows[i].revision == r->revision;
+	return false;
+}
+
+/*
+ * Takes the jobs whose rows are gone from the list, and logs their ids in one
+ * line.
+ */
+static void removal_finish(struct sched *s, const struct answer *a)
 {
 	char ids[REMOVE_JOBS_MAX * (JOB_ID_BYTES + 1) + 1] = "", *at = ids;
-	struct retained *r;
+	struct retained *r, *next;
 	unsigned count = 0;
 
-	while ((r = TAILQ_FIRST(&s->retention.removing))) {
+	for (r = TAILQ_FIRST(&s->retention.removing); r; r = next) {
+		next = TAILQ_NEXT(r, entry);
+		if (a->outcome != OUT_DONE && removal_is_pending(a, r))
+			continue;
 		at += sprintf(at, "%s%s", count++ ? "," : "", r->id);
-		retained_free(s, r);
+		retained_set_list(s, r, &s->retention.removed);
+	}
+	removed_forget(s);
+	if (!count) {
+		s->retention.remove_at = s->now + REMOVE_RETRY_MS;
+		return;
 	}
 	sched_count(s, COUNT_JOBS_REMOVED, count);
 	sched_log(s, LOG_JOBS_REMOVED, "jobs=%s retained=%u late_ms=%llu", ids,
@@ -241,21 +314,25 @@
 
 /*
  * Handles the outcome of a removal of rows.  A conflict means that there is a
- * new owner.  While the jobs table is being read again, a page may arrive that
- * was read before the rows were removed.  In that case the jobs stay known as
- * final, and their rows are removed once more.
+ * new owner, or that an earlier request without an answer has been carried out.
  */
 void retention_answer(struct sched *s, struct request *rq, struct answer *a)
 {
 	if (rq->epoch != s->own.epoch || s->own.state != OWN_OWNER)
 		return;
 	s->retention.in_flight = false;
-	if (a->outcome == OUT_CONFLICT) {
-		own_lose(s, "replaced");
-		return;
-	}
-	if (a->outcome == OUT_DONE && s->follows[FOLLOW_JOBS].complete)
-		removal_finish(s);
-	else
+	switch (a->outcome) {
+	case OUT_DONE:
+		removal_finish(s, a);
+		break;
+	case OUT_CONFLICT:
+		if (tx_finds_owner(s, a))
+			removal_finish(s, a);
+		else
+			own_lose(s, "replaced");
+		break;
+	default:
 		s->retention.remove_at = s->now + REMOVE_RETRY_MS;
+		break;
+	}
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -327,6 +327,7 @@
 	TAILQ_ENTRY(job) placing; /* if in_placing */
 	bool in_placing;	  /* in the queue of the placement passes */
 	char id[JOB_ID_BYTES + 1];
+	uint64_t revision; /* of its row, which is written once */
 	bstr tenant;
 	bstr route;
 	bstr service;	  /* at the time the job was accepted */
@@ -360,13 +361,15 @@
 TAILQ_HEAD(job_queue, job);
 
 /* A final job whose rows are still in the store. */
+TAILQ_HEAD(retained_list, retained);
 struct retained {
 	char id[JOB_ID_BYTES + 1];
-	struct heap_node due;		/* the end of its retention */
-	TAILQ_ENTRY(retained) removing; /* not in the heap then */
+	uint64_t revision;	     /* of the job's row; 0: it has none */
+	struct heap_node due;	     /* the end of its retention */
+	struct retained_list *list;  /* that it is in, in place of the heap */
+	TAILQ_ENTRY(retained) entry; /* of that list */
 	UT_hash_handle hh;
 };
-TAILQ_HEAD(retained_list, retained);
 
 /* The final jobs, which the owner remembers until their rows are removed. */
 struct retention {
@@ -375,8 +378,10 @@
 				       * rows are not being removed */
 	unsigned next_part;	      /* whose turn it is */
 	struct retained_list removing;
-	bool in_flight;	   /* the request that removes their rows */
-	int64_t remove_at; /* no such request before this */
+	struct retained_list removed; /* while the jobs' table is read again,
+				       * as a page may still have their rows */
+	bool in_flight;		      /* the request that removes rows */
+	int64_t remove_at;	      /* no such request before this */
 };
 
 /* Limit of the workers of a pool that are held. */
@@ -1029,6 +1034,7 @@
 		    struct request **rq);
 unsigned row_part(enum table table, bstr key);
 void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision);
+bool tx_finds_owner(const struct sched *s, const struct answer *a);
 bool tx_row_was_rewritten(const struct sched *s, const struct answer *a,
 			  enum table table, bstr key, uint64_t *revision);
 void tx_write(struct tx *t, enum table table, bstr key, bstr value);
@@ -1188,8 +1194,9 @@
 void commit_answer(struct sched *s, struct request *rq, struct answer *a);
 
 /* sched-retention.c: final jobs, and the removal of their rows */
-void retention_add(struct sched *s, const char *id, int64_t ended);
-const struct retained *retention_find(const struct sched *s, const char *id);
+void retention_add(struct sched *s, const char *id, uint64_t revision,
+		   int64_t ended);
+bool retention_covers(struct sched *s, const char *id, uint64_t revision);
 uint64_t retention_late_ms(const struct sched *s);
 int64_t retention_whole_since(const struct sched *s);
 void retention_add_leftovers(struct sched *s);
--- a/sched-tx.c
+++ b/sched-tx.c
@@ -45,6 +45,18 @@
 		.row = row_ref(table, key), .revision = revision};
 }
 
+/* Returns true if a refused transaction shows that this VM is the owner. */
+bool tx_finds_owner(const struct sched *s, const struct answer *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->row_count; i++)
+		if (a->rows[i].table == TABLE_OWNER &&
+		    bstr_eq_str(a->rows[i].key, "epoch"))
+			return a->rows[i].revision == s->own.revision;
+	return false;
+}
+
 /*
  * Finds out why a condition failed.  Returns true if this VM is still the owner
  * and the given row, which nobody but the owner writes, is newer than expected:
@@ -56,18 +68,13 @@
 			  enum table table, bstr key, uint64_t *revision)
 {
 	uint64_t before = *revision;
-	bool owner = false;
 	size_t i;
 
-	for (i = 0; i < a->row_count; i++) {
-		if (a->rows[i].table == TABLE_OWNER &&
-		    bstr_eq_str(a->rows[i].key, "epoch"))
-			owner = a->rows[i].revision == s->own.revision;
+	for (i = 0; i < a->row_count; i++)
 		if (a->rows[i].table == table && bstr_eq(a->rows[i].key, key) &&
 		    a->rows[i].revision > *revision)
 			*revision = a->rows[i].revision;
-	}
-	return owner && *revision > before;
+	return *revision > before && tx_finds_owner(s, a);
 }
 
 /* Adds a write of a row; the value is moved. */
--- a/sched.c
+++ b/sched.c
@@ -460,6 +460,7 @@
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->committing_jobs);
 	TAILQ_INIT(&s->retention.removing);
+	TAILQ_INIT(&s->retention.removed);
 	TAILQ_INIT(&s->unacked);
 	TAILQ_INIT(&s->open_starts);
 	return s;
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -310,6 +310,27 @@
 	w->sender_generation = generation;
 }
 
+/*
+ * Forgets what is known of a job whose rows were removed, as its id is used for
+ * a new one.
+ */
+static void job_record_reset(struct world *w, const char *id)
+{
+	int n = world_job_number(w, id);
+	struct task_record *t;
+	unsigned i;
+
+	if (n < 0 || !w->jobs[n].stored_at || strlen(id) != JOB_ID_BYTES)
+		return;
+	w->jobs[n].stored_at = 0;
+	w->jobs[n].over = w->jobs[n].started = false;
+	for (i = 0; i < w->task_record_count; i++) {
+		t = &w->task_records[i];
+		if (!strncmp(t->name, id, JOB_ID_BYTES))
+			t->done_acked = t->ended_by_order = false;
+	}
+}
+
 /* Updates the record of a job from a row that was written for it. */
 static void job_row_record(struct world *w, const struct tx_write *row,
 			   const char *key)
@@ -368,6 +389,8 @@
 	w->revision++;
 	for (i = 0; i < t->write_count; i++) {
 		r = row_of(w, &t->writes[i].row);
+		if (r->removed && r->table == TABLE_JOBS)
+			job_record_reset(w, r->key);
 		bstr_set(&r->value, t->writes[i].value);
 		r->revision = w->revision;
 		r->removed = false;
--- a/tests/test-retention.c
+++ b/tests/test-retention.c
@@ -275,3 +275,113 @@
 	}
 	check_free(w, "handed on");
 }
+
+#define GATHER_MS 5000 /* rows wait this long for others */
+
+/* Runs the world until the removal of rows is about to be sent. */
+static void run_until_removal(struct world *w)
+{
+	unsigned i;
+
+	for (i = 0; i < 20000; i++) {
+		if (retention_late_ms(world_sched(w, owner(w))) >=
+		    GATHER_MS - 100)
+			return;
+		world_run(w, 1);
+	}
+	cr_assert_fail("no rows to remove");
+}
+
+/* Runs the world until the store has no row of a job. */
+static void run_until_removed(struct world *w, const char *id)
+{
+	unsigned i;
+
+	for (i = 0; i < 8000 && world_stored_rows(w, id); i++)
+		world_run(w, 1);
+	cr_assert_eq(world_stored_rows(w, id), 0);
+}
+
+/* Sends the removal while the store treats the owner's writes in a way. */
+static void removal_meets(struct world *w, enum world_store_mode mode)
+{
+	unsigned vm = owner(w);
+
+	world_set_vm_store_mode(w, vm, mode);
+	while (!world_sched(w, vm)->retention.in_flight)
+		world_run(w, 1);
+	world_run(w, 5); /* it is on its way */
+	world_set_vm_store_mode(w, vm, WORLD_STORE_OK);
+}
+
+/* The store carries out the removal seconds later, after its repetition. */
+static void removal_is_late(struct world *w)
+{
+	removal_meets(w, WORLD_STORE_LATE);
+}
+
+/* The store carries out the removal, and the answer is lost. */
+static void removal_is_not_answered(struct world *w)
+{
+	removal_meets(w, WORLD_STORE_LOSES_ANSWERS);
+}
+
+/* The jobs are read again, and the page was read before the removal. */
+static void removal_overtakes_a_page(struct world *w)
+{
+	world_set_page_delay(w, TABLE_JOBS, 600);
+	world_unlist_worker(w, 5, false); /* the feeds need a change */
+	world_compact_history(w);
+}
+
+/* Nothing is special: the removal is answered at once. */
+static void removal_is_answered(struct world *w)
+{
+	(void)w;
+}
+
+/*
+ * An accepted job is lost: its id was that of an older one, whose rows were
+ * removed a moment before, or are removed once more.
+ */
+static const struct {
+	const char *name;
+	void (*happens)(struct world *);
+} reused_rows[] = {
+	{"the removal is answered", removal_is_answered},
+	{"the removal is late", removal_is_late},
+	{"the removal is not answered", removal_is_not_answered},
+	{"the removal overtakes a page", removal_overtakes_a_page},
+};
+
+Test(retention, an_id_can_be_used_again)
+{
+	const char *id = job_id(7);
+	unsigned i, seed;
+	struct world *w;
+	uint64_t call;
+
+	for (i = 0; i < NELEMS(reused_rows); i++) {
+		for (seed = 2060; seed < 2072; seed++) {
+			w = world_new_settled(seed);
+			world_set_retention(w, KEEP_MS);
+			world_submit(w, other(w), id, &quick);
+			run_until_removal(w);
+			reused_rows[i].happens(w);
+			run_until_removed(w, id);
+			call = world_submit(w, other(w), id, &quick);
+			world_run(w, 4500);
+			world_set_page_delay(w, TABLE_JOBS, 0);
+			cr_expect_eq(world_call_status(w, call), 200, "%s",
+				     reused_rows[i].name);
+			cr_expect_eq(world_starts(w), 2 * quick.tasks,
+				     "%s, seed %u: %u starts",
+				     reused_rows[i].name, seed,
+				     world_starts(w));
+			cr_expect_str_eq(world_job_state(w, id), "completed",
+					 "%s, seed %u", reused_rows[i].name,
+					 seed);
+			check_free(w, reused_rows[i].name);
+		}
+	}
+}
--- a/tests/test-takeover.c
+++ b/tests/test-takeover.c
@@ -7,6 +7,7 @@
 
 #include "../sched-state.h"
 
+#define GATHER_MS 5000 /* rows to remove wait this long for others */
 #define JOB_A "00000000000000aa"
 #define JOB_B "10000000000000bb"
 
@@ -153,7 +154,7 @@
 	for (i = 0; i < NELEMS(modes); i++) {
 		w = world_new_settled(540 + i);
 		world_submit(w, other(w), JOB_A, &quick);
-		world_run(w, 99500);
+		world_run(w, 99500 + GATHER_MS);
 		cr_assert_str_eq(world_job_state(w, JOB_A), "completed");
 		/*
 		 * The removal falls into an outage that is too short for leases
@@ -186,7 +187,7 @@
 	for (row = 0; row < 4; row++) {
 		w = world_new_settled(550 + row);
 		world_submit(w, other(w), JOB_A, &quick);
-		world_run(w, 99800 + 250 * row);
+		world_run(w, 99800 + GATHER_MS + 250 * row);
 		world_set_page_delay(w, TABLE_JOBS, 650);
 		world_unlist_worker(
 			w, 5, false); /* changes after the last revision read */
