Retention goes by the store's clock

What callers would see: 410 for a job that ended a moment ago, or rows that are never removed.

Cause: the end of a job was stamped with one VM's wall clock and compared with another's, or with the same after it was stepped.

Mend: a job's progress has its end on the store's steady clock (ended_by_store), as its row has its submission. The wall clock's end is still written for owners of earlier versions; what these have stamped counts from the takeover.

--- a/sched-call.c
+++ b/sched-call.c
@@ -390,7 +390,7 @@
 	const struct row *row = state_row(c, a);
 	enum job_status status = JOB_STATUS_QUEUED;
 	bstr tenant = BSTR_NONE;
-	int64_t ended;
+	int64_t ended_by_store;
 	bool ok = true;
 
 	if (!row && !from_jobs) {
@@ -401,7 +401,7 @@
 	if (row)
 		ok = from_jobs ? job_row_tenant(row->value, &tenant)
 			       : progress_peek(row->value, &tenant, &status,
-					       &ended);
+					       &ended_by_store);
 	if (!ok) {
 		call_refuse(s, c->id, 500, COUNT_REFUSED_JOB, "row-unreadable",
 			    c->job);
--- a/sched-job.c
+++ b/sched-job.c
@@ -353,6 +353,7 @@
 	j->status = status;
 	s->open_jobs--;
 	j->ended = s->wall;
+	j->ended_by_store = store_clock(s);
 	sched_count(s,
 		    status == JOB_STATUS_COMPLETED ? COUNT_JOBS_DONE
 		    : status == JOB_STATUS_FAILED  ? COUNT_JOBS_FAILED
@@ -395,7 +396,7 @@
 	if (j->status <= JOB_STATUS_RUNNING || j->dirty_seq || j->commit_seq ||
 	    j->placed || job_may_have_unknown_runs(s, j))
 		return;
-	retention_add(s, j->id, j->revision, j->ended);
+	retention_add(s, j->id, j->revision, j->ended_by_store);
 	sched_job_free(s, j);
 }
 
@@ -512,25 +513,25 @@
 	char id[JOB_ID_BYTES + 1] = "";
 	enum job_status status;
 	struct job *j;
-	int64_t ended;
+	int64_t ended_by_store;
 	bstr tenant;
 
 	if (r->removed || commit_row_apply(s, r) || r->kind == ROW_BAD ||
 	    r->key.bstr_len != JOB_ID_BYTES)
 		return;
 	memcpy(id, r->key.bstr_val, JOB_ID_BYTES);
-	if (!progress_peek(r->value, &tenant, &status, &ended)) {
+	if (!progress_peek(r->value, &tenant, &status, &ended_by_store)) {
 		sched_log(s, LOG_JOURNAL_BAD, "progress=%s", id);
 		return;
 	}
 	bstr_free(&tenant);
 	j = sched_job_find(s, id);
 	if (status > JOB_STATUS_RUNNING) {
-		retention_add(s, id, j ? j->revision : 0, ended);
+		retention_add(s, id, j ? j->revision : 0, ended_by_store);
 		if (j && j->inherited) {
 			s->open_jobs -= j->status <= JOB_STATUS_RUNNING;
 			j->status = status;
-			j->ended = ended;
+			j->ended_by_store = ended_by_store;
 			progress_apply_services(j, r->value);
 		}
 		return;
--- a/sched-retention.c
+++ b/sched-retention.c
@@ -60,10 +60,11 @@
 
 /*
  * Adds a final job, with the revision of its row.  If the time of its end isn't
- * known, it ended now.
+ * known, it ended now.  The time is on the store's clock: a wall clock that was
+ * stepped, or that of another VM, would end the retention too early or never.
  */
 void retention_add(struct sched *s, const char *id, uint64_t revision,
-		   int64_t ended)
+		   int64_t ended_by_store)
 {
 	struct retained *r;
 
@@ -74,7 +75,8 @@
 	r->revision = revision;
 	HASH_ADD(hh, s->retention.jobs, id, JOB_ID_BYTES, r);
 	heap_set(retained_part(s, r), &r->due,
-		 (ended ? ended : s->wall) + s->options.keep_ms);
+		 (ended_by_store ? ended_by_store : store_clock(s)) +
+			 s->options.keep_ms);
 }
 
 /*
@@ -152,7 +154,7 @@
 		if (!job_is_leftover(s, j))
 			continue;
 		retention_add(s, j->id, j->revision,
-			      s->wall - s->options.keep_ms);
+			      store_clock(s) - s->options.keep_ms);
 		sched_job_free(s, j);
 		n++;
 	}
@@ -179,7 +181,9 @@
 {
 	const struct heap_node *n = heap_first(&s->retention.parts[part]);
 
-	return n && s->wall > n->due ? s->wall - n->due : 0;
+	int64_t clock = store_clock(s);
+
+	return n && clock > n->due ? clock - n->due : 0;
 }
 
 /* Returns for how long the oldest final job has been due for removal. */
--- a/sched-row.c
+++ b/sched-row.c
@@ -294,6 +294,7 @@
 		json_object_set(row, "services", j->services);
 	if (j->status > JOB_STATUS_RUNNING) {
 		json_set_nonzero(row, "ended", j->ended);
+		json_set_nonzero(row, "ended_by_store", j->ended_by_store);
 		return json_write(row);
 	}
 	occs = json_array();
@@ -324,14 +325,14 @@
  * is a copy.  Returns false if the row is malformed.
  */
 bool progress_peek(bstr text, bstr *tenant, enum job_status *status,
-		   int64_t *ended)
+		   int64_t *ended_by_store)
 {
 	json_t *row = json_read(text);
 	bool ok = status_parse(row, status);
 
 	*tenant = ok ? bstr_from_json(json_object_get(row, "tenant"))
 		     : BSTR_NONE;
-	*ended = int_member(row, "ended");
+	*ended_by_store = int_member(row, "ended_by_store");
 	json_decref(row);
 	return ok;
 }
@@ -409,7 +410,6 @@
 		json_decref(row);
 		return false;
 	}
-	j->ended = int_member(row, "ended");
 	services_read(j, row);
 	json_array_foreach(occs, i, v) {
 		job_make_occurrence(j, (unsigned)int_member(v, "k"));
--- a/sched-state.h
+++ b/sched-state.h
@@ -348,7 +348,8 @@
 	enum pending_reason pending_reason; /* the latest */
 	int64_t due; /* end of its objective; 0: nothing was placed yet */
 	enum job_status status;
-	int64_t ended; /* wall clock */
+	int64_t ended;		/* wall clock; earlier versions go by it */
+	int64_t ended_by_store; /* on the store's clock; 0: not known */
 	unsigned next_occurrence;
 	unsigned placed; /* tasks in PHASE_STARTING or PHASE_RUNNING */
 	unsigned starts;
@@ -1060,7 +1061,7 @@
 bool progress_apply(struct job *j, bstr row);
 void progress_apply_services(struct job *j, bstr row);
 bool progress_peek(bstr row, bstr *tenant, enum job_status *status,
-		   int64_t *ended);
+		   int64_t *ended_by_store);
 const char *job_status_name(enum job_status status);
 bstr owner_row_write(const struct ownership *o, bool release);
 bool owner_row_read(bstr row, struct ownership *o);
@@ -1195,7 +1196,7 @@
 
 /* sched-retention.c: final jobs, and the removal of their rows */
 void retention_add(struct sched *s, const char *id, uint64_t revision,
-		   int64_t ended);
+		   int64_t ended_by_store);
 bool retention_covers(struct sched *s, const char *id, uint64_t revision);
 uint64_t retention_late_ms(const struct sched *s);
 int64_t retention_whole_since(const struct sched *s);
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -139,6 +139,12 @@
 	w->vms[vm].pages_stalled[table] = stalled;
 }
 
+/* Steps a VM's wall clock. */
+void world_step_wall(struct world *w, unsigned vm, int64_t ms)
+{
+	w->vms[vm].wall_step_ms += ms;
+}
+
 /* Sets how long the VMs keep final jobs, also those that run already. */
 void world_set_retention(struct world *w, int64_t ms)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -153,6 +153,7 @@
 	double cores;
 	bool exited;
 	int64_t worker_delay_ms; /* of workers' answers to it */
+	int64_t wall_step_ms;	 /* of its wall clock */
 };
 
 /* A message in flight, or a long poll at its target. */
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -289,7 +289,7 @@
 	TAILQ_INIT(&out);
 	w->sender_generation = w->vms[vm].generation;
 	ev->now = w->now;
-	ev->wall = WALL_BASE + w->now;
+	ev->wall = WALL_BASE + w->now + w->vms[vm].wall_step_ms;
 	sched_reduce(w->vms[vm].sched, ev, &out);
 	pending_count_check(w, w->vms[vm].sched);
 	while ((fx = TAILQ_FIRST(&out))) {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -106,6 +106,9 @@
 /* Sets the number of cores of a VM's next process. */
 void world_set_cores(struct world *w, unsigned vm, double n);
 
+/* Steps a VM's wall clock, forward or back. */
+void world_step_wall(struct world *w, unsigned vm, int64_t ms);
+
 /* Cut a VM off from the store or from a worker, or reconnect it. */
 void world_cut_store(struct world *w, unsigned vm, bool cut);
 void world_cut_worker(struct world *w, unsigned vm, unsigned worker, bool cut);
--- a/tests/test-retention.c
+++ b/tests/test-retention.c
@@ -385,3 +385,44 @@
 		}
 	}
 }
+
+/*
+ * A caller is told that no such job exists before its retention is over, or the
+ * rows are never removed: a wall clock was stepped, or is that of another VM.
+ */
+static const struct {
+	const char *name;
+	int64_t step_ms;
+	bool other_owner; /* the other VMs' clocks are stepped */
+} clock_rows[] = {
+	{"an hour ahead", 3600000, false},
+	{"an hour back", -3600000, false},
+	{"an hour ahead at the next owner", 3600000, true},
+	{"an hour back at the next owner", -3600000, true},
+};
+
+Test(retention, it_does_not_go_by_wall_clocks)
+{
+	unsigned i, k, vm;
+	struct world *w;
+
+	for (i = 0; i < NELEMS(clock_rows); i++) {
+		w = world_new_ended(2080 + i);
+		world_set_retention(w, 30000);
+		world_submit(w, other(w), job_id(JOBS), &quick);
+		world_run(w, 1500);
+		vm = owner(w);
+		for (k = 0; k < WORLD_VMS; k++)
+			if ((k == vm) != clock_rows[i].other_owner)
+				world_step_wall(w, k, clock_rows[i].step_ms);
+		if (clock_rows[i].other_owner)
+			world_kill_vm(w, vm);
+		world_run(w, 20000);
+		cr_expect_str_eq(world_job_state(w, job_id(JOBS)), "completed",
+				 "%s", clock_rows[i].name);
+		world_run(w, 10000 + REMOVAL_MS);
+		cr_expect_eq(world_stored_rows(w, job_id(JOBS)), 0, "%s",
+			     clock_rows[i].name);
+		check_free(w, clock_rows[i].name);
+	}
+}
