--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -61,9 +61,10 @@
 	OP_EVACUATE, /* a data centre is evacuated, or not any more */
 	OP_UNTOLD,   /* VMs hear nothing of the operator for a while */
 	OP_DRIFT,    /* clocks of workers are slow; only the first operation */
-	OP_POOLS, /* there is a second pool, likewise; no machine moves to it,
-		     unless b is odd */
-	OP_ROUTE, /* the first queue's route names this or that pool */
+	OP_POOLS,  /* there is a second pool, likewise; no machine moves to it,
+		      unless b is odd */
+	OP_ROUTE,  /* the first queue's route names this or that pool */
+	OP_RETAIN, /* final jobs are forgotten soon; only the first operation */
 	OPS
 };
 static const char *const names[OPS] = {
@@ -76,7 +77,7 @@
 	"INBOX",      "UNHEARD",  "POISON",	  "CRASH_MODE",	 "SHRINK",
 	"MOST_LATE",  "RESTART",  "LATE_RESTART", "CUT_ALL",	 "RESETS",
 	"SLOW_JOB",   "EVACUATE", "UNTOLD",	  "DRIFT",	 "POOLS",
-	"ROUTE"};
+	"ROUTE",      "RETAIN"};
 
 struct operation {
 	op what;
@@ -106,6 +107,7 @@
 	bool wave_started;
 	bool has_second_pool;
 	unsigned long_lived_jobs;
+	bool forgets; /* final jobs, within the simulation */
 };
 
 /* Formats a sequence as the text that replay() takes. */
@@ -227,6 +229,9 @@
 		if (p.jobs.empty())
 			break;
 		i = s.b % p.jobs.size();
+		/* Nobody hands a job in again when it is forgotten. */
+		if (p.forgets && world_job_was_final(p.w, p.jobs[i].id))
+			break;
 		p.jobs[i].calls.push_back(
 			world_submit(p.w, vm, p.jobs[i].id, p.jobs[i].job));
 		break;
@@ -382,6 +387,7 @@
 		break;
 	case OP_DRIFT: /* see run() */
 	case OP_POOLS:
+	case OP_RETAIN:
 	case OPS:
 		break;
 	}
@@ -406,6 +412,12 @@
 
 		if (!job_is_accepted(p, h))
 			continue;
+		if (p.forgets && world_job_was_final(p.w, h.id)) {
+			if (world_stored_rows(p.w, h.id))
+				return "final and not forgotten: " +
+				       std::string(h.id);
+			continue;
+		}
 		if (state != "completed" && state != "failed" && !h.cancel &&
 		    h.job != &long_lived)
 			return "accepted and not completed: " +
@@ -425,7 +437,8 @@
  */
 static std::string run(uint64_t seed, const operations &v)
 {
-	simulation p = {world_new(seed, 4, WORLD_WORKERS), {}, false, false, 0};
+	simulation p = {
+		world_new(seed, 4, WORLD_WORKERS), {}, false, false, 0, false};
 	std::string failure;
 
 	if (!v.empty() && v[0].what == OP_DRIFT)
@@ -435,6 +448,9 @@
 		world_add_second_pool(p.w, WORLD_WORKERS / 2);
 	if (p.has_second_pool && v[0].b % 2 == 0)
 		world_set_machine_mode(p.w, WORLD_MACHINES_BUSY);
+	p.forgets = !v.empty() && v[0].what == OP_RETAIN;
+	if (p.forgets)
+		world_set_retention(p.w, 1500);
 	world_run(p.w, 2000);
 	for (const auto &s : v) {
 		operation_apply(p, s);
@@ -463,6 +479,7 @@
 	bool polls_reset;  /* polls fail when their worker restarts */
 	bool clocks_slow;  /* of workers */
 	bool second_pool;
+	bool forgets; /* final jobs, within the simulation */
 };
 static const std::vector<fault_mix> mixes = {
 	{"undisturbed, with retries and cancels", {OP_RETRY, OP_CANCEL}},
@@ -535,6 +552,18 @@
 	 false,
 	 false,
 	 true},
+	{"final jobs forgotten, VMs lost, writes late, tables read again",
+	 {OP_KILL,	  OP_STOP,	  OP_FREEZE,	 OP_CUT_STORE,
+	  OP_STORE,	  OP_STORE,	  OP_STORE_VM,	 OP_COMPACT,
+	  OP_COMPACT,	  OP_COMPACT,	  OP_PAGES_SLOW, OP_PAGES_SLOW,
+	  OP_WRITES_LATE, OP_WRITES_LATE, OP_CANCEL,	 OP_LATE,
+	  OP_CUT_WORKER,  OP_LONG,	  OP_LONG,	 OP_LONG,
+	  OP_LONG},
+	 false,
+	 false,
+	 false,
+	 false,
+	 true},
 };
 
 /* Generates operations: work, and faults of the mix. */
@@ -872,6 +901,8 @@
 				v.insert(v.begin(), {OP_DRIFT, 0, 0});
 			if (m.second_pool)
 				v.insert(v.begin(), {OP_POOLS, 0, 0});
+			if (m.forgets)
+				v.insert(v.begin(), {OP_RETAIN, 0, 0});
 			const auto failure = run(seed, v);
 
 			if (!failure.empty())
--- a/tests/soak-entry.c
+++ b/tests/soak-entry.c
@@ -9,12 +9,15 @@
  *
  * It checks by the answers to callers and the state of the workers: no task
  * runs twice at a time, nor after its end was acknowledged; a refused job never
- * runs; an accepted one is known to every VM and completes; the answer to how
+ * runs; an accepted one is known to every VM until its retention is over, and
+ * completes; the answer to how
  * many jobs of a queue wait is at least half of them, or 503, and 0 when all
  * are done; a planned stop ends in time, with status 0.
  *
  * soak-entry             the kept seeds, a few seconds each
  * soak-entry SEED [S]    one seed, S seconds of faults
+ * soak-entry SEED S K    the same; final jobs are kept K s and
+ * RETENTION_MARGIN_S
  */
 #include "../bamboofront.h"
 #include "../json-read.h"
@@ -39,8 +42,10 @@
 #define VMS 4
 #define CLIENTS 3
 #define JOBS_MAX 4000 /* per client */
-#define FAULT_S 8     /* length of the faults, unless given */
-#define LEAD_MS 3000  /* clients run without faults first */
+/* Final jobs are known for at least this much longer than the settings say. */
+#define RETENTION_MARGIN_S 30
+#define FAULT_S 8    /* length of the faults, unless given */
+#define LEAD_MS 3000 /* clients run without faults first */
 #define KEY "k1"
 #define LIMIT_CPU 2000 /* upper limit of the organisation: two tasks */
 /*
@@ -122,6 +127,7 @@
 	struct vm vms[VMS];
 	struct client clients[CLIENTS];
 	struct owner_kills owner_kills;
+	unsigned keep_s; /* retention of final jobs; 0: longer than the run */
 	const char *store_fault, *start_fault; /* JSON; "" for none */
 	FILE *log_file;			       /* log of the faults */
 	atomic_bool over;
@@ -222,6 +228,7 @@
 				  .readiness_port = v->readiness,
 				  .store_port = v->store,
 				  .machines_port = s->cloud.port,
+				  .keep_s = s->keep_s,
 				  .start_number = v->start_count++};
 
 	inet_ntop(AF_INET, &a.sin_addr, ip, sizeof(ip));
@@ -447,6 +454,14 @@
 	json_decref(heartbeat);
 }
 
+/* Returns true if a job's retention may be over. */
+static bool job_may_be_forgotten(const struct soak *s, const struct job *j)
+{
+	return s->keep_s &&
+	       clock_now() >=
+		       j->accepted_at + 1000 * (s->keep_s + RETENTION_MARGIN_S);
+}
+
 /*
  * The thread of a client: submits jobs one after another and asks for counts
  * and earlier jobs.
@@ -470,7 +485,8 @@
 		path = job_path(j);
 		status = client_call(c, draw(&c->random, VMS), "GET", path,
 				     NULL, &text);
-		if (status == 410 && j->accepted)
+		if (status == 410 && j->accepted &&
+		    !job_may_be_forgotten(c->soak, j))
 			violation(c->soak,
 				  "an accepted job is unknown:", j->id);
 		free(text);
@@ -717,7 +733,8 @@
 	char *path = job_path(j), *text;
 	int status = client_call(c, draw(&c->random, VMS), "GET", path, NULL,
 				 &text);
-	bool completed = status == 200 && text && strstr(text, "completed");
+	bool completed = (status == 200 && text && strstr(text, "completed")) ||
+			 (status == 410 && job_may_be_forgotten(c->soak, j));
 
 	free(path);
 	free(text);
@@ -902,7 +919,7 @@
 }
 
 /* Runs one seed; returns true if nothing was wrong. */
-static bool soak_run(uint64_t seed, unsigned seconds)
+static bool soak_run(uint64_t seed, unsigned seconds, unsigned keep_s)
 {
 	struct soak *s = xcalloc(1, sizeof(*s));
 	int64_t until, end_faults_at = 0;
@@ -911,6 +928,7 @@
 
 	printf("seed %llu, %u s\n", (unsigned long long)seed, seconds);
 	fflush(stdout);
+	s->keep_s = keep_s;
 	soak_start(s, seed);
 	nap_ms(LEAD_MS);
 	until = clock_now() + seconds * 1000;
@@ -953,9 +971,10 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (argc > 1)
 		return !soak_run(strtoull(argv[1], NULL, 10),
-				 argc > 2 ? (unsigned)atoi(argv[2]) : FAULT_S);
+				 argc > 2 ? (unsigned)atoi(argv[2]) : FAULT_S,
+				 argc > 3 ? (unsigned)atoi(argv[3]) : 0);
 	for (i = 0; i < NELEMS(kept); i++) {
-		if (soak_run(kept[i].seed, FAULT_S))
+		if (soak_run(kept[i].seed, FAULT_S, 0))
 			passed++;
 		else
 			failed++;
--- a/tests/support-entry.c
+++ b/tests/support-entry.c
@@ -37,9 +37,9 @@
 		"\"callers\": \"%s:%u\", \"readiness\": \"%s:%u\", "
 		"\"store\": \"127.0.0.1:%u\", \"machines\": \"127.0.0.1:%u\", "
 		"\"advice\": \"\", \"bounds\": {\"lease_max_ms\": 6000, "
-		"\"stop_ms\": 400, \"grace_s\": 6}}",
+		"\"stop_ms\": 400, \"keep_s\": %u, \"grace_s\": 6}}",
 		p->name, ip, p->callers_port, ip, p->readiness_port,
-		p->store_port, p->machines_port);
+		p->store_port, p->machines_port, p->keep_s ? p->keep_s : 120);
 	fclose(f);
 }
 
--- a/tests/support-entry.h
+++ b/tests/support-entry.h
@@ -13,6 +13,7 @@
 	uint16_t readiness_port; /* 0: chosen at the start */
 	uint16_t store_port;	 /* of the fake store, on 127.0.0.1 */
 	uint16_t machines_port;	 /* of the fake machine list, on 127.0.0.1 */
+	unsigned keep_s;	 /* retention of final jobs; 0: 120 s */
 	unsigned start_number;	 /* the log is DIR/NAME-START_NUMBER.log */
 	pid_t pid;
 };
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -123,6 +123,14 @@
 	return "";
 }
 
+/* Returns true if the store has had a job as final, or a cancellation of it. */
+bool world_job_was_final(const struct world *w, const char *id)
+{
+	int n = world_job_number(w, id);
+
+	return n >= 0 && w->jobs[n].over;
+}
+
 /* Returns how many rows of a job the store has, in all tables. */
 unsigned world_stored_rows(const struct world *w, const char *id)
 {
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -346,6 +346,9 @@
 /* Returns a job's state in the store; "" if it has none. */
 const char *world_job_state(struct world *w, const char *id);
 
+/* Returns true if the store has had a job as final, or a cancellation of it. */
+bool world_job_was_final(const struct world *w, const char *id);
+
 /* Returns how many rows of a job the store has, in all tables. */
 unsigned world_stored_rows(const struct world *w, const char *id);
 
--- a/tests/test-calls.c
+++ b/tests/test-calls.c
@@ -1,4 +1,6 @@
+#include "../json-read.h"
 #include "../platform/platform.h"
+#include "../sched-state.h"
 #include "support-fake.h"
 
 #include <criterion/criterion.h>
@@ -99,3 +101,89 @@
 	}
 	mailbox_free(inbox);
 }
+
+/* A row of a transaction, and the part that the platform has to be told. */
+static const struct {
+	enum table table;
+	const char *key;
+	const char *part;
+	bool across; /* beside a row of the owner's table */
+} part_rows[] = {
+	{TABLE_JOBS, "00000000000000aa", "1", true},
+	{TABLE_JOBS, "9000000000000001", "10", true},
+	{TABLE_JOBS, "f000000000000001", "16", true},
+	{TABLE_JOBS, "f000000000000001/cancel", "16", true},
+	{TABLE_PROGRESS, "f000000000000001", "", false},
+};
+
+/* Returns the body of a transaction that names the row in each way. */
+static json_t *named_row_body(struct platform *p, struct fake *f, size_t i,
+			      size_t n)
+{
+	struct sched_effect *fx = xcalloc(1, sizeof(*fx));
+	bstr key = bstr_lit(part_rows[i].key);
+	struct tx *t = &fx->ask.tx;
+
+	fx->kind = EFFECT_ASK;
+	fx->ask.kind = ASK_TX;
+	fx->ask.deadline = clock_now() + TIMEOUT_MS;
+	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), 3);
+	tx_expect(t, part_rows[i].table, key, 4);
+	tx_write(t, part_rows[i].table, key, bstr_new("{}"));
+	tx_remove(t, part_rows[i].table, key);
+	platform_send(p, fx);
+	return json_read(fake_wait(f, n)->body);
+}
+
+/* Returns the part of the last row in a list of a transaction. */
+static const char *last_part(const json_t *body, const char *list)
+{
+	const json_t *rows = json_object_get(body, list);
+	size_t n = json_array_size(rows);
+
+	return n ? json_string_value(
+			   json_object_get(json_array_get(rows, n - 1), "part"))
+		 : NULL;
+}
+
+/* A removal names a row that isn't there, so the row stays for ever. */
+Test(calls, rows_are_named_with_their_part, .timeout = 60)
+{
+	static const char *const lists[] = {"expected_revision", "writes",
+					    "remove"};
+	struct fake_step steps[NELEMS(part_rows)];
+	struct platform_options o = {.advice = ""};
+	struct mailbox *inbox = mailbox_new(16);
+	struct sched_event *ev;
+	struct platform *p;
+	struct error e;
+	struct fake *f;
+	char *address;
+	json_t *body;
+	size_t i, k;
+
+	error_init(&e);
+	for (i = 0; i < NELEMS(steps); i++)
+		steps[i] = (struct fake_step){FAKE_ANSWER, 200, "{}"};
+	f = fake_start(steps, NELEMS(steps));
+	address = xasprintf("127.0.0.1:%u", fake_port(f));
+	o.store = o.machines = address;
+	p = platform_start(&o, inbox, inbox, &e);
+	cr_assert(p);
+	for (i = 0; i < NELEMS(part_rows); i++) {
+		body = named_row_body(p, f, i, i);
+		for (k = 0; k < NELEMS(lists); k++)
+			cr_expect_str_eq(last_part(body, lists[k]),
+					 part_rows[i].part, "%s of %s",
+					 lists[k], part_rows[i].key);
+		cr_expect_eq(json_is_true(json_object_get(body, "across")),
+			     part_rows[i].across, "%s", part_rows[i].key);
+		json_decref(body);
+	}
+	platform_stop(p);
+	fake_stop(f);
+	while ((ev = mailbox_take(inbox)))
+		sched_event_free(ev);
+	mailbox_free(inbox);
+	free(address);
+}
