A removed job's progress isn't written again

What is seen: a row of progress stays in the store without a job, until the next takeover, and callers are told a state for it in place of 410.

Cause: a successor that reads a final job's progress remembered it for removal at once, though it went on tracking the job: for runs that may still come to light, and, of a cancelled job, to write the final state that the cancellation's row asks for again. So rows could be removed while that write was on its way.

Mend: a job that is tracked is added to the final ones when it is retired, which waits for its writes and its runs. Only progress without a job is added when read.

--- a/sched-job.c
+++ b/sched-job.c
@@ -527,7 +527,9 @@
 	bstr_free(&tenant);
 	j = sched_job_find(s, id);
 	if (status > JOB_STATUS_RUNNING) {
-		retention_add(s, id, j ? j->revision : 0, ended_by_store);
+		/* A job that is tracked is added when it is retired. */
+		if (!j)
+			retention_add(s, id, 0, ended_by_store);
 		if (j && j->inherited) {
 			s->open_jobs -= j->status <= JOB_STATUS_RUNNING;
 			j->status = status;
--- a/tests/test-retention.c
+++ b/tests/test-retention.c
@@ -426,3 +426,36 @@
 		check_free(w, clock_rows[i].name);
 	}
 }
+
+/*
+ * A row of progress stays in the store: its job's rows are removed by a
+ * successor whose own write of that progress is late.
+ */
+Test(retention, progress_is_not_written_after_its_removal)
+{
+	const char *id = job_id(13);
+	unsigned seed, vm;
+	struct world *w;
+
+	for (seed = 2090; seed < 2100; seed++) {
+		w = world_new_settled(seed);
+		world_set_retention(w, KEEP_MS);
+		world_submit(w, other(w), id, &lasting);
+		world_run(w, 2000);
+		world_call(w, other(w), VERB_CANCEL, id);
+		run_until_removal(w);
+		vm = owner(w);
+		world_kill_vm(w, vm);
+		do {
+			world_run(w, 1);
+			vm = (unsigned)world_owner(w);
+		} while (vm >= WORLD_VMS ||
+			 world_sched(w, vm)->own.state != OWN_OWNER);
+		world_set_vm_store_mode(w, vm, WORLD_STORE_LATE);
+		world_run(w, 10);
+		world_set_vm_store_mode(w, vm, WORLD_STORE_OK);
+		world_run(w, 20000);
+		cr_expect_eq(world_stored_rows(w, id), 0, "seed %u", seed);
+		check_free(w, "late progress");
+	}
+}
