Scheduler: reading of jobs in a file of its own; one place for two names of rows

sched-job.c was among the largest files and had three subjects; what reads the rows of jobs moves to sched-read.c, unchanged. Behaviour is unchanged; test-retention, test-takeover, test-sched and test-catalogue pass.

--- a/sched-call.c
+++ b/sched-call.c
@@ -8,8 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Suffix of the key of a cancellation's row. */
-#define CANCEL_SUFFIX "/cancel"
 /*
  * In bytes; the platform's limit for the payload that a job passes to its
  * workers.
@@ -347,7 +345,7 @@
 	struct request *rq;
 	struct tx *t = sched_tx(s, FOR_CANCEL, call_attempt_deadline(s, c),
 				&rq);
-	bstr key = bstr_printf("%s" CANCEL_SUFFIX, c->job);
+	bstr key = cancellation_key(c->job);
 
 	rq->call = c->id;
 	tx_write(t, TABLE_JOBS, key, bstr_new("{}"));
--- a/sched-commit.c
+++ b/sched-commit.c
@@ -81,7 +81,7 @@
 	    TAILQ_EMPTY(&s->dirty) || s->now < s->commit_at)
 		return;
 	t = sched_tx(s, FOR_COMMIT, s->now + STORE_TIMEOUT_MS, &rq);
-	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	tx_expect_owner(s, t);
 	tx_expect(t, TABLE_PROGRESS, bstr_lit(KEY_COMMIT), s->commit_revision);
 	tx_write(t, TABLE_PROGRESS, bstr_lit(KEY_COMMIT), bstr_new("{}"));
 	for (n = 0; n < COMMIT_ROWS_MAX && bytes < COMMIT_BYTES_MAX &&
--- a/sched-offer.c
+++ b/sched-offer.c
@@ -125,7 +125,7 @@
 	struct tx *t;
 
 	t = sched_tx(s, FOR_OFFER, s->now + STORE_TIMEOUT_MS, &rq);
-	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	tx_expect_owner(s, t);
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_OFFER), s->own.offer_revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_OFFER),
 		 json_write(json_pack("{s:I, s:o, s:I}", "epoch",
--- a/sched-own.c
+++ b/sched-own.c
@@ -12,7 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEY_EPOCH "epoch"
 #define KEY_HEARTBEAT "beat"
 #define KEY_WORKERS "workers"
 #define KEY_HOME_SIZES "homes"
@@ -606,7 +605,7 @@
 	t = sched_tx(s, FOR_HEARTBEAT, s->now + STORE_TIMEOUT_MS, &rq);
 	rq->number = s->own.epoch;
 	rq->revision = s->own.heartbeat_revision;
-	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
+	tx_expect_owner(s, t);
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT), rq->revision);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT),
 		 heartbeat_row_write(s));
@@ -683,7 +682,7 @@
 	struct tx *t;
 
 	t = sched_tx(s, FOR_RELEASE, s->now + STORE_TIMEOUT_MS, &rq);
-	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
+	tx_expect_owner(s, t);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
 		 owner_row_write(&released, true));
 	if (s->own.state == OWN_OWNER)
--- a/sched-retention.c
+++ b/sched-retention.c
@@ -212,9 +212,9 @@
 				&rq);
 	bstr cancellation;
 
-	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	tx_expect_owner(s, t);
 	TAILQ_FOREACH(r, &s->retention.removing, entry) {
-		cancellation = bstr_printf("%s/cancel", r->id);
+		cancellation = cancellation_key(r->id);
 		tx_expect(t, TABLE_JOBS, bstr_lit(r->id), r->revision);
 		tx_remove(t, TABLE_JOBS, bstr_lit(r->id));
 		tx_remove(t, TABLE_PROGRESS, bstr_lit(r->id));
--- a/sched-state.h
+++ b/sched-state.h
@@ -1030,11 +1030,14 @@
 void sched_observe(struct sched *s, enum histogram_id id, int64_t ms);
 bool sched_store_is_up(const struct sched *s);
 
-/* sched-tx.c: building transactions */
+/* sched-tx.c: names of rows, and building transactions */
+#define KEY_EPOCH "epoch" /* of the row that names the owner */
 struct tx *sched_tx(struct sched *s, enum purpose purpose, int64_t deadline,
 		    struct request **rq);
 unsigned row_part(enum table table, bstr key);
+bstr cancellation_key(const char *id);
 void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision);
+void tx_expect_owner(const struct sched *s, struct tx *t);
 bool tx_finds_owner(const struct sched *s, const struct answer *a);
 bool tx_row_was_rewritten(const struct sched *s, const struct answer *a,
 			  enum table table, bstr key, uint64_t *revision);
@@ -1160,8 +1163,6 @@
 
 /* sched-job.c: jobs, occurrences and tasks */
 struct job *sched_job_find(struct sched *s, const char *id);
-void job_row_apply(struct sched *s, struct row *r);
-void progress_row_apply(struct sched *s, struct row *r);
 void sched_job_free(struct sched *s, struct job *j);
 void job_queue_placing(struct sched *s, struct job *j);
 void job_unqueue_placing(struct sched *s, struct job *j);
@@ -1173,7 +1174,6 @@
 bool job_may_have_unknown_runs(struct sched *s, struct job *j);
 void job_retire_if_done(struct sched *s, struct job *j);
 bool job_is_waiting(const struct job *j);
-int64_t job_age_ms(const struct sched *s, const struct job *j);
 bool job_is_settled(struct sched *s, struct job *j);
 void job_add_service(struct sched *s, struct job *j, bstr service);
 bool job_start_is_durable(struct sched *s, struct job *j);
@@ -1188,6 +1188,11 @@
 void task_delay(struct task *t, int64_t until);
 int64_t task_ready_at(const struct task *t);
 
+/* sched-read.c: reading the rows of jobs */
+int64_t job_age_ms(const struct sched *s, const struct job *j);
+void job_row_apply(struct sched *s, struct row *r);
+void progress_row_apply(struct sched *s, struct row *r);
+
 /* sched-commit.c: writing progress */
 bool commit_row_apply(struct sched *s, const struct row *r);
 void commit_tick(struct sched *s);
--- a/sched-tx.c
+++ b/sched-tx.c
@@ -28,6 +28,12 @@
 	return 1 + 10 + ((unsigned)c - 'a') % 6;
 }
 
+/* Returns the key of the row that cancels a job; the caller frees it. */
+bstr cancellation_key(const char *id)
+{
+	return bstr_printf("%s/cancel", id);
+}
+
 /* Returns the name of a row; the key is copied. */
 static struct row_ref row_ref(enum table table, bstr key)
 {
@@ -45,6 +51,12 @@
 		.row = row_ref(table, key), .revision = revision};
 }
 
+/* Adds the condition that this VM is still the owner. */
+void tx_expect_owner(const struct sched *s, struct tx *t)
+{
+	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_EPOCH), s->own.revision);
+}
+
 /* Returns true if a refused transaction shows that this VM is the owner. */
 bool tx_finds_owner(const struct sched *s, const struct answer *a)
 {
@@ -52,7 +64,7 @@
 
 	for (i = 0; i < a->row_count; i++)
 		if (a->rows[i].table == TABLE_OWNER &&
-		    bstr_eq_str(a->rows[i].key, "epoch"))
+		    bstr_eq_str(a->rows[i].key, KEY_EPOCH))
 			return a->rows[i].revision == s->own.revision;
 	return false;
 }
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -526,7 +526,7 @@
 	wave_key(v, key);
 	t = sched_tx(s, FOR_WAVE_ROW, s->now + STORE_TIMEOUT_MS, &rq);
 	rq->number = v->number;
-	tx_expect(t, TABLE_OWNER, bstr_lit("epoch"), s->own.revision);
+	tx_expect_owner(s, t);
 	tx_expect(t, TABLE_NOTES, bstr_lit(key), v->revision);
 	if (!v->start_published || v->completed)
 		tx_write(t, TABLE_STATUS, bstr_lit(key),
