--- a/sched-state.h
+++ b/sched-state.h
@@ -361,8 +361,9 @@
 };
 TAILQ_HEAD(job_queue, job);
 
-/* A final job whose rows are still in the store. */
 TAILQ_HEAD(retained_list, retained);
+
+/* A final job whose rows are still in the store. */
 struct retained {
 	char id[JOB_ID_BYTES + 1];
 	uint64_t revision;	     /* of the job's row; 0: it has none */
