--- a/tests/test-retention.c
+++ b/tests/test-retention.c
@@ -6,7 +6,7 @@
 #include "world-calm.h"
 
 #define KEEP_MS 2000
-/* Until the rows of a job are removed whose retention is over. */
+/* Time after its retention within which the rows of a job are removed. */
 #define REMOVAL_MS 8000
 #define JOBS 6
 
@@ -54,6 +54,9 @@
 	cr_expect_eq(world_call_status(w, call), 410, "%s: %s", name, id);
 }
 
+/*
+ * Ways to have the jobs read again: by a successor, or by the same owner.
+ */
 static void owner_is_killed(struct world *w)
 {
 	world_kill_vm(w, owner(w));
@@ -127,7 +130,7 @@
 
 /* Jobs are submitted at the target's rate, 400 a second. */
 #define BURST_JOBS 600
-#define BURST_INTERVALS_MS 5 /* for two jobs */
+#define BURST_INTERVAL_MS 5 /* for two jobs */
 
 /*
  * The store, the owner's memory and the reading at a takeover grow without end:
@@ -145,7 +148,7 @@
 	for (i = 0; i < BURST_JOBS; i++) {
 		call = world_submit(w, other(w), job_id(i), &tiny);
 		if (i % 2)
-			world_run(w, BURST_INTERVALS_MS);
+			world_run(w, BURST_INTERVAL_MS);
 	}
 	world_run(w, 10000);
 	cr_expect_eq(world_call_status(w, call), 200);
