--- a/review/4/r2-drive.c
+++ b/review/4/r2-drive.c
@@ -339,15 +339,16 @@
 	"\",\"kind\":\"unsafe\",\"timeout_ms\":3000,"                      \
 	"\"target_latency_ms\":600,\"priority\":1,\"service\":\"rounds\"," \
 	"\"max_attempts\":4,\"stretch\":1.6,\"public\":false" more "}"
-#define CONFIG(version, routes)                                          \
-	"{\"key\":\"config\",\"row\":{\"version\":" version              \
-	",\"routes\":[" routes "],\"tenants\":["                         \
-	"{\"name\":\"t-one\",\"api_keys\":[\"k-one\"],\"weight\":1,"     \
-	"\"maximum\":{}},"                                               \
-	"{\"name\":\"t-two\",\"api_keys\":[\"k-two\"],\"weight\":1,"     \
-	"\"maximum\":{}}],"                                              \
-	"\"services\":[{\"name\":\"rounds\",\"admission_check\":true}]," \
+#define CONFIG_MAXIMUM(version, cpu, routes)                              \
+	"{\"key\":\"config\",\"row\":{\"version\":" version               \
+	",\"routes\":[" routes "],\"tenants\":["                          \
+	"{\"name\":\"t-one\",\"api_keys\":[\"k-one\"],\"weight\":1,"      \
+	"\"maximum\":{\"cpu\":" cpu ",\"requested_memory_mb\":" cpu "}}," \
+	"{\"name\":\"t-two\",\"api_keys\":[\"k-two\"],\"weight\":1,"      \
+	"\"maximum\":{}}],"                                               \
+	"\"services\":[{\"name\":\"rounds\",\"admission_check\":true}],"  \
 	"\"limits\":{}}}"
+#define CONFIG(version, routes) CONFIG_MAXIMUM(version, "0", routes)
 
 /* A job of two short tasks must be done, or the case can't run. */
 static void warm_up(const char *prefix)
@@ -660,11 +661,186 @@
 	return tasks_sum("twice") || tasks_sum("done") > 3;
 }
 
+/*
+ * A gang of two tasks ends done, and then comes a step of one task.  The worker
+ * of one member is cut off, and crashes behind the cut after that end.
+ */
+#define GANG_RUN_MS 4000
+#define CUT_MS 5000	      /* 5.5 s at most */
+#define CUT_AFTER_MS 2000     /* the gang's start */
+#define RESTART_AFTER_MS 2800 /* the beginning of the cut */
+
+static int case_gang(void)
+{
+	const char *job = "6a46000000000001",
+		   *member = "6a46000000000001.0.0.1";
+	int64_t sent, until = clock_now() + 20000;
+	char *state;
+	json_t *t;
+	int broken;
+
+	start_all("9");
+	control("/control/op", "%s",
+		CONFIG("7", ROUTE("r-plan", "/plan/",
+				  "") "," ROUTE("r-short", "/short/", "")));
+	wait_ready();
+	warm_up("/short/");
+	if (!submit("k-one", "/plan/", job,
+		    "{\"specification\":\"ms=4000 gang=2\",\"steps\":["
+		    "{\"count\":2,\"cpu\":20000,\"requested_memory_mb\":256,"
+		    "\"estimated_ms\":4000,\"gang\":true,"
+		    "\"anti_affinity\":1},"
+		    "{\"count\":1,\"cpu\":1000,\"requested_memory_mb\":64,"
+		    "\"estimated_ms\":4000,\"after\":[0]}]}"))
+		return 2;
+	while (!task_int(member, "running") && clock_now() < until)
+		nap(20);
+	sent = clock_now();
+	nap(CUT_AFTER_MS);
+	t = task_get(member);
+	if (trouble)
+		control("/control/worker",
+			"{\"worker\":\"%s\",\"what\":\"cut\",\"ms\":%d,"
+			"\"restart_ms\":%d}",
+			json_string_value(json_object_get(t, "worker")), CUT_MS,
+			RESTART_AFTER_MS);
+	json_decref(t);
+	nap_until(sent + GANG_RUN_MS + 5000 + FINISH_MS + NOTHING_RUNS_MS);
+	state = state_of("k-one", "/plan/", job);
+	note("verdict: the job is shown as %s; the gang's tasks have %lld and "
+	     "%lld starts and %lld and %lld ends done, the task after them %lld "
+	     "starts; %lld runs work",
+	     state, (long long)task_int("6a46000000000001.0.0.0", "starts"),
+	     (long long)task_int(member, "starts"),
+	     (long long)task_int("6a46000000000001.0.0.0", "done"),
+	     (long long)task_int(member, "done"),
+	     (long long)task_int("6a46000000000001.0.1.0", "starts"),
+	     (long long)tasks_sum("running"));
+	broken = strcmp(state, "completed") != 0 && !tasks_sum("running");
+	free(state);
+	return broken;
+}
+
+/* A tenant's maximum is lowered; then it hands in a gang within the new one. */
+static int case_ceiling(void)
+{
+	const char *job = "6a46000000000002";
+	int64_t sent;
+	char *state;
+	int broken;
+
+	start_all("9");
+	control("/control/op", "%s",
+		CONFIG_MAXIMUM("7", "400000",
+			       ROUTE("r-plan", "/plan/",
+				     "") "," ROUTE("r-short", "/short/", "")));
+	wait_ready();
+	warm_up("/short/");
+	if (trouble)
+		control("/control/op", "%s",
+			CONFIG_MAXIMUM("9", "100000",
+				       ROUTE("r-plan", "/plan/", "") "," ROUTE(
+					       "r-short", "/short/", "")));
+	nap(3000);
+	if (!submit("k-one", "/plan/", job,
+		    "{\"specification\":\"ms=3000 gang=12\",\"steps\":["
+		    "{\"count\":12,\"cpu\":3000,\"requested_memory_mb\":256,"
+		    "\"estimated_ms\":3000,\"gang\":true}]}"))
+		return 2;
+	sent = clock_now();
+	wait_state("k-one", "/plan/", job, "completed", FINISH_MS);
+	nap_until(sent + FINISH_MS + NOTHING_RUNS_MS + 500);
+	state = state_of("k-one", "/plan/", job);
+	broken = !task_int("6a46000000000002.0.0.0", "starts");
+	note("verdict: the job of a gang of 12 tasks, 36 cores together, is "
+	     "shown as %s, and has %lld starts; its tenant runs nothing",
+	     state, (long long)task_int("6a46000000000002.0.0.0", "starts"));
+	free(state);
+	return broken;
+}
+
+/*
+ * A node freezes, and gets a client's POST.  The client leaves without an
+ * answer, and cancels the job at another node.  Then the node wakes.
+ */
+#define FREEZE_MS 4000 /* 4 s at most */
+#define LEAVE_MS 300   /* give_up: half the objective */
+#define CANCEL_MS 3000 /* cancel_ms */
+
+static int case_cancel(void)
+{
+	const char *path = "/plan/ca0ce10000000001";
+	const char *task = "ca0ce10000000001.0.0.0";
+	const char *body = "{\"specification\":\"ms=2000\",\"steps\":["
+			   "{\"count\":1,\"cpu\":1000,"
+			   "\"requested_memory_mb\":64,"
+			   "\"estimated_ms\":2000}]}";
+	int64_t frozen_at, acked_at = 0, starts;
+	struct node *owner, *n;
+	int fd, status = 0, i;
+	char *out;
+
+	start_all("9");
+	control("/control/op", "%s",
+		CONFIG("7", ROUTE("r-plan", "/plan/",
+				  "") "," ROUTE("r-short", "/short/", "")));
+	wait_ready();
+	warm_up("/short/");
+	owner = owner_find();
+	if (!owner)
+		return 2;
+	n = &nodes[(owner - nodes + 1) % NODES];
+	if (trouble) {
+		kill(n->pid, SIGSTOP);
+		note("%s freezes", n->name);
+	}
+	frozen_at = clock_now();
+	nap(100);
+	out = xasprintf("POST %s HTTP/1.1\r\nHost: " HOST "\r\n"
+			"Authorization: Bearer k-one\r\n"
+			"X-Deadline-Remaining-Ms: %d\r\n"
+			"Content-Type: application/json\r\n"
+			"Content-Length: %zu\r\n\r\n%s",
+			path, DEADLINE_MS, strlen(body), body);
+	fd = http_connect(n->callers, NULL);
+	if (fd < 0 ||
+	    send(fd, out, strlen(out), MSG_NOSIGNAL) != (ssize_t)strlen(out))
+		return 2;
+	free(out);
+	note("client POST %s at %s", path, n->name);
+	nap(LEAVE_MS);
+	close(fd);
+	note("the client leaves before it has an answer");
+	for (i = 0; i < ATTEMPTS && status != 200 && status != 410; i++) {
+		status = call_node(owner, "k-one", "DELETE", path, NULL, NULL);
+		acked_at = clock_now();
+		note("client DELETE %s at %s -> %d", path, owner->name, status);
+	}
+	if (status != 200 && status != 410)
+		return 2;
+	nap_until(acked_at + CANCEL_MS);
+	starts = task_int(task, "starts");
+	nap_until(frozen_at + FREEZE_MS);
+	if (trouble) {
+		kill(n->pid, SIGCONT);
+		note("%s wakes", n->name);
+	}
+	nap(5000);
+	free(state_of("k-one", "/plan/", "ca0ce10000000001"));
+	starts = task_int(task, "starts") - starts;
+	note("verdict: the task has %lld starts later than %d ms after the "
+	     "cancelling was answered with %d",
+	     (long long)starts, CANCEL_MS, status);
+	return starts > 0;
+}
+
 static const struct {
 	const char *name;
 	int (*run)(void);
 } cases[] = {
-	{"late", case_late},	 {"large", case_large}, {"crash", case_crash},
+	{"gang", case_gang},	 {"ceiling", case_ceiling},
+	{"cancel", case_cancel}, {"late", case_late},
+	{"large", case_large},	 {"crash", case_crash},
 	{"advice", case_advice}, {"route", case_route},
 };
 
--- a/review/4/r2-world.c
+++ b/review/4/r2-world.c
@@ -5,8 +5,9 @@
  * keeps a summary of each task, which GET /control/tasks returns.
  *
  * The specification of a job tells the workers what its tasks do, as
- * "ms=N spread=N save=1 lasts=1": the time of a run, a part that differs by
- * task, whether it saves checkpoints, and whether it runs until it is stopped.
+ * "ms=N spread=N save=1 lasts=1 gang=N": the time of a run, a part that differs
+ * by task, whether it saves checkpoints, whether it runs until it is stopped,
+ * and the number of tasks of a gang.
  */
 #include "../../json-read.h"
 #include "../../tests/standin.h"
@@ -26,6 +27,7 @@
 #define STOP_MS 50	  /* a stop takes this long; at most stop_ms, 400 */
 #define SAVE_MS 1000	  /* checkpoint_s */
 #define RESTORE_MS 250	  /* restore_ms */
+#define GANG_MS 3000	  /* gang_timeout_ms */
 #define STARTUP_MS 200	  /* until a task that lasts is at work */
 #define HEARTBEAT_MS 1500 /* heartbeat_ms */
 #define REGISTER_MS 1000  /* from a restart until its first row */
@@ -44,6 +46,8 @@
 	int64_t saved_ms;	/* work that its checkpoint had at its start */
 	int64_t stop_at;	/* 0: it is not being stopped */
 	int64_t end_seq;	/* 0: it runs */
+	int gang;		/* tasks of its gang; 0: it is in none */
+	int64_t together_at; /* when all of its gang were there; 0: not yet */
 	bool saves;
 	const char *how;
 	char saved[24];
@@ -54,7 +58,9 @@
 	struct server *server;
 	int64_t born, lease_end, fence, last_end, down_until, heartbeat_at;
 	int64_t born_unix, sequence;
-	int64_t unlist_at; /* when its row expires; 0: it does not */
+	int64_t unlist_at;  /* when its row expires; 0: it does not */
+	int64_t cut_until;  /* it reaches no node; 0: it does */
+	int64_t restart_at; /* its process ends and starts again; 0: not */
 	bool gone;
 	struct run *runs;
 	size_t count;
@@ -71,7 +77,7 @@
 	struct worker *worker;
 } late;
 
-static json_t *rows, *tasks, *good;
+static json_t *rows, *tasks, *good, *gangs_done;
 static int64_t version, began;
 static struct worker workers[WORKERS_MAX];
 static int worker_count = 9;
@@ -484,6 +490,54 @@
 	return false;
 }
 
+/* Sets key to the name of a run's gang: ID.K.STEP/RUN. */
+static void gang_key(const struct run *r, char key[96])
+{
+	snprintf(key, 96, "%.*s/%lld", (int)(strrchr(r->task, '.') - r->task),
+		 r->task, (long long)r->number);
+}
+
+/* Returns how many members of a run's gang run, and sets their time if all. */
+static int gang_count(const struct run *of, int64_t together_at)
+{
+	char key[96], other[96];
+	struct run *r;
+	int n, count = 0;
+	size_t i;
+
+	gang_key(of, key);
+	for (n = 0; n < worker_count; n++) {
+		for (i = 0; i < workers[n].count; i++) {
+			r = &workers[n].runs[i];
+			gang_key(r, other);
+			if (r->end_seq || strcmp(key, other) != 0)
+				continue;
+			count++;
+			if (together_at)
+				r->together_at = together_at;
+		}
+	}
+	return count;
+}
+
+/* Returns how a run of a gang ends now, or NULL if it goes on. */
+static const char *gang_end(const struct run *r)
+{
+	char key[96];
+
+	gang_key(r, key);
+	if (json_object_get(gangs_done, key))
+		return "done";
+	if (!r->together_at)
+		return clock_now() - r->begun >= GANG_MS ? "alone" : NULL;
+	if (gang_count(r, 0) < r->gang)
+		return "broken";
+	if (clock_now() - r->together_at < r->work_ms)
+		return NULL;
+	json_object_set_new(gangs_done, key, json_true());
+	return "done";
+}
+
 /* Ends what is due on a worker that is up. */
 static void worker_step(struct worker *w)
 {
@@ -500,10 +554,12 @@
 			run_end(w, r, "stopped");
 		else if (clock_now() >= w->lease_end)
 			run_end(w, r, "lapsed");
-		else if (r->work_ms && run_work(r) >= r->work_ms)
+		else if (r->gang && gang_end(r))
+			run_end(w, r, gang_end(r));
+		else if (!r->gang && r->work_ms && run_work(r) >= r->work_ms)
 			run_end(w, r, failing && failing-- ? "failed" : "done");
 	}
-	if (!worker_has_end(w))
+	if (!worker_has_end(w) || w->cut_until)
 		return;
 	for (rq = TAILQ_FIRST(&w->server->held); rq; rq = next) {
 		next = TAILQ_NEXT(rq, entry);
@@ -540,6 +596,38 @@
 	late.order = NULL;
 }
 
+/* Forgets what runs on a worker whose process ends. */
+static void worker_lose_runs(struct worker *w)
+{
+	size_t i;
+
+	for (i = 0; i < w->count; i++) {
+		if (w->runs[i].end_seq)
+			continue;
+		task_add(w->runs[i].task, "running", -1);
+		task_add(w->runs[i].task, "lost", 1);
+	}
+	w->count = 0;
+}
+
+/* Restarts a worker that is cut off, and ends the cut, when it is time. */
+static void worker_behind_cut(struct worker *w)
+{
+	if (w->restart_at && clock_now() >= w->restart_at) {
+		w->restart_at = 0;
+		worker_lose_runs(w);
+		worker_begin(w);
+		worker_publish(w);
+		note("worker %s crashes behind the cut and starts again",
+		     w->id);
+	}
+	if (!w->cut_until || clock_now() < w->cut_until)
+		return;
+	w->cut_until = 0;
+	server_drop_held(w->server);
+	note("worker %s is reached again", w->id);
+}
+
 static void workers_step(void *arg)
 {
 	struct worker *w;
@@ -562,6 +650,7 @@
 			w->heartbeat_at = clock_now() + REGISTER_MS;
 			note("worker %s is up again, under its id", w->id);
 		}
+		worker_behind_cut(w);
 		worker_step(w);
 		if (clock_now() >= w->heartbeat_at)
 			worker_publish(w);
@@ -667,6 +756,8 @@
 	r->number = json_int(order, "run");
 	r->begun = clock_now();
 	r->saves = spec_int(spec, "save=");
+	if (!strncmp(strrchr(r->task, '.') - 2, ".0.", 3)) /* of step 0 */
+		r->gang = (int)spec_int(spec, "gang=");
 	if (!spec_int(spec, "lasts="))
 		r->work_ms = spec_int(spec, "ms=") +
 			     task_part(r->task, spec_int(spec, "spread="));
@@ -677,6 +768,8 @@
 	task_add(r->task, "starts", 1);
 	task_add(r->task, "running", 1);
 	json_object_set_new(task_of(r->task), "worker", json_string(w->id));
+	if (r->gang && gang_count(r, 0) == r->gang)
+		gang_count(r, clock_now());
 	note("worker %s starts %s run %lld", w->id, r->task,
 	     (long long)r->number);
 }
@@ -783,6 +876,8 @@
 		request_drop(rq);
 		return false;
 	}
+	if (w->cut_until)
+		return false; /* no answer */
 	if (!id || !strcmp(id, w->id))
 		return true;
 	request_answer(rq, 421, json_object());
@@ -872,14 +967,14 @@
 
 /*
  * {"worker": "i-01", "what": "crash", "ms": 1000}: its process ends, and starts
- * again after that time; "gone": it ends for good.
+ * again after that time; "gone": it ends for good; "cut": no node reaches it
+ * for that time, and its process starts again after "restart_ms".
  */
 static void control_worker(struct request *rq)
 {
 	const char *id = text_of(rq->json, "worker");
 	struct worker *w = NULL;
 	int n;
-	size_t i;
 
 	for (n = 0; n < worker_count; n++)
 		if (!strcmp(workers[n].id, id))
@@ -888,13 +983,15 @@
 		request_reject(rq, "worker");
 		return;
 	}
-	for (i = 0; i < w->count; i++) {
-		if (w->runs[i].end_seq)
-			continue;
-		task_add(w->runs[i].task, "running", -1);
-		task_add(w->runs[i].task, "lost", 1);
+	if (!strcmp(text_of(rq->json, "what"), "cut")) {
+		w->cut_until = clock_now() + json_int(rq->json, "ms");
+		w->restart_at = clock_now() + json_int(rq->json, "restart_ms");
+		note("worker %s is cut off, for %lld ms", w->id,
+		     (long long)json_int(rq->json, "ms"));
+		request_answer(rq, 200, json_object());
+		return;
 	}
-	w->count = 0;
+	worker_lose_runs(w);
 	w->unlist_at = clock_now() + 3 * HEARTBEAT_MS;
 	server_drop_held(w->server);
 	if (!strcmp(text_of(rq->json, "what"), "gone")) {
@@ -989,6 +1086,7 @@
 	began = since ? since : clock_now();
 	rows = json_array();
 	tasks = json_object();
+	gangs_done = json_object();
 	good = json_array();
 	store = server_start(store_routes, 0, 1024, NULL, NULL);
 	for (i = 0; i < worker_count; i++) {
