--- a/entry-settings.c
+++ b/entry-settings.c
@@ -8,6 +8,8 @@
 #define KEEP_MARGIN_MS 30000
 #define MACHINE_CALLS_MAX 100000 /* per second */
 #define MACHINE_CALLS_DEFAULT 64
+#define ROW_BYTES_MIN 4096
+#define ROW_BYTES_MAX (1 << 20)
 
 /* Returns the member at a path like "bounds.stop_ms", or NULL. */
 static const json_t *member(const json_t *j, const char *path)
@@ -196,6 +198,8 @@
 	s->sched.machine_calls_per_s = (unsigned)number_get(
 		j, "machine_calls_per_s", 0, MACHINE_CALLS_MAX,
 		MACHINE_CALLS_DEFAULT, e);
+	s->sched.row_bytes = (size_t)number_get(j, "row_bytes", ROW_BYTES_MIN,
+						ROW_BYTES_MAX, 0, e);
 	s->sched.disabled = disabled_get(j, e);
 	bounds_get(j, &s->sched, e);
 	s->log_level = level_get(j, e);
--- a/sched-ack.c
+++ b/sched-ack.c
@@ -127,7 +127,7 @@
 	struct open_start *o, *next;
 
 	worker_clear_unacked(s, w);
-	w->ack_held = false;
+	w->ack_held = w->ack_refused = false;
 	for (o = TAILQ_FIRST(&s->open_starts); o; o = next) {
 		next = TAILQ_NEXT(o, entry);
 		if (o->ended_on == w)
@@ -146,6 +146,38 @@
 			o->worker = NULL;
 }
 
+/*
+ * Holds back the acknowledgement of all ends, as a job was set aside whose
+ * progress the store refuses, and it isn't known which of them are its.  The
+ * next list of each worker tells.
+ */
+void ack_hold_refused(struct sched *s)
+{
+	struct worker *w;
+
+	TAILQ_FOREACH(w, &s->unacked, unacked)
+		w->ack_refused = true;
+}
+
+/*
+ * Finds out from a worker's list whether it has an end of a job that was set
+ * aside.  After its acknowledgement a successor would run the task again.
+ */
+void ack_check_refused(struct sched *s, struct worker *w,
+		       const struct answer *a)
+{
+	struct job *j;
+	size_t i;
+
+	if (!w->ack_refused && TAILQ_EMPTY(&s->refused))
+		return;
+	w->ack_refused = w->ack_refused && a->ended_truncated;
+	for (i = 0; i < a->ended_count && !w->ack_refused; i++) {
+		task_find(s, a->ended[i].task, &j);
+		w->ack_refused = j && j->refused_until;
+	}
+}
+
 /*
  * Acknowledges the ends that became durable, with the workers' next polls,
  * which are sent now or when their pause ends.  An owner that has just taken
@@ -162,7 +194,7 @@
 	for (w = TAILQ_FIRST(&s->unacked); w && w->last_end_seq <= durable;
 	     w = next) {
 		next = TAILQ_NEXT(w, unacked);
-		if (ack_is_held(s, w))
+		if (w->ack_refused || ack_is_held(s, w))
 			continue;
 		worker_clear_unacked(s, w);
 		if (w->polling || !own_may_order(s))
--- a/sched-job.c
+++ b/sched-job.c
@@ -270,19 +270,14 @@
 	struct occurrence *o;
 
 	job_unplace_tasks(s, j);
-	if (j->dirty_seq)
-		TAILQ_REMOVE(&s->dirty, j, dirty);
-	else if (j->commit_seq)
-		TAILQ_REMOVE(&s->committing_jobs, j, dirty);
+	commit_forget(s, j);
 	if (j->status <= JOB_STATUS_RUNNING)
 		s->open_jobs--;
 	job_unqueue_placing(s, j);
 	TAILQ_REMOVE(&s->jobs_by_arrival, j, entry);
 	HASH_DEL(s->jobs, j);
-	while ((o = TAILQ_FIRST(&j->occs))) {
-		TAILQ_REMOVE(&j->occs, o, entry);
+	while ((o = TAILQ_FIRST(&j->occs)))
 		occurrence_free(o);
-	}
 	bstr_free(&j->tenant);
 	bstr_free(&j->route);
 	bstr_free(&j->service);
@@ -394,7 +389,6 @@
 	if (o->unfinished)
 		return;
 	occurrence_judge(s, o);
-	TAILQ_REMOVE(&j->occs, o, entry);
 	occurrence_free(o);
 	if (job_is_done(j))
 		job_finish(s, j, JOB_STATUS_COMPLETED);
--- a/sched-list.c
+++ b/sched-list.c
@@ -308,6 +308,7 @@
 	size_t i;
 
 	ends_process(s, w, a);
+	ack_check_refused(s, w, a);
 	for (i = 0; i < a->running_count; i++)
 		running_process(s, w, a, &a->running[i]);
 	missing_process(s, w, a);
--- a/sched-occurrence.c
+++ b/sched-occurrence.c
@@ -60,13 +60,19 @@
 		}
 	}
 	TAILQ_INSERT_TAIL(&j->occs, o, entry);
+	j->open_tasks += o->task_count;
 }
 
-/* Frees an occurrence.  None of its tasks may be placed on a worker. */
+/*
+ * Removes an occurrence from its job and frees it.  None of its tasks may be
+ * placed on a worker.
+ */
 void occurrence_free(struct occurrence *o)
 {
 	unsigned i;
 
+	TAILQ_REMOVE(&o->job->occs, o, entry);
+	o->job->open_tasks -= o->task_count;
 	advice_free(o);
 	for (i = 0; i < o->task_count; i++)
 		bstr_free(&o->tasks[i].checkpoint);
@@ -86,6 +92,17 @@
 	return j->next_occurrence >= count && TAILQ_EMPTY(&j->occs);
 }
 
+/*
+ * Returns true if a job may have another occurrence.  A repeated job that falls
+ * behind would use up the owner's memory otherwise, and its progress would be
+ * longer than a transaction may be.  An occurrence that is left out is created
+ * when others are done.
+ */
+static bool job_has_room(const struct job *j)
+{
+	return j->open_tasks < OPEN_TASKS_MAX;
+}
+
 /* Creates the occurrences of a job that are due. */
 void job_make_due_occurrences(struct sched *s, struct job *j)
 {
@@ -107,7 +124,7 @@
 	while (j->next_occurrence < b->repeat_count) {
 		due = b->first_at +
 		      (int64_t)j->next_occurrence * b->interval_ms;
-		if (s->wall < due + OCCURRENCE_DELAY_MS)
+		if (s->wall < due + OCCURRENCE_DELAY_MS || !job_has_room(j))
 			return;
 		job_make_occurrence(j, j->next_occurrence++);
 		demand_add(s, j);
@@ -147,7 +164,7 @@
 			job_make_occurrence(j, number);
 		return;
 	}
-	while (j->next_occurrence <= number) {
+	while (j->next_occurrence <= number && job_has_room(j)) {
 		job_make_occurrence(j, j->next_occurrence++);
 		job_queue_placing(s, j);
 		job_mark_dirty(s, j);
--- a/sched-own.c
+++ b/sched-own.c
@@ -143,6 +143,7 @@
 	backlogs_free(s);
 	s->dirty_seq = 0;
 	s->commit_in_flight = false;
+	s->commit_jobs_max = COMMIT_ROWS_MAX;
 	s->advice_calls_in_flight = 0;
 	s->settled = false;
 	s->largest_capacity = (struct resources){0, 0, 0};
--- a/sched-place.c
+++ b/sched-place.c
@@ -405,6 +405,8 @@
 	const struct job_step *st = &c->job->body->steps[c->step];
 	enum pending_reason limit;
 
+	if (c->job->refused_until)
+		return PENDING_STORE;
 	limit = limit_pending_reason(s, c->job, st);
 	if (limit)
 		return limit;
--- a/sched-read.c
+++ b/sched-read.c
@@ -130,6 +130,28 @@
 	return j->next_occurrence > unfinished;
 }
 
+/*
+ * Handles a further row of a job's progress, which is read after the first one.
+ * Rows of another revision are left from before; they are removed with the next
+ * commit.
+ */
+static void progress_more_apply(struct sched *s, const struct row *r,
+				const char *id, unsigned number)
+{
+	struct job *j = sched_job_find(s, id);
+
+	if (!j)
+		return;
+	if (j->more_rows <= number)
+		j->more_rows = number + 1;
+	if (!j->inherited || j->status > JOB_STATUS_RUNNING ||
+	    r->revision != j->progress_revision)
+		return;
+	if (!progress_apply_more(j, r->value))
+		sched_log(s, LOG_JOURNAL_BAD, "progress=%s/%02u", id, number);
+	j->run_seen = j->run_seen || progress_has_run(j);
+}
+
 /*
  * Handles a row of TABLE_PROGRESS.  They are read at a takeover, after the rows
  * of the jobs.
@@ -140,10 +162,16 @@
 	enum job_status status;
 	struct job *j;
 	int64_t ended_by_store;
+	unsigned number;
 	bstr tenant;
 
-	if (r->removed || commit_row_apply(s, r) || r->kind == ROW_BAD ||
-	    r->key.bstr_len != JOB_ID_BYTES)
+	if (r->removed || commit_row_apply(s, r) || r->kind == ROW_BAD)
+		return;
+	if (progress_more_key_read(r->key, id, &number)) {
+		progress_more_apply(s, r, id, number);
+		return;
+	}
+	if (r->key.bstr_len != JOB_ID_BYTES)
 		return;
 	memcpy(id, r->key.bstr_val, JOB_ID_BYTES);
 	if (!progress_peek(r->value, &tenant, &status, &ended_by_store)) {
@@ -167,6 +195,7 @@
 	if (j && j->inherited && TAILQ_EMPTY(&j->occs) && !j->next_occurrence &&
 	    j->status <= JOB_STATUS_RUNNING) {
 		progress_apply(j, r->value);
+		j->progress_revision = r->revision;
 		job_queue_placing(s, j);
 		j->run_seen = progress_has_run(j);
 	}
--- a/sched-state.h
+++ b/sched-state.h
@@ -107,6 +107,14 @@
  */
 #define COMMIT_ROWS_MAX 97
 #define COMMIT_BYTES_MAX (512 * 1024)
+/*
+ * Most of the progress of one job, whose rows have to be in one transaction.
+ * Values are sent as base64, and the names of 97 rows take up to 15 KB.
+ */
+#define PROGRESS_ROWS_MAX COMMIT_ROWS_MAX
+#define PROGRESS_BYTES_MAX 720000
+/* Limit of the platform for the value of a row, unless the settings name it. */
+#define ROW_BYTES_DEFAULT 65536
 #define COMMIT_INTERVAL_MS 20
 #define PAGE_ROWS 500
 /*
@@ -341,9 +349,16 @@
 	bool settled;	    /* inherited, and its runs are all known */
 	bool start_durable; /* the store records that its tasks may run, in each
 			     * service that they have been placed in */
-	bool start_was_durable; /* an earlier owner recorded that */
-	bool run_seen;		/* a worker has started one of its tasks */
-	bool has_crashes;	/* workers have crashed under its tasks */
+	bool start_was_durable;	    /* an earlier owner recorded that */
+	bool run_seen;		    /* a worker has started one of its tasks */
+	bool has_crashes;	    /* workers have crashed under its tasks */
+	uint64_t progress_revision; /* of the progress that was read */
+	unsigned more_rows; /* further rows of progress that the store may have
+			     */
+	unsigned more_rows_sent; /* in the commit in flight */
+	bool left_out_logged;	 /* that checkpoints had no room in them */
+	int64_t refused_until;	 /* the store refused its progress, which is not
+				  * sent again before; 0: it did not */
 	struct job_estimate estimate;
 	enum pending_reason pending_reason; /* the latest */
 	int64_t due; /* end of its objective; 0: nothing was placed yet */
@@ -351,7 +366,8 @@
 	int64_t ended;		/* wall clock; earlier versions go by it */
 	int64_t ended_by_store; /* on the store's clock; 0: not known */
 	unsigned next_occurrence;
-	unsigned placed; /* tasks in PHASE_STARTING or PHASE_RUNNING */
+	unsigned open_tasks; /* of occs */
+	unsigned placed;     /* tasks in PHASE_STARTING or PHASE_RUNNING */
 	unsigned starts;
 	struct occurrence_list occs;
 	uint64_t dirty_seq;    /* 0: not in the dirty queue */
@@ -451,7 +467,9 @@
 	TAILQ_ENTRY(worker) unacked; /* if last_end > durable_end */
 	struct pool *pool;	     /* of its service */
 	bool unknown;		     /* counted in the pool's unknown workers */
-	bool ack_held; /* its ends may not be acknowledged: an open start */
+	bool ack_held;	  /* its ends may not be acknowledged: an open start */
+	bool ack_refused; /* likewise: one may be of a job whose progress the
+			   * store refuses */
 	bool ends_truncated;	 /* its last list did not hold all ends */
 	bool same_process;	 /* the end numbers are known to be current */
 	unsigned failure_streak; /* consecutive failures of different jobs */
@@ -952,8 +970,10 @@
 	unsigned open_jobs;	  /* that are not final */
 	struct job_queue dirty;
 	struct job_queue committing_jobs;
+	struct job_queue refused; /* jobs whose progress the store refuses */
 	uint64_t dirty_seq;
 	bool commit_in_flight;
+	unsigned commit_jobs_max;  /* of the next commit */
 	uint64_t commit_first_seq; /* lowest dirty_seq in that commit */
 	int64_t commit_at;
 	uint64_t commit_revision; /* of the row that each commit rewrites */
@@ -1035,6 +1055,7 @@
 #define KEY_EPOCH "epoch" /* of the row that names the owner */
 struct tx *sched_tx(struct sched *s, enum purpose purpose, int64_t deadline,
 		    struct request **rq);
+size_t tx_row_bytes(const struct sched *s);
 unsigned row_part(enum table table, bstr key);
 bstr cancellation_key(const char *id);
 void tx_expect(struct tx *t, enum table table, bstr key, uint64_t revision);
@@ -1061,18 +1082,31 @@
 /* sched-row.c: encoding and decoding of the scheduler's own rows */
 bstr job_row_write(const struct job *j);
 struct job *job_row_read(const char *id, bstr row);
-bstr progress_write(const struct job *j);
-bool progress_apply(struct job *j, bstr row);
-void progress_apply_services(struct job *j, bstr row);
-bool progress_peek(bstr row, bstr *tenant, enum job_status *status,
-		   int64_t *ended_by_store);
-const char *job_status_name(enum job_status status);
 bstr owner_row_write(const struct ownership *o, bool release);
 bool owner_row_read(bstr row, struct ownership *o);
 bool job_row_tenant(bstr row, bstr *tenant);
 bstr heartbeat_row_write(struct sched *s);
 bool heartbeat_row_read(struct sched *s, bstr row, uint64_t *epoch);
 
+/* sched-progress.c: encoding and decoding of the progress of jobs */
+struct progress_rows {
+	bstr *rows; /* the first has the job's id as its key */
+	size_t count;
+	size_t bytes;
+	unsigned left_out; /* checkpoints that there was no room for */
+};
+struct progress_rows progress_write(const struct job *j, size_t row_bytes);
+void progress_rows_free(struct progress_rows *p);
+bool progress_apply(struct job *j, bstr row);
+bool progress_apply_more(struct job *j, bstr row);
+void progress_apply_services(struct job *j, bstr row);
+bool progress_peek(bstr row, bstr *tenant, enum job_status *status,
+		   int64_t *ended_by_store);
+bstr progress_more_key(const char *id, unsigned number);
+bool progress_more_key_read(bstr key, char id[JOB_ID_BYTES + 1],
+			    unsigned *number);
+const char *job_status_name(enum job_status status);
+
 /* sched-count.c: numbers of waiting jobs, and the store's clock */
 json_t *counts_write(struct sched *s);
 void counts_read(struct sched *s, const json_t *counts, int64_t as_of);
@@ -1199,6 +1233,8 @@
 void commit_tick(struct sched *s);
 uint64_t commit_durable(const struct sched *s);
 void commit_answer(struct sched *s, struct request *rq, struct answer *a);
+void commit_forget(struct sched *s, struct job *j);
+uint64_t commit_set_aside_count(const struct sched *s);
 
 /* sched-retention.c: final jobs, and the removal of their rows */
 void retention_add(struct sched *s, const char *id, uint64_t revision,
@@ -1249,6 +1285,9 @@
 void ack_worker_restarted(struct sched *s, struct worker *w);
 void ack_worker_freed(struct sched *s, struct worker *w);
 void worker_acknowledge(struct sched *s);
+void ack_hold_refused(struct sched *s);
+void ack_check_refused(struct sched *s, struct worker *w,
+		       const struct answer *a);
 
 /* sched-list.c: the lists of runs and ends that workers report */
 void list_process(struct sched *s, struct worker *w, const struct answer *a);
--- a/sched-tx.c
+++ b/sched-tx.c
@@ -16,6 +16,12 @@
 	return &ask->tx;
 }
 
+/* Returns how long a row may be before it is encoded as base64. */
+size_t tx_row_bytes(const struct sched *s)
+{
+	return s->options.row_bytes / 4 * 3;
+}
+
 /* Returns the part of a table that holds a row. */
 unsigned row_part(enum table table, bstr key)
 {
--- a/sched.c
+++ b/sched.c
@@ -349,6 +349,7 @@
 	sched_gauge(s, COUNT_OWNER, s->own.state == OWN_OWNER);
 	sched_gauge(s, COUNT_JOBS_OPEN, HASH_COUNT(s->jobs));
 	sched_gauge(s, COUNT_JOBS_RETAINED, HASH_COUNT(s->retention.jobs));
+	sched_gauge(s, COUNT_JOBS_SET_ASIDE, commit_set_aside_count(s));
 	sched_gauge(s, COUNT_REMOVAL_LATE, retention_late_ms(s));
 	sched_gauge(s, COUNT_WORKERS_KNOWN, HASH_COUNT(s->workers));
 	sched_gauge(s, COUNT_WORKERS_TAKING, eligible);
@@ -437,6 +438,8 @@
 	s->options = *o;
 	s->options.vm = bstr_copy(o->vm);
 	s->options.zone = bstr_copy(o->zone);
+	if (!o->row_bytes)
+		s->options.row_bytes = ROW_BYTES_DEFAULT;
 	s->follows[FOLLOW_OPERATOR] = follow_make(
 		TABLE_OPERATOR, FOR_OPERATOR_GET, FOR_OPERATOR_FEED,
 		evacuations_feed_wait_ms(o), true);
@@ -459,6 +462,8 @@
 	TAILQ_INIT(&s->placing);
 	TAILQ_INIT(&s->dirty);
 	TAILQ_INIT(&s->committing_jobs);
+	TAILQ_INIT(&s->refused);
+	s->commit_jobs_max = COMMIT_ROWS_MAX;
 	TAILQ_INIT(&s->retention.removing);
 	TAILQ_INIT(&s->retention.removed);
 	TAILQ_INIT(&s->unacked);
--- a/scheduler.h
+++ b/scheduler.h
@@ -22,6 +22,9 @@
 #define JOB_ID_BYTES 16
 #define STEPS_MAX 64
 #define TASKS_MAX 4096 /* per job, all steps together */
+/* Tasks of a job's occurrences that are due; others wait until some are done.
+ */
+#define OPEN_TASKS_MAX (4 * TASKS_MAX)
 
 /* Resources that a worker offers or a task needs. */
 struct resources {
@@ -224,7 +227,7 @@
 	REFUSAL_OTHER_PROCESS, /* another worker process answers at the address
 				*/
 	REFUSAL_UNHEALTHY,     /* worker overloaded or unhealthy */
-	REFUSAL_INVALID,
+	REFUSAL_INVALID,       /* it is refused each time */
 	REFUSAL_NOT_SENT
 };
 
@@ -442,7 +445,9 @@
 	unsigned machine_calls_per_s; /* platform's limit for all VMs */
 	double far_factor;	      /* read from the settings, but not used */
 	double cpu_share;	      /* processor cores available to this VM */
-	unsigned disabled;	      /* bit mask of disabled policies */
+	size_t row_bytes;  /* longest value of a row in the store, as base64;
+			    * 0: the default */
+	unsigned disabled; /* bit mask of disabled policies */
 };
 struct sched;
 struct sched *sched_new(const struct sched_options *o);
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -111,6 +111,19 @@
 	w->page_rows = rows;
 }
 
+/* Sets the longest value of a row, as base64. */
+void world_set_row_bytes(struct world *w, size_t bytes)
+{
+	w->row_bytes = bytes;
+}
+
+/* Lets the store refuse each transaction that writes a job's progress. */
+void world_refuse_progress(struct world *w, const char *id, bool refuse)
+{
+	snprintf(w->refused_progress, sizeof(w->refused_progress), "%s",
+		 refuse ? id : "");
+}
+
 /*
  * Delays the pages of a table, as they are at the time of the read. Feeds
  * aren't delayed.
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -58,6 +58,12 @@
 	return w->starts;
 }
 
+/* Returns the number of starts without the checkpoint that was listed. */
+unsigned world_starts_anew(const struct world *w)
+{
+	return w->starts_anew;
+}
+
 /* Returns the number of starts that one worker carried out. */
 unsigned world_starts_of(const struct world *w, unsigned worker)
 {
@@ -131,6 +137,14 @@
 	return n >= 0 && w->jobs[n].over;
 }
 
+/* Returns the length of a row in the store; 0: there is none. */
+size_t world_row_bytes(struct world *w, enum table table, const char *key)
+{
+	const struct world_row *r = world_row_get(w, table, key);
+
+	return r->removed ? 0 : r->value.bstr_len;
+}
+
 /* Returns how many rows of a job the store has, in all tables. */
 unsigned world_stored_rows(const struct world *w, const char *id)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -49,6 +49,7 @@
 #define NAMES_MAX 1024
 #define TX_ENTRIES 100
 #define TX_BYTES 1000000
+#define ROW_BYTES 65536	  /* of a row's value, as base64 */
 #define LOG_NUMBERS 10000 /* log events have lower numbers */
 
 #define CORES 16000   /* thousandths; capacity of a worker */
@@ -184,6 +185,7 @@
 	unsigned crashes;	/* of workers that ran it */
 	unsigned crashes_alone; /* of them, while nothing else ran there */
 	unsigned late_starts;	/* after POISON_CRASHES crashes under it */
+	bool checkpointed;	/* a list had its checkpoint */
 };
 
 struct world {
@@ -250,6 +252,9 @@
 	struct task_record task_records[NAMES_MAX];
 	unsigned task_record_count;
 	unsigned starts;
+	unsigned starts_anew; /* without the checkpoint that was listed */
+	size_t row_bytes;     /* of a row's value, as base64 */
+	char refused_progress[JOB_ID_BYTES + 1]; /* a job's; "": none */
 	unsigned sender_generation; /* of the VM whose message is handled */
 	unsigned wave_machines;
 	unsigned wave_maximum;
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -380,6 +380,26 @@
 		world_report_violation(w, "a transaction is too large", "");
 }
 
+/*
+ * Returns true if the store refuses a transaction each time: a value is too
+ * long, or it writes the progress of a job that is refused.
+ */
+static bool tx_is_refused(const struct world *w, const struct tx *t)
+{
+	const struct tx_write *r;
+	size_t i;
+
+	for (i = 0; i < t->write_count; i++) {
+		r = &t->writes[i];
+		if ((r->value.bstr_len + 2) / 3 * 4 > w->row_bytes)
+			return true;
+		if (*w->refused_progress && r->row.table == TABLE_PROGRESS &&
+		    bstr_eq_str(r->row.key, w->refused_progress))
+			return true;
+	}
+	return false;
+}
+
 /* Applies a transaction; returns false if a condition doesn't hold. */
 bool world_tx_apply(struct world *w, const struct tx *t)
 {
@@ -487,6 +507,13 @@
 		sched_effect_free(fx);
 		return;
 	}
+	if (tx_is_refused(w, &fx->ask.tx)) {
+		ev = world_answer_make(fx, OUT_REFUSED, w->now);
+		ev->answer.refusal = REFUSAL_INVALID;
+		store_answer(w, vm, fx, ev);
+		sched_effect_free(fx);
+		return;
+	}
 	if (mode == WORLD_STORE_LATE) {
 		world_answer_timeout(w, vm, fx);
 		p = world_pending_add(
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -171,6 +171,39 @@
 	bstr_free(&current);
 }
 
+/* Returns the checkpoint of a task; empty if its job has none. */
+static bstr task_checkpoint(const struct world *w, const char *name)
+{
+	const struct world_job *j = world_job_of(w, name);
+
+	if (!j || !j->checkpoint_bytes)
+		return BSTR_NONE;
+	return bstr_printf("%-*s", (int)j->checkpoint_bytes, name);
+}
+
+/* Returns the checkpoint of a task for a list. */
+static bstr checkpoint_list(struct world *w, const char *name)
+{
+	bstr checkpoint = task_checkpoint(w, name);
+
+	if (checkpoint.bstr_len)
+		world_task_record(w, name)->checkpointed = true;
+	return checkpoint;
+}
+
+/* Checks the checkpoint that a start has. */
+static void checkpoint_check(struct world *w, const char *name, bstr text)
+{
+	bstr checkpoint = task_checkpoint(w, name);
+
+	if (text.bstr_len && !bstr_eq(text, checkpoint))
+		world_report_violation(w, "a start with another checkpoint",
+				       name);
+	w->starts_anew += !text.bstr_len &&
+			  world_task_record(w, name)->checkpointed;
+	bstr_free(&checkpoint);
+}
+
 /*
  * Copies a worker's lists of runs and ends into an answer. It lists only ends
  * after the last one that the VM has seen.
@@ -189,6 +222,7 @@
 		a->running[a->running_count++] = (struct running){
 			.task = bstr_new(k->runs[i].name),
 			.run = k->runs[i].run,
+			.checkpoint = checkpoint_list(w, k->runs[i].name),
 			.percent = 100};
 	for (i = 0; i < k->end_count; i++) {
 		if (k->ends[i].number <= seen)
@@ -202,7 +236,8 @@
 			.number = k->ends[i].number,
 			.task = bstr_new(k->ends[i].name),
 			.run = k->ends[i].run,
-			.kind = k->ends[i].kind};
+			.kind = k->ends[i].kind,
+			.checkpoint = checkpoint_list(w, k->ends[i].name)};
 	}
 }
 
@@ -477,6 +512,7 @@
 	capacity_check(w, n, name);
 	evacuation_check(w, n, name);
 	crash_check(w, name);
+	checkpoint_check(w, name, o->checkpoint);
 	free(name);
 	return REFUSAL_NONE;
 }
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -484,6 +484,7 @@
 		.evacuation_ms = WORLD_EVACUATION_MS,
 		.machine_calls_per_s = 600,
 		.far_factor = 3,
+		.row_bytes = w->row_bytes,
 		.cpu_share = v->cores > 0 ? v->cores : 1,
 	};
 
@@ -516,6 +517,7 @@
 	w->ends_listed = ENDS_LISTED;
 	w->crash_down_ms = 2500;
 	w->keep_ms = 100000;
+	w->row_bytes = ROW_BYTES;
 	TAILQ_INIT(&w->pending);
 	TAILQ_INIT(&w->waiting);
 	world_row_write(w, TABLE_OPERATOR, "config", -1);
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -55,10 +55,11 @@
 	bool second_queue; /* submitted to the queue of the second pool */
 	bool crashes;	   /* its first task crashes each worker that runs it */
 	unsigned crash_ms; /* after its start */
-	bool other_organisation; /* submitted by that; see
-				  * world_add_organisation() */
-	unsigned cpu;		 /* of a task, in thousandths; 0: 2000 */
-	bool gang;		 /* its tasks start together */
+	bool other_organisation;   /* submitted by that; see
+				    * world_add_organisation() */
+	unsigned cpu;		   /* of a task, in thousandths; 0: 2000 */
+	bool gang;		   /* its tasks start together */
+	unsigned checkpoint_bytes; /* of each task's checkpoint; 0: none */
 };
 
 struct world;
@@ -149,6 +150,15 @@
 /* Sets the most rows in a page; 0: no limit. */
 void world_set_page_rows(struct world *w, unsigned rows);
 
+/*
+ * Sets the longest value of a row that the store takes, as base64, and that the
+ * settings of VMs tell which start later.
+ */
+void world_set_row_bytes(struct world *w, size_t bytes);
+
+/* Lets the store refuse each transaction that writes a job's progress. */
+void world_refuse_progress(struct world *w, const char *id, bool refuse);
+
 /* Drops the history of changes; feeds from an older revision fail. */
 void world_compact_history(struct world *w);
 
@@ -330,6 +340,12 @@
 unsigned world_starts(const struct world *w);
 unsigned world_starts_of(const struct world *w, unsigned worker);
 
+/*
+ * Returns how many starts had no checkpoint though a worker had listed one of
+ * their task.
+ */
+unsigned world_starts_anew(const struct world *w);
+
 /* Return how many machines had maintenance, and how often any was moved. */
 unsigned world_maintained_count(const struct world *w);
 unsigned world_move_count(const struct world *w);
@@ -350,6 +366,9 @@
 /* Returns true if the store has had a job as final, or a cancellation of it. */
 bool world_job_was_final(const struct world *w, const char *id);
 
+/* Returns the length of a row in the store; 0: there is none. */
+size_t world_row_bytes(struct world *w, enum table table, const char *key);
+
 /* Returns how many rows of a job the store has, in all tables. */
 unsigned world_stored_rows(const struct world *w, const char *id);
 
