--- a/sched-call.c
+++ b/sched-call.c
@@ -186,6 +186,12 @@
 	}
 	c = call_new(s, in, id, t, r->no_key);
 	submit_make_row(s, c, in, r);
+	if (c->row.bstr_len > tx_row_bytes(s)) {
+		call_refuse(s, in->id, 400, COUNT_REFUSED_SPEC,
+			    "job-description-too-long", id);
+		call_free(s, c);
+		return;
+	}
 	if (admission_refuses(s, c, r, in->body))
 		call_read_row(s, c, FOR_SUBMIT_READ);
 	else
--- a/sched-follow.c
+++ b/sched-follow.c
@@ -185,10 +185,12 @@
 		progress_row_apply(s, r);
 		break;
 	case TABLE_OWNER:
-		own_row_apply(s, r);
+		if (large_read(s, r))
+			own_row_apply(s, r);
 		break;
 	case TABLE_NOTES:
-		note_row_apply(s, r);
+		if (large_read(s, r))
+			note_row_apply(s, r);
 		break;
 	case TABLE_STATUS:
 	case TABLE_MAX:
--- a/sched-note.c
+++ b/sched-note.c
@@ -79,10 +79,7 @@
 	}
 }
 
-/*
- * Returns the row of the note: workers by service.  A row is limited to 64 KB,
- * which is enough for some 4,000 workers.
- */
+/* Returns the text of the note: workers by service. */
 bstr workers_row_write(const struct sched *s)
 {
 	json_t *services = json_object(), *list;
--- a/sched-own.c
+++ b/sched-own.c
@@ -608,14 +608,14 @@
 	rq->revision = s->own.heartbeat_revision;
 	tx_expect_owner(s, t);
 	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT), rq->revision);
-	tx_write(t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT),
-		 heartbeat_row_write(s));
+	large_write(s, t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT),
+		    heartbeat_row_write(s));
 	if (workers_note_is_due(s))
-		tx_write(t, TABLE_NOTES, bstr_lit(KEY_WORKERS),
-			 workers_row_write(s));
+		large_write(s, t, TABLE_NOTES, bstr_lit(KEY_WORKERS),
+			    workers_row_write(s));
 	if (s->home_sizes_dirty)
-		tx_write(t, TABLE_NOTES, bstr_lit(KEY_HOME_SIZES),
-			 json_write(json_incref(s->home_sizes)));
+		large_write(s, t, TABLE_NOTES, bstr_lit(KEY_HOME_SIZES),
+			    json_write(json_incref(s->home_sizes)));
 	s->home_sizes_in_flight = s->home_sizes_dirty;
 	s->home_sizes_dirty = false;
 	sched_log(s, LOG_OWNER_BEAT,
@@ -687,8 +687,8 @@
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
 		 owner_row_write(&released, true));
 	if (s->own.state == OWN_OWNER)
-		tx_write(t, TABLE_NOTES, bstr_lit(KEY_WORKERS),
-			 workers_row_write(s));
+		large_write(s, t, TABLE_NOTES, bstr_lit(KEY_WORKERS),
+			    workers_row_write(s));
 	s->own.released_epoch = s->own.epoch;
 	own_lose(s, "released");
 }
--- a/sched-state.h
+++ b/sched-state.h
@@ -160,6 +160,7 @@
 #define SETTLE_MARGIN_MS 300
 
 struct job;
+struct large_text;
 struct worker;
 
 enum run_phase {
@@ -938,6 +939,7 @@
 	struct request *requests;
 	struct call *calls;
 
+	struct large_text *large_texts; /* see sched-large.c */
 	struct fleet_config *config;
 	unsigned config_serial;		/* counts the configurations adopted */
 	struct evacuation *evacuations; /* by data centre */
@@ -1107,6 +1109,12 @@
 			    unsigned *number);
 const char *job_status_name(enum job_status status);
 
+/* sched-large.c: texts that are longer than a row */
+void large_write(struct sched *s, struct tx *t, enum table table, bstr key,
+		 bstr value);
+bool large_read(struct sched *s, struct row *r);
+void large_free(struct sched *s);
+
 /* sched-count.c: numbers of waiting jobs, and the store's clock */
 json_t *counts_write(struct sched *s);
 void counts_read(struct sched *s, const json_t *counts, int64_t as_of);
--- a/sched-wave.c
+++ b/sched-wave.c
@@ -537,11 +537,12 @@
 	if (s->store_clock_known)
 		v->finish_at_store = wave_finish_at(s, v) +
 				     s->store_clock_offset;
-	tx_write(t, TABLE_NOTES, bstr_lit(key),
-		 json_write(json_pack(
-			 "{s:I, s:O, s:b, s:I}", "wave", (json_int_t)v->number,
-			 "machines", v->notes, "completed", v->completed,
-			 "finish", (json_int_t)v->finish_at_store)));
+	large_write(s, t, TABLE_NOTES, bstr_lit(key),
+		    json_write(json_pack("{s:I, s:O, s:b, s:I}", "wave",
+					 (json_int_t)v->number, "machines",
+					 v->notes, "completed", v->completed,
+					 "finish",
+					 (json_int_t)v->finish_at_store)));
 	v->writing = true;
 	v->dirty = false;
 }
--- a/sched.c
+++ b/sched.c
@@ -495,6 +495,7 @@
 		free(rq);
 	}
 	counts_free(s);
+	large_free(s);
 	flows_free(s);
 	admissions_free(s);
 	for (i = 0; i < NELEMS(s->follows); i++)
