--- a/sched-order.c
+++ b/sched-order.c
@@ -211,6 +211,7 @@
 		[PENDING_ISOLATION] = "isolation",
 		[PENDING_EVACUATION] = "evacuation",
 		[PENDING_ENDS] = "ends",
+		[PENDING_NOT_ADVISED] = "advice",
 	};
 
 	return words[reason];
@@ -391,9 +392,7 @@
 		w->unhealthy_until = s->now + CAPACITY_PAUSE_MS;
 		break;
 	case REFUSAL_TICKET:
-		/* The tickets are not valid any more; request new ones. */
-		if (t->occ->advice)
-			t->occ->advice[t->step].valid_until = 0;
+		advice_ticket_refused(t, w);
 		break;
 	case REFUSAL_INVALID:
 		task_delay(t, s->now + REFUSED_PAUSE_MS);
--- a/sched-place.c
+++ b/sched-place.c
@@ -86,21 +86,30 @@
 	return n;
 }
 
-/* Returns true if a worker that has room may run a task. */
-bool worker_suits(struct sched *s, const struct worker *w, const struct task *t)
+/*
+ * Returns true if a worker that has room may run a task, provided that it needs
+ * no ticket or has one.
+ */
+bool worker_suits_without_ticket(struct sched *s, const struct worker *w,
+				 const struct task *t)
 {
 	const struct job_step *st = task_step(t);
-	const struct route *r = job_route(s, t->occ->job);
 
 	if (!crash_allows(s, w, t) || !worker_has_label(w, st->required_label))
 		return false;
 	if (st->max_per_worker &&
 	    step_tasks_on_worker(w, t->occ, t->step) >= st->max_per_worker)
 		return false;
-	if (s->now < w->suspect_until && policy_is_enabled(s, POLICY_DOUBT))
-		return false;
-	return !r || !r->needs_ticket ||
-	       advice_ticket(s, t->occ, t->step, w).bstr_len;
+	return s->now >= w->suspect_until ||
+	       !policy_is_enabled(s, POLICY_DOUBT);
+}
+
+/* Returns true if a worker that has room may run a task. */
+bool worker_suits(struct sched *s, const struct worker *w, const struct task *t)
+{
+	return worker_suits_without_ticket(s, w, t) &&
+	       (!advice_is_needed(s, t->occ->job) ||
+		advice_ticket(s, t->occ, t->step, w).bstr_len);
 }
 
 /*
@@ -412,9 +421,8 @@
 		return limit;
 	if (!job_start_is_durable(s, c->job))
 		return candidate_request_start(s, c);
-	if (c->needs_tickets &&
-	    !advice_ready(s, c->occ, c->step, c->pool->workers, c->pool->count))
-		return PENDING_TICKET;
+	if (c->needs_tickets && !advice_ready(s, c))
+		return advice_seek(s, c);
 	return PENDING_NONE;
 }
 
@@ -502,8 +510,11 @@
 		gang_place(s, c);
 	else
 		step_place(s, c);
-	if (c->occ->pending_tasks[c->step].count)
+	if (c->occ->pending_tasks[c->step].count) {
+		if (c->needs_tickets)
+			advice_seek(s, c);
 		candidate_look_ahead(s, c);
+	}
 	/* Tasks with crashes also open and close workers. */
 	if (c->pool->max_is_stale || c->job->has_crashes ||
 	    c->job->body->steps[c->step].gang)
--- a/sched-place.h
+++ b/sched-place.h
@@ -40,4 +40,8 @@
 void candidates_collect(struct sched *s, struct place_pass *p);
 void candidates_sort(struct sched *s, struct place_pass *p);
 
+/* sched-advice.c: placement tickets of the advice service */
+bool advice_ready(struct sched *s, const struct candidate *c);
+enum pending_reason advice_seek(struct sched *s, const struct candidate *c);
+
 #endif
--- a/sched-state.h
+++ b/sched-state.h
@@ -73,6 +73,11 @@
  */
 #define START_WINDOW_UNIT 8
 #define START_WINDOW_INITIAL (512 * START_WINDOW_UNIT)
+/*
+ * The advice service takes time for each worker in a request.  The tasks of
+ * most steps are placed with the answer to a first request of this size.
+ */
+#define ADVICE_WORKERS_FIRST 30
 /* Monotonic clocks of workers may run up to 2% slow. */
 #define CLOCK_DRIFT_FACTOR 1.02
 /* Requests to the platform about machines */
@@ -249,13 +254,29 @@
 };
 TAILQ_HEAD(worker_task_list, task);
 
+/* What the advice service has said of a worker for a step. */
+struct verdict {
+	uint32_t worker; /* its serial */
+	uint32_t ticket; /* its place in the step's tickets; 0: it isn't good */
+	int64_t process; /* start of the process that it holds for */
+};
+struct held_ticket {
+	int64_t valid_until;
+	bstr text;
+};
+
 /* Placement tickets for a step, from the advice service. */
 struct advice {
 	bool in_flight;
 	int64_t retry_at;
-	int64_t valid_until;
-	struct ticket *tickets;
-	size_t count;
+	unsigned calls;
+	struct verdict *verdicts; /* by worker */
+	size_t verdict_count;
+	struct held_ticket *tickets;
+	size_t ticket_count;
+	struct verdict *asked; /* in the latest request */
+	size_t asked_count;
+	bool none_logged; /* that no worker is good */
 };
 
 /* The tasks of a step that are in PHASE_PENDING. */
@@ -303,7 +324,8 @@
 	PENDING_CRASH,	    /* a crash under it is not durable or not certain */
 	PENDING_ISOLATION,  /* no empty worker for a task that runs alone */
 	PENDING_EVACUATION, /* it only fits in an evacuated data centre */
-	PENDING_ENDS /* a worker with a full list may have an end of it */
+	PENDING_ENDS, /* a worker with a full list may have an end of it */
+	PENDING_NOT_ADVISED /* the advice service names no worker of the pool */
 };
 
 /*
@@ -1031,6 +1053,7 @@
 	bool home_sizes_in_flight; /* in the heartbeat in flight */
 	bool home_sizes_durable;
 	unsigned advice_calls_in_flight;
+	unsigned advice_workers_max; /* in a request, as the service answers */
 	struct backlog *backlogs;
 	size_t backlog_count;
 	struct admission *admissions; /* queues of pools near overload */
@@ -1379,6 +1402,8 @@
 			      const struct occurrence *o, unsigned step_index);
 bool worker_suits(struct sched *s, const struct worker *w,
 		  const struct task *t);
+bool worker_suits_without_ticket(struct sched *s, const struct worker *w,
+				 const struct task *t);
 
 /* sched-lookahead.c: holds of workers for large tasks */
 #define LOOKAHEAD_NEVER INT64_MAX
@@ -1428,8 +1453,7 @@
 bool advice_is_needed(const struct sched *s, struct job *j);
 bstr advice_ticket(const struct sched *s, const struct occurrence *o,
 		   unsigned step_index, const struct worker *w);
-bool advice_ready(struct sched *s, struct occurrence *o, unsigned step_index,
-		  struct worker **workers, size_t count);
+void advice_ticket_refused(const struct task *t, const struct worker *w);
 void advice_answer(struct sched *s, struct request *rq, struct answer *ans);
 
 /* sched-policy.c: mechanisms that can be disabled */
--- a/sched.c
+++ b/sched.c
@@ -458,6 +458,7 @@
 	s->notes = follow_make(TABLE_NOTES, FOR_NOTES_GET, PURPOSE_MAX, 0,
 			       false);
 	s->start_window = START_WINDOW_INITIAL;
+	s->advice_workers_max = ADVICE_WORKERS_FIRST;
 	TAILQ_INIT(&s->jobs_by_arrival);
 	TAILQ_INIT(&s->placing);
 	TAILQ_INIT(&s->dirty);
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -376,6 +376,20 @@
 	world_row_write(w, TABLE_OPERATOR, "config", -1);
 }
 
+/* Lets the advice service name the workers in a range of indexes only. */
+void world_set_advised(struct world *w, unsigned first, unsigned end)
+{
+	w->advised_is_set = true;
+	w->advised_first = first;
+	w->advised_end = end;
+}
+
+/* Sets how long the advice service takes for each worker in a request. */
+void world_set_advice_time(struct world *w, int64_t ms)
+{
+	w->advice_ms = ms;
+}
+
 /* Puts the last machines into a pool of standby machines. */
 void world_add_standby_pool(struct world *w, unsigned machines)
 {
--- a/tests/support-world-machine.c
+++ b/tests/support-world-machine.c
@@ -234,19 +234,71 @@
 	}
 }
 
-/* Adds the tickets of the advice service to an answer. */
-static void advice_list(const struct world *w, struct answer *a)
+/* Returns true if the advice service names a worker. */
+bool world_worker_is_advised(const struct world *w, unsigned n)
 {
-	unsigned i;
+	if (!w->advised_is_set)
+		return n % 2 == 0;
+	return n >= w->advised_first && n < w->advised_end;
+}
 
-	a->valid_ms = 1000;
-	a->tickets = xcalloc(w->worker_count, sizeof(*a->tickets));
-	for (i = 0; i < w->worker_count; i += 2) {
-		a->tickets[a->ticket_count].worker = world_worker_id(w, i);
-		a->tickets[a->ticket_count++].text = bstr_new("ticket");
+/* Adds the tickets for the workers in a request that are good. */
+static void advice_list(const struct world *w, const struct order *o,
+			struct answer *a)
+{
+	unsigned n;
+	size_t i;
+	bstr id;
+
+	a->valid_ms = ADVICE_VALID_MS;
+	a->tickets = xcalloc(o->worker_count + 1, sizeof(*a->tickets));
+	for (i = 0; i < o->worker_count; i++) {
+		n = (unsigned)strtoul(o->workers[i].bstr_val + 2, NULL, 10);
+		id = world_worker_id(w, n);
+		if (bstr_eq(id, o->workers[i]) &&
+		    world_worker_is_advised(w, n)) {
+			a->tickets[a->ticket_count].worker = bstr_copy(id);
+			a->tickets[a->ticket_count++].text = bstr_new("ticket");
+		}
+		bstr_free(&id);
 	}
 }
 
+/*
+ * Handles a request for advice.  The service handles one request of a VM at a
+ * time; an answer after the deadline is lost.
+ */
+static void advice_receive(struct world *w, unsigned vm,
+			   struct sched_effect *fx)
+{
+	struct sched_event *ev = world_answer_make(fx, OUT_DONE, w->now);
+	const struct order *o = &fx->ask.order;
+	int64_t *done_at = w->advice_done_at[vm], done;
+	unsigned waiting = 0;
+
+	w->advice_calls++;
+	if (o->worker_count > ADVICE_WORKERS)
+		world_report_violation(w, "a request names too many workers",
+				       "");
+	while (waiting < ADVICE_WAITING && done_at[waiting] > w->now)
+		waiting++;
+	if (waiting + 1 > w->advice_waiting_max)
+		w->advice_waiting_max = waiting + 1;
+	done = (waiting ? done_at[0] : w->now) +
+	       w->advice_ms * (int64_t)o->worker_count;
+	memmove(&done_at[1], &done_at[0],
+		(ADVICE_WAITING - 1) * sizeof(*done_at));
+	done_at[0] = done;
+	advice_list(w, o, &ev->answer);
+	if (done + ONE_WAY_MS > fx->ask.deadline) {
+		sched_event_free(ev);
+		world_answer_timeout(w, vm, fx);
+	} else {
+		world_inbox_send(w, vm, ev, done + ONE_WAY_MS);
+	}
+	sched_effect_free(fx);
+}
+
 /* Carries out an order about a machine, unless it has been. */
 void world_machine_apply(struct world *w, const struct ask *ask)
 {
@@ -381,11 +433,12 @@
 		machine_order_receive(w, vm, fx);
 		return;
 	}
+	if (fx->ask.kind == ASK_ADVICE) {
+		advice_receive(w, vm, fx);
+		return;
+	}
 	ev = world_answer_make(fx, OUT_DONE, w->now);
-	if (fx->ask.kind == ASK_MACHINES)
-		machines_list(w, &ev->answer);
-	else
-		advice_list(w, &ev->answer);
+	machines_list(w, &ev->answer);
 	world_inbox_send(w, vm, ev, w->now + ONE_WAY_MS);
 	sched_effect_free(fx);
 }
--- a/tests/support-world-see.c
+++ b/tests/support-world-see.c
@@ -58,6 +58,18 @@
 	return w->starts;
 }
 
+/* Returns how many requests for advice there were. */
+unsigned world_advice_calls(const struct world *w)
+{
+	return w->advice_calls;
+}
+
+/* Returns the most requests for advice of one VM that waited at once. */
+unsigned world_advice_waiting_max(const struct world *w)
+{
+	return w->advice_waiting_max;
+}
+
 /* Returns the number of starts without the checkpoint that was listed. */
 unsigned world_starts_anew(const struct world *w)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -47,6 +47,9 @@
 #define ROWS_MAX 4096
 #define CALLS_MAX 1024
 #define NAMES_MAX 1024
+#define ADVICE_WORKERS 100 /* most in a request */
+#define ADVICE_VALID_MS 1000
+#define ADVICE_WAITING 32 /* requests that are told apart */
 #define TX_ENTRIES 100
 #define TX_BYTES 1000000
 #define ROW_BYTES 65536	  /* of a row's value, as base64 */
@@ -226,6 +229,14 @@
 	bool has_key;
 	bool has_other_organisation;
 	bool needs_advice;
+	bool advised_is_set; /* else workers with an even index are good */
+	unsigned advised_first;
+	unsigned advised_end;
+	int64_t advice_ms; /* for each worker in a request */
+	unsigned advice_calls;
+	unsigned advice_waiting_max;
+	/* When the latest requests of each VM are done, the first one last. */
+	int64_t advice_done_at[WORLD_VMS][ADVICE_WAITING];
 	bool has_standby_pool; /* a pool of standby machines */
 	uint64_t config_version;
 	struct {
@@ -351,6 +362,9 @@
 /* Checks that a job which is stored as failed has a reason to be. */
 void world_failed_check(struct world *w, const char *id);
 
+/* Returns true if the advice service names a worker. */
+bool world_worker_is_advised(const struct world *w, unsigned n);
+
 /* Returns the index of the worker at an address. */
 unsigned world_worker_at(const struct world *w, bstr address);
 
--- a/tests/support-world-worker.c
+++ b/tests/support-world-worker.c
@@ -483,7 +483,8 @@
 		free(name);
 		return REFUSAL_STALE_RUN;
 	}
-	if (w->needs_advice && (n % 2 || !bstr_eq_str(o->ticket, "ticket"))) {
+	if (w->needs_advice && (!world_worker_is_advised(w, n) ||
+				!bstr_eq_str(o->ticket, "ticket"))) {
 		free(name);
 		return REFUSAL_TICKET;
 	}
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -302,6 +302,19 @@
  */
 void world_require_advice(struct world *w);
 
+/*
+ * Lets the advice service name the workers in a range of indexes only, the
+ * second one excluded.
+ */
+void world_set_advised(struct world *w, unsigned first, unsigned end);
+
+/* Sets how long the advice service takes for each worker in a request. */
+void world_set_advice_time(struct world *w, int64_t ms);
+
+/* Return how many requests for advice there were, and most at once of a VM. */
+unsigned world_advice_calls(const struct world *w);
+unsigned world_advice_waiting_max(const struct world *w);
+
 /* Starts a wave: maintenance of the first machines, at most maximum at once. */
 void world_start_wave(struct world *w, unsigned machines, unsigned maximum);
 
