--- a/sched-advice.c
+++ b/sched-advice.c
@@ -55,7 +55,7 @@
 /* Returns true if the tasks of a job need tickets. */
 bool advice_is_needed(const struct sched *s, struct job *j)
 {
-	const struct route *r = job_route(s, j);
+	const struct route *r = job_terms(s, j);
 
 	return r && r->needs_ticket;
 }
--- a/sched-call.c
+++ b/sched-call.c
@@ -124,6 +124,8 @@
 			.tenant = c->tenant,
 			.route = r->name,
 			.service = r->service,
+			.has_terms = true,
+			.terms = *r,
 			.body = in->body,
 			.status = JOB_STATUS_QUEUED};
 
--- a/sched-candidate.c
+++ b/sched-candidate.c
@@ -104,7 +104,7 @@
 static void candidates_add_job(struct sched *s, struct place_pass *p,
 			       struct job *j)
 {
-	const struct route *r = job_route(s, j);
+	const struct route *r = job_terms(s, j);
 	struct pool *pool = job_pool(s, j);
 	struct occurrence *o;
 	unsigned i;
--- a/sched-config.c
+++ b/sched-config.c
@@ -1,9 +1,15 @@
-/* The operator's configuration that this VM uses, and look-ups in it. */
+/*
+ * The operator's configuration that this VM uses, and look-ups in it.  Routes
+ * and organisations that were removed are remembered, as jobs of them go on.
+ */
 #include "sched-state.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+/* Removed entries that are remembered, of each kind; the oldest go first. */
+#define REMOVED_MAX 512
+
 /* Compares routes by name, for qsort and bsearch. */
 static int route_cmp(const void *a, const void *b)
 {
@@ -12,6 +18,90 @@
 	return bstr_cmp(x->name, y->name);
 }
 
+/* Returns a route of a configuration by name, or NULL. */
+static struct route *route_in(const struct fleet_config *c, bstr name)
+{
+	size_t i;
+
+	for (i = 0; i < c->route_count; i++)
+		if (bstr_eq(c->routes[i].name, name))
+			return &c->routes[i];
+	return NULL;
+}
+
+/* Returns an organisation of a configuration by name, or NULL. */
+static struct tenant *tenant_in(const struct fleet_config *c, bstr name)
+{
+	size_t i;
+
+	for (i = 0; i < c->tenant_count; i++)
+		if (bstr_eq(c->tenants[i].name, name))
+			return &c->tenants[i];
+	return NULL;
+}
+
+/* Forgets the first of the removed routes. */
+static void removed_route_drop(struct fleet_config *c, size_t i)
+{
+	route_free(&c->routes[i]);
+	memmove(&c->routes[i], &c->routes[i + 1],
+		(--c->route_count - i) * sizeof(*c->routes));
+}
+
+/* Forgets the first of the removed organisations. */
+static void removed_tenant_drop(struct fleet_config *c, size_t i)
+{
+	tenant_free(&c->tenants[i]);
+	memmove(&c->tenants[i], &c->tenants[i + 1],
+		(--c->tenant_count - i) * sizeof(*c->tenants));
+}
+
+/*
+ * Moves the routes and organisations that a newer configuration lacks from the
+ * older one to the removed ones.  A queue may be missing for a moment only; a
+ * job of it that then went by defaults would be failed after its first failed
+ * run, or started where its queue's policy forbids it.
+ */
+static void config_remember(struct fleet_config *removed,
+			    struct fleet_config *old,
+			    const struct fleet_config *next)
+{
+	struct route *r;
+	struct tenant *t;
+	size_t i;
+
+	removed->routes = xrealloc(removed->routes,
+				   removed->route_count + old->route_count + 1,
+				   sizeof(*removed->routes));
+	removed->tenants = xrealloc(
+		removed->tenants, removed->tenant_count + old->tenant_count + 1,
+		sizeof(*removed->tenants));
+	for (i = 0; i < old->route_count; i++) {
+		r = route_in(removed, old->routes[i].name);
+		if (r)
+			removed_route_drop(removed,
+					   (size_t)(r - removed->routes));
+		if (route_in(next, old->routes[i].name))
+			continue;
+		removed->routes[removed->route_count++] = old->routes[i];
+		old->routes[i] = (struct route){0};
+	}
+	for (i = 0; i < old->tenant_count; i++) {
+		t = tenant_in(removed, old->tenants[i].name);
+		if (t)
+			removed_tenant_drop(removed,
+					    (size_t)(t - removed->tenants));
+		if (tenant_in(next, old->tenants[i].name))
+			continue;
+		removed->tenants[removed->tenant_count++] = old->tenants[i];
+		old->tenants[i] = (struct tenant){0};
+	}
+	while (removed->route_count > REMOVED_MAX)
+		removed_route_drop(removed, 0);
+	while (removed->tenant_count > REMOVED_MAX)
+		removed_tenant_drop(removed, 0);
+}
+
 /*
  * Adopts a configuration if it is newer than the current one.  A page that
  * was read before the feed delivered a newer row could otherwise reset a route,
@@ -23,6 +113,8 @@
 		return;
 	if (!s->config)
 		own_enable_claim(s);
+	else
+		config_remember(s->removed_config, s->config, r->config);
 	fleet_config_free(s->config);
 	s->config = r->config;
 	s->config_serial++;
@@ -102,12 +194,23 @@
 /* Returns an organisation by name, or NULL. */
 const struct tenant *tenant_named(const struct sched *s, bstr name)
 {
-	size_t i;
+	return s->config ? tenant_in(s->config, name) : NULL;
+}
 
-	for (i = 0; s->config && i < s->config->tenant_count; i++)
-		if (bstr_eq(s->config->tenants[i].name, name))
-			return &s->config->tenants[i];
-	return NULL;
+/* Returns a route by name, also if it was removed, or NULL. */
+const struct route *route_known(const struct sched *s, bstr name)
+{
+	const struct route *r = route_named(s, name);
+
+	return r ? r : route_in(s->removed_config, name);
+}
+
+/* Returns an organisation by name, also if it was removed, or NULL. */
+const struct tenant *tenant_known(const struct sched *s, bstr name)
+{
+	const struct tenant *t = tenant_named(s, name);
+
+	return t ? t : tenant_in(s->removed_config, name);
 }
 
 /* Returns a service by name, or NULL. */
--- a/sched-data.c
+++ b/sched-data.c
@@ -31,6 +31,22 @@
 	free(b);
 }
 
+/* Frees the contents of a route. */
+void route_free(struct route *r)
+{
+	bstr_free(&r->name);
+	bstr_free(&r->host);
+	bstr_free(&r->prefix);
+	bstr_free(&r->service);
+}
+
+/* Frees the contents of an organisation. */
+void tenant_free(struct tenant *t)
+{
+	bstr_free(&t->name);
+	bstrs_free(t->keys, t->key_count);
+}
+
 /* Frees a configuration; NULL is allowed. */
 void fleet_config_free(struct fleet_config *c)
 {
@@ -38,16 +54,10 @@
 
 	if (!c)
 		return;
-	for (i = 0; i < c->route_count; i++) {
-		bstr_free(&c->routes[i].name);
-		bstr_free(&c->routes[i].host);
-		bstr_free(&c->routes[i].prefix);
-		bstr_free(&c->routes[i].service);
-	}
-	for (i = 0; i < c->tenant_count; i++) {
-		bstr_free(&c->tenants[i].name);
-		bstrs_free(c->tenants[i].keys, c->tenants[i].key_count);
-	}
+	for (i = 0; i < c->route_count; i++)
+		route_free(&c->routes[i]);
+	for (i = 0; i < c->tenant_count; i++)
+		tenant_free(&c->tenants[i]);
 	for (i = 0; i < c->service_count; i++)
 		bstr_free(&c->services[i].name);
 	free(c->routes);
--- a/sched-due.c
+++ b/sched-due.c
@@ -199,7 +199,7 @@
 static int64_t objective_ms(const struct sched *s, struct job *j,
 			    int64_t longest)
 {
-	const struct route *r = job_route(s, j);
+	const struct route *r = job_terms(s, j);
 
 	return (int64_t)((r ? r->stretch : 1) * (double)longest) +
 	       (r ? r->objective_ms : 0);
--- a/sched-job.c
+++ b/sched-job.c
@@ -40,7 +40,10 @@
 	if (j->estimate.config_serial == s->config_serial)
 		return;
 	j->estimate.route = route_named(s, j->route);
-	j->estimate.tenant = tenant_named(s, j->tenant);
+	j->estimate.terms = route_known(s, j->route);
+	if (!j->estimate.terms && j->has_terms)
+		j->estimate.terms = &j->terms;
+	j->estimate.tenant = tenant_known(s, j->tenant);
 	j->estimate.pool = NULL; /* the route may name another service now */
 	j->estimate.config_serial = s->config_serial;
 }
@@ -56,8 +59,19 @@
 }
 
 /*
- * Returns a job's organisation in the current configuration, or NULL if it has
- * been removed.
+ * Returns the terms of a job's route, also while the configuration lacks it:
+ * those that this VM knew last, else those at the job's acceptance.  NULL if an
+ * earlier version accepted it and this VM has never known its route.
+ */
+const struct route *job_terms(const struct sched *s, struct job *j)
+{
+	job_lookup_config(s, j);
+	return j->estimate.terms;
+}
+
+/*
+ * Returns a job's organisation, also if it has been removed, or NULL if this VM
+ * has never known it.
  */
 const struct tenant *job_tenant(const struct sched *s, struct job *j)
 {
@@ -66,12 +80,12 @@
 }
 
 /*
- * Returns the service whose workers run the job now.  If the route has been
- * removed, this is the service at the time the job was accepted.
+ * Returns the service whose workers run the job now.  If nothing is known of
+ * its route, this is the service at the time the job was accepted.
  */
 bstr job_service(const struct sched *s, struct job *j)
 {
-	const struct route *r = job_route(s, j);
+	const struct route *r = job_terms(s, j);
 
 	return r ? r->service : j->service;
 }
@@ -394,12 +408,18 @@
 		job_finish(s, j, JOB_STATUS_COMPLETED);
 }
 
-/* Returns the number of failed runs of a task after which its job fails. */
+/*
+ * Returns the number of failed runs of a task after which its job fails.  If
+ * nothing is known of its route, no configuration would have failed it sooner
+ * than that: a failed job is final.
+ */
 static unsigned job_max_attempts(const struct sched *s, struct job *j)
 {
-	const struct route *r = job_route(s, j);
+	const struct route *r = job_terms(s, j);
 
-	return r && r->attempts ? r->attempts : 1;
+	if (!r)
+		return FAILED_RUNS_MAX;
+	return r->attempts ? r->attempts : 1;
 }
 
 /*
--- a/sched-limit.c
+++ b/sched-limit.c
@@ -260,7 +260,7 @@
 	ceilings_inherit(s);
 	usage_unknown_update(s);
 	for (u = s->usage; u; u = u->hh.next) {
-		t = tenant_named(s, u->tenant);
+		t = tenant_known(s, u->tenant);
 		if (!t)
 			continue;
 		u->next_ceiling = (struct resources){
--- a/sched-row.c
+++ b/sched-row.c
@@ -83,6 +83,36 @@
 	st->max_unavailable = (unsigned)int_member(j, "may_miss");
 }
 
+/*
+ * Encodes the terms of a route that its jobs go by, for the time when the
+ * configuration lacks it: a successor may never have known it.
+ */
+static json_t *terms_write(const struct route *r)
+{
+	json_t *j = json_object();
+
+	json_set_nonzero(j, "priority", r->priority);
+	json_set_nonzero(j, "attempts", r->attempts);
+	json_set_nonzero(j, "objective_ms", r->objective_ms);
+	json_object_set_new(j, "stretch", json_real(r->stretch));
+	set_if_true(j, "ticket", r->needs_ticket);
+	return j;
+}
+
+/* Decodes the terms of a job's route; rows of earlier versions have none. */
+static void terms_read(struct job *j, const json_t *terms)
+{
+	j->has_terms = json_is_object(terms);
+	j->terms = (struct route){
+		.service = j->service,
+		.priority = (unsigned)int_member(terms, "priority"),
+		.attempts = (unsigned)int_member(terms, "attempts"),
+		.objective_ms = (uint32_t)int_member(terms, "objective_ms"),
+		.stretch = json_number_value(json_object_get(terms, "stretch")),
+		.needs_ticket = json_is_true(json_object_get(terms, "ticket")),
+	};
+}
+
 /* Returns the row of an accepted job. */
 bstr job_row_write(const struct job *j)
 {
@@ -100,6 +130,8 @@
 	json_set_nonzero(row, "repeat", j->body->repeat_count);
 	json_set_nonzero(row, "first_at", j->body->first_at);
 	json_set_nonzero(row, "interval_ms", j->body->interval_ms);
+	if (j->has_terms)
+		json_object_set_new(row, "terms", terms_write(&j->terms));
 	json_object_set_new(row, "steps", steps);
 	return json_write(row);
 }
@@ -123,6 +155,7 @@
 	j->tenant = bstr_from_json(json_object_get(row, "tenant"));
 	j->route = bstr_from_json(json_object_get(row, "route"));
 	j->service = bstr_from_json(json_object_get(row, "service"));
+	terms_read(j, json_object_get(row, "terms"));
 	j->submitted = int_member(row, "submitted");
 	j->submitted_by_store = int_member(row, "submitted_by_store");
 	j->body = xcalloc(1, sizeof(*j->body));
--- a/sched-state.h
+++ b/sched-state.h
@@ -336,7 +336,9 @@
 struct job_estimate {
 	unsigned config_serial;	     /* configuration used; 0: none yet */
 	const struct route *route;   /* in that configuration, or NULL */
-	const struct tenant *tenant; /* in that configuration, or NULL */
+	const struct route *terms;   /* the same, else as it was last known */
+	const struct tenant *tenant; /* in that configuration, or removed, or
+				      * NULL */
 	struct usage *usage;	     /* of the job's organisation, or NULL */
 	struct pool *pool;	     /* whose workers run it, or NULL */
 	int64_t valid_until;
@@ -361,8 +363,10 @@
 	uint64_t revision; /* of its row, which is written once */
 	bstr tenant;
 	bstr route;
-	bstr service;	  /* at the time the job was accepted */
-	json_t *services; /* others that tasks were started in, or NULL */
+	bstr service;	    /* at the time the job was accepted */
+	bool has_terms;	    /* jobs accepted by earlier versions have none */
+	struct route terms; /* the route's terms at that time, without names */
+	json_t *services;   /* others that tasks were started in, or NULL */
 	struct job_body *body;
 	int64_t submitted;	    /* wall clock */
 	int64_t submitted_by_store; /* on the store's clock; 0: not known */
@@ -963,6 +967,8 @@
 
 	struct large_text *large_texts; /* see sched-large.c */
 	struct fleet_config *config;
+	struct fleet_config *removed_config; /* routes and organisations that
+					      * are not in config any more */
 	unsigned config_serial;		/* counts the configurations adopted */
 	struct evacuation *evacuations; /* by data centre */
 	bool starts_held; /* as an evacuation may not be known yet */
@@ -1102,6 +1108,8 @@
 const struct route *route_named(const struct sched *s, bstr name);
 const struct tenant *tenant_of_key(const struct sched *s, bstr key);
 const struct tenant *tenant_named(const struct sched *s, bstr name);
+const struct route *route_known(const struct sched *s, bstr name);
+const struct tenant *tenant_known(const struct sched *s, bstr name);
 const struct service *service_named(const struct sched *s, bstr name);
 
 /* sched-row.c: encoding and decoding of the scheduler's own rows */
@@ -1248,6 +1256,7 @@
 bstr task_name(const struct task *t);
 const struct job_step *task_step(const struct task *t);
 const struct route *job_route(const struct sched *s, struct job *j);
+const struct route *job_terms(const struct sched *s, struct job *j);
 const struct tenant *job_tenant(const struct sched *s, struct job *j);
 bstr job_service(const struct sched *s, struct job *j);
 void task_set_phase(struct task *t, enum run_phase phase);
--- a/sched.c
+++ b/sched.c
@@ -457,6 +457,7 @@
 				  0, false);
 	s->notes = follow_make(TABLE_NOTES, FOR_NOTES_GET, PURPOSE_MAX, 0,
 			       false);
+	s->removed_config = xcalloc(1, sizeof(*s->removed_config));
 	s->start_window = START_WINDOW_INITIAL;
 	s->advice_workers_max = ADVICE_WORKERS_FIRST;
 	TAILQ_INIT(&s->jobs_by_arrival);
@@ -510,6 +511,7 @@
 		sched_effect_free(fx);
 	}
 	fleet_config_free(s->config);
+	fleet_config_free(s->removed_config);
 	bstr_free(&s->own.holder);
 	bstr_free(&s->own.offer_vm);
 	json_decref(s->own.workers);
--- a/scheduler.h
+++ b/scheduler.h
@@ -458,6 +458,8 @@
 
 /* sched-data.c: freeing events and effects, computing with resources */
 void job_body_free(struct job_body *b); /* frees b as well */
+void route_free(struct route *r);
+void tenant_free(struct tenant *t);
 void fleet_config_free(struct fleet_config *c);
 void wave_row_free(struct wave_row *w);
 void worker_row_free(struct worker_row *w);
--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -426,6 +426,22 @@
 	world_row_write(w, TABLE_OPERATOR, "config", -1);
 }
 
+/* Removes the route of the first queue, or adds it again. */
+void world_remove_route(struct world *w, bool removed)
+{
+	w->route_is_removed = removed;
+	w->config_version++;
+	world_row_write(w, TABLE_OPERATOR, "config", -1);
+}
+
+/* Removes the organisation, or adds it again. */
+void world_remove_organisation(struct world *w, bool removed)
+{
+	w->organisation_is_removed = removed;
+	w->config_version++;
+	world_row_write(w, TABLE_OPERATOR, "config", -1);
+}
+
 /* Writes the configuration with the key, or without it. */
 void world_set_key(struct world *w, bool given)
 {
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -279,6 +279,8 @@
 	int64_t machine_order_at[WORLD_VMS]; /* the latest of each; 0: none */
 	enum world_machine_mode machine_mode;
 	bool has_second_pool;
+	bool route_is_removed;
+	bool organisation_is_removed;
 	bool route_is_moved; /* the first queue's route names the second pool */
 	bool unguarded;	     /* workers start tasks above their capacity */
 	enum world_crash_mode crash_mode;
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -104,6 +104,8 @@
 		.needs_ticket = w->needs_advice,
 		.stretch = 2,
 		.objective_ms = 600};
+	if (w->route_is_removed)
+		route_free(&c->routes[--c->route_count]);
 	if (w->has_second_pool)
 		c->routes[c->route_count++] = (struct route){
 			.name = bstr_new("q2"),
@@ -141,6 +143,10 @@
 			.weight = 1};
 		c->tenants[1].keys[0] = bstr_new(OTHER_KEY);
 	}
+	if (w->organisation_is_removed) {
+		tenant_free(&c->tenants[0]);
+		c->tenants[0] = c->tenants[--c->tenant_count];
+	}
 	return c;
 }
 
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -331,6 +331,12 @@
  */
 void world_move_route(struct world *w, bool second);
 
+/* Removes the route of the first queue, or adds it again. */
+void world_remove_route(struct world *w, bool removed);
+
+/* Removes the organisation, or adds it again. */
+void world_remove_organisation(struct world *w, bool removed);
+
 /* Asks for the evacuation of a data centre, or withdraws that. */
 void world_evacuate(struct world *w, unsigned dc, bool evacuated);
 
