Configuration: look-ups before the first one find nothing

What was seen: test-estimate ended with a null pointer in the look-up of removed routes; it works on a state that has read no configuration and was made without sched_new(). The daemon always has the list.

--- a/sched-config.c
+++ b/sched-config.c
@@ -23,7 +23,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < c->route_count; i++)
+	for (i = 0; c && i < c->route_count; i++)
 		if (bstr_eq(c->routes[i].name, name))
 			return &c->routes[i];
 	return NULL;
@@ -34,7 +34,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < c->tenant_count; i++)
+	for (i = 0; c && i < c->tenant_count; i++)
 		if (bstr_eq(c->tenants[i].name, name))
 			return &c->tenants[i];
 	return NULL;
@@ -194,7 +194,7 @@
 /* Returns an organisation by name, or NULL. */
 const struct tenant *tenant_named(const struct sched *s, bstr name)
 {
-	return s->config ? tenant_in(s->config, name) : NULL;
+	return tenant_in(s->config, name);
 }
 
 /* Returns a route by name, also if it was removed, or NULL. */
