Durations of queues are bounded on all processors

Cause: the duration of a queue that nobody works off is infinite, and its conversion to an integer is undefined: the largest number on arm64, to which the time of day was then added, the smallest one on x86-64, where such a pool admitted all jobs. The sanitizer's "undefined" leaves such conversions out.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,10 @@
 # thousands of times a second.
 ALLOCATOR_release = -ljemalloc
 FLAGS_release = -O2 -g
-FLAGS_san = -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
-	-fno-sanitize-recover=undefined
+# undefined doesn't include the conversion of a double that is out of range.
+FLAGS_san = -O1 -g -fsanitize=address,undefined,float-cast-overflow \
+	-fno-omit-frame-pointer \
+	-fno-sanitize-recover=undefined,float-cast-overflow
 FLAGS_tsan = -O1 -g -fsanitize=thread
 
 XDR = types operator peer event rows
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -23,6 +23,11 @@
  * pool beyond that its own queue decides.
  */
 #define ADMISSION_QUEUES_TOTAL 256
+/*
+ * Longest duration of a queue.  One that nobody works off lasts for ever, and
+ * its end is a sum with the time of day.
+ */
+#define QUEUE_MAX_MS 1000000000
 /* A pool's queue is published from this multiple on. */
 #define OVERLOAD_NEAR 1.0
 /* Shares are given in units of 1/SHARE_UNIT. */
@@ -102,6 +107,12 @@
 		admission_free(s, a);
 }
 
+/* Returns a duration of a queue, which may be unlimited. */
+static int64_t queue_duration_ms(double ms)
+{
+	return ms < QUEUE_MAX_MS ? (int64_t)ms : QUEUE_MAX_MS;
+}
+
 /* Sets the queue of a pool; adds it if needed. */
 static struct admission *admission_add(struct sched *s, bstr service,
 				       int64_t drain_ms, int64_t objective_ms,
@@ -115,7 +126,7 @@
 		a->service = bstr_copy(service);
 		HASH_ADD_BSTR(s->admissions, service, a);
 	}
-	a->drain_ms = drain_ms;
+	a->drain_ms = drain_ms < QUEUE_MAX_MS ? drain_ms : QUEUE_MAX_MS;
 	a->objective_ms = objective_ms;
 	a->as_of = as_of;
 	return a;
@@ -217,8 +228,8 @@
 		admission_clear(s, service);
 		return;
 	}
-	a = admission_add(s, service, (int64_t)drain_ms, (int64_t)objective_ms,
-			  store_clock(s));
+	a = admission_add(s, service, queue_duration_ms(drain_ms),
+			  queue_duration_ms(objective_ms), store_clock(s));
 	a->falls_slowly = falls_slowly;
 }
 
@@ -233,8 +244,8 @@
 
 	HASH_FIND_BSTR(s->admissions, service, a);
 	if (!a && store_clock(s))
-		admission_add(s, service, (int64_t)drain_ms,
-			      (int64_t)objective_ms, store_clock(s));
+		admission_add(s, service, queue_duration_ms(drain_ms),
+			      queue_duration_ms(objective_ms), store_clock(s));
 }
 
 /* Returns the published queue of an organisation in a pool, or NULL. */
@@ -277,8 +288,9 @@
 		drain_ms = least_ms > drain_ms ? least_ms : drain_ms;
 	}
 	if (drain_ms >= objective_ms * OVERLOAD_NEAR)
-		admission_add_queue(a, q->usage->tenant, (int64_t)drain_ms,
-				    (int64_t)objective_ms, a->as_of);
+		admission_add_queue(a, q->usage->tenant,
+				    queue_duration_ms(drain_ms),
+				    queue_duration_ms(objective_ms), a->as_of);
 }
 
 /*
