Even tasks have a least spread on all processors

Cause: the spread of even tasks is the sum of rounding errors. It is a little above 0 with one C library and exactly 0 with another, and 0 stands for a spread that isn't known, with which what was observed of a step isn't used.

Change: a spread that has been seen is at least 0.001. The test passes on arm64, also as part of the five of its file; x86-64 was not at hand. Ruled out: fused multiply-add (it fails with -ffp-contract=off as well).

--- a/sched-learn.c
+++ b/sched-learn.c
@@ -27,6 +27,13 @@
  */
 #define DEVIATIONS_MAX 2.5
 
+/*
+ * Least spread of tasks that have been seen to be even.  Whether the squares of
+ * rounding errors add up to 0, which stands for a spread that isn't known,
+ * differs between processors.
+ */
+#define SPREAD_MIN 0.001
+
 /* Returns the learnt run time of a route; creates it if needed. */
 static struct learnt_time *learnt_time_of(struct sched *s, bstr route)
 {
@@ -99,7 +106,7 @@
 	}
 	e.level = weight * e.level + (1 - weight) * l->mean_log_ms;
 	if (l->step_weight >= VARIANCE_RUNS_MIN)
-		e.spread = sqrt(l->step_variance);
+		e.spread = fmax(sqrt(l->step_variance), SPREAD_MIN);
 	return e;
 }
 
