An odd entry of another writer stops nothing (LOST, processes that end)

What operators of systems like ours saw: one odd entry among those of the workers, with a number too large, very deeply nested or with a port out of range, and the machines that read the list ended again and again, or stopped following it.

Cause: numbers from outside were taken as they came. Sums of the room of a pool overflowed; a real number out of range was converted, which is undefined in C and differs between processors; a number of 32 bits was cut off, so that a wave's maximum of -1 took all machines at once and a job's count of 2^32 + 1 ran one task. An address that names nobody was polled for ever, and a worker's id went into a header as it was. Ruled out: deep nesting (the parser refuses it from 2,048 levels on, and what it takes can be freed).

A page of 300 odd rows and a good one: the good one is used, and at most 40 lines are logged (test-calls).

Open: the list of machines is plain JSON; one number there that the parser refuses makes its page unreadable, and the one before stays. bamboofrontd was not looked at.

--- a/tests/test-calls.c
+++ b/tests/test-calls.c
@@ -4,7 +4,9 @@
 #include "support-fake.h"
 
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #define TIMEOUT_MS 30000
 
@@ -187,3 +189,97 @@
 	mailbox_free(inbox);
 	free(address);
 }
+
+#define ODD_ROWS 300
+
+/* Returns a page of malformed rows of workers, and a good one at the end. */
+static char *odd_page(void)
+{
+	static const char good[] =
+		"{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\","
+		"\"address\":\"10.1.0.1:80\",\"capacity\":{\"cpu\":1}}";
+	json_t *list = json_array(), *page;
+	char key[16], *text;
+	unsigned i;
+
+	for (i = 0; i <= ODD_ROWS; i++) {
+		snprintf(key, sizeof(key), i == 7 ? "w-%u\r\nX: y" : "w-%u", i);
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:s, s:s, s:i, s:o}", "table",
+				  "servers", "part", "", "key", key,
+				  "record_version", (int)i + 1, "value",
+				  json_write_bytes(bstr_lit(
+					  i == ODD_ROWS || i == 7 ? good
+								  : "{"))));
+	}
+	page = json_pack("{s:o, s:i}", "rows", list, "record_version", 1000);
+	text = json_dumps(page, JSON_COMPACT);
+	json_decref(page);
+	return text;
+}
+
+/* Returns how many lines with a text were logged to a pipe. */
+static unsigned lines_count(int fd, const char *text)
+{
+	static char log[1 << 20];
+	unsigned n = 0;
+	ssize_t size;
+	char *p = log;
+
+	log_flush();
+	size = read(fd, log, sizeof(log) - 1);
+	log[size > 0 ? size : 0] = '\0';
+	while ((p = strstr(p, text))) {
+		n++;
+		p++;
+	}
+	return n;
+}
+
+/* Odd entries of another writer crowd out all other lines of the log. */
+Test(calls, malformed_rows_are_logged_within_bounds, .timeout = 60)
+{
+	struct fake_step answer = {FAKE_ANSWER, 200, odd_page()};
+	struct platform_options o = {.advice = ""};
+	struct mailbox *inbox = mailbox_new(16);
+	struct sched_effect *fx = xcalloc(1, sizeof(*fx));
+	struct sched_event *ev = NULL;
+	struct platform *p;
+	unsigned i, lines;
+	struct error e;
+	struct fake *f;
+	char *address;
+	int fds[2];
+
+	cr_assert_eq(pipe2(fds, O_NONBLOCK), 0);
+	log_open_structured(fds[1], 2, "vm");
+	error_init(&e);
+	f = fake_start(&answer, 1);
+	address = xasprintf("127.0.0.1:%u", fake_port(f));
+	o.store = o.machines = address;
+	p = platform_start(&o, inbox, inbox, &e);
+	cr_assert(p);
+	fx->kind = EFFECT_ASK;
+	fx->ask.kind = ASK_GET;
+	fx->ask.range.table = TABLE_WORKERS;
+	fx->ask.range.limit = 500;
+	fx->ask.deadline = clock_now() + TIMEOUT_MS;
+	platform_send(p, fx);
+	while (!(ev = mailbox_take(inbox)))
+		mailbox_wait(inbox, 100);
+	cr_assert_eq(ev->answer.row_count, ODD_ROWS + 1);
+	for (i = 0; i < ODD_ROWS; i++)
+		cr_expect_eq(ev->answer.rows[i].kind, ROW_BAD, "row %u", i);
+	cr_expect_eq(ev->answer.rows[ODD_ROWS].kind, ROW_WORKER);
+	lines = lines_count(fds[0], "table=servers");
+	cr_expect_geq(lines, 1);
+	cr_expect_leq(lines, 40, "%u", lines);
+	cr_expect_eq(counter_get(COUNT_DROPPED_PLATFORM_GARBAGE), ODD_ROWS);
+	sched_event_free(ev);
+	platform_stop(p);
+	fake_stop(f);
+	mailbox_free(inbox);
+	free(address);
+	free((char *)answer.body);
+}
