An occurrence that a worker names is created beyond the limit of open ones

Without it, an end of it would count as unknown, be acknowledged, and its task run again later (TWICE). Workers may name occurrences up to twice the limit; without any, one odd name would create as many as repeat_count says.

Two tests beside it: rows of another revision are not taken for current and go with the next commit, and a row of the version before is read.

--- a/sched-occurrence.c
+++ b/sched-occurrence.c
@@ -103,6 +103,16 @@
 	return j->open_tasks < OPEN_TASKS_MAX;
 }
 
+/*
+ * Returns true if a job may have another occurrence that a worker names.  An
+ * earlier owner may have created it when others were done whose ends aren't
+ * known yet; without it, an end of it would be acknowledged and then lost.
+ */
+static bool job_has_room_for_named(const struct job *j)
+{
+	return j->open_tasks < 2 * OPEN_TASKS_MAX;
+}
+
 /* Creates the occurrences of a job that are due. */
 void job_make_due_occurrences(struct sched *s, struct job *j)
 {
@@ -164,7 +174,7 @@
 			job_make_occurrence(j, number);
 		return;
 	}
-	while (j->next_occurrence <= number && job_has_room(j)) {
+	while (j->next_occurrence <= number && job_has_room_for_named(j)) {
 		job_make_occurrence(j, j->next_occurrence++);
 		job_queue_placing(s, j);
 		job_mark_dirty(s, j);
--- a/tests/test-progress.c
+++ b/tests/test-progress.c
@@ -99,6 +99,33 @@
 	world_free(w);
 }
 
+#define QUICK_ROW                                                   \
+	"{\"tenant\":\"org\",\"route\":\"q\",\"service\":\"pool\"," \
+	"\"steps\":[{\"count\":2,\"cpu\":2000}]}"
+#define QUICK_PROGRESS                                                      \
+	"{\"state\":\"running\",\"tenant\":\"org\",\"next\":1,\"times\":[{" \
+	"\"k\":0,\"done\":\"00\",\"fails\":{},\"saved\":{}}]}"
+#define LEFTOVER "{\"times\":[{\"k\":0,\"done\":\"03\"}]}"
+
+/* Further rows of before, when an earlier version has owned, hide tasks. */
+Test(progress, rows_of_another_revision_are_removed)
+{
+	struct world *w = world_new_settled(5127);
+
+	world_expect_job(w, JOB_QUICK, &quick);
+	world_put_row(w, TABLE_PROGRESS, JOB_QUICK "/00", LEFTOVER);
+	world_put_row(w, TABLE_PROGRESS, JOB_QUICK, QUICK_PROGRESS);
+	world_put_row(w, TABLE_JOBS, JOB_QUICK, QUICK_ROW);
+	world_kill_vm(w, owner(w));
+	world_run(w, 12000);
+	cr_expect_str_eq(world_job_state(w, JOB_QUICK), "completed");
+	cr_expect_eq(world_starts(w), quick.tasks);
+	/* The job, and one row of progress. */
+	cr_expect_eq(world_stored_rows(w, JOB_QUICK), 2);
+	cr_expect_null(world_violation(w), "%s", world_violation(w));
+	world_free(w);
+}
+
 /* A row that the store refuses for good holds up the commits of all jobs. */
 Test(progress, a_refused_row_holds_up_no_other)
 {
@@ -337,3 +364,28 @@
 		job_free(read);
 	}
 }
+
+/* A rolling upgrade loses what an owner of the version before has recorded. */
+Test(progress, a_row_of_the_version_before_is_read)
+{
+	static const char row[] =
+		"{\"state\":\"running\",\"tenant\":\"org\",\"next\":2,"
+		"\"times\":[{\"k\":1,\"done\":\"09\",\"fails\":{\"1\":[5,7]},"
+		"\"saved\":{\"2\":\"abc\"},\"crashes\":{\"2\":[9]}}]}";
+	struct job *j = job_new(2);
+	const struct occurrence *o;
+
+	cr_assert(progress_apply(j, bstr_lit(row)));
+	o = TAILQ_FIRST(&j->occs);
+	cr_assert(o);
+	cr_expect_eq(j->next_occurrence, 2);
+	cr_expect_eq(o->number, 1);
+	cr_expect_eq(o->unfinished, 2);
+	cr_expect_eq(o->tasks[0].phase, PHASE_DONE);
+	cr_expect_eq(o->tasks[3].phase, PHASE_DONE);
+	cr_expect_eq(o->tasks[1].failure_count, 2);
+	cr_expect_eq(o->tasks[1].highest_run, 7);
+	cr_expect_eq(o->tasks[2].crash_count, 1);
+	cr_expect(bstr_eq_str(o->tasks[2].checkpoint, "abc"));
+	job_free(j);
+}
