Split sched-own.c: the owner's heartbeat has a file of its own

Moved without a change but for names: writing a heartbeat, its outcome, and when it is due. The keys of the rows of both stand together.

--- a/sched-own.c
+++ b/sched-own.c
@@ -12,9 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEY_HEARTBEAT "beat"
-#define KEY_WORKERS "workers"
-#define KEY_HOME_SIZES "homes"
 /*
  * Upper bound of the transit time of an order about a machine, except in a
  * fault.
@@ -200,7 +197,7 @@
 }
 
 /* Ends this VM's ownership because another VM has replaced it. */
-static void own_replaced(struct sched *s)
+void own_replaced(struct sched *s)
 {
 	own_claim_later(s);
 	own_lose(s, "replaced");
@@ -526,53 +523,6 @@
 	own_restart_timeout(s);
 }
 
-/* Handles the outcome of a heartbeat. */
-static void heartbeat_answer(struct sched *s, struct request *rq,
-			     struct answer *a)
-{
-	/* A heartbeat of an earlier ownership proves nothing about this one. */
-	if (rq->number != s->own.epoch)
-		return;
-	s->own.heartbeat_in_flight = false;
-	if (s->own.state != OWN_OWNER && s->own.state != OWN_LOADING)
-		return;
-	switch (a->outcome) {
-	case OUT_DONE:
-		s->own.check_required = false;
-		s->own.silent_since = s->now;
-		s->own.confirmed_at = s->own.heartbeat_sent_at;
-		if (a->revision > s->own.heartbeat_revision)
-			s->own.heartbeat_revision = a->revision;
-		workers_note_written(s);
-		ceilings_published(s);
-		s->home_sizes_durable = s->home_sizes_durable ||
-					s->home_sizes_in_flight;
-		break;
-	case OUT_CONFLICT:
-		/*
-		 * Compare with the revision that this heartbeat expected: the
-		 * feed may have brought the earlier heartbeat, which was
-		 * carried out meanwhile.
-		 */
-		s->own.heartbeat_revision = rq->revision;
-		if (!tx_row_was_rewritten(s, a, TABLE_OWNER,
-					  bstr_lit(KEY_HEARTBEAT),
-					  &s->own.heartbeat_revision)) {
-			own_replaced(s);
-			break;
-		}
-		s->own.heartbeat_at = s->now;
-		s->home_sizes_dirty = s->home_sizes_dirty ||
-				      s->home_sizes_in_flight;
-		break;
-	default:
-		s->own.heartbeat_at = s->now + STORE_RETRY_MS;
-		s->home_sizes_dirty = s->home_sizes_dirty ||
-				      s->home_sizes_in_flight;
-		break;
-	}
-}
-
 /* Handles an answer about the ownership. */
 void own_answer(struct sched *s, struct request *rq, struct answer *a)
 {
@@ -591,69 +541,6 @@
 	}
 }
 
-/*
- * Writes a heartbeat, on condition that none was written since the latest one
- * known.  Otherwise an unanswered heartbeat, carried out seconds later, would
- * permanently replace the note of workers with leases by an older one, and
- * after a takeover the tasks of a worker noted since would run twice.
- */
-static void own_write_heartbeat(struct sched *s)
-{
-	struct request *rq;
-	struct tx *t;
-
-	s->own.heartbeat_seq++;
-	t = sched_tx(s, FOR_HEARTBEAT, s->now + STORE_TIMEOUT_MS, &rq);
-	rq->number = s->own.epoch;
-	rq->revision = s->own.heartbeat_revision;
-	tx_expect_owner(s, t);
-	tx_expect(t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT), rq->revision);
-	large_write(s, t, TABLE_OWNER, bstr_lit(KEY_HEARTBEAT),
-		    heartbeat_row_write(s));
-	if (workers_note_is_due(s))
-		large_write(s, t, TABLE_NOTES, bstr_lit(KEY_WORKERS),
-			    workers_row_write(s));
-	if (s->home_sizes_dirty)
-		large_write(s, t, TABLE_NOTES, bstr_lit(KEY_HOME_SIZES),
-			    json_write(json_incref(s->home_sizes)));
-	s->home_sizes_in_flight = s->home_sizes_dirty;
-	s->home_sizes_dirty = false;
-	sched_log(s, LOG_OWNER_BEAT,
-		  "epoch=%llu seq=%llu read=%d jobs=%u age_ms=%lld",
-		  (unsigned long long)s->own.epoch,
-		  (unsigned long long)s->own.heartbeat_seq,
-		  s->own.state == OWN_OWNER, HASH_COUNT(s->jobs),
-		  (long long)counts_age_ms(s));
-	s->own.heartbeat_in_flight = true;
-	s->own.heartbeat_sent_at = s->now;
-	s->own.heartbeat_at = s->now + HEARTBEAT_MS;
-}
-
-/*
- * Returns true if an owner that is still loading may write heartbeats.  It has
- * to read the old owner's heartbeat first; otherwise it would overwrite the
- * ceilings in it, and upper limits could be exceeded.
- */
-static bool own_may_send_heartbeat_loading(const struct sched *s)
-{
-	return s->own.state == OWN_LOADING &&
-	       s->follows[FOLLOW_OWNER].complete &&
-	       s->now - s->own.owned_at >= HEARTBEAT_MS;
-}
-
-/*
- * Writes a heartbeat if it is time.  This is checked after each event.  A start
- * blocked by a ceiling waits for the heartbeat that raises it.  And an owner
- * that processes the pages of a long jobs table one after another would seem
- * silent otherwise, and would be replaced, and so would its successor.
- */
-void own_heartbeat_if_due(struct sched *s)
-{
-	if ((s->own.state == OWN_OWNER || own_may_send_heartbeat_loading(s)) &&
-	    !s->own.heartbeat_in_flight && s->now >= s->own.heartbeat_at)
-		own_write_heartbeat(s);
-}
-
 /*
  * Returns true if the owner row names this process although it is not the owner
  * yet: a claim without an answer was carried out.  An epoch that it released
@@ -748,7 +635,7 @@
 			offer_tick(s);
 		break;
 	case OWN_LOADING:
-		own_heartbeat_if_due(s);
+		heartbeat_if_due(s);
 		if (own_load_stalled(s)) {
 			if (s->own.load_timeouts < LOAD_TIMEOUTS_MAX)
 				s->own.load_timeouts++;
@@ -760,7 +647,7 @@
 			own_release(s);
 			break;
 		}
-		own_heartbeat_if_due(s);
+		heartbeat_if_due(s);
 		responses_check(s);
 		offer_accept_tick(s);
 		break;
--- a/sched-state.h
+++ b/sched-state.h
@@ -1083,8 +1083,13 @@
 void sched_observe(struct sched *s, enum histogram_id id, int64_t ms);
 bool sched_store_is_up(const struct sched *s);
 
-/* sched-tx.c: names of rows, and building transactions */
+/* Keys of rows: of the owner's table, and of its notes for a successor. */
 #define KEY_EPOCH "epoch" /* of the row that names the owner */
+#define KEY_HEARTBEAT "beat"
+#define KEY_WORKERS "workers"
+#define KEY_HOME_SIZES "homes"
+
+/* sched-tx.c: names of rows, and building transactions */
 struct tx *sched_tx(struct sched *s, enum purpose purpose, int64_t deadline,
 		    struct request **rq);
 size_t tx_row_bytes(const struct sched *s);
@@ -1208,9 +1213,9 @@
 bool own_defers_claim(const struct sched *s);
 void own_answer(struct sched *s, struct request *rq, struct answer *a);
 void own_tick(struct sched *s);
-void own_heartbeat_if_due(struct sched *s);
 void own_table_loaded(struct sched *s);
 void own_lose(struct sched *s, const char *why);
+void own_replaced(struct sched *s);
 void own_require_check(struct sched *s, const char *why);
 void own_release(struct sched *s);
 void own_write_release(struct sched *s, bool settled, unsigned handovers);
@@ -1288,6 +1293,10 @@
 void retention_tick(struct sched *s);
 void retention_answer(struct sched *s, struct request *rq, struct answer *a);
 
+/* sched-heartbeat.c: the owner's heartbeat */
+void heartbeat_if_due(struct sched *s);
+void heartbeat_answer(struct sched *s, struct request *rq, struct answer *a);
+
 /* sched-note.c: the note of workers that may hold leases */
 bool worker_is_unused(const struct worker *w);
 bool workers_note_is_due(struct sched *s);
--- a/sched.c
+++ b/sched.c
@@ -413,7 +413,7 @@
 	 */
 	if (s->place_due && !ev->more_follow && s->now >= s->place_at)
 		place_all(s);
-	own_heartbeat_if_due(s);
+	heartbeat_if_due(s);
 	commit_tick(s);
 	s->effects = NULL;
 }
