--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -44,59 +44,63 @@
 	}
 }
 
-/* A job is failed after one of its attempts, as its queue is missing. */
-Test(config, a_missing_queue_leaves_all_attempts)
-{
-	static const struct world_job fails_once = {
-		.tasks = 1, .task_ms = 4000, .failures = 1};
-	struct world *w;
-	unsigned i;
-
-	for (i = 0; i < NELEMS(rows); i++) {
-		w = world_new_settled(5400 + i);
-		world_submit(w, other(w), JOB_A, &fails_once);
-		world_run(w, 1000);
-		cr_assert_eq(world_starts(w), 1);
-		world_remove_route(w, true);
-		world_run(w, 1000);
-		owner_change(w, rows[i].who);
-		world_run(w, 6000);
-		cr_expect_str_eq(world_job_state(w, JOB_A), "running", "%s",
-				 rows[i].name);
-		world_remove_route(w, false);
-		world_run(w, 10000);
-		cr_expect_str_eq(world_job_state(w, JOB_A), "completed", "%s",
-				 rows[i].name);
-		cr_expect_eq(world_starts(w), 2, "%s", rows[i].name);
-		cr_expect_null(world_violation(w), "%s: %s", rows[i].name,
-			       world_violation(w));
-		world_free(w);
-	}
-}
+/* Jobs whose runs fail while their queue, of three attempts, is missing. */
+static const struct {
+	const char *name;
+	struct world_job job;
+	int64_t missing_ms;
+	const char *meanwhile; /* its state at the end of that */
+	const char *after;     /* its state when the queue is back */
+	unsigned starts;
+} attempt_rows[] = {
+	{"one run fails",
+	 {.tasks = 1, .task_ms = 4000, .failures = 1},
+	 7000,
+	 "running",
+	 "completed",
+	 2},
+	{"all runs fail",
+	 {.tasks = 1, .task_ms = 1500, .failures = 9},
+	 15000,
+	 "failed",
+	 "failed",
+	 3},
+};
 
-/* A task fails more often than its queue allows while that is missing. */
-Test(config, a_missing_queue_ends_attempts)
+/* A job has one attempt, or any number, as its queue is missing. */
+Test(config, a_missing_queue_leaves_its_attempts)
 {
-	static const struct world_job fails = {
-		.tasks = 1, .task_ms = 1500, .failures = 9};
+	const struct world_job *job;
 	struct world *w;
-	unsigned i;
-
-	for (i = 0; i < NELEMS(rows); i++) {
-		w = world_new_settled(5410 + i);
-		world_submit(w, other(w), JOB_A, &fails);
-		world_run(w, 500);
-		world_remove_route(w, true);
-		world_run(w, 500);
-		owner_change(w, rows[i].who);
-		world_run(w, 14000);
-		cr_expect_str_eq(world_job_state(w, JOB_A), "failed", "%s",
-				 rows[i].name);
-		cr_expect_eq(world_starts(w), 3, "%s: %u", rows[i].name,
-			     world_starts(w));
-		cr_expect_null(world_violation(w), "%s: %s", rows[i].name,
-			       world_violation(w));
-		world_free(w);
+	unsigned i, k;
+
+	for (k = 0; k < NELEMS(attempt_rows); k++) {
+		job = &attempt_rows[k].job;
+		for (i = 0; i < NELEMS(rows); i++) {
+			w = world_new_settled(5400 + 10 * k + i);
+			world_submit(w, other(w), JOB_A, job);
+			world_run(w, 1000);
+			cr_assert_eq(world_starts(w), 1);
+			world_remove_route(w, true);
+			world_run(w, 400);
+			owner_change(w, rows[i].who);
+			world_run(w, attempt_rows[k].missing_ms - 400);
+			cr_expect_str_eq(world_job_state(w, JOB_A),
+					 attempt_rows[k].meanwhile, "%s, %s",
+					 attempt_rows[k].name, rows[i].name);
+			world_remove_route(w, false);
+			world_run(w, 10000);
+			cr_expect_str_eq(world_job_state(w, JOB_A),
+					 attempt_rows[k].after, "%s, %s",
+					 attempt_rows[k].name, rows[i].name);
+			cr_expect_eq(world_starts(w), attempt_rows[k].starts,
+				     "%s, %s", attempt_rows[k].name,
+				     rows[i].name);
+			cr_expect_null(world_violation(w), "%s, %s: %s",
+				       attempt_rows[k].name, rows[i].name,
+				       world_violation(w));
+			world_free(w);
+		}
 	}
 }
 
