A job that stays refused holds back acknowledgements once

Found by reading: each second in which its rows were refused again, all workers with ends that wait were held until their next list. Only the first refusal can meet ends whose job isn't known to be refused; later ones are found in the lists. The nine tests of test-progress pass.

--- a/sched-commit.c
+++ b/sched-commit.c
@@ -44,15 +44,16 @@
 	uint64_t seq = j->dirty_seq ? j->dirty_seq : j->commit_seq;
 
 	commit_forget(s, j);
-	if (!j->refused_until)
+	if (!j->refused_until) {
 		sched_log(s, LOG_PROGRESS_REFUSED,
 			  "job=%s queue=%.*s rows=%zu bytes=%zu", j->id,
 			  BSTR_ARG(j->route), rows, bytes);
+		ack_hold_refused(s);
+	}
 	j->dirty_seq = seq;
 	j->commit_seq = j->recommit_seq = 0;
 	j->refused_until = s->now + REFUSED_RETRY_MS;
 	TAILQ_INSERT_TAIL(&s->refused, j, dirty);
-	ack_hold_refused(s);
 }
 
 /* Returns how many jobs are set aside. */
