Advice: a good worker that gets no ticket any more is not asked about for ever

Found by reading: a worker known as good whose ticket had expired was named in each request. The five tests of test-advice pass.

--- a/sched-advice.c
+++ b/sched-advice.c
@@ -364,7 +364,10 @@
 	s->advice_workers_max = n < ADVICE_WORKERS_MIN ? ADVICE_WORKERS_MIN : n;
 }
 
-/* Records the verdicts in an answer on the workers that were asked about. */
+/*
+ * Records the verdicts in an answer on the workers that were asked about.  One
+ * that had a ticket and gets none is not asked about again.
+ */
 static void verdicts_read(struct sched *s, struct advice *a, struct answer *ans)
 {
 	struct verdict *v;
@@ -387,6 +390,12 @@
 				   s->now + ans->valid_ms);
 		a->none_logged = false;
 	}
+	for (i = 0; i < a->asked_count; i++) {
+		v = &a->verdicts[verdict_index(a, a->asked[i].worker)];
+		if (v->ticket &&
+		    a->tickets[v->ticket - 1].valid_until <= s->now)
+			v->ticket = 0;
+	}
 }
 
 /* Handles an answer of the advice service. */
