--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -144,3 +144,48 @@
 		     world_call_status(w, call));
 	world_free(w);
 }
+
+/* Rows as they are read, and whether the text is whole then. */
+static const struct {
+	const char *key;
+	uint64_t revision;
+	const char *value;
+	const char *text; /* NULL: it isn't */
+} read_rows[] = {
+	{"beat", 1, "{whole}", "{whole}"},
+	{"beat", 3, "{\"pieces\":2}", NULL},
+	{"beat#00", 3, "{a", NULL},
+	{"beat#01", 2, "old}", NULL},
+	{"beat#01", 3, "b}", "{ab}"},
+	{"beat#01", 4, "d}", NULL},
+	{"beat#00", 4, "{c", NULL},
+	{"beat", 4, "{\"pieces\":2}", "{cd}"},
+	{"beat", 5, "{whole again}", "{whole again}"},
+	{"beat#00", 4, "{c", NULL},
+	{"beat", 6, "{\"pieces\":65}", "{\"pieces\":65}"},
+	{"beat#0x", 6, "x", "x"},
+};
+
+/* A successor reads half of one heartbeat and half of the next one. */
+Test(large, pieces_of_two_writes_are_not_joined)
+{
+	struct sched_options o = {.vm = bstr_lit("vm"), .seed = 1};
+	struct sched *s = sched_new(&o);
+	struct row r;
+	unsigned i;
+	bool whole;
+
+	for (i = 0; i < NELEMS(read_rows); i++) {
+		r = (struct row){.table = TABLE_OWNER,
+				 .key = bstr_new(read_rows[i].key),
+				 .revision = read_rows[i].revision,
+				 .value = bstr_new(read_rows[i].value)};
+		whole = large_read(s, &r);
+		cr_expect_eq(whole, read_rows[i].text != NULL, "row %u", i);
+		cr_expect(!whole || bstr_eq_str(r.value, read_rows[i].text),
+			  "row %u: %.*s", i, BSTR_ARG(r.value));
+		bstr_free(&r.key);
+		bstr_free(&r.value);
+	}
+	sched_free(s);
+}
