--- a/tests/standin-cloud.c
+++ b/tests/standin-cloud.c
@@ -16,6 +16,8 @@
 #define SERVICE "rounds"
 #define CORES 8000
 #define PAGE 500
+#define ROW_BYTES 65536 /* of a value, as base64 */
+#define TX_ENTRIES 100
 #define STEP_MS 10 /* interval of the checks for ended runs */
 #define WORKERS_MAX 16
 #define CONNECTIONS_MAX 1024
@@ -269,6 +271,24 @@
 	free(found);
 }
 
+/*
+ * Returns true if a transaction is within the store's limits: its entries, and
+ * the length of each value as base64.
+ */
+static bool tx_is_allowed(const json_t *expect, const json_t *writes,
+			  const json_t *removes)
+{
+	const json_t *w;
+	size_t i;
+
+	json_array_foreach(writes, i, w)
+		if (json_string_length(json_object_get(w, "value")) > ROW_BYTES)
+			return false;
+	return json_array_size(expect) + json_array_size(writes) +
+		       json_array_size(removes) <=
+	       TX_ENTRIES;
+}
+
 /*
  * Handles a transaction: applies all of its writes, or none if a condition
  * fails.
@@ -282,6 +302,10 @@
 	bool ok = true;
 	size_t i;
 
+	if (!tx_is_allowed(expect, writes, removes)) {
+		rows_answer(rq, 400, list, false);
+		return;
+	}
 	json_array_foreach(expect, i, name) {
 		ok = ok &&
 		     row_version(name) == json_int(name, "record_version");
