--- a/sched-place.c
+++ b/sched-place.c
@@ -124,8 +124,10 @@
 	double score, idle;
 	bool spread;
 
-	if (!resources_fit(step_need(st), room) || !worker_suits(s, w, t) ||
-	    !lookahead_allows(s, w, t))
+	if (!resources_fit(step_need(st), room) ||
+	    !worker_suits_without_ticket(s, w, t) || !lookahead_allows(s, w, t))
+		return -1;
+	if (c->needs_tickets && !advice_ticket(s, c->occ, c->step, w).bstr_len)
 		return -1;
 	/*
 	 * Best-effort tasks use idle cores, so they go where many are idle.
