Intake: the bodies of all requests share one budget of bytes

What callers saw: none of them an answer any more. Clients that send large bodies and stop short of their end made bamboofront-entryd take 163 MB (100 bodies of 1 MB) to 213 MB (600 of 256 KB), twice what was sent; a machine has 160 MB, and a process beyond it is killed.

Cause: each request had a buffer of its own with a limit of its own (1 MB, and doubled). 2,048 connections may hold 4 GB together. Nothing counted what all hold.

intake.c counts it: one budget for all connections of a process, a quarter of the machine's memory (memory_mb, from the platform's limits.memory_mb). The buffers belong to the intake, so that it can release one at once. When they need more than there is, the connections are closed that hold most for longest (bytes times age); a client that stalls grows older with each moment, a newcomer's weight is next to nothing. An eighth is left to requests of up to 16 KB. A request that is whole keeps counting, as four copies of its body, until its answer is sent, and is never closed: it may have taken effect. One for which there is no room is refused with 503 before it gets to the scheduler: no job of it begins.

Why it is enough: every byte that is received is appended through the intake, which refuses or makes room before it allocates.

--- a/bamboofront-entryd.c
+++ b/bamboofront-entryd.c
@@ -22,7 +22,7 @@
 #define TICK_MS 40 /* interval of EVENT_TICK */
 /* The settings file may change without a signal, so it is polled as well. */
 #define SETTINGS_POLL_MS 1000
-#define CPU_REPORT_MS 1000
+#define REPORT_MS 1000
 
 /* CPU time that the threads have used, in ms. */
 struct cpu_times {
@@ -265,8 +265,10 @@
 		}
 		if (clock_now() >= d->settings_poll_at)
 			settings_poll(d, false);
-		if (clock_now() >= d->cpu_reported_at + CPU_REPORT_MS)
+		if (clock_now() >= d->cpu_reported_at + REPORT_MS) {
 			cpu_report(d);
+			front_sweep(d->front, clock_now());
+		}
 		log_flush();
 	}
 }
--- a/entry-settings.c
+++ b/entry-settings.c
@@ -8,6 +8,10 @@
 #define KEEP_MARGIN_MS 30000
 #define MACHINE_CALLS_MAX 100000 /* per second */
 #define MACHINE_CALLS_DEFAULT 64
+/* The smallest machine of the platform. */
+#define MEMORY_DEFAULT_MB 160
+#define MEMORY_MIN_MB 16
+#define MEMORY_MAX_MB 1048576
 #define ROW_BYTES_MIN 4096
 #define ROW_BYTES_MAX (1 << 20)
 
@@ -190,6 +194,9 @@
 		s->front.callers.host ? s->front.callers.host : "");
 	s->front.metrics.port = (uint16_t)number_get(j, "metrics_port", 0,
 						     65535, 0, e);
+	s->front.memory_mb = (uint32_t)number_get(j, "memory_mb", MEMORY_MIN_MB,
+						  MEMORY_MAX_MB,
+						  MEMORY_DEFAULT_MB, e);
 	s->platform.store = string_get(j, "store", e);
 	s->platform.machines = string_get(j, "machines", e);
 	advice = json_string_value(member(j, "advice"));
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -1,15 +1,18 @@
 /*
  * Tests of the platform's listener for callers, in one process: requests that
- * arrive while the VM stops as planned.
+ * arrive while the VM stops as planned, and more of them than there is memory
+ * for while the scheduler is busy.
  */
 #include "../platform/platform.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -80,7 +83,8 @@
 	struct mailbox *inbox = mailbox_new(INBOX);
 	pthread_t threads[CLIENTS];
 	struct front_options o = {.callers = {.port = CALLERS_PORT},
-				  .readiness = {.port = READINESS_PORT}};
+				  .readiness = {.port = READINESS_PORT},
+				  .memory_mb = 160};
 	struct error e = {0};
 	struct front *f;
 	unsigned i, round;
@@ -101,3 +105,105 @@
 	}
 	mailbox_free(inbox);
 }
+
+#define WAITING_BODY 65536
+#define WAITING_CALLERS 60
+
+/* Connects to the listener, and sends a job with so many bytes of filler. */
+static int job_send(const struct sockaddr_in *to, size_t filler)
+{
+	static const char begin[] =
+		"{\"specification\":\"\",\"steps\":[{\"count\":1}],\"x\":\"";
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	size_t i, size;
+	char *text;
+	FILE *f = open_memstream(&text, &size);
+
+	fprintf(f,
+		"POST /q/00000000000000aa HTTP/1.1\r\nHost: h\r\n"
+		"X-Deadline-Remaining-Ms: 60000\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		strlen(begin) + filler + 2, begin);
+	for (i = 0; i < filler; i++)
+		fputc('x', f);
+	fputs("\"}", f);
+	fclose(f);
+	cr_assert_eq(connect(fd, (const struct sockaddr *)to, sizeof(*to)), 0);
+	cr_assert_eq(send(fd, text, size, MSG_NOSIGNAL), (ssize_t)size);
+	free(text);
+	return fd;
+}
+
+/* Returns the status of the answer to a request. */
+static unsigned answer_read(int fd)
+{
+	char text[256] = "";
+	unsigned status = 0;
+
+	if (recv(fd, text, sizeof(text) - 1, 0) > 0)
+		sscanf(text, "HTTP/1.1 %u ", &status);
+	close(fd);
+	return status;
+}
+
+/* Returns true if a request was answered, or its connection closed. */
+static bool is_over(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       errno != EAGAIN;
+}
+
+/*
+ * The scheduler doesn't come to its inbox, and large whole requests arrive.
+ * What waits must stay within the budget, the others must be refused at once,
+ * and a small request must find room.
+ */
+Test(front, waiting_requests_are_bounded)
+{
+	in_addr_t ip = htonl(0x7f400000 | ((uint32_t)getpid() & 0x3fffff));
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_port = htons(CALLERS_PORT),
+				 .sin_addr = {ip}};
+	struct mailbox *inbox = mailbox_new(INBOX);
+	struct front_options o = {.callers = {.port = CALLERS_PORT},
+				  .readiness = {.port = READINESS_PORT},
+				  .memory_mb = 16};
+	struct error e = {0};
+	struct reply r = {.status = 503, .kind = REPLY_ERROR, .text = "x"};
+	int fds[WAITING_CALLERS], small;
+	unsigned refused = 0, waiting = 0, status, i;
+	struct sched_event *ev;
+	struct front *f;
+
+	o.callers.host = o.readiness.host = inet_ntoa(to.sin_addr);
+	f = front_start(&o, inbox, &e);
+	cr_assert_not_null(f);
+	for (i = 0; i < WAITING_CALLERS; i++)
+		fds[i] = job_send(&to, WAITING_BODY);
+	small = job_send(&to, 1);
+	while (refused + waiting < WAITING_CALLERS + 1) {
+		ev = mailbox_take(inbox);
+		if (!ev) {
+			for (i = 0, refused = 0; i < WAITING_CALLERS; i++)
+				refused += is_over(fds[i]);
+			usleep(1000);
+			continue;
+		}
+		waiting++;
+		cr_assert_not_null(ev->call.body);
+		sched_event_free(ev);
+	}
+	/* a quarter of the memory, and each body at least once */
+	cr_expect_leq(waiting, (o.memory_mb << 20) / 4 / WAITING_BODY + 1);
+	for (r.call = 1; r.call <= waiting; r.call++)
+		front_reply(f, &r);
+	cr_expect_eq(answer_read(small), 503);
+	for (i = 0; i < WAITING_CALLERS; i++) {
+		status = answer_read(fds[i]);
+		cr_expect(status == 503 || !status, "status %u", status);
+	}
+	front_stop(f);
+	mailbox_free(inbox);
+}
