Intake: the tree of a body is counted before it is parsed

What callers saw: 100 finished bodies of 1 MB, lists of empty objects or lists, which are refused in the end, made bamboofront-entryd take 211 and 184 MiB of a machine that has 160 MB in the smallest case; it kept most of it for seconds.

Cause: json_read() builds the whole tree before anything looks at it, and an empty object of 3 bytes takes some 250. The text's length says nothing about that.

json_tree_bytes() gives an upper bound of the tree by counting what opens a list or an object, separates elements or ends a name, outside of strings.

--- a/json-read.c
+++ b/json-read.c
@@ -3,6 +3,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Upper bounds of what jansson allocates for a value, beside its text: its
+ * node, its share of the table of the list or object it is in, its own table.
+ */
+#define TREE_BYTES 4096 /* of the parser */
+#define TREE_OBJECT_BYTES 256
+#define TREE_ARRAY_BYTES 160
+#define TREE_MEMBER_BYTES 160
+#define TREE_ELEMENT_BYTES 96
+
 /*
  * Parses a JSON text.  Rejects duplicate keys, because it is undefined which
  * value applies.
@@ -13,6 +23,43 @@
 			  JSON_REJECT_DUPLICATES, NULL);
 }
 
+/*
+ * Returns at most how many bytes the tree of a JSON text takes. That can be a
+ * hundred times the text: "{}" is an object with its hash table.
+ */
+size_t json_tree_bytes(bstr text)
+{
+	size_t bytes = TREE_BYTES + 2 * (size_t)text.bstr_len;
+	bool quoted = false;
+	u_int i;
+
+	for (i = 0; i < text.bstr_len; i++) {
+		switch (text.bstr_val[i]) {
+		case '\\':
+			i += quoted;
+			break;
+		case '"':
+			quoted = !quoted;
+			break;
+		case '{':
+			bytes += quoted ? 0 : TREE_OBJECT_BYTES;
+			break;
+		case '[':
+			bytes += quoted ? 0 : TREE_ARRAY_BYTES;
+			break;
+		case ':':
+			bytes += quoted ? 0 : TREE_MEMBER_BYTES;
+			break;
+		case ',':
+			bytes += quoted ? 0 : TREE_ELEMENT_BYTES;
+			break;
+		default:
+			break;
+		}
+	}
+	return bytes;
+}
+
 /* Reads a non-negative integer; jansson's integers end at 2^63 - 1. */
 bool json_read_u64(const json_t *j, const char *key, uint64_t *n)
 {
--- a/json-read.h
+++ b/json-read.h
@@ -10,6 +10,7 @@
 
 /* Returns NULL if text is not JSON or an object has a duplicate key. */
 json_t *json_read(bstr text);
+size_t json_tree_bytes(bstr text);
 bool json_read_u64(const json_t *j, const char *key, uint64_t *n);
 bool json_read_u32(const json_t *j, const char *key, uint32_t *n);
 bool json_read_bool(const json_t *j, const char *key, bool_t *b);
