--- a/entry-settings.c
+++ b/entry-settings.c
@@ -12,6 +12,7 @@
 #define MEMORY_DEFAULT_MB 160
 #define MEMORY_MIN_MB 16
 #define MEMORY_MAX_MB 1048576
+#define RECEIVE_DEFAULT_MS 30000
 #define ROW_BYTES_MIN 4096
 #define ROW_BYTES_MAX (1 << 20)
 
@@ -197,6 +198,8 @@
 	s->front.memory_mb = (uint32_t)number_get(j, "memory_mb", MEMORY_MIN_MB,
 						  MEMORY_MAX_MB,
 						  MEMORY_DEFAULT_MB, e);
+	s->front.receive_ms = (uint32_t)number_get(
+		j, "receive_ms", 1000, 600000, RECEIVE_DEFAULT_MS, e);
 	s->platform.store = string_get(j, "store", e);
 	s->platform.machines = string_get(j, "machines", e);
 	advice = json_string_value(member(j, "advice"));
