bamboofrontd: callers' bodies, trees and abandoned calls share the budget

What callers saw: 600 clients with bodies of 262,000 bytes short of their end and a key that nobody knows make a node take 284 MB; the target is 128. 200 whole lists of empty objects: 179 MB.

And a call whose client leaves was no longer counted anywhere while its event waited in the inbox, which has 65,536 entries.

edge-caller uses the same intake, a quarter of limits.memory_mb (new, 128 MB by default). A body without a known key needn't be read ahead of others: the key is the reducer's to know, and what a body holds until then is bounded now. A refusal is 503 "intake-full" with Retry-After, or 413. What an abandoned call takes is detached from its connection and counts until the reducer has handled its EV_CALL_GONE, which comes after the EV_CALL in the same inbox.

The limit of the time is as it was: the watcher gives a head, a body and a reply 30 s each, whatever comes.

--- a/bamboofront.h
+++ b/bamboofront.h
@@ -290,6 +290,7 @@
 		uint32_t queue_per_team;
 		uint32_t retention_ms; /* of final job results */
 		uint32_t attempts;     /* for jobs with may_repeat */
+		uint32_t memory_mb;    /* of the process */
 	} limits;
 	enum log_level log_level;
 };
@@ -324,8 +325,10 @@
  * send takes ownership of the effect and returns true, or returns false if
  * the edge's queue is full: then nothing was sent and the caller still owns
  * the effect.  stop joins the threads, after which the edge puts nothing
- * into inbox.  port returns the port that the edge listens on.
+ * into inbox.  port returns the port that the edge listens on.  The edges that
+ * listen share the intake, which limits what their clients take.
  */
+struct intake;
 struct edge_platform;
 struct edge_platform *edge_platform_start(const struct settings *s,
 					  struct mailbox *inbox,
@@ -341,10 +344,13 @@
 
 struct edge_caller;
 struct edge_caller *edge_caller_start(const struct settings *s,
+				      struct intake *intake,
 				      struct mailbox *inbox, struct error *e);
 uint16_t edge_caller_port(const struct edge_caller *edge);
 /* Takes FX_ANSWER only. */
 bool edge_caller_send(struct edge_caller *edge, effect *fx);
+/* To be called when the reducer has handled an EV_CALL_GONE. */
+void edge_caller_gone(struct edge_caller *edge, uint64_t call);
 /* Sets whether the readiness check for load balancers succeeds. */
 void edge_caller_ready(struct edge_caller *edge, bool ready);
 void edge_caller_stop(struct edge_caller *edge);
--- a/bamboofrontd.c
+++ b/bamboofrontd.c
@@ -2,6 +2,7 @@
  * bamboofrontd: the daemon. The main thread runs the reducer. The edges run
  * their own threads and pass events to the main thread through the inbox.
  */
+#include "intake.h"
 #include "record.h"
 
 #include <curl/curl.h>
@@ -23,6 +24,10 @@
 /* Time limit to stop the edges; after it SIGALRM ends the process. */
 #define EDGES_STOP_SECONDS 15
 
+/* This part of the memory is the budget of requests. */
+#define INTAKE_DIVISOR 4
+#define INTAKE_SWEEP_MS 1000
+
 /* An event or effect that is kept for a later iteration of the main loop. */
 struct deferred {
 	TAILQ_ENTRY(deferred) entry;
@@ -34,6 +39,8 @@
 struct daemon {
 	struct settings settings;
 	struct mailbox *inbox;
+	struct intake *intake; /* shared by the edges that listen */
+	int64_t intake_sweep_at;
 	struct edge_platform *platform;
 	struct edge_worker *worker;
 	struct edge_peer *peer;
@@ -236,6 +243,8 @@
 	 */
 	if (d->tick_at <= ev->now)
 		d->tick_at = ev->now + 1;
+	if (ev->body.kind == EV_CALL_GONE)
+		edge_caller_gone(d->caller, ev->body.event_body_u.gone);
 	event_free(ev);
 }
 
@@ -270,11 +279,17 @@
 	}
 }
 
-/* Runs a tick if one is due. */
+/* Runs a tick, and a sweep of the intake, if one is due. */
 static void tick_run_if_due(struct daemon *d)
 {
-	if (!d->exit && clock_now() >= d->tick_at)
+	int64_t now = clock_now();
+
+	if (!d->exit && now >= d->tick_at)
 		daemon_step(d, event_new(EV_TICK));
+	if (now >= d->intake_sweep_at) {
+		intake_sweep(d->intake, now);
+		d->intake_sweep_at = now + INTAKE_SWEEP_MS;
+	}
 }
 
 /*
@@ -415,6 +430,8 @@
 	const struct settings *s = &d->settings;
 
 	d->inbox = mailbox_new(INBOX_SIZE);
+	d->intake = intake_new(((size_t)s->limits.memory_mb << 20) /
+			       INTAKE_DIVISOR);
 	effects_init(&d->effects);
 	TAILQ_INIT(&d->self_events);
 	TAILQ_INIT(&d->unsent_answers);
@@ -430,7 +447,7 @@
 	d->operator= edge_operator_start(s, d->inbox, e);
 	if (!d->operator)
 		return false;
-	d->caller = edge_caller_start(s, d->inbox, e);
+	d->caller = edge_caller_start(s, d->intake, d->inbox, e);
 	if (!d->caller)
 		return false;
 	return !o->announce || daemon_announce(d, o->announce, e);
@@ -477,6 +494,8 @@
 	while ((ev = mailbox_take(d->inbox)))
 		event_free(ev);
 	mailbox_free(d->inbox);
+	if (d->intake)
+		intake_free(d->intake);
 	deferred_free(&d->self_events);
 	deferred_free(&d->unsent_answers);
 	effects_free(&d->effects);
--- a/caller.h
+++ b/caller.h
@@ -139,6 +139,7 @@
 };
 struct edge_caller *edge_caller_start_timed(const struct settings *s,
 					    const struct caller_timing *t,
+					    struct intake *intake,
 					    struct mailbox *inbox,
 					    struct error *e);
 
--- a/edge-caller-conn.c
+++ b/edge-caller-conn.c
@@ -37,9 +37,13 @@
  */
 void caller_conn_notify_gone(struct edge_caller *edge, const struct conn *cn)
 {
+	struct gone_call *gone = xcalloc(1, sizeof(*gone));
 	uint64_t call = caller_conn_call(edge, cn);
 
+	gone->call = call;
+	gone->bytes = intake_detach(cn->held);
 	pthread_mutex_lock(&edge->lock);
+	HASH_ADD(hh, edge->gone_calls, call, sizeof(gone->call), gone);
 	if (!gone_post(edge, call)) {
 		if (edge->unsent_gone_count == edge->unsent_gone_capacity) {
 			edge->unsent_gone_capacity =
@@ -53,6 +57,21 @@
 	pthread_mutex_unlock(&edge->lock);
 }
 
+/* Releases what a call took that nobody waited for. */
+void edge_caller_gone(struct edge_caller *edge, uint64_t call)
+{
+	struct gone_call *gone;
+
+	pthread_mutex_lock(&edge->lock);
+	HASH_FIND(hh, edge->gone_calls, &call, sizeof(call), gone);
+	if (gone)
+		HASH_DEL(edge->gone_calls, gone);
+	pthread_mutex_unlock(&edge->lock);
+	if (gone)
+		intake_settle(edge->intake, gone->bytes);
+	free(gone);
+}
+
 /* Posts the reports that caller_conn_notify_gone could not post. */
 static void gone_retry(struct edge_caller *edge)
 {
@@ -182,6 +201,7 @@
 		mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
 	struct epoll_event ev = {.events = EPOLLRDHUP | EPOLLET};
 	struct conn *cn = NULL;
+	struct intake_conn *held;
 	bool over = false;
 	uint32_t slot;
 
@@ -197,8 +217,10 @@
 	pthread_mutex_unlock(&edge->lock);
 	if (!cn)
 		return NULL;
+	held = intake_open(edge->gate, info->connect_fd, clock_now());
 	pthread_mutex_lock(&cn->lock);
 	cn->mhd = mhd;
+	cn->held = held;
 	cn->fd = info->connect_fd;
 	cn->incarnation++;
 	cn->state = CONN_IDLE;
@@ -218,6 +240,7 @@
 	pthread_mutex_lock(&cn->lock);
 	cn->mhd = NULL;
 	pthread_mutex_unlock(&cn->lock);
+	intake_close(cn->held);
 	pthread_mutex_lock(&edge->lock);
 	edge->free_slots[edge->free_slot_count++] = (uint32_t)(cn -
 							       edge->conns);
--- a/edge-caller-request.c
+++ b/edge-caller-request.c
@@ -3,6 +3,7 @@
  * to the reducer and continues when the answer has arrived.
  */
 #include "edge-caller.h"
+#include "json-read.h"
 
 #include <ck_pr.h>
 #include <sodium.h>
@@ -10,6 +11,8 @@
 #include <string.h>
 
 #define CALLER_DISCARD_MAX 8388608 /* body bytes discarded after a refusal */
+#define CALLER_BODY_COPIES 2   /* of a pending call: decoded, and its event */
+#define CALLER_CALL_BYTES 2048 /* of a pending call without its texts */
 
 /*
  * Ensures that a submission has an idempotency key, random if the caller sent
@@ -93,6 +96,7 @@
 		caller_encode_answer(&rq->call, &fx->effect_u.answer.answer,
 				     &r);
 		effect_free(fx);
+		intake_reply(cn->held, r.body.bstr_len, clock_now());
 		return caller_reply_send(mhd, rq, &r, NULL, false);
 	}
 	if (state == CONN_TIMED_OUT || state == CONN_STOPPED)
@@ -172,49 +176,101 @@
 	}
 	if (!cn)
 		return caller_reply_problem(edge, mhd, rq, true);
+	intake_begin(cn->held, clock_now());
 	caller_conn_set_deadline(cn, edge->timing.io_timeout_ms);
 	return MHD_YES;
 }
 
+/* Refuses a request for which the intake has no room. */
+static void request_refuse_room(struct request *rq, enum intake_result result)
+{
+	struct caller_problem *p = &rq->call.problem;
+
+	if (result == INTAKE_TOO_LARGE) {
+		caller_refuse(p, 413, "body-too-large",
+			      COUNT_REFUSED_BODY_TOO_LARGE,
+			      "a body with so many values is not accepted");
+		return;
+	}
+	caller_refuse(p, 503, "intake-full", COUNT_REFUSED_INTAKE,
+		      "no memory for further requests; nothing was done");
+	p->retry_after_ms = 1000;
+}
+
+/* Discards a part of a body, up to CALLER_DISCARD_MAX. */
+static enum MHD_Result request_discard_body(struct edge_caller *edge,
+					    struct request *rq, size_t len)
+{
+	rq->discarded += len;
+	if (rq->discarded <= CALLER_DISCARD_MAX)
+		return MHD_YES;
+	caller_refusal_record(edge, &rq->call.problem);
+	return MHD_NO;
+}
+
 /* Handles a part of the body. */
 static enum MHD_Result request_append_body(struct edge_caller *edge,
-					   struct request *rq, const char *data,
-					   size_t len)
+					   struct conn *cn, struct request *rq,
+					   const char *data, size_t len)
 {
-	size_t total = rq->body.bstr_len + len;
+	enum intake_result result;
 
-	if (rq->call.problem.http || total > edge->limits.max_body) {
+	if (!rq->call.problem.http &&
+	    rq->body_len + len > edge->limits.max_body) {
 		caller_refuse(&rq->call.problem, 413, "body-too-large",
 			      COUNT_REFUSED_BODY_TOO_LARGE,
 			      "a body has at most %u bytes",
 			      edge->limits.max_body);
-		rq->discarded += len;
-		if (rq->discarded <= CALLER_DISCARD_MAX)
-			return MHD_YES;
-		caller_refusal_record(edge, &rq->call.problem);
-		return MHD_NO;
-	}
-	if (total > rq->body_capacity) {
-		rq->body_capacity = total < 512 ? 512 : total * 2;
-		rq->body.bstr_val = xrealloc(rq->body.bstr_val,
-					     rq->body_capacity, 1);
+		intake_release(cn->held, rq->body_len);
 	}
-	memcpy(rq->body.bstr_val + rq->body.bstr_len, data, len);
-	rq->body.bstr_len = (u_int)total;
+	if (rq->call.problem.http)
+		return request_discard_body(edge, rq, len);
+	result = intake_append(cn->held, data, len, clock_now());
+	if (result == INTAKE_CUT)
+		return MHD_NO;
+	rq->body_len += len;
+	if (result != INTAKE_OK)
+		request_refuse_room(rq, result);
 	return MHD_YES;
 }
 
+/*
+ * Decodes the body of a request within the room that the intake has. The tree
+ * of a body can be a hundred times its text, so what it takes is charged before
+ * the body is parsed. Returns false if the request is refused.
+ */
+static bool request_decode_body(struct edge_caller *edge, struct conn *cn,
+				struct request *rq, bstr body)
+{
+	size_t bytes = CALLER_CALL_BYTES + CALLER_BODY_COPIES * rq->body_len;
+	enum intake_result result;
+	bool ok;
+
+	result = intake_charge(cn->held, bytes + json_tree_bytes(body),
+			       clock_now());
+	if (result != INTAKE_OK) {
+		request_refuse_room(rq, result);
+		return false;
+	}
+	ok = caller_decode_body(body, &edge->limits, &rq->call);
+	intake_release(cn->held, body.bstr_len);
+	intake_charge(cn->held, bytes, clock_now());
+	return ok;
+}
+
 /* Handles a complete request. */
 static enum MHD_Result request_handle_complete(struct edge_caller *edge,
 					       struct MHD_Connection *mhd,
 					       struct conn *cn,
 					       struct request *rq)
 {
-	bool ok = !rq->call.problem.http &&
-		  caller_decode_body(rq->body, &edge->limits, &rq->call);
+	bool ok = false;
+	bstr body;
 
-	bstr_free(&rq->body);
-	rq->body_capacity = 0;
+	if (!intake_complete(cn->held, &body))
+		return MHD_NO;
+	if (!rq->call.problem.http)
+		ok = request_decode_body(edge, cn, rq, body);
 	pthread_mutex_lock(&cn->lock);
 	cn->got_request = true;
 	cn->deadline = clock_now() + edge->timing.io_timeout_ms;
@@ -247,7 +303,7 @@
 		return request_handle_head(edge, mhd, cn, path, method,
 					   con_cls);
 	if (*len) {
-		ok = request_append_body(edge, rq, data, *len);
+		ok = request_append_body(edge, cn, rq, data, *len);
 		*len = 0;
 		return ok;
 	}
@@ -280,9 +336,9 @@
 		cn->answer = NULL;
 		cn->deadline = clock_now() + edge->timing.io_timeout_ms;
 		pthread_mutex_unlock(&cn->lock);
+		intake_finish(cn->held, clock_now());
 	}
 	caller_call_free(&rq->call);
-	bstr_free(&rq->body);
 	free(rq);
 	*con_cls = NULL;
 	pthread_mutex_lock(&edge->lock);
--- a/edge-caller.c
+++ b/edge-caller.c
@@ -135,9 +135,15 @@
 /* Frees an edge whose threads have ended. */
 static void edge_caller_free(struct edge_caller *edge)
 {
+	struct gone_call *gone, *next;
 	uint32_t i;
 
 	free(edge->unsent_gone);
+	HASH_ITER(hh, edge->gone_calls, gone, next) {
+		HASH_DEL(edge->gone_calls, gone);
+		intake_settle(edge->intake, gone->bytes);
+		free(gone);
+	}
 	for (i = 0; i < edge->slot_total; i++)
 		pthread_mutex_destroy(&edge->conns[i].lock);
 	pthread_mutex_destroy(&edge->lock);
@@ -152,6 +158,7 @@
 /* Creates an edge with free slots only and with the watcher's descriptors. */
 static struct edge_caller *edge_caller_new(const struct settings *s,
 					   const struct caller_timing *t,
+					   struct intake *intake,
 					   struct mailbox *inbox)
 {
 	struct epoll_event ev = {.events = EPOLLIN, .data.u64 = UINT64_MAX};
@@ -166,6 +173,9 @@
 	edge->max_connections = s->callers.max_connections;
 	if (edge->max_connections > SLOT_MASK - CALLER_SPARE_SLOTS)
 		edge->max_connections = SLOT_MASK - CALLER_SPARE_SLOTS;
+	edge->intake = intake;
+	/* The deadlines of connections are the watcher's. */
+	edge->gate = intake_gate_new(intake, UINT32_MAX, 0);
 	edge->slot_total = edge->max_connections + CALLER_SPARE_SLOTS;
 	edge->conns = xcalloc(edge->slot_total, sizeof(*edge->conns));
 	edge->free_slots = xcalloc(edge->slot_total, sizeof(*edge->free_slots));
@@ -189,6 +199,7 @@
 /* Starts the edge with the given timeouts, which tests shorten. */
 struct edge_caller *edge_caller_start_timed(const struct settings *s,
 					    const struct caller_timing *t,
+					    struct intake *intake,
 					    struct mailbox *inbox,
 					    struct error *e)
 {
@@ -197,7 +208,7 @@
 
 	if (sodium_init() < 0)
 		abort();
-	edge = edge_caller_new(s, t, inbox);
+	edge = edge_caller_new(s, t, intake, inbox);
 	mhd_start(edge, s, e);
 	if (!edge->daemon) {
 		edge_caller_free(edge);
@@ -212,12 +223,13 @@
 
 /* Starts the edge. Returns NULL with errors if it cannot listen. */
 struct edge_caller *edge_caller_start(const struct settings *s,
+				      struct intake *intake,
 				      struct mailbox *inbox, struct error *e)
 {
 	const struct caller_timing t = {
 		CALLER_IO_TIMEOUT_MS, CALLER_ANSWER_MARGIN_MS, CALLER_SWEEP_MS};
 
-	return edge_caller_start_timed(s, &t, inbox, e);
+	return edge_caller_start_timed(s, &t, intake, inbox, e);
 }
 
 uint16_t edge_caller_port(const struct edge_caller *edge)
--- a/edge-caller.h
+++ b/edge-caller.h
@@ -7,9 +7,11 @@
 #define EDGE_CALLER_H
 
 #include "caller.h"
+#include "intake.h"
 
 #include <microhttpd.h>
 #include <pthread.h>
+#include <uthash.h>
 
 #define SLOT_BITS 20 /* of a call ID, see struct conn */
 #define SLOT_MASK ((1U << SLOT_BITS) - 1)
@@ -39,6 +41,7 @@
 struct conn {
 	pthread_mutex_t lock;
 	struct MHD_Connection *mhd; /* NULL if the slot is free */
+	struct intake_conn *held;
 	int fd;
 	uint64_t generation;
 	uint64_t incarnation; /* number of connections so far */
@@ -56,12 +59,18 @@
  */
 struct request {
 	struct caller_call call;
-	bstr body;
-	size_t body_capacity;
+	size_t body_len;
 	size_t discarded;
 	bool submitted; /* sent to the reducer */
 };
 
+/* What a call takes whose EV_CALL_GONE the reducer has not handled yet. */
+struct gone_call {
+	uint64_t call;
+	size_t bytes;
+	UT_hash_handle hh;
+};
+
 /*
  * The server. unsent_gone lists the calls whose EV_CALL_GONE could not be
  * posted because the inbox was full; the watcher retries them. log_window holds
@@ -72,6 +81,8 @@
  */
 struct edge_caller {
 	struct MHD_Daemon *daemon;
+	struct intake *intake;
+	struct intake_gate *gate;
 	struct mailbox *inbox;
 	struct caller_limits limits;
 	struct caller_timing timing;
@@ -91,9 +102,10 @@
 	uint64_t *unsent_gone; /* under lock */
 	uint32_t unsent_gone_count;
 	uint32_t unsent_gone_capacity;
-	int ready;	     /* atomic (ck_pr) */
-	int stopping;	     /* atomic (ck_pr) */
-	uint64_t log_window; /* atomic (ck_pr) */
+	struct gone_call *gone_calls; /* by call, under lock */
+	int ready;		      /* atomic (ck_pr) */
+	int stopping;		      /* atomic (ck_pr) */
+	uint64_t log_window;	      /* atomic (ck_pr) */
 };
 
 /*
--- a/settings.c
+++ b/settings.c
@@ -88,6 +88,7 @@
 	DURATION_MS("limits.retention_ms", limits.retention_ms, 600000, 1000,
 		    86400000),
 	NUMBER("limits.attempts", limits.attempts, "attempts", 3, 1, 100),
+	NUMBER("limits.memory_mb", limits.memory_mb, "MB", 128, 16, 1048576),
 	{"log_level", SETTING_LEVEL, false, false, "", LEVEL_INFO, LEVEL_ERR,
 	 LEVEL_DEBUG, OFFSET(log_level)},
 };
--- a/tests/support-caller.c
+++ b/tests/support-caller.c
@@ -80,6 +80,7 @@
 {
 	unsigned i;
 
+	edge_caller_gone(r->edge, call);
 	pthread_mutex_lock(&r->lock);
 	for (i = 0; i < r->held_count && r->held[i] != call; i++)
 		;
@@ -182,10 +183,11 @@
 
 	error_init(&e);
 	r->inbox = mailbox_new(inbox);
+	r->intake = intake_new(INTAKE_BYTES);
 	pthread_mutex_init(&r->lock, NULL);
 	pthread_cond_init(&r->changed, NULL);
-	r->edge = t ? edge_caller_start_timed(s, t, r->inbox, &e)
-		    : edge_caller_start(s, r->inbox, &e);
+	r->edge = t ? edge_caller_start_timed(s, t, r->intake, r->inbox, &e)
+		    : edge_caller_start(s, r->intake, r->inbox, &e);
 	if (!r->edge) {
 		error_print(&e, stderr);
 		abort();
@@ -211,6 +213,7 @@
 	while ((ev = mailbox_take(r->inbox)))
 		event_free(ev);
 	mailbox_free(r->inbox);
+	intake_free(r->intake);
 	pthread_mutex_destroy(&r->lock);
 	pthread_cond_destroy(&r->changed);
 	free(r);
--- a/tests/support-caller.h
+++ b/tests/support-caller.h
@@ -6,10 +6,12 @@
 #define SUPPORT_CALLER_H
 
 #include "../caller.h"
+#include "../intake.h"
 
 #include <pthread.h>
 
 #define CALLER_AUTH "Authorization: Bearer " CALLER_KEY "\r\n"
+#define INTAKE_BYTES (64 << 20)
 #define CALLER_KEY "bf_k1_AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
 
 /*
@@ -21,6 +23,7 @@
  */
 struct reducer {
 	struct mailbox *inbox;
+	struct intake *intake;
 	struct edge_caller *edge;
 	pthread_t thread;
 	pthread_mutex_t lock;
--- a/tests/test-edge-caller.c
+++ b/tests/test-edge-caller.c
@@ -430,6 +430,75 @@
 	reducer_stop(r);
 }
 
+#define LARGE_BODY 60000
+/* What a pending call with this body takes: as decoded, and as an event. */
+#define LARGE_CALL (2048 + 2 * LARGE_BODY)
+
+/* Returns a submission with a body of LARGE_BODY bytes. */
+static char *large_submission(void)
+{
+	static const char begin[] = "{\"pool\":\"p\",\"label\":\"held\","
+				    "\"payload\":\"";
+	int filler = LARGE_BODY - (int)sizeof(begin) - 1;
+
+	return xasprintf(JOBS "Content-Length: %d\r\n\r\n%s%0*d\"}", LARGE_BODY,
+			 begin, filler, 0);
+}
+
+/* Waits until the pending calls of an edge take so many bytes. */
+static bool held_await(struct reducer *r, size_t bytes)
+{
+	int64_t deadline = clock_now() + 20000;
+
+	while (intake_used(r->intake) != bytes && clock_now() < deadline)
+		usleep(1000);
+	return intake_used(r->intake) == bytes;
+}
+
+/* Waits until all connections of an edge are closed. */
+static bool closed_await(struct reducer *r)
+{
+	int64_t deadline = clock_now() + 20000;
+
+	do
+		intake_sweep(r->intake, clock_now());
+	while (counter_get(COUNT_INTAKE_CONNECTIONS) && clock_now() < deadline);
+	return !counter_get(COUNT_INTAKE_CONNECTIONS);
+}
+
+/*
+ * Callers submit large jobs and leave while the reducer is busy: their events
+ * wait in its inbox.  They must count until the reducer has handled them, or
+ * there would be no limit to what waits there.
+ */
+Test(edge_caller, what_abandoned_calls_take_counts)
+{
+	static const struct caller_timing fast = {20000, 5000, 10};
+	char *text = large_submission();
+	struct reducer *r;
+	struct settings s;
+	int fd[8];
+	unsigned i;
+
+	caller_settings(&s);
+	r = reducer_start(&s, &fast, 64);
+	reducer_pause(r, true);
+	for (i = 0; i < NELEMS(fd); i++) {
+		fd[i] = client_connect(edge_caller_port(r->edge));
+		client_send(fd[i], text, strlen(text));
+	}
+	cr_expect(held_await(r, NELEMS(fd) * LARGE_CALL));
+	for (i = 0; i < NELEMS(fd); i++)
+		close(fd[i]);
+	cr_expect(closed_await(r));
+	cr_expect_eq(intake_used(r->intake), NELEMS(fd) * LARGE_CALL);
+	reducer_pause(r, false);
+	cr_expect(reducer_await(r, &r->gone_held, NELEMS(fd)));
+	cr_expect(held_await(r, 0));
+	reducer_stop(r);
+	free(text);
+}
+
 /*
  * Once the deadline has passed, the caller gets 504 with the state unknown.
  * The next request on the same connection must get its own answer, not the late
@@ -617,6 +686,7 @@
 /* With invalid settings the edge doesn't start, and every error is reported. */
 Test(edge_caller, start_finds_what_is_wrong)
 {
+	struct intake *intake = intake_new(INTAKE_BYTES);
 	struct mailbox *inbox = mailbox_new(4);
 	struct edge_caller *edge;
 	struct settings s;
@@ -625,23 +695,24 @@
 	error_init(&e);
 	caller_settings(&s);
 	s.callers.tls_cert = s.callers.tls_key = (char *)"/nowhere/x.pem";
-	cr_expect_null(edge_caller_start(&s, inbox, &e));
+	cr_expect_null(edge_caller_start(&s, intake, inbox, &e));
 	cr_expect_eq(e.count, 2);
 	error_free(&e);
 	caller_settings(&s);
 	s.callers.listen.host = (char *)"localhost";
-	cr_expect_null(edge_caller_start(&s, inbox, &e));
+	cr_expect_null(edge_caller_start(&s, intake, inbox, &e));
 	cr_expect_eq(e.count, 1);
 	error_free(&e);
 	caller_settings(&s);
-	edge = edge_caller_start(&s, inbox, &e);
+	edge = edge_caller_start(&s, intake, inbox, &e);
 	cr_assert(edge);
 	s.callers.listen.port = edge_caller_port(edge);
-	cr_expect_null(edge_caller_start(&s, inbox, &e));
+	cr_expect_null(edge_caller_start(&s, intake, inbox, &e));
 	cr_expect_eq(e.count, 1);
 	error_free(&e);
 	edge_caller_stop(edge);
 	mailbox_free(inbox);
+	intake_free(intake);
 }
 
 /* A key and certificate made for this test only. */
