bamboofrontd: silent connections make room for a new caller

What callers saw: 300 half heads at a listener with 64 connections, and each further caller is reset, or answered 503 for as long as the crowd stays.

Cause: a connection counted the same whether its call waits for an answer or nothing has ever been sent on it.

The gate of the intake closes the one that has been without a whole request for longest. A caller is told 503 "connections" only when all others have pending calls.

--- a/edge-caller-conn.c
+++ b/edge-caller-conn.c
@@ -202,7 +202,6 @@
 	struct epoll_event ev = {.events = EPOLLRDHUP | EPOLLET};
 	struct conn *cn = NULL;
 	struct intake_conn *held;
-	bool over = false;
 	uint32_t slot;
 
 	pthread_mutex_lock(&edge->lock);
@@ -211,8 +210,6 @@
 		cn = &edge->conns[slot];
 		if (slot >= edge->slot_high_water)
 			edge->slot_high_water = slot + 1;
-		over = edge->slot_total - edge->free_slot_count >
-		       edge->max_connections;
 	}
 	pthread_mutex_unlock(&edge->lock);
 	if (!cn)
@@ -225,7 +222,7 @@
 	cn->incarnation++;
 	cn->state = CONN_IDLE;
 	cn->client_closed = cn->got_request = false;
-	cn->over_limit = over;
+	cn->over_limit = intake_is_surplus(held);
 	cn->deadline = clock_now() + edge->timing.io_timeout_ms;
 	ev.data.u64 = cn->incarnation << SLOT_BITS | slot;
 	/* If this fails, the connection is served until its deadline. */
--- a/edge-caller.c
+++ b/edge-caller.c
@@ -175,7 +175,7 @@
 		edge->max_connections = SLOT_MASK - CALLER_SPARE_SLOTS;
 	edge->intake = intake;
 	/* The deadlines of connections are the watcher's. */
-	edge->gate = intake_gate_new(intake, UINT32_MAX, 0);
+	edge->gate = intake_gate_new(intake, edge->max_connections, 0);
 	edge->slot_total = edge->max_connections + CALLER_SPARE_SLOTS;
 	edge->conns = xcalloc(edge->slot_total, sizeof(*edge->conns));
 	edge->free_slots = xcalloc(edge->slot_total, sizeof(*edge->free_slots));
