RPC server: records share the budget, silent connections make room

What peers and operators saw: 128 clients of the peers' listener with a record of 1 MB short of its end make a node take 214 MB, 64 at the operators' 124; with the callers' bodies 304. Each listener turned away all who came after them.

Cause: a record must be whole before its seal can be checked, so that each connection may hold 1 MB without any key: 192 MB by the limits of the two listeners, and nothing counted them together. A new connection at the limit was closed, whatever the others did.

Received data belongs to the intake, as that of the HTTP listeners does; the server reads into one buffer of its own. A record for which there is no room ends its connection, which is all a client of ONC RPC can be told before its call is whole. The gate closes the connection that was silent for longest; peers that are in use have called more lately than a silent crowd.

--- a/bamboofront.h
+++ b/bamboofront.h
@@ -357,7 +357,8 @@
 
 struct edge_peer;
 struct edge_peer *edge_peer_start(const struct settings *s,
-				  struct mailbox *inbox, struct error *e);
+				  struct intake *intake, struct mailbox *inbox,
+				  struct error *e);
 uint16_t edge_peer_port(const struct edge_peer *edge);
 /* Takes FX_PEER only. */
 bool edge_peer_send(struct edge_peer *edge, effect *fx);
@@ -365,6 +366,7 @@
 
 struct edge_operator;
 struct edge_operator *edge_operator_start(const struct settings *s,
+					  struct intake *intake,
 					  struct mailbox *inbox,
 					  struct error *e);
 uint16_t edge_operator_port(const struct edge_operator *edge);
--- a/bamboofrontd.c
+++ b/bamboofrontd.c
@@ -441,10 +441,10 @@
 	d->worker = edge_worker_start(s, d->inbox, e);
 	if (!d->worker)
 		return false;
-	d->peer = edge_peer_start(s, d->inbox, e);
+	d->peer = edge_peer_start(s, d->intake, d->inbox, e);
 	if (!d->peer || !daemon_create_state(d, o->record, e))
 		return false;
-	d->operator= edge_operator_start(s, d->inbox, e);
+	d->operator= edge_operator_start(s, d->intake, d->inbox, e);
 	if (!d->operator)
 		return false;
 	d->caller = edge_caller_start(s, d->intake, d->inbox, e);
--- a/edge-operator.c
+++ b/edge-operator.c
@@ -316,6 +316,7 @@
 
 /* Starts the operators' listener. Returns NULL with errors on failure. */
 struct edge_operator *edge_operator_start(const struct settings *s,
+					  struct intake *intake,
 					  struct mailbox *inbox,
 					  struct error *e)
 {
@@ -328,6 +329,7 @@
 		.max_connections = s->operators.max_connections,
 		.on_call = edge_handle_operate,
 		.on_loop = edge_loop,
+		.intake = intake,
 		.arg = edge,
 	};
 
--- a/edge-peer.c
+++ b/edge-peer.c
@@ -453,7 +453,8 @@
 
 /* Starts the peers' listener. Returns NULL with errors on failure. */
 struct edge_peer *edge_peer_start(const struct settings *s,
-				  struct mailbox *inbox, struct error *e)
+				  struct intake *intake, struct mailbox *inbox,
+				  struct error *e)
 {
 	struct edge_peer *edge = xcalloc(1, sizeof(*edge));
 	struct rpc_service service = {
@@ -463,6 +464,7 @@
 		.procedure = DELIVER,
 		.max_connections = s->peers.max_connections,
 		.on_call = edge_handle_deliver,
+		.intake = intake,
 		.arg = edge,
 	};
 
--- a/rpc-server.c
+++ b/rpc-server.c
@@ -22,10 +22,12 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "intake.h"
 #include "rpc-client.h"
 #include "rpc-server.h"
 
 #define READ_BYTES 65536    /* per connection and iteration of the loop */
+#define SPARE_CONNS 16	    /* that are being closed */
 #define ACCEPT_PAUSE_MS 100 /* after descriptors or memory ran out */
 #define STOP_MS 1000	    /* replies are still written for this long */
 
@@ -50,10 +52,7 @@
 	bool closing;	  /* at the next server_close_conns */
 	uint64_t call;
 	uint32_t xid;
-	uint8_t *in;
-	size_t in_start; /* data before it has been processed */
-	size_t in_len;
-	size_t in_capacity;
+	struct intake_conn *held; /* has the received data */
 	uint8_t *out;
 	size_t out_len;
 	size_t out_sent;
@@ -71,7 +70,9 @@
 	uint64_t next_call;
 	struct rpc_conn **conns; /* conn_count of them */
 	size_t conn_count;
-	bool buffered; /* a complete record may be buffered: do not sleep */
+	struct intake_gate *gate;
+	uint8_t *scratch; /* READ_BYTES */
+	bool buffered;	  /* a complete record may be buffered: do not sleep */
 	struct pollfd *fds; /* POLL_CONNS, then one for each connection */
 };
 
@@ -123,8 +124,8 @@
 	if (conn->out_len)
 		setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &reset,
 			   sizeof(reset));
+	intake_close(conn->held);
 	close(conn->fd);
-	free(conn->in);
 	free(conn->out);
 	free(conn);
 }
@@ -298,7 +299,7 @@
 
 /* Decodes a record as a call and dispatches it. */
 static void conn_decode_call(struct rpc_server *srv, struct rpc_conn *conn,
-			     size_t payload)
+			     uint8_t *record, size_t payload)
 {
 	char cred[MAX_AUTH_BYTES], verf[MAX_AUTH_BYTES];
 	struct rpc_msg msg = {0};
@@ -306,8 +307,7 @@
 
 	msg.rm_call.cb_cred.oa_base = cred;
 	msg.rm_call.cb_verf.oa_base = verf;
-	xdrmem_create(&x, (char *)conn->in + conn->in_start, (u_int)payload,
-		      XDR_DECODE);
+	xdrmem_create(&x, (char *)record, (u_int)payload, XDR_DECODE);
 	if (xdr_callmsg(&x, &msg)) {
 		conn->xid = msg.rm_xid;
 		conn->call = srv->next_call++;
@@ -321,71 +321,96 @@
 }
 
 /*
- * Processes the first record in the buffer. Returns false if it is incomplete
- * or invalid.
+ * Processes the first record of the received data. Returns its length, or 0 if
+ * it is incomplete or invalid.
  */
-static bool conn_process_record(struct rpc_server *srv, struct rpc_conn *conn)
+static size_t conn_process_record(struct rpc_server *srv, struct rpc_conn *conn,
+				  bstr data)
 {
+	uint8_t *record = (uint8_t *)data.bstr_val;
 	size_t payload, raw;
 
-	switch (rpc_record_find(conn->in + conn->in_start,
-				conn->in_len - conn->in_start, &payload,
-				&raw)) {
+	switch (rpc_record_find(record, data.bstr_len, &payload, &raw)) {
 	case RPC_RECORD_PARTIAL:
-		return false;
+		return 0;
 	case RPC_RECORD_TOO_LONG:
 		conn_reject(srv, conn, COUNT_REFUSED_BODY_TOO_LARGE,
 			    "a record is too long");
-		return false;
+		return 0;
 	case RPC_RECORD_INVALID:
 		conn_reject(srv, conn, COUNT_REFUSED_MALFORMED,
 			    "a record has too many fragments");
-		return false;
+		return 0;
 	case RPC_RECORD_COMPLETE:
 		break;
 	}
-	rpc_record_join(conn->in + conn->in_start, payload);
-	conn_decode_call(srv, conn, payload);
-	conn->in_start += raw;
-	return true;
+	rpc_record_join(record, payload);
+	conn_decode_call(srv, conn, record, payload);
+	return raw;
 }
 
-/* Reads up to READ_BYTES into the buffer. Returns false if nothing was read. */
-static bool conn_read(struct rpc_conn *conn)
+/*
+ * Reads up to READ_BYTES. Returns false if nothing was read, or if there is no
+ * room for it: unlike a caller of HTTP, a client can't be told.
+ */
+static bool conn_read(struct rpc_server *srv, struct rpc_conn *conn)
 {
-	ssize_t n;
+	ssize_t n = recv(conn->fd, srv->scratch, READ_BYTES, MSG_DONTWAIT);
+	int64_t now = clock_now();
 
-	if (conn->in_capacity - conn->in_len < READ_BYTES) {
-		conn->in_capacity = conn->in_len + READ_BYTES;
-		conn->in = xrealloc(conn->in, conn->in_capacity, 1);
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return false;
+	if (n <= 0) {
+		conn->closing = true;
+		return false;
 	}
-	n = recv(conn->fd, conn->in + conn->in_len, READ_BYTES, MSG_DONTWAIT);
-	if (n > 0) {
-		conn->in_len += (size_t)n;
+	if (conn->state == CONN_IDLE)
+		intake_begin(conn->held, now);
+	switch (intake_append(conn->held, srv->scratch, (size_t)n, now)) {
+	case INTAKE_OK:
 		return true;
-	}
-	if (n == 0 || (errno != EAGAIN && errno != EINTR))
+	case INTAKE_CUT:
 		conn->closing = true;
-	return false;
+		return false;
+	default:
+		conn_reject(srv, conn, COUNT_REFUSED_INTAKE,
+			    "no room for a record");
+		return false;
+	}
 }
 
 /*
- * Removes processed data from the buffer. A connection that waits for a record
- * becomes idle if no data is left.
+ * Processes the records that have been received. The connection becomes idle if
+ * it waits for a record of which nothing has been received.
  */
-static void conn_compact(struct rpc_conn *conn)
+static void conn_process_records(struct rpc_server *srv, struct rpc_conn *conn)
 {
-	conn->in_len -= conn->in_start;
-	if (conn->in_len) {
-		memmove(conn->in, conn->in + conn->in_start, conn->in_len);
+	size_t done = 0, len = 0;
+	bstr data;
+
+	if (!intake_complete(conn->held, &data)) {
+		conn->closing = true;
+		return;
+	}
+	while (!conn->closing && conn->state == CONN_READING) {
+		len = conn_process_record(
+			srv, conn,
+			bstr_ref(data.bstr_val + done, data.bstr_len - done));
+		if (!len)
+			break;
+		done += len;
+	}
+	intake_release(conn->held, done);
+	if (conn->state != CONN_READING)
+		return;
+	if (done == data.bstr_len) {
+		intake_finish(conn->held, clock_now());
+		conn_set_state(conn, CONN_IDLE);
+	} else if (done) {
+		intake_begin(conn->held, clock_now());
 	} else {
-		free(conn->in);
-		conn->in = NULL;
-		conn->in_capacity = 0;
-		if (conn->state == CONN_READING)
-			conn_set_state(conn, CONN_IDLE);
+		intake_resume(conn->held);
 	}
-	conn->in_start = 0;
 }
 
 /*
@@ -402,14 +427,10 @@
 	}
 	if (conn->state == CONN_WRITING && revents)
 		conn_write(srv, conn);
-	else if (revents && conn_read(conn) && conn->state == CONN_IDLE)
+	else if (revents && conn_read(srv, conn) && conn->state == CONN_IDLE)
 		conn_set_state(conn, CONN_READING);
-	if (conn->state != CONN_READING)
-		return;
-	while (!conn->closing && conn->state == CONN_READING)
-		if (!conn_process_record(srv, conn))
-			break;
-	conn_compact(conn);
+	if (conn->state == CONN_READING && !conn->closing)
+		conn_process_records(srv, conn);
 }
 
 /* Marks a connection for closing if the deadline of its state has passed. */
@@ -435,32 +456,39 @@
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	conn->fd = fd;
+	conn->held = intake_open(srv->gate, fd, clock_now());
 	conn_set_state(conn, CONN_IDLE);
 	srv->conns[srv->conn_count++] = conn;
+	if (!intake_is_surplus(conn->held))
+		return;
+	conn->closing = true;
+	counter_add(COUNT_REFUSED_CONNECTIONS, 1);
+	log_event(LOG_REFUSED_CONNECTION, "%s: %u connections have calls",
+		  srv->service.name, srv->service.max_connections);
+}
+
+/* Returns true if there is room for a connection, or will be in a moment. */
+static bool server_has_room(const struct rpc_server *srv)
+{
+	return srv->conn_count < srv->service.max_connections + SPARE_CONNS;
 }
 
 /*
- * Accepts all pending connections. When no descriptor is left, the listening
+ * Accepts pending connections. When no descriptor is left, the listening
  * socket stays readable and the event loop would spin on it. Accepting is
  * paused then, so that the thread can serve the connections whose end frees
  * descriptors.
  */
 static void server_accept(struct rpc_server *srv)
 {
-	int fd;
+	int fd = 0;
 
-	while ((fd = accept4(srv->listen_fd, NULL, NULL,
-			     SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0) {
-		if (srv->conn_count < srv->service.max_connections) {
-			server_add_conn(srv, fd);
-			continue;
-		}
-		counter_add(COUNT_REFUSED_CONNECTIONS, 1);
-		log_event(LOG_REFUSED_CONNECTION,
-			  "%s: %zu connections are open already",
-			  srv->service.name, srv->conn_count);
-		close(fd);
-	}
+	while (server_has_room(srv) &&
+	       (fd = accept4(srv->listen_fd, NULL, NULL,
+			     SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0)
+		server_add_conn(srv, fd);
+	if (fd >= 0)
+		return;
 	if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
 		srv->accept_at = clock_now() + ACCEPT_PAUSE_MS;
 		counter_add(COUNT_REFUSED_CONNECTIONS, 1);
@@ -651,9 +679,12 @@
 	srv->stop_fd = eventfd(0, EFD_CLOEXEC);
 	if (srv->stop_fd < 0)
 		abort();
-	srv->conns = xcalloc(service->max_connections,
+	srv->gate = intake_gate_new(service->intake, service->max_connections,
+				    0);
+	srv->scratch = xmalloc(READ_BYTES);
+	srv->conns = xcalloc(service->max_connections + SPARE_CONNS,
 			     sizeof(struct rpc_conn *));
-	srv->fds = xcalloc(POLL_CONNS + service->max_connections,
+	srv->fds = xcalloc(POLL_CONNS + service->max_connections + SPARE_CONNS,
 			   sizeof(*srv->fds));
 	return srv;
 }
@@ -685,6 +716,7 @@
 		conn_free(srv->conns[--srv->conn_count]);
 	close(srv->listen_fd);
 	close(srv->stop_fd);
+	free(srv->scratch);
 	free(srv->conns);
 	free(srv->fds);
 	free(srv);
--- a/rpc-server.h
+++ b/rpc-server.h
@@ -13,6 +13,7 @@
 extern "C" {
 #endif
 
+struct intake;
 struct rpc_server;
 
 /*
@@ -31,6 +32,7 @@
 	uint32_t version;
 	uint32_t procedure;
 	uint32_t max_connections;
+	struct intake *intake;
 	void (*on_call)(void *arg, uint64_t call, const sealed *envelope);
 	int64_t (*on_loop)(void *arg, int64_t now); /* or NULL */
 	struct mailbox *wake;			    /* or NULL */
