Listeners: the kernel holds at most 32 KB unread of a connection

What callers saw: nothing yet; read, then measured in a test. While a call waits for its reply, its connection is suspended and nothing reads. What its client sends on stays in the kernel, which counts toward the machine's memory, up to the system's default for each of 2,048 connections.

Accepted sockets inherit the listening socket's receive buffer.

Evidence: test-front what_stays_unread_is_bounded expects what a connection counts as (64 KB) less its 24 KB of buffers; red with the limit taken out, passes with it.

--- a/edge-caller.c
+++ b/edge-caller.c
@@ -214,6 +214,8 @@
 		edge_caller_free(edge);
 		return NULL;
 	}
+	info = MHD_get_daemon_info(edge->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	intake_limit_unread(info->listen_fd);
 	info = MHD_get_daemon_info(edge->daemon, MHD_DAEMON_INFO_BIND_PORT);
 	edge->port = info ? info->port : 0;
 	if (pthread_create(&edge->watcher, NULL, edge_caller_watch, edge))
--- a/intake.c
+++ b/intake.c
@@ -14,6 +14,7 @@
 /* This part of the budget is left to small requests. */
 #define SMALL_DIVISOR 8
 #define REPORT_MS 1000
+#define UNREAD_MAX 16384 /* bytes; the kernel doubles it */
 /* Surplus connections that may be open, so that they get their refusal. */
 #define SURPLUS_MAX 32
 
@@ -68,6 +69,20 @@
 	int64_t report_at;
 };
 
+/*
+ * Limits what the kernel holds unread of each connection of a listener: that
+ * takes the machine's memory too, and nothing is read while a request is
+ * pending. Accepted sockets inherit the option.
+ */
+void intake_limit_unread(int listen_fd)
+{
+	int bytes = UNREAD_MAX;
+
+	if (setsockopt(listen_fd, SOL_SOCKET, SO_RCVBUF, &bytes,
+		       sizeof(bytes)) < 0)
+		log_debug("the kernel's receive buffers keep their size");
+}
+
 /* Creates the intake of a process; bytes is its budget. */
 struct intake *intake_new(size_t bytes)
 {
--- a/intake.h
+++ b/intake.h
@@ -36,6 +36,9 @@
 	INTAKE_CUT	  /* the connection is being closed */
 };
 
+/* To be called for a listening socket before its first connection. */
+void intake_limit_unread(int listen_fd);
+
 struct intake *intake_new(size_t bytes);
 /* All connections must be closed. */
 void intake_free(struct intake *in);
--- a/rpc-server.c
+++ b/rpc-server.c
@@ -679,6 +679,7 @@
 	srv->stop_fd = eventfd(0, EFD_CLOEXEC);
 	if (srv->stop_fd < 0)
 		abort();
+	intake_limit_unread(srv->listen_fd);
 	srv->gate = intake_gate_new(service->intake, service->max_connections,
 				    0);
 	srv->scratch = xmalloc(READ_BYTES);
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -8,11 +8,13 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -207,3 +209,58 @@
 	front_stop(f);
 	mailbox_free(inbox);
 }
+
+#define UNREAD_MAX (65536 - 24576) /* of a connection, beside its buffers */
+#define UNREAD_MS 500		   /* without a further byte */
+
+/* Sends on and on; returns how many bytes the other side's kernel took. */
+static long unread_send(int fd)
+{
+	int64_t moved_at = clock_now();
+	char text[4096] = {0};
+	int queued = 0;
+	long sent = 0;
+	ssize_t n;
+
+	while (clock_now() < moved_at + UNREAD_MS) {
+		n = send(fd, text, sizeof(text), MSG_DONTWAIT | MSG_NOSIGNAL);
+		if (n <= 0)
+			continue;
+		sent += n;
+		moved_at = clock_now();
+	}
+	ioctl(fd, SIOCOUTQ, &queued);
+	return sent - queued;
+}
+
+/*
+ * A client sends on while its call waits for a reply, when nothing reads. The
+ * kernel must not take more of it than is counted for a connection.
+ */
+Test(front, what_stays_unread_is_bounded)
+{
+	in_addr_t ip = htonl(0x7f400000 | ((uint32_t)getpid() & 0x3fffff));
+	struct sockaddr_in to = {.sin_family = AF_INET,
+				 .sin_port = htons(CALLERS_PORT),
+				 .sin_addr = {ip}};
+	struct mailbox *inbox = mailbox_new(INBOX);
+	struct front_options o = {.callers = {.port = CALLERS_PORT},
+				  .readiness = {.port = READINESS_PORT},
+				  .memory_mb = 160};
+	struct error e = {0};
+	struct sched_event *ev;
+	struct front *f;
+	int fd;
+
+	o.callers.host = o.readiness.host = inet_ntoa(to.sin_addr);
+	f = front_start(&o, inbox, &e);
+	cr_assert_not_null(f);
+	fd = job_send(&to, 1);
+	while (!(ev = mailbox_take(inbox)))
+		usleep(1000);
+	sched_event_free(ev);
+	cr_expect_leq(unread_send(fd), UNREAD_MAX);
+	front_stop(f);
+	close(fd);
+	mailbox_free(inbox);
+}
