Intake: the bound of a tree has room for the parser's growing buffer

What callers saw: nothing; a new test of the bound found it. A long string is read into a buffer that doubles, and copied then: 2.6 times its text are allocated at the peak, the bound had 2.

test-base json_trees_are_bounded counts what jansson allocates for 18 kinds of text and expects at most the bound; the string of 80 KB was red (211 KB of 164).

--- a/json-read.c
+++ b/json-read.c
@@ -7,7 +7,8 @@
  * Upper bounds of what jansson allocates for a value, beside its text: its
  * node, its share of the table of the list or object it is in, its own table.
  */
-#define TREE_BYTES 4096 /* of the parser */
+#define TREE_BYTES 4096	   /* of the parser */
+#define TREE_TEXT_COPIES 4 /* a string, and the parser's growing buffer */
 #define TREE_OBJECT_BYTES 256
 #define TREE_ARRAY_BYTES 160
 #define TREE_MEMBER_BYTES 160
@@ -29,7 +30,7 @@
  */
 size_t json_tree_bytes(bstr text)
 {
-	size_t bytes = TREE_BYTES + 2 * (size_t)text.bstr_len;
+	size_t bytes = TREE_BYTES + TREE_TEXT_COPIES * (size_t)text.bstr_len;
 	bool quoted = false;
 	u_int i;
 
--- a/tests/test-base.c
+++ b/tests/test-base.c
@@ -1,6 +1,7 @@
-#include "../bamboofront.h"
+#include "../json-read.h"
 
 #include <criterion/criterion.h>
+#include <malloc.h>
 #include <stdlib.h>
 
 /*
@@ -81,3 +82,76 @@
 	cr_expect(!mailbox_wait(m, 0));
 	mailbox_free(m);
 }
+
+static size_t tree_bytes, tree_peak;
+
+static void *tree_alloc(size_t size)
+{
+	void *p = malloc(size);
+
+	tree_bytes += malloc_usable_size(p);
+	if (tree_bytes > tree_peak)
+		tree_peak = tree_bytes;
+	return p;
+}
+
+static void tree_free(void *p)
+{
+	tree_bytes -= malloc_usable_size(p);
+	free(p);
+}
+
+/*
+ * A request's tree is charged by this bound before it is built: a lower one
+ * would let a crowd of small texts with large trees exceed the memory.
+ */
+Test(json, json_trees_are_bounded)
+{
+	static const struct {
+		const char *begin, *element, *end; /* %d: its number */
+		int count;
+		bool fails; /* what is built of it is bounded all the same */
+	} cases[] = {
+		{"[1", ",{}", "]", 5000, false},
+		{"[1", ",[]", "]", 5000, false},
+		{"[1", ",1", "]", 5000, false},
+		{"[1", ",1.5", "]", 5000, false},
+		{"[1", ",\"\"", "]", 5000, false},
+		{"[1", ",\"12345678\"", "]", 5000, false},
+		{"[1", ",[[1],{\"a\":[]}]", "]", 5000, false},
+		{"[1", ",{\"a\":{\"b\":1}}", "]", 5000, false},
+		{"{\"a\":1", ",\"%d\":1", "}", 5000, false},
+		{"{\"a\":1", ",\"%d\":{}", "}", 5000, false},
+		{"{\"a\":1", ",\"%d\":[]", "}", 40, false},
+		{"[\"", "{[:,\\\"", "\"]", 5000, false},
+		{"[\"", "\\u00e9", "\"]", 5000, false},
+		{"[\"", "xxxxxxxxxxxxxxxx", "\"]", 5000, false},
+		{"", "[", "", 2000, true},
+		{"", "{\"a\":", "", 2000, true},
+		{"1", "", "", 1, true},
+		{"[]", "", "", 1, false},
+	};
+	size_t i, len;
+	char *text;
+	json_t *j;
+	FILE *f;
+	int k;
+
+	json_set_alloc_funcs(tree_alloc, tree_free);
+	for (i = 0; i < NELEMS(cases); i++) {
+		f = open_memstream(&text, &len);
+		fputs(cases[i].begin, f);
+		for (k = 0; k < cases[i].count; k++)
+			fprintf(f, cases[i].element, k);
+		fputs(cases[i].end, f);
+		fclose(f);
+		tree_bytes = tree_peak = 0;
+		j = json_read(bstr_ref(text, len));
+		cr_expect_eq(!j, cases[i].fails, "case %zu", i);
+		cr_expect_leq(tree_peak, json_tree_bytes(bstr_ref(text, len)),
+			      "case %zu: %zu bytes of %zu", i, tree_peak,
+			      json_tree_bytes(bstr_ref(text, len)));
+		json_decref(j);
+		free(text);
+	}
+}
