Lint, and one function for a free port in tests

clang-tidy took two equal branches of json_tree_bytes() for a slip: what a character costs is a table now. cppcheck can't read a queue's head without a name. The tests' listeners share their set-up, and port_choose() stands once.

--- a/intake.c
+++ b/intake.c
@@ -50,6 +50,8 @@
 	size_t surplus; /* of surplus ones, which are not part of count */
 };
 
+TAILQ_HEAD(gate_list, intake_gate);
+
 /* How many connections were closed, or requests refused, by reason. */
 struct cuts {
 	uint64_t held_most;
@@ -63,7 +65,7 @@
 	pthread_mutex_t lock;
 	size_t bytes_max;
 	size_t used;
-	TAILQ_HEAD(, intake_gate) gates;
+	struct gate_list gates;
 	struct conn_list conns;
 	struct cuts cuts; /* since the last report */
 	int64_t report_at;
--- a/json-read.c
+++ b/json-read.c
@@ -1,18 +1,23 @@
 #include "json-read.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * Upper bounds of what jansson allocates for a value, beside its text: its
- * node, its share of the table of the list or object it is in, its own table.
- */
 #define TREE_BYTES 4096	   /* of the parser */
 #define TREE_TEXT_COPIES 4 /* a string, and the parser's growing buffer */
-#define TREE_OBJECT_BYTES 256
-#define TREE_ARRAY_BYTES 160
-#define TREE_MEMBER_BYTES 160
-#define TREE_ELEMENT_BYTES 96
+
+/*
+ * Upper bounds of what jansson allocates, beside its text, for the value that a
+ * character begins or separates: its node, its share of the table of the list
+ * or object that it is in, its own table.
+ */
+static const uint16_t tree_bytes_of[UCHAR_MAX + 1] = {
+	['{'] = 256,
+	['['] = 160,
+	[':'] = 160,
+	[','] = 96,
+};
 
 /*
  * Parses a JSON text.  Rejects duplicate keys, because it is undefined which
@@ -35,28 +40,14 @@
 	u_int i;
 
 	for (i = 0; i < text.bstr_len; i++) {
-		switch (text.bstr_val[i]) {
-		case '\\':
-			i += quoted;
-			break;
-		case '"':
+		unsigned char c = (unsigned char)text.bstr_val[i];
+
+		if (c == '"')
 			quoted = !quoted;
-			break;
-		case '{':
-			bytes += quoted ? 0 : TREE_OBJECT_BYTES;
-			break;
-		case '[':
-			bytes += quoted ? 0 : TREE_ARRAY_BYTES;
-			break;
-		case ':':
-			bytes += quoted ? 0 : TREE_MEMBER_BYTES;
-			break;
-		case ',':
-			bytes += quoted ? 0 : TREE_ELEMENT_BYTES;
-			break;
-		default:
-			break;
-		}
+		else if (!quoted)
+			bytes += tree_bytes_of[c];
+		else if (c == '\\')
+			i++; /* the next character is escaped */
 	}
 	return bytes;
 }
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -182,6 +182,9 @@
 		   const char *const *args);
 void standin_stop(struct standin *si);
 
+/* Returns a port of 127.0.0.1 that was free a moment ago. */
+uint16_t port_choose(void);
+
 /*
  * For tests: an HTTP client.  http_connect() connects to 127.0.0.1, from
  * another address of this host if from is not NULL; it returns -1 on failure.
--- a/tests/support-crowd.c
+++ b/tests/support-crowd.c
@@ -1,5 +1,6 @@
 #include "support-crowd.h"
 
+#include "standin.h"
 #include "support-caller.h"
 
 #include <arpa/inet.h>
@@ -36,21 +37,6 @@
 	abort();
 }
 
-/* Returns a port of 127.0.0.1 that was free a moment ago. */
-static uint16_t port_choose(void)
-{
-	struct sockaddr_in a = {.sin_family = AF_INET};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	require(fd >= 0 && !bind(fd, (struct sockaddr *)&a, sizeof(a)) &&
-			!getsockname(fd, (struct sockaddr *)&a, &len),
-		"a port");
-	close(fd);
-	return ntohs(a.sin_port);
-}
-
 /* Starts to connect to a port; returns the socket. */
 static int connect_start(uint16_t port)
 {
--- a/tests/support-entry.c
+++ b/tests/support-entry.c
@@ -1,29 +1,14 @@
 #include "support-entry.h"
 
-#include <arpa/inet.h>
+#include "standin.h"
+
 #include <libgen.h>
 #include <limits.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/prctl.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-/* Returns a free loopback port. */
-static uint16_t port_choose(void)
-{
-	struct sockaddr_in a = {.sin_family = AF_INET};
-	socklen_t len = sizeof(a);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&a, sizeof(a)) ||
-	    getsockname(fd, (struct sockaddr *)&a, &len))
-		abort();
-	close(fd);
-	return ntohs(a.sin_port);
-}
-
 /* Writes the settings of a process. */
 static void settings_write(const struct entry_process *p, const char *path)
 {
--- a/tests/support-standin.c
+++ b/tests/support-standin.c
@@ -696,6 +696,21 @@
 	memset(si, 0, sizeof(*si));
 }
 
+/* Returns a port of 127.0.0.1 that was free a moment ago. */
+uint16_t port_choose(void)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t len = sizeof(a);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (fd < 0 || bind(fd, (struct sockaddr *)&a, sizeof(a)) ||
+	    getsockname(fd, (struct sockaddr *)&a, &len))
+		abort();
+	close(fd);
+	return ntohs(a.sin_port);
+}
+
 /*
  * Connects to a port of this host, from a given local address if from is not
  * NULL.
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -28,10 +28,45 @@
 			      "Host: h\r\nContent-Length: 0\r\n\r\n";
 
 struct client_load {
-	struct sockaddr_in address;
+	const struct sockaddr_in *address;
 	atomic_bool stopped;
 };
 
+/* A listener and its scheduler's inbox. */
+struct listener {
+	struct sockaddr_in address; /* of the callers */
+	struct front_options options;
+	struct mailbox *inbox;
+	struct front *front; /* NULL: not started */
+};
+
+/*
+ * Prepares a listener of a machine with so much memory. Its address is of this
+ * process only, so that its ports are free.
+ */
+static void listener_init(struct listener *l, uint32_t memory_mb)
+{
+	in_addr_t ip = htonl(0x7f400000 | ((uint32_t)getpid() & 0x3fffff));
+
+	*l = (struct listener){.address = {.sin_family = AF_INET,
+					   .sin_port = htons(CALLERS_PORT),
+					   .sin_addr = {ip}}};
+	l->options.callers.port = CALLERS_PORT;
+	l->options.readiness.port = READINESS_PORT;
+	l->options.callers.host = inet_ntoa(l->address.sin_addr);
+	l->options.readiness.host = l->options.callers.host;
+	l->options.memory_mb = memory_mb;
+	l->inbox = mailbox_new(INBOX);
+}
+
+static void listener_start(struct listener *l)
+{
+	struct error e = {0};
+
+	l->front = front_start(&l->options, l->inbox, &e);
+	cr_assert_not_null(l->front);
+}
+
 /*
  * Sends one request on a connection of its own, and waits briefly for the
  * answer.
@@ -55,7 +90,7 @@
 	struct client_load *c = arg;
 
 	while (!atomic_load(&c->stopped))
-		request_send(&c->address);
+		request_send(c->address);
 	return NULL;
 }
 
@@ -77,35 +112,26 @@
  */
 Test(front, requests_while_it_stops)
 {
-	/* An address of this process only, so that its ports are free. */
-	in_addr_t ip = htonl(0x7f400000 | ((uint32_t)getpid() & 0x3fffff));
-	struct client_load c = {.address = {.sin_family = AF_INET,
-					    .sin_port = htons(CALLERS_PORT),
-					    .sin_addr = {ip}}};
-	struct mailbox *inbox = mailbox_new(INBOX);
+	struct client_load c;
 	pthread_t threads[CLIENTS];
-	struct front_options o = {.callers = {.port = CALLERS_PORT},
-				  .readiness = {.port = READINESS_PORT},
-				  .memory_mb = 160};
-	struct error e = {0};
-	struct front *f;
+	struct listener l;
 	unsigned i, round;
 
-	o.callers.host = o.readiness.host = inet_ntoa(c.address.sin_addr);
+	listener_init(&l, 160);
+	c.address = &l.address;
 	for (round = 0; round < ROUNDS; round++) {
-		f = front_start(&o, inbox, &e);
-		cr_assert_not_null(f);
+		listener_start(&l);
 		atomic_store(&c.stopped, false);
 		for (i = 0; i < CLIENTS; i++)
 			pthread_create(&threads[i], NULL, client_run, &c);
 		usleep(2000 + 20 * round);
-		front_stop(f);
+		front_stop(l.front);
 		atomic_store(&c.stopped, true);
 		for (i = 0; i < CLIENTS; i++)
 			pthread_join(threads[i], NULL);
-		inbox_drain(inbox);
+		inbox_drain(l.inbox);
 	}
-	mailbox_free(inbox);
+	mailbox_free(l.inbox);
 }
 
 #define WAITING_BODY 262144
@@ -165,29 +191,19 @@
  */
 Test(front, waiting_requests_are_bounded)
 {
-	in_addr_t ip = htonl(0x7f400000 | ((uint32_t)getpid() & 0x3fffff));
-	struct sockaddr_in to = {.sin_family = AF_INET,
-				 .sin_port = htons(CALLERS_PORT),
-				 .sin_addr = {ip}};
-	struct mailbox *inbox = mailbox_new(INBOX);
-	struct front_options o = {.callers = {.port = CALLERS_PORT},
-				  .readiness = {.port = READINESS_PORT},
-				  .memory_mb = 16};
-	struct error e = {0};
 	struct reply r = {.status = 503, .kind = REPLY_ERROR, .text = "x"};
-	int fds[WAITING_CALLERS], small;
 	unsigned refused = 0, waiting = 0, status, i;
+	int fds[WAITING_CALLERS], small;
 	struct sched_event *ev;
-	struct front *f;
+	struct listener l;
 
-	o.callers.host = o.readiness.host = inet_ntoa(to.sin_addr);
-	f = front_start(&o, inbox, &e);
-	cr_assert_not_null(f);
+	listener_init(&l, 16);
+	listener_start(&l);
 	for (i = 0; i < WAITING_CALLERS; i++)
-		fds[i] = job_send(&to, WAITING_BODY);
-	small = job_send(&to, 1);
+		fds[i] = job_send(&l.address, WAITING_BODY);
+	small = job_send(&l.address, 1);
 	while (refused + waiting < WAITING_CALLERS + 1) {
-		ev = mailbox_take(inbox);
+		ev = mailbox_take(l.inbox);
 		if (!ev) {
 			for (i = 0, refused = 0; i < WAITING_CALLERS; i++)
 				refused += is_over(fds[i]);
@@ -198,17 +214,18 @@
 		cr_assert_not_null(ev->call.body);
 		sched_event_free(ev);
 	}
-	/* a quarter of the memory, and each body at least once */
-	cr_expect_leq(waiting, (o.memory_mb << 20) / 4 / WAITING_BODY + 1);
+	/* a quarter of the memory, each body at least once, and the small one
+	 */
+	cr_expect_leq(waiting, (16 << 20) / 4 / WAITING_BODY + 1);
 	for (r.call = 1; r.call <= waiting; r.call++)
-		front_reply(f, &r);
+		front_reply(l.front, &r);
 	cr_expect_eq(answer_read(small), 503);
 	for (i = 0; i < WAITING_CALLERS; i++) {
 		status = answer_read(fds[i]);
 		cr_expect(status == 503 || !status, "status %u", status);
 	}
-	front_stop(f);
-	mailbox_free(inbox);
+	front_stop(l.front);
+	mailbox_free(l.inbox);
 }
 
 #define UNREAD_MAX (65536 - 24576) /* of a connection, beside its buffers */
@@ -240,28 +257,18 @@
  */
 Test(front, what_stays_unread_is_bounded)
 {
-	in_addr_t ip = htonl(0x7f400000 | ((uint32_t)getpid() & 0x3fffff));
-	struct sockaddr_in to = {.sin_family = AF_INET,
-				 .sin_port = htons(CALLERS_PORT),
-				 .sin_addr = {ip}};
-	struct mailbox *inbox = mailbox_new(INBOX);
-	struct front_options o = {.callers = {.port = CALLERS_PORT},
-				  .readiness = {.port = READINESS_PORT},
-				  .memory_mb = 160};
-	struct error e = {0};
 	struct sched_event *ev;
-	struct front *f;
+	struct listener l;
 	int fd;
 
-	o.callers.host = o.readiness.host = inet_ntoa(to.sin_addr);
-	f = front_start(&o, inbox, &e);
-	cr_assert_not_null(f);
-	fd = job_send(&to, 1);
-	while (!(ev = mailbox_take(inbox)))
+	listener_init(&l, 160);
+	listener_start(&l);
+	fd = job_send(&l.address, 1);
+	while (!(ev = mailbox_take(l.inbox)))
 		usleep(1000);
 	sched_event_free(ev);
 	cr_expect_leq(unread_send(fd), UNREAD_MAX);
-	front_stop(f);
+	front_stop(l.front);
 	close(fd);
-	mailbox_free(inbox);
+	mailbox_free(l.inbox);
 }
