Intake: nobody is closed if that would not make enough room

What callers saw: nothing yet; found when reading. A whole request whose tree takes most of the budget, beside pending ones, closed all that were being received, one after the other, and was refused all the same. A client could send such requests on and on.

What the others would make room for is added up first.

Evidence: a case of test-intake was red (a body of 128 KB was closed for a charge of 300 KB that didn't fit).

--- a/intake.c
+++ b/intake.c
@@ -340,9 +340,23 @@
 	return heaviest;
 }
 
+/* Returns the bytes that all others would make room for. */
+static size_t bytes_yielding(const struct intake *in,
+			     const struct intake_conn *asking)
+{
+	const struct intake_conn *conn;
+	size_t bytes = 0;
+
+	TAILQ_FOREACH(conn, &in->conns, entry)
+		if (conn != asking && conn_may_yield(conn))
+			bytes += conn_held(conn);
+	return bytes;
+}
+
 /*
  * Makes room for more bytes of a connection, by closing those that take most
- * from the others. A part of the budget is left to small requests.
+ * from the others. A part of the budget is left to small requests. Nobody is
+ * closed if that would not make enough room.
  */
 static enum intake_result room_make(struct intake *in, struct intake_conn *conn,
 				    size_t more, int64_t now)
@@ -354,6 +368,9 @@
 		limit -= in->bytes_max / SMALL_DIVISOR;
 	if (needed > limit)
 		return INTAKE_TOO_LARGE;
+	if (in->used + more > limit &&
+	    in->used + more - bytes_yielding(in, conn) > limit)
+		return INTAKE_FULL;
 	while (in->used + more > limit) {
 		heaviest = conn_heaviest(in, conn, more, now);
 		if (!heaviest || heaviest == conn)
