RPC server: a connection beside unanswered calls is closed at once

Cause: the server closes marked connections once an iteration, before it accepts, and then sleeps. It doesn't sleep now when it has marked one.

Evidence: test-edge-operator closes_a_connection_beside_unanswered_calls was red (still open after 10 s). bamboofront-entryd doesn't use this server.

--- a/rpc-server.c
+++ b/rpc-server.c
@@ -72,6 +72,7 @@
 	size_t conn_count;
 	struct intake_gate *gate;
 	uint8_t *scratch; /* READ_BYTES */
+	bool closing;	  /* a connection is to be closed: do not sleep */
 	bool buffered;	  /* a complete record may be buffered: do not sleep */
 	struct pollfd *fds; /* POLL_CONNS, then one for each connection */
 };
@@ -462,6 +463,7 @@
 	if (!intake_is_surplus(conn->held))
 		return;
 	conn->closing = true;
+	srv->closing = true;
 	counter_add(COUNT_REFUSED_CONNECTIONS, 1);
 	log_event(LOG_REFUSED_CONNECTION, "%s: %u connections have calls",
 		  srv->service.name, srv->service.max_connections);
@@ -583,9 +585,9 @@
 
 	until = server_fill_poll_set(srv, until);
 	left = until - clock_now();
-	if (left < 0 || srv->buffered)
+	if (left < 0 || srv->buffered || srv->closing)
 		left = 0;
-	srv->buffered = false;
+	srv->buffered = srv->closing = false;
 	if (left > INT32_MAX)
 		left = INT32_MAX;
 	/* After EINTR, revents are stale: accept at the next iteration. */
--- a/tests/test-edge-operator.c
+++ b/tests/test-edge-operator.c
@@ -555,6 +555,47 @@
 	host_stop(&h);
 }
 
+/*
+ * Calls without an answer have all connections.  A further operator must learn
+ * at once that there is none, by the end of the connection.
+ */
+Test(edge_operator, closes_a_connection_beside_unanswered_calls)
+{
+	struct target t = {.program = BAMBOO_OPERATOR};
+	uint64_t before = counter_get(COUNT_REFUSED_CONNECTIONS);
+	struct pollfd p = {.events = POLLIN};
+	sealed envelope;
+	struct host h;
+	void *answers[4];
+	int fds[4], i;
+	bstr call;
+	char byte;
+
+	host_start(&h);
+	h.hold_answers = true;
+	for (i = 0; i < (int)NELEMS(fds); i++) {
+		target_envelope(NULL, &envelope);
+		call = fault_call(&t, 1, &envelope);
+		fds[i] = fault_connect(edge_operator_port(h.edge));
+		fault_write(fds[i], call.bstr_val, call.bstr_len);
+		bstr_free(&call);
+		xdr_free(XDR_PROC(xdr_sealed), (char *)&envelope);
+	}
+	for (i = 0; i < (int)NELEMS(fds); i++) /* until all wait */
+		while (!(answers[i] = mailbox_take(h.held_answers)))
+			usleep(1000);
+	for (i = 0; i < (int)NELEMS(fds); i++)
+		mailbox_put(h.held_answers, answers[i]);
+	p.fd = fault_connect(edge_operator_port(h.edge));
+	cr_expect_eq(poll(&p, 1, WAIT_MS), 1, "still open");
+	cr_expect_leq(recv(p.fd, &byte, 1, MSG_DONTWAIT), 0);
+	cr_expect_eq(counter_get(COUNT_REFUSED_CONNECTIONS), before + 1);
+	close(p.fd);
+	for (i = 0; i < (int)NELEMS(fds); i++)
+		close(fds[i]);
+	host_stop(&h);
+}
+
 /*
  * The number of unanswered calls is bounded, also if their callers disconnect.
  */
