--- a/tests/test-crowd.c
+++ b/tests/test-crowd.c
@@ -192,6 +192,30 @@
 		      {300, PORT_CALLERS,
 		       crowd_body(CROWD_DAEMON, 262000, 262000 - 1)}})
 
+/* Memory of a crowd that has left, and that the allocator keeps. */
+Test(crowd, second_crowd_after_the_first)
+{
+	struct crowd_script first = crowd_body(CROWD_ENTRYD, MB, MB - 1);
+	struct crowd_script second = crowd_list(CROWD_ENTRYD, "{}", MB - KB);
+	struct crowd_target t;
+	struct crowd crowd;
+
+	crowd_target_start(&t, CROWD_ENTRYD, ", \"memory_mb\": 64");
+	crowd_send(&crowd, &first, 100, t.ports[PORT_CALLERS]);
+	crowd_close(&crowd);
+	crowd_send(&crowd, &second, 100, t.ports[PORT_CALLERS]);
+	crowd_close(&crowd);
+	crowd_send(&crowd, &first, 100, t.ports[PORT_CALLERS]);
+	expect_answer(&t, PORT_CALLERS, &crowd, 1, "beside the third crowd");
+	crowd_close(&crowd);
+	expect_descriptors_free(&t);
+	cr_expect_leq(crowd_target_peak_kb(&t), 64 * KB);
+	fprintf(stderr, "peak %ld KB\n", crowd_target_peak_kb(&t));
+	cr_expect_eq(crowd_target_stop(&t), 0);
+	crowd_script_free(&first);
+	crowd_script_free(&second);
+}
+
 /* A client that sends a byte now and then keeps its connection for ever. */
 Test(crowd, dripping_body)
 {
