--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "../entry-settings.h"
 #include "settings.h"
 
 #define KEY32 "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
@@ -218,7 +220,9 @@
 	cr_expect_not(settings_load(path, &s, &e));
 	cr_expect_eq(e.count, 3);
 	error_free(&e);
-	remove(path);
+	remove(file);
+	rmdir(path);
+	free(file);
 }
 
 /* Given values are kept; the others have their defaults. */
@@ -275,3 +279,55 @@
 	settings_free(&t);
 	error_free(&e);
 }
+
+/* The limits of clients on the platform: default, range and type. */
+Test(entry_settings, limits_of_clients)
+{
+	static const struct {
+		const char *more;
+		unsigned errors;
+		uint32_t memory_mb, receive_ms;
+	} cases[] = {
+		{"", 0, 160, 30000},
+		{", \"memory_mb\": 16, \"receive_ms\": 1000", 0, 16, 1000},
+		{", \"memory_mb\": 512.0", 0, 512, 30000},
+		{", \"memory_mb\": 15", 1, 0, 0},
+		{", \"memory_mb\": \"64\"", 1, 0, 0},
+		{", \"receive_ms\": 999", 1, 0, 0},
+		{", \"receive_ms\": 600001", 1, 0, 0},
+		{", \"memory_mb\": -1, \"receive_ms\": null", 2, 0, 0},
+	};
+	char path[] = "/tmp/test-settings-XXXXXX";
+	struct entry_settings got;
+	struct error e;
+	char *file;
+	size_t i;
+	FILE *f;
+
+	cr_assert(mkdtemp(path));
+	file = xasprintf("%s/s.json", path);
+	for (i = 0; i < NELEMS(cases); i++) {
+		f = fopen(file, "we");
+		fprintf(f,
+			"{\"vm\": \"a\", \"dc\": \"b\", "
+			"\"callers\": \"127.0.0.1:1\", "
+			"\"readiness\": \"127.0.0.1:2\", "
+			"\"store\": \"127.0.0.1:3\", "
+			"\"machines\": \"127.0.0.1:3\"%s}",
+			cases[i].more);
+		fclose(f);
+		error_init(&e);
+		cr_expect_eq(entry_settings_load(file, &got, &e),
+			     !cases[i].errors, "case %zu", i);
+		cr_expect_eq(e.count, cases[i].errors, "case %zu", i);
+		if (!cases[i].errors) {
+			cr_expect_eq(got.front.memory_mb, cases[i].memory_mb);
+			cr_expect_eq(got.front.receive_ms, cases[i].receive_ms);
+		}
+		entry_settings_free(&got);
+		error_free(&e);
+	}
+	remove(file);
+	rmdir(path);
+	free(file);
+}
