--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -299,6 +299,7 @@
 	};
 	char path[] = "/tmp/test-settings-XXXXXX";
 	struct entry_settings got;
+	char *file;
 	struct error e;
 	char *file;
 	size_t i;
