--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -220,9 +220,7 @@
 	cr_expect_not(settings_load(path, &s, &e));
 	cr_expect_eq(e.count, 3);
 	error_free(&e);
-	remove(file);
-	rmdir(path);
-	free(file);
+	remove(path);
 }
 
 /* Given values are kept; the others have their defaults. */
@@ -299,7 +297,6 @@
 	};
 	char path[] = "/tmp/test-settings-XXXXXX";
 	struct entry_settings got;
-	char *file;
 	struct error e;
 	char *file;
 	size_t i;
