Log what a new owner waits for, and what it was when an owner ended

OWNER_GAINED has released, silent_ms and leases_ms; OWNER_LOST ms, settled and unknown; OWNER_WAITS pools and service; TASK_ENDED granted_ms and owned_ms. No decision changes.

--- a/sched-list.c
+++ b/sched-list.c
@@ -123,10 +123,14 @@
 	struct task *t = task_find(s, n->task, &j);
 
 	if (n->kind != END_DONE || s->settled == false)
-		sched_log(s, LOG_TASK_ENDED,
-			  "task=%.*s run=%llu worker=%.*s how=%s known=%d",
-			  BSTR_ARG(n->task), (unsigned long long)n->run,
-			  BSTR_ARG(w->id), words[n->kind], t != NULL);
+		sched_log(
+			s, LOG_TASK_ENDED,
+			"task=%.*s run=%llu worker=%.*s how=%s known=%d "
+			"granted_ms=%lld owned_ms=%lld",
+			BSTR_ARG(n->task), (unsigned long long)n->run,
+			BSTR_ARG(w->id), words[n->kind], t != NULL,
+			(long long)(w->lease_end ? w->lease_end - a->clock : 0),
+			(long long)(s->now - s->own.owned_at));
 	survivor_log(s, w, a, t, n->run, words[n->kind]);
 	if (!t || t->phase == PHASE_DONE)
 		return;
--- a/sched-own.c
+++ b/sched-own.c
@@ -187,8 +187,11 @@
 	if (s->own.state == OWN_OWNER)
 		s->own.last_activity_at = s->now;
 	if (s->own.state != OWN_CLAIMING)
-		sched_log(s, LOG_OWNER_LOST, "epoch=%llu why=%s",
-			  (unsigned long long)s->own.epoch, why);
+		sched_log(s, LOG_OWNER_LOST,
+			  "epoch=%llu why=%s ms=%lld settled=%d unknown=%u",
+			  (unsigned long long)s->own.epoch, why,
+			  (long long)(s->now - s->own.owned_at), s->settled,
+			  s->unknown_count);
 	s->own.state = OWN_NONE;
 	s->own.check_required = false;
 	own_restart_timeout(s);
@@ -470,8 +473,13 @@
 	follow_restart(&s->follows[FOLLOW_OWNER]);
 	follow_tick(s);
 	sched_count(s, COUNT_TAKEOVERS, 1);
-	sched_log(s, LOG_OWNER_GAINED, "epoch=%llu revision=%llu",
-		  (unsigned long long)epoch, (unsigned long long)revision);
+	sched_log(s, LOG_OWNER_GAINED,
+		  "epoch=%llu revision=%llu released=%d silent_ms=%lld "
+		  "leases_ms=%lld",
+		  (unsigned long long)epoch, (unsigned long long)revision,
+		  s->own.previous_released,
+		  (long long)(s->now - s->own.previous_activity_at),
+		  (long long)(s->own.settle_by - s->now));
 }
 
 /*
--- a/sched-settle.c
+++ b/sched-settle.c
@@ -14,6 +14,8 @@
 static void settle_log(struct sched *s)
 {
 	struct worker *w, *next, *longest = NULL;
+	const struct pool *p;
+	unsigned pools = 0;
 
 	if (s->now < s->own.wait_log_at)
 		return;
@@ -24,14 +26,16 @@
 			longest = w;
 	if (!longest)
 		return;
+	for (p = s->pools; p; p = p->hh.next)
+		pools += p->unknown > 0;
 	sched_log(s, LOG_OWNER_WAITS,
-		  "epoch=%llu ms=%lld unknown=%u worker=%.*s listed=%d "
-		  "fenced=%d ends_cut=%d quiet_ms=%lld other_ms=%lld "
-		  "leases_ms=%lld proof_ms=%lld",
+		  "epoch=%llu ms=%lld unknown=%u pools=%u worker=%.*s "
+		  "service=%.*s listed=%d fenced=%d ends_cut=%d quiet_ms=%lld "
+		  "other_ms=%lld leases_ms=%lld proof_ms=%lld",
 		  (unsigned long long)s->own.epoch,
 		  (long long)(s->now - s->own.owned_at), s->unknown_count,
-		  BSTR_ARG(longest->id), longest->listed, longest->fenced,
-		  longest->ends_truncated,
+		  pools, BSTR_ARG(longest->id), BSTR_ARG(longest->row.service),
+		  longest->listed, longest->fenced, longest->ends_truncated,
 		  (long long)(s->now - longest->answered_at),
 		  (long long)(longest->unfenced_until - s->now),
 		  (long long)(s->own.settle_by - s->now),
