--- /dev/null
+++ b/tests/test-owners.c
@@ -0,0 +1,150 @@
+/*
+ * Tests of owners that follow each other faster than the leases of earlier ones
+ * end.  A test whose comment describes a failure guards against that failure.
+ */
+#include "world-calm.h"
+
+#include "../sched-state.h"
+
+#define JOB_A "00000000000000aa"
+#define CUT_WORKERS 2
+#define RESTART_MS 300 /* until an ended process is started again */
+#define AWAY_MS 2500   /* longer than others wait for an owner */
+/* The users ask for jobs this long after the end of the traffic. */
+#define FINISH_MS 14000
+
+static const struct world_job four_tasks = {
+	.tasks = 4, .long_running = true, .max_per_worker = 1};
+
+/* How an owner's time ends. */
+enum owner_end {
+	OWNER_KILLED,
+	OWNER_STOPPED,	   /* as planned */
+	OWNER_FROZEN,	   /* longer than others wait for it */
+	OWNER_CUT_OFF,	   /* from the store, for as long */
+	OWNER_ENDS_IN_TURN /* in each of these ways */
+};
+
+/*
+ * Ends the time of the owner; a process that ended is started again.  Returns
+ * the time that it took.
+ */
+static unsigned owner_end(struct world *w, unsigned vm, enum owner_end how,
+			  unsigned count)
+{
+	if (how == OWNER_ENDS_IN_TURN)
+		how = (enum owner_end)(count % OWNER_ENDS_IN_TURN);
+	switch (how) {
+	case OWNER_KILLED:
+		world_kill_vm(w, vm);
+		world_run(w, RESTART_MS);
+		world_start_vm(w, vm);
+		return RESTART_MS;
+	case OWNER_STOPPED:
+		world_stop_vm(w, vm);
+		world_run(w, RESTART_MS);
+		world_kill_vm(w, vm);
+		world_start_vm(w, vm);
+		return RESTART_MS;
+	case OWNER_FROZEN:
+		world_freeze_vm(w, vm, AWAY_MS);
+		return 0;
+	case OWNER_CUT_OFF:
+	case OWNER_ENDS_IN_TURN:
+		world_cut_store(w, vm, true);
+		world_run(w, AWAY_MS);
+		world_cut_store(w, vm, false);
+		return AWAY_MS;
+	}
+	return 0;
+}
+
+/* Returns true if a VM owns the scheduling and has read all tables. */
+static bool owner_is_ready(struct world *w, unsigned vm)
+{
+	struct sched *s = world_sched(w, vm);
+
+	return world_owner(w) == (int)vm && s && s->own.state == OWN_OWNER;
+}
+
+/*
+ * Lets owners follow each other until the world has had some number of starts,
+ * or a time has passed.  Each owner ends that long after it is ready.  Returns
+ * the time that it took.
+ */
+static unsigned owners_in_turn(struct world *w, enum owner_end how,
+			       unsigned live_ms, unsigned starts,
+			       unsigned max_ms)
+{
+	unsigned ms, ready_ms = 0, count = 0;
+	int vm;
+
+	for (ms = 0; ms < max_ms && world_starts(w) < starts; ms++) {
+		world_run(w, 1);
+		vm = world_owner(w);
+		if (vm < 0 || !owner_is_ready(w, (unsigned)vm)) {
+			ready_ms = ms;
+		} else if (ms - ready_ms >= live_ms) {
+			ms += owner_end(w, (unsigned)vm, how, count++);
+			ready_ms = ms;
+		}
+	}
+	return ms;
+}
+
+/*
+ * Guards against lasting tasks that never run again: their workers are cut off,
+ * and owners follow each other so fast that none comes to the end of a wait for
+ * the leases on these workers that begins anew with each.
+ */
+static const struct {
+	const char *name;
+	enum owner_end how;
+	unsigned live_ms;
+} chain_rows[] = {
+	{"killed after 2 s", OWNER_KILLED, 2000},
+	{"killed after 0.5 s", OWNER_KILLED, 500},
+	{"killed after 0.2 s", OWNER_KILLED, 200},
+	{"stopped after 1 s", OWNER_STOPPED, 1000},
+	{"stopped after 0.3 s", OWNER_STOPPED, 300},
+	{"frozen after 1 s", OWNER_FROZEN, 1000},
+	{"cut off from the store after 1 s", OWNER_CUT_OFF, 1000},
+	{"each of these in turn, after 0.6 s", OWNER_ENDS_IN_TURN, 600},
+};
+static void chain_row(unsigned row, uint64_t seed, int64_t lease_max_ms)
+{
+	struct world *w = world_new_settled(seed);
+	unsigned ms, starts;
+
+	world_set_lease_max(w, lease_max_ms);
+	world_run(w, 6000 + 40 * (int64_t)(seed % 10));
+	world_submit(w, other(w), JOB_A, &four_tasks);
+	world_run(w, 5000);
+	starts = world_starts(w);
+	cr_assert_eq(starts, 4);
+	/* Those in use are cut off, however many. */
+	world_cut_workers_of_all(w, CUT_WORKERS, true);
+	starts += (world_starts_of(w, 0) > 0) + (world_starts_of(w, 1) > 0);
+	world_kill_vm(w, owner(w));
+	ms = owners_in_turn(w, chain_rows[row].how, chain_rows[row].live_ms,
+			    starts, 40000);
+	cr_expect_leq(ms, FINISH_MS, "%s, lease_max %lld, seed %llu: %u ms",
+		      chain_rows[row].name, (long long)lease_max_ms,
+		      (unsigned long long)seed, ms);
+	world_run(w, 12000);
+	cr_expect_null(world_violation(w), "%s, lease_max %lld, seed %llu: %s",
+		       chain_rows[row].name, (long long)lease_max_ms,
+		       (unsigned long long)seed, world_violation(w));
+	world_free(w);
+}
+Test(owners, wait_that_begins_anew_with_each)
+{
+	unsigned row, seed;
+
+	for (row = 0; row < NELEMS(chain_rows); row++) {
+		for (seed = 1400; seed < 1406; seed++) {
+			chain_row(row, seed, 6000);
+			chain_row(row, seed, 10000);
+		}
+	}
+}
