An owner reads the epochs in another's heartbeat

A VM that still takes itself for the owner then noted the revision of its successor's heartbeat, but not in which epoch the note of workers was written. If it claimed next, before another heartbeat, it would take that successor for one that has granted nothing, and start tasks beside runs that this one's leases keep alive. A row older than the latest known one is not read at all.

--- a/sched-own.c
+++ b/sched-own.c
@@ -275,10 +275,10 @@
 		owner_row_apply(s, r);
 		return;
 	}
-	if (offer_row_apply(s, r) || !bstr_eq_str(r->key, KEY_HEARTBEAT))
+	if (offer_row_apply(s, r) || !bstr_eq_str(r->key, KEY_HEARTBEAT) ||
+	    r->revision < s->own.heartbeat_revision)
 		return;
-	if (s->own.state != OWN_OWNER &&
-	    heartbeat_row_read(s, r->value, &epoch) &&
+	if (heartbeat_row_read(s, r->value, &epoch) &&
 	    r->revision > s->own.heartbeat_revision)
 		own_record_activity(s);
 	if (r->revision > s->own.heartbeat_revision)
--- a/sched-row.c
+++ b/sched-row.c
@@ -247,8 +247,9 @@
 
 /*
  * Decodes the row of a heartbeat: its epoch, the ceilings, the counts of
- * waiting jobs, the admissions and the shares.  Returns false if it is
- * malformed.
+ * waiting jobs, the admissions and the shares.  An owner takes of another's
+ * only the epochs, which its next claim goes by, and nothing of its own.
+ * Returns false if it takes no more, or if the row is malformed.
  */
 bool heartbeat_row_read(struct sched *s, bstr text, uint64_t *epoch)
 {
@@ -259,8 +260,15 @@
 		return false;
 	}
 	*epoch = (uint64_t)int_member(row, "epoch");
-	s->own.heartbeat_epoch = *epoch;
-	s->own.heartbeat_note_epoch = (uint64_t)int_member(row, "note_epoch");
+	if (s->own.state != OWN_OWNER || *epoch != s->own.epoch) {
+		s->own.heartbeat_epoch = *epoch;
+		s->own.heartbeat_note_epoch = (uint64_t)int_member(
+			row, "note_epoch");
+	}
+	if (s->own.state == OWN_OWNER) {
+		json_decref(row);
+		return false;
+	}
 	s->own.heartbeat_as_of = int_member(row, "sent_at");
 	s->own.holder_cpu = int_member(row, "cpu");
 	s->own.holder_is_short = *epoch == s->own.epoch &&
