An owner's own claim, read again, doesn't hide the note that it wrote

What callers would see: two runs of one task, when the owner has read the owner's table again, as the feed's history was dropped, and is killed later, and workers are cut off then. Its successor gives them up after 1.3 s, and their leases last 2 to 10 s more.

Cause: owner_row_read() put note_epoch of the claim's row into the fields that the owner's heartbeats tell; the next ones, without a note, told that it had written none, and its successor took it for one that has granted nothing. What the row says and what this VM's ownership says are kept apart now.

--- a/sched-heartbeat.c
+++ b/sched-heartbeat.c
@@ -21,8 +21,8 @@
 	s->own.heartbeat_seq++;
 	s->own.heartbeat_epoch = s->own.epoch;
 	if (note)
-		s->own.note_epoch = s->own.epoch;
-	s->own.heartbeat_note_epoch = s->own.note_epoch;
+		s->own.inherited_leases.note_epoch = s->own.epoch;
+	s->own.heartbeat_note_epoch = s->own.inherited_leases.note_epoch;
 	t = sched_tx(s, FOR_HEARTBEAT, s->now + STORE_TIMEOUT_MS, &rq);
 	rq->number = s->own.epoch;
 	rq->revision = s->own.heartbeat_revision;
--- a/sched-inherit.c
+++ b/sched-inherit.c
@@ -22,7 +22,7 @@
 /* Returns true if the owner row tells of the leases of earlier owners. */
 static bool leases_are_recorded(const struct sched *s)
 {
-	return s->own.leases_until != 0;
+	return s->own.leases.until != 0;
 }
 
 /*
@@ -32,7 +32,7 @@
  */
 static uint64_t note_epoch_seen(const struct sched *s)
 {
-	uint64_t epoch = s->own.note_epoch;
+	uint64_t epoch = s->own.leases.note_epoch;
 
 	if (!leases_are_recorded(s))
 		return 0;
@@ -53,21 +53,25 @@
 	uint64_t note_epoch = note_epoch_seen(s);
 
 	if (leases_are_recorded(s) && note_epoch != s->own.epoch) {
-		recorded = local_time_latest(s, s->own.leases_until);
+		recorded = local_time_latest(s, s->own.leases.until);
 		if (recorded && recorded < end)
 			end = recorded;
 	}
 	s->own.claimed_settle_by = end;
-	s->own.claimed_leases_until = store_time_latest(s, end);
-	s->own.claimed_note_epoch = note_epoch;
+	s->own.claimed_leases = (struct lease_record){
+		.until = store_time_latest(s, end), .note_epoch = note_epoch};
 }
 
-/* Applies what this VM's claim, which was carried out, says of leases. */
+/*
+ * Applies what this VM's claim, which was carried out, says of leases.  The
+ * owner keeps it apart from what the row says: if it read that again later, its
+ * heartbeats would tell that it has written no note, and its successor would
+ * not wait for the leases that it granted.
+ */
 void leases_inherit(struct sched *s)
 {
 	s->own.settle_by = s->own.claimed_settle_by;
-	s->own.leases_until = s->own.claimed_leases_until;
-	s->own.note_epoch = s->own.claimed_note_epoch;
+	s->own.leases = s->own.inherited_leases = s->own.claimed_leases;
 	json_decref(s->own.lease_note);
 	s->own.lease_note = NULL;
 }
@@ -115,7 +119,8 @@
 
 	w->inherited_until = s->own.settle_by;
 	end = json_object_get(json_object_get(note, "until"), id);
-	if (!end || !epoch || (uint64_t)epoch != s->own.note_epoch)
+	if (!end || !epoch ||
+	    (uint64_t)epoch != s->own.inherited_leases.note_epoch)
 		return;
 	w->was_awaited = true;
 	until = local_time_latest(s, json_integer_value(end));
--- a/sched-own.c
+++ b/sched-own.c
@@ -448,8 +448,7 @@
 	 */
 	s->own.previous_released = released && s->own.settled;
 	leases_claim(s);
-	next.leases_until = s->own.claimed_leases_until;
-	next.note_epoch = s->own.claimed_note_epoch;
+	next.leases = s->own.claimed_leases;
 	tx_write(t, TABLE_OWNER, key, owner_row_write(&next, false));
 	s->own.state = OWN_CLAIMING;
 }
@@ -587,11 +586,12 @@
 		.settled = settled,
 		.handovers = handovers,
 		.removals_whole_since = s->own.removals_whole_since,
-		.leases_until = s->own.leases_until,
-		.note_epoch = note ? s->own.epoch : s->own.note_epoch};
+		.leases = s->own.inherited_leases};
 	struct request *rq;
 	struct tx *t;
 
+	if (note)
+		released.leases.note_epoch = s->own.epoch;
 	t = sched_tx(s, FOR_RELEASE, s->now + STORE_TIMEOUT_MS, &rq);
 	tx_expect_owner(s, t);
 	tx_write(t, TABLE_OWNER, bstr_lit(KEY_EPOCH),
--- a/sched-row.c
+++ b/sched-row.c
@@ -195,8 +195,8 @@
 		(json_int_t)o->holder_seed, "settled", o->settled, "handovers",
 		(json_int_t)o->handovers, "removals_whole_since",
 		(json_int_t)o->removals_whole_since, "leases_until",
-		(json_int_t)o->leases_until, "note_epoch",
-		(json_int_t)o->note_epoch));
+		(json_int_t)o->leases.until, "note_epoch",
+		(json_int_t)o->leases.note_epoch));
 }
 
 /* Decodes the owner row.  Returns false if it is malformed. */
@@ -216,8 +216,8 @@
 			json_object_get(row, "removals_whole_since")
 				? int_member(row, "removals_whole_since")
 				: -1;
-		o->leases_until = int_member(row, "leases_until");
-		o->note_epoch = (uint64_t)int_member(row, "note_epoch");
+		o->leases.until = int_member(row, "leases_until");
+		o->leases.note_epoch = (uint64_t)int_member(row, "note_epoch");
 	}
 	json_decref(row);
 	return ok;
@@ -233,7 +233,7 @@
 		"{s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:o, s:o, s:o}",
 		"epoch", (json_int_t)s->own.epoch, "seq",
 		(json_int_t)s->own.heartbeat_seq, "note_epoch",
-		(json_int_t)s->own.note_epoch, "sent_at",
+		(json_int_t)s->own.heartbeat_note_epoch, "sent_at",
 		(json_int_t)store_clock(s), "told_at",
 		(json_int_t)job_list_as_of(s), "cpu",
 		(json_int_t)offer_own_cpu(s), "waiting", counts_write(s),
--- a/sched-state.h
+++ b/sched-state.h
@@ -747,6 +747,14 @@
 	OWN_RELEASING
 };
 
+/* What is stored of the leases that owners before an epoch have granted. */
+struct lease_record {
+	int64_t until;	     /* they have ended, by the store's clock; 0: not
+			      * known */
+	uint64_t note_epoch; /* whose owner wrote the note of workers; 0: not
+			      * known */
+};
+
 /* Who owns the scheduling, and the heartbeat of this VM if it does. */
 struct ownership {
 	enum own_state state;
@@ -785,15 +793,13 @@
 	json_t *shares_exceeded; /* organisations beyond their share, as
 				  * recorded by an earlier owner, or NULL */
 	json_t *ceilings; /* on what earlier owners may have running, or NULL */
-	int64_t settle_by;    /* end of the last lease of earlier owners */
-	int64_t leases_until; /* the same in the owner row, by the store's
-			       * clock; 0: not known */
-	uint64_t note_epoch;  /* whose owner wrote the note of workers; 0: not
-			       * known */
-	int64_t claimed_settle_by; /* these three, in the latest claim */
-	int64_t claimed_leases_until;
-	uint64_t claimed_note_epoch;
-	uint64_t heartbeat_epoch; /* of the latest heartbeat seen */
+	int64_t settle_by; /* end of the last lease of earlier owners */
+	struct lease_record leases;	      /* in the owner row */
+	struct lease_record claimed_leases;   /* in the latest claim */
+	int64_t claimed_settle_by;	      /* the same on this VM's clock */
+	struct lease_record inherited_leases; /* of this VM's ownership, with
+					       * the notes that it wrote */
+	uint64_t heartbeat_epoch;	      /* of the latest heartbeat seen */
 	uint64_t heartbeat_note_epoch;
 	json_t *lease_note; /* when the leases of workers that did not answer
 			     * an earlier owner have ended, or NULL */
--- a/tests/test-owners.c
+++ b/tests/test-owners.c
@@ -167,3 +167,60 @@
 		}
 	}
 }
+
+/*
+ * Guards against two runs of one task: an owner reads the owner's table again,
+ * as the feed's history was dropped, and takes from its own claim in which
+ * epoch the note of workers was written.  Its heartbeats then tell that it has
+ * written none, and its successor doesn't wait for the leases that it granted.
+ */
+static const struct {
+	const char *name;
+	bool second; /* the owner has replaced one */
+	unsigned reads;
+} reread_rows[] = {
+	{"the first owner, no reading", false, 0},
+	{"the first owner, once", false, 1},
+	{"the second owner, no reading", true, 0},
+	{"the second owner, once", true, 1},
+	{"the second owner, twice", true, 2},
+};
+static void reread_row(unsigned row, uint64_t seed)
+{
+	struct world *w = world_new_settled(seed);
+	unsigned i;
+
+	if (reread_rows[row].second) {
+		i = owner(w);
+		world_kill_vm(w, i);
+		world_run(w, 300);
+		world_start_vm(w, i);
+		world_run(w, 15000);
+	}
+	world_run(w, 4000 + 40 * (int64_t)(seed % 10));
+	world_submit(w, other(w), JOB_A, &four_tasks);
+	world_run(w, 5000);
+	cr_assert_eq(world_starts(w), 4);
+	for (i = 0; i < reread_rows[row].reads; i++) {
+		world_unlist_worker(w, 5, false); /* a later change */
+		world_compact_history(w);
+		world_run(w, 2500);
+	}
+	/* Those in use are cut off, however many. */
+	world_cut_workers_of_all(w, CUT_WORKERS, true);
+	world_run(w, 20 * (int64_t)(seed % 20));
+	world_kill_vm(w, owner(w));
+	world_run(w, 14000);
+	cr_expect_null(world_violation(w), "%s, seed %llu: %s",
+		       reread_rows[row].name, (unsigned long long)seed,
+		       world_violation(w));
+	world_free(w);
+}
+Test(owners, owner_that_reads_its_claim_again)
+{
+	unsigned row, seed;
+
+	for (row = 0; row < NELEMS(reread_rows); row++)
+		for (seed = 1500; seed < 1508; seed++)
+			reread_row(row, seed);
+}
