A red test of a call about a machine that outlives a cut

A server answers a request and is cut off; the next call about a machine goes over the open connection, and is left there whole: nothing that the sender does later, its end included, takes it back.

--- a/tests/test-calls.c
+++ b/tests/test-calls.c
@@ -4,20 +4,22 @@
 #include "support-fake.h"
 
 #include <criterion/criterion.h>
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define TIMEOUT_MS 30000
+#define SHORT_MS 500 /* a timeout that is meant to expire */
 
-/* Sends an ask and returns its outcome. */
-static enum outcome ask_outcome(struct platform *p, struct mailbox *inbox,
-				enum ask_kind kind, uint16_t port)
+/* Sends an ask with a deadline. */
+static void ask_send(struct platform *p, enum ask_kind kind, uint16_t port,
+		     int64_t until)
 {
 	struct sched_effect *fx = xcalloc(1, sizeof(*fx));
-	int64_t until = clock_now() + TIMEOUT_MS;
-	struct sched_event *ev;
-	enum outcome outcome;
 
 	fx->kind = EFFECT_ASK;
 	fx->ask.kind = kind;
@@ -30,15 +32,35 @@
 		fx->ask.order.pool = bstr_new("rounds");
 	}
 	platform_send(p, fx);
+}
+
+/* Waits for the answer to an ask, and sets why it was refused. */
+static enum outcome answer_wait(struct mailbox *inbox, enum refusal *refusal)
+{
+	int64_t until = clock_now() + TIMEOUT_MS;
+	struct sched_event *ev;
+	enum outcome outcome;
+
 	while (!(ev = mailbox_take(inbox)) && clock_now() < until)
 		mailbox_wait(inbox, 100);
 	cr_assert_not_null(ev);
 	cr_assert_eq(ev->kind, EVENT_ANSWER);
 	outcome = ev->answer.outcome;
+	*refusal = ev->answer.refusal;
 	sched_event_free(ev);
 	return outcome;
 }
 
+/* Sends an ask and returns its outcome. */
+static enum outcome ask_outcome(struct platform *p, struct mailbox *inbox,
+				enum ask_kind kind, uint16_t port)
+{
+	enum refusal refusal;
+
+	ask_send(p, kind, port, clock_now() + TIMEOUT_MS);
+	return answer_wait(inbox, &refusal);
+}
+
 /*
  * Guards against sending a second copy of an order whose connection was reset,
  * and taking its refusal for that of the first one, which may have been carried
@@ -104,6 +126,107 @@
 	mailbox_free(inbox);
 }
 
+/*
+ * A server that answers one request and is then cut off: nothing that is sent
+ * to it later gets an acknowledgement.  What is left to the kernel on the open
+ * connection arrives once the server can be reached again, also if the process
+ * that sent it has been killed.
+ */
+struct cut_server {
+	int listener;
+	int filler; /* keeps the kernel from answering further connections */
+	int conn;
+	uint16_t port;
+};
+
+/* Starts the server, not cut off yet. */
+static void cut_server_start(struct cut_server *s)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET,
+				.sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(a);
+
+	s->listener = socket(AF_INET, SOCK_STREAM, 0);
+	s->filler = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert_eq(bind(s->listener, (struct sockaddr *)&a, length), 0);
+	cr_assert_eq(getsockname(s->listener, (struct sockaddr *)&a, &length),
+		     0);
+	cr_assert_eq(listen(s->listener, 0), 0);
+	s->port = ntohs(a.sin_port);
+}
+
+/* Answers the first request, and is cut off by then. */
+static void cut_server_answer(struct cut_server *s)
+{
+	static const char answer[] = "HTTP/1.1 200 OK\r\n"
+				     "Content-Length: 2\r\n\r\n{}";
+	struct sockaddr_in a = {.sin_family = AF_INET,
+				.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+				.sin_port = htons(s->port)};
+	struct pollfd p = {.events = POLLIN};
+	char request[4096];
+
+	p.fd = s->listener;
+	cr_assert_eq(poll(&p, 1, TIMEOUT_MS), 1);
+	p.fd = s->conn = accept(s->listener, NULL, NULL);
+	cr_assert_eq(poll(&p, 1, TIMEOUT_MS), 1);
+	cr_assert_gt(recv(s->conn, request, sizeof(request), 0), 0);
+	cr_assert_eq(connect(s->filler, (struct sockaddr *)&a, sizeof(a)), 0);
+	cr_assert_eq(send(s->conn, answer, strlen(answer), 0), strlen(answer));
+}
+
+/* Stops the server. */
+static void cut_server_stop(struct cut_server *s)
+{
+	close(s->conn);
+	close(s->filler);
+	close(s->listener);
+}
+
+/*
+ * Guards against a call about a machine that a killed owner leaves to its
+ * kernel while the platform is cut off: it is carried out when the cut ends,
+ * after calls of later owners, and ends what runs on the machine by then.
+ */
+Test(calls, no_call_about_a_machine_outlives_a_cut, .timeout = 60)
+{
+	static const enum ask_kind kinds[] = {ASK_MOVE, ASK_MAINTENANCE};
+	struct platform_options o = {.advice = ""};
+	struct mailbox *inbox = mailbox_new(16);
+	struct cut_server server;
+	enum refusal refusal;
+	struct platform *p;
+	char left[4096];
+	struct error e;
+	char *address;
+	size_t i;
+
+	error_init(&e);
+	for (i = 0; i < NELEMS(kinds); i++) {
+		cut_server_start(&server);
+		address = xasprintf("127.0.0.1:%u", server.port);
+		o.store = o.machines = address;
+		p = platform_start(&o, inbox, inbox, &e);
+		cr_assert(p);
+		/* Leaves an open connection. */
+		ask_send(p, ASK_MACHINES, server.port,
+			 clock_now() + TIMEOUT_MS);
+		cut_server_answer(&server);
+		cr_assert_eq(answer_wait(inbox, &refusal), OUT_DONE);
+		ask_send(p, kinds[i], server.port, clock_now() + SHORT_MS);
+		cr_expect_eq(answer_wait(inbox, &refusal), OUT_REFUSED,
+			     "row %zu", i);
+		cr_expect_eq(refusal, REFUSAL_NOT_SENT, "row %zu", i);
+		cr_expect_leq(
+			recv(server.conn, left, sizeof(left), MSG_DONTWAIT), 0,
+			"row %zu: a call is left", i);
+		platform_stop(p);
+		cut_server_stop(&server);
+		free(address);
+	}
+	mailbox_free(inbox);
+}
+
 /* A row of a transaction, and the part that the platform has to be told. */
 static const struct {
 	enum table table;
