A call about a machine goes over a connection opened for it

What callers saw: a worker ended with the tasks that it ran for the present owner, because the platform carried out a move that an earlier owner had ordered 25 s before (ONE, where the platform checks no epochs).

Cause: the call went over an open connection while the platform was cut off from the owner. The kernel kept it, and delivered it when the cut had ended; the owner's process had been killed meanwhile, so nothing reset the connection.

Now such a call opens a connection, and closes it after the answer, over either transport.

Why it works: the answer to a handshake shows that the server could be reached a moment before the call leaves, so a cut that began earlier leaves nothing with the kernel. A cut that begins within the round trip after it still can.

--- a/http-client.h
+++ b/http-client.h
@@ -47,6 +47,12 @@
  * to be queued again (for example to fetch the next page), which is accepted
  * even at max_requests, or NULL.
  *
+ * With new_connection, the request goes over a connection opened for it and
+ * closed after it. The handshake shows that the server could be reached right
+ * before the request leaves. On an open connection nothing shows that: the
+ * kernel would keep the request for as long as the server cannot be reached,
+ * and deliver it then, even if this process has been killed.
+ *
  * entry, waiting_in and timer belong to the client.
  */
 #define HTTP_HEADERS_MAX 3
@@ -63,6 +69,7 @@
 	size_t max_response; /* bytes */
 	int64_t start_at;    /* earliest start; 0: at once */
 	int64_t deadline;    /* never sent at or after this time */
+	bool new_connection;
 	bool (*build)(struct http_request *r);
 	struct http_request *(*done)(struct http_request *r,
 				     const struct http_response *res);
--- a/http-direct.c
+++ b/http-direct.c
@@ -344,7 +344,7 @@
 static void conn_complete(struct http_conn *n)
 {
 	struct http_transfer *t = n->transfer;
-	bool keep = n->reply.keep_alive &&
+	bool keep = n->reply.keep_alive && !t->request->new_connection &&
 		    n->request_sent == n->request.bstr_len;
 
 	bstr_free(&n->request);
@@ -436,7 +436,8 @@
 
 	if (!url_split(t->request->url, &u))
 		return false;
-	while ((n = conn_reuse(c, t->queue, &u.address))) {
+	while (!t->request->new_connection &&
+	       (n = conn_reuse(c, t->queue, &u.address))) {
 		transfer_assign(t, n, &u);
 		if (conn_begin(n))
 			return true;
--- a/http-transfer.c
+++ b/http-transfer.c
@@ -273,7 +273,9 @@
 		t->queue->shard = http_shard_acquire(t->client);
 	curl_easy_setopt(t->easy, CURLOPT_URL, t->request->url);
 	transfer_set_headers(t, t->request);
-	curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, 0L);
+	curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT,
+			 (long)t->fresh_connect);
+	curl_easy_setopt(t->easy, CURLOPT_FORBID_REUSE, (long)t->fresh_connect);
 	transfer_set_method(t, t->request);
 	if (!transfer_add(t))
 		http_transfer_end(t, HTTP_NOT_SENT);
@@ -302,7 +304,8 @@
 	http_queue_begin(q);
 	t->queue = q;
 	t->request = r;
-	t->sent = t->stale = t->fresh_connect = false;
+	t->sent = t->stale = false;
+	t->fresh_connect = r->new_connection;
 	t->headers_done = t->framed = false;
 	t->header_bytes = t->body_capacity = 0;
 	memset(&t->response, 0, sizeof(t->response));
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -747,6 +747,38 @@
 	}
 }
 
+/*
+ * Guards against leaving a request that must not arrive late to an open
+ * connection, whose server may be unreachable by now, and against keeping the
+ * connection of each such request open: they would use up the descriptors.
+ */
+TEST_TRANSPORTS(a_request_gets_a_connection_of_its_own)
+{
+	static const struct fake_step steps[] = {{FAKE_ANSWER, 200, "a"},
+						 {FAKE_ANSWER, 200, "b"},
+						 {FAKE_ANSWER, 200, "c"},
+						 {FAKE_ANSWER, 200, "d"}};
+	static const unsigned connections[] = {1, 2, 3, 1};
+	struct http_client *client = client_start(direct);
+	struct fake *f = fake_start(steps, NELEMS(steps));
+	struct call c;
+	size_t i;
+
+	for (i = 0; i < NELEMS(steps); i++) {
+		struct gate ended = GATE;
+
+		call_set(&c, fake_port(f), "call", LONG_MS, &ended);
+		c.http.new_connection = i == 1 || i == 2;
+		cr_assert(http_client_send(client, &c.http));
+		gate_wait(&ended, 1);
+		cr_expect_eq(c.outcome, HTTP_OK, "call %zu", i);
+		cr_expect_eq(fake_wait(f, i)->connection, connections[i],
+			     "call %zu", i);
+	}
+	http_client_stop(client);
+	fake_stop(f);
+}
+
 /*
  * Guards against reusing a connection after a request on it, or on an older one
  * of its queue, had no answer in time: it may be silent for good, and each use
