World: requests of a VM can be late on their way to the store

The store's clock in its answers is then later than the time at which the VM sent the request, as with a slow network; the world's clock was known exactly until now. Worlds without such a delay run as before.

--- a/tests/support-world-fault.c
+++ b/tests/support-world-fault.c
@@ -98,6 +98,12 @@
 	w->vms[vm].store_delay_ms = ms;
 }
 
+/* Delays each request of a VM on its way to the store. */
+void world_set_vm_store_way(struct world *w, unsigned vm, int64_t ms)
+{
+	w->vms[vm].store_way_ms = ms;
+}
+
 /* Withholds the answers to a VM's pages and feeds of a table, or ends that. */
 void world_stall_reads(struct world *w, unsigned vm, enum table table,
 		       bool stalled)
--- a/tests/support-world-state.h
+++ b/tests/support-world-state.h
@@ -155,6 +155,7 @@
 	bool cut_store;
 	enum world_store_mode store_mode;
 	int64_t store_delay_ms;
+	int64_t store_way_ms;	       /* of its requests to the store */
 	bool reads_stalled[TABLE_MAX]; /* no answers to pages and feeds */
 	bool pages_stalled[TABLE_MAX]; /* no answers to pages */
 	bool cut_worker[WORLD_WORKERS_MAX];
--- a/tests/support-world-store.c
+++ b/tests/support-world-store.c
@@ -207,6 +207,7 @@
 {
 	int64_t slow = w->store_delay_ms + w->vms[vm].store_delay_ms;
 
+	ev->answer.sent_at -= w->vms[vm].store_way_ms;
 	if (fx->ask.kind == ASK_FEED)
 		slow += w->feed_delay_ms[fx->ask.range.table];
 	if (slow && w->now + ONE_WAY_MS + slow > fx->ask.deadline) {
--- a/tests/support-world.c
+++ b/tests/support-world.c
@@ -291,9 +291,11 @@
 }
 
 /* Returns the delay of a request on top of the network's. */
-static int64_t order_extra_ms(const struct world *w,
+static int64_t order_extra_ms(const struct world *w, unsigned vm,
 			      const struct sched_effect *fx)
 {
+	if (fx->ask.kind <= ASK_FEED)
+		return w->vms[vm].store_way_ms;
 	return fx->ask.kind == ASK_START || fx->ask.kind == ASK_STOP
 		       ? w->order_delay_ms
 		       : 0;
@@ -317,7 +319,7 @@
 		if (fx->kind == EFFECT_ASK) {
 			p = world_pending_add(w, &w->pending,
 					      w->now + ONE_WAY_MS +
-						      order_extra_ms(w, fx),
+						      order_extra_ms(w, vm, fx),
 					      vm);
 			p->effect = fx;
 			continue;
--- a/tests/support-world.h
+++ b/tests/support-world.h
@@ -131,6 +131,12 @@
 void world_set_store_delay(struct world *w, int64_t ms);
 void world_set_vm_store_delay(struct world *w, unsigned vm, int64_t ms);
 
+/*
+ * Delays each request of a VM on its way to the store, so that the store's
+ * clock is read later than the VM can tell.
+ */
+void world_set_vm_store_way(struct world *w, unsigned vm, int64_t ms);
+
 /* Delays the pages of a table, as they are at the time of the read. */
 void world_set_page_delay(struct world *w, enum table table, int64_t ms);
 void world_set_feed_delay(struct world *w, enum table table, int64_t ms);
