Tests of what an owner goes by that earlier owners noted

Three tests: leases of an owner that reached workers which the one before and the one after it don't reach (20 kinds of it; each step also checks that no lease ends after what the store's note says, and that no worker named there may get tasks); a successor's heartbeat that is read before the row which names it; a planned stop while the tables are read.

--- a/tests/test-owners.c
+++ b/tests/test-owners.c
@@ -4,7 +4,7 @@
  */
 #include "world-calm.h"
 
-#include "../sched-state.h"
+#include "support-world-state.h"
 
 #define JOB_A "00000000000000aa"
 #define CUT_WORKERS 2
@@ -224,3 +224,395 @@
 		for (seed = 1500; seed < 1508; seed++)
 			reread_row(row, seed);
 }
+
+/* Returns the time at which the lease on a worker ends. */
+static int64_t lease_end_at(const struct world *w, unsigned n)
+{
+	const struct world_worker *k = &w->workers[n];
+	int64_t ms = k->lease_end - k->clock_base;
+
+	return k->started_at + ms * CLOCK_PARTS / (CLOCK_PARTS - k->slow);
+}
+
+/*
+ * Returns by how much a lease ends later than a note says.  Whoever reads the
+ * note goes by that, within a margin that would hide small errors.
+ */
+static int64_t lease_beyond_note(const struct world *w, json_t *note)
+{
+	int64_t most = INT64_MIN, until;
+	const json_t *end;
+	const char *id;
+	unsigned n;
+
+	json_object_foreach(json_object_get(note, "until"), id, end) {
+		until = json_integer_value(end) - STORE_CLOCK_BASE;
+		n = (unsigned)strtoul(id + 2, NULL, 10);
+		if (lease_end_at(w, n) - until > most)
+			most = lease_end_at(w, n) - until;
+	}
+	return most;
+}
+
+/*
+ * Returns true if the owner would start tasks on a worker that a note names as
+ * one that has not answered.
+ */
+static bool awaited_is_eligible(struct world *w, const json_t *note)
+{
+	const json_t *until = json_object_get(note, "until");
+	int vm = world_owner(w);
+	struct sched *s = vm < 0 ? NULL : world_sched(w, (unsigned)vm);
+	const struct worker *k;
+	bool any = false;
+	char *id;
+
+	for (k = s ? s->workers : NULL; k && !any; k = k->hh.next) {
+		id = bstr_cstr(k->id);
+		any = json_object_get(until, id) && worker_is_eligible(s, k);
+		free(id);
+	}
+	return any;
+}
+
+/*
+ * Runs a world and checks the store's note every few milliseconds.  An owner's
+ * reckoning of a slow clock runs on from the worker's last answer.
+ */
+static void run_checked(struct world *w, int64_t ms, const char *name,
+			uint64_t seed)
+{
+	const struct world_row *r = world_row_get(w, TABLE_NOTES, KEY_LEASES);
+	int64_t most = WORKER_TIMEOUT_MS * CLOCK_SLOW_MAX / CLOCK_PARTS;
+	int64_t until = w->now + ms, beyond = INT64_MIN;
+	uint64_t revision = 0;
+	bool eligible = false;
+	json_t *note = NULL;
+
+	while (w->now < until && beyond <= most && !eligible) {
+		world_run(w, 5);
+		if (r->revision != revision) {
+			json_decref(note);
+			note = json_read(r->value);
+			revision = r->revision;
+		}
+		beyond = lease_beyond_note(w, note);
+		eligible = awaited_is_eligible(w, note);
+	}
+	json_decref(note);
+	cr_expect_not(eligible, "%s, seed %llu: an awaited worker gets tasks",
+		      name, (unsigned long long)seed);
+	cr_expect_leq(beyond, most,
+		      "%s, seed %llu: a lease ends %lld ms after the note says",
+		      name, (unsigned long long)seed, (long long)beyond);
+	world_run(w, until - w->now);
+}
+
+/* Cuts a VM off from the workers that have run something, or reconnects it. */
+static void cut_used(struct world *w, unsigned vm, bool cut)
+{
+	unsigned i;
+
+	for (i = 0; i < WORLD_WORKERS; i++)
+		if (world_starts_of(w, i))
+			world_cut_worker(w, vm, i, cut);
+}
+
+/*
+ * Cuts a VM off from the workers that have run nothing, which would tell it of
+ * its successor.
+ */
+static void cut_unused(struct world *w, unsigned vm)
+{
+	unsigned i;
+
+	for (i = 0; i < WORLD_WORKERS; i++)
+		if (!world_starts_of(w, i))
+			world_cut_worker(w, vm, i, true);
+}
+
+/* Removes members from a row, as a version that doesn't know them. */
+static void row_strip(struct world *w, const char *key)
+{
+	struct world_row *r = world_row_get(w, TABLE_OWNER, key);
+	json_t *row = json_read(r->value);
+	bstr text;
+
+	json_object_del(row, "leases_until");
+	json_object_del(row, "note_epoch");
+	text = json_write(row);
+	bstr_set(&r->value, text);
+	bstr_free(&text);
+}
+
+/*
+ * Runs a world in which the owner's rows are those of an earlier version.  That
+ * leaves the leases that a later version noted as they are.
+ */
+static void run_as_earlier(struct world *w, int64_t ms)
+{
+	struct world_row *r = world_row_get(w, TABLE_NOTES, KEY_LEASES);
+	bstr noted = bstr_copy(r->value);
+
+	for (; ms > 0; ms--) {
+		world_run(w, 1);
+		row_strip(w, KEY_EPOCH);
+		row_strip(w, KEY_HEARTBEAT);
+		bstr_set(&r->value, noted);
+	}
+	bstr_free(&noted);
+}
+
+/*
+ * Starts a VM's process again, which is the next owner at once.  Returns when
+ * that has read all tables.
+ */
+static void owner_again(struct world *w, unsigned vm, bool planned)
+{
+	unsigned ms;
+
+	if (planned) {
+		world_stop_vm(w, vm);
+		world_run(w, 10); /* it releases the ownership */
+	}
+	world_kill_vm(w, vm);
+	world_start_vm(w, vm);
+	for (ms = 0; !owner_is_ready(w, vm) && ms < 5000; ms++)
+		world_run(w, 1);
+	cr_assert(owner_is_ready(w, vm));
+}
+
+/*
+ * Guards against two runs of a task: the second of four owners doesn't reach
+ * the workers in use, the third one does and grants them leases, and the last
+ * one, which doesn't reach them either, goes by what the second one noted.
+ */
+struct reach {
+	const char *name;
+	int64_t lease_max_ms;
+	unsigned second_ms; /* the second one's time */
+	unsigned reach_ms;  /* until the third one reaches the workers */
+	unsigned cut_ms;    /* from then on, until it is cut off */
+	bool planned;	    /* the first one stops as planned */
+	bool kill;	    /* the third one ends when it is cut off */
+	bool released;	    /* likewise, as planned */
+	bool late;	    /* until then its writes are done late */
+	bool slow_clocks;
+	bool at_answer;	 /* cut_ms counts from their first answer */
+	bool earlier;	 /* the third one's rows are an earlier version's */
+	int64_t slow_ms; /* of the store's answers to the third one */
+	int64_t second_slow_ms; /* and to the second one */
+	int64_t way_ms;		/* of the last one's requests to the store,
+				 * until it has read all tables */
+};
+static const struct reach reach_rows[] = {
+	{"no note", 6000, 1000},
+	{"no note, later", 6000, 1900},
+	{"no note, after a release", 10000, 900, .planned = true},
+	{"no note, killed", 6000, 900, 0, 20, .planned = true, .kill = true},
+	{"no note, slow clocks", 6000, 1500, .slow_clocks = true},
+	{"no note, longest lease", 10000, 300, .slow_clocks = true},
+	{"a lapsed task at once", 6000, 4700, 820, 6, .at_answer = true},
+	{"note in flight", 6000, 1000, 60, 900, .slow_ms = 300},
+	{"note in flight, cut off soon", 6000, 1000, 60, 330, .slow_ms = 300},
+	{"note in flight, after a release", 6000, 500, 60, 900, .planned = true,
+	 .slow_ms = 300},
+	{"note done late", 6000, 1000, 0, 900, .late = true},
+	{"note done late, reached later", 6000, 1000, 200, 900, .late = true},
+	{"note stored", 6000, 1000, 0, 500},
+	{"note stored, after a release", 6000, 900, 0, 500, .planned = true},
+	{"note stored, killed", 6000, 900, 0, 500, .planned = true,
+	 .kill = true},
+	{"released, no note before", 6000, 1500, 0, 20, .released = true},
+	{"released", 6000, 1500, 0, 600, .released = true},
+	{"an earlier version between", 6000, 1000, 0, 500, .earlier = true},
+	{"slow answers of the store", 6000, 1900, .second_slow_ms = 450},
+	{"slow requests to the store", 6000, 400, .way_ms = 500},
+};
+
+/* Returns true if a worker that the owner before awaited has answered a VM. */
+static bool awaited_has_answered(struct world *w, unsigned vm)
+{
+	const struct worker *k = world_sched(w, vm)->workers;
+
+	while (k && !(k->was_awaited && k->has_answered))
+		k = k->hh.next;
+	return k != NULL;
+}
+
+/* Ends the time of the third owner. */
+static void third_end(struct world *w, unsigned vm, const struct reach *r)
+{
+	if (r->released) {
+		world_stop_vm(w, vm);
+		world_run(w, 10);
+	}
+	world_cut_store(w, vm, true);
+	cut_unused(w, vm);
+	if (r->kill)
+		world_kill_vm(w, vm);
+}
+
+/* Lets the second and the third owner follow the first one. */
+static void reach_owners(struct world *w, unsigned vm, unsigned next,
+			 const struct reach *r, uint64_t seed)
+{
+	unsigned k;
+
+	for (k = 0; k < WORLD_VMS; k++) {
+		world_cut_store(w, k, k != vm && (k != next || !r->way_ms));
+		cut_used(w, k, true);
+	}
+	world_set_vm_store_delay(w, vm, r->second_slow_ms);
+	owner_again(w, vm, r->planned);
+	run_checked(w, r->second_ms, r->name, seed);
+	world_set_vm_store_way(w, next, r->way_ms);
+	world_cut_store(w, next, false);
+	world_set_vm_store_delay(w, vm, r->slow_ms);
+	cut_used(w, vm, r->reach_ms > 0);
+	owner_again(w, vm, false);
+	if (r->late)
+		world_set_vm_store_mode(w, vm, WORLD_STORE_LATE);
+	run_checked(w, r->reach_ms, r->name, seed);
+	cut_used(w, vm, false);
+	for (k = 0; r->at_answer && !awaited_has_answered(w, vm); k++) {
+		cr_assert_lt(k, 2000);
+		world_run(w, 1);
+	}
+	if (r->earlier)
+		run_as_earlier(w, r->cut_ms);
+	else
+		run_checked(w, r->cut_ms, r->name, seed);
+	third_end(w, vm, r);
+}
+
+static void reach_row(const struct reach *r, uint64_t seed)
+{
+	struct world *w = world_new(seed, 4, WORLD_WORKERS);
+	unsigned vm, next, ms;
+
+	world_set_lease_max(w, r->lease_max_ms);
+	if (r->slow_clocks)
+		world_slow_clocks(w);
+	world_run(w, 6000 + 40 * (int64_t)(seed % 10));
+	vm = owner(w);
+	next = other(w);
+	if (r->way_ms) {
+		world_set_vm_store_way(w, next, r->way_ms);
+		world_kill_vm(w, next);
+		world_start_vm(w, next);
+	}
+	world_submit(w, vm, JOB_A, &four_tasks);
+	world_run(w, 3000 + 70 * (int64_t)(seed % 11));
+	cr_assert_eq(world_starts(w), 4);
+	reach_owners(w, vm, next, r, seed);
+	world_cut_store(w, next, false);
+	for (ms = 0; r->way_ms && !owner_is_ready(w, next) && ms < 6000; ms++)
+		world_run(w, 1);
+	world_set_vm_store_way(w, next, 0);
+	if (r->earlier)
+		world_run(w, r->lease_max_ms + 2000);
+	else
+		run_checked(w, r->lease_max_ms + 2000, r->name, seed);
+	/* There is room for two of the tasks elsewhere. */
+	cr_expect_geq(world_starts(w), 6, "%s, seed %llu: %u starts", r->name,
+		      (unsigned long long)seed, world_starts(w));
+	cr_expect_null(world_violation(w), "%s, seed %llu: %s", r->name,
+		       (unsigned long long)seed, world_violation(w));
+	world_free(w);
+}
+Test(owners, leases_of_an_owner_that_reached_more)
+{
+	unsigned row, seed;
+
+	for (row = 0; row < NELEMS(reach_rows); row++)
+		for (seed = 1420; seed < 1422; seed++)
+			reach_row(&reach_rows[row], seed);
+}
+
+/*
+ * Guards against two runs of a task: a VM that still takes itself for the owner
+ * reads its successor's heartbeat before the row that names the successor, and
+ * claims before another heartbeat.  It doesn't reach the workers in use, to
+ * which the successor has granted leases.
+ */
+static void beat_read_first(unsigned live_ms, uint64_t seed)
+{
+	struct world *w = world_new_settled(seed);
+	unsigned vm = owner(w), next = other(w), k;
+
+	world_submit(w, vm, JOB_A, &four_tasks);
+	world_run(w, 3000);
+	for (k = 0; k < WORLD_VMS; k++)
+		world_cut_store(w, k, k != next);
+	world_cut_workers(w, vm, WORLD_WORKERS, true);
+	for (k = 0; k < 3000 && !owner_is_ready(w, next); k++)
+		world_run(w, 1);
+	world_run(w, live_ms);
+	world_cut_store(w, next, true);
+	/* No heartbeat shows the VM that it was replaced. */
+	world_lose_outcomes(w, ASK_TX, true);
+	world_compact_history(w);
+	world_cut_store(w, vm, false);
+	for (k = 0; k < 3000 && world_sched(w, vm)->own.state == OWN_OWNER; k++)
+		world_run(w, 1);
+	world_lose_outcomes(w, ASK_TX, false);
+	for (k = 0; k < WORLD_WORKERS; k++)
+		world_cut_worker(w, vm, k, world_starts_of(w, k) > 0);
+	world_run(w, 8000);
+	cr_expect_eq(owner(w), vm);
+	cr_expect_geq(world_starts(w), 6, "%u ms, seed %llu: %u starts",
+		      live_ms, (unsigned long long)seed, world_starts(w));
+	cr_expect_null(world_violation(w), "%u ms, seed %llu: %s", live_ms,
+		       (unsigned long long)seed, world_violation(w));
+	world_free(w);
+}
+Test(owners, heartbeat_is_read_before_the_owner)
+{
+	unsigned live_ms, seed;
+
+	for (live_ms = 1000; live_ms < 1700; live_ms += 100)
+		for (seed = 1430; seed < 1432; seed++)
+			beat_read_first(live_ms, seed);
+}
+
+/*
+ * Guards against two runs of a task: an owner is stopped as planned before it
+ * has read all tables, and leaves a note without the workers that it hasn't
+ * read of.  They are cut off, and their rows have expired.
+ */
+Test(owners, note_of_an_owner_stopped_while_it_reads)
+{
+	unsigned vm, next, i, ms;
+	struct world *w;
+	uint64_t seed;
+
+	for (seed = 1440; seed < 1444; seed++) {
+		w = world_new_settled(seed);
+		vm = owner(w);
+		world_submit(w, vm, JOB_A, &four_tasks);
+		world_run(w, 2000 + 100 * (int64_t)(seed % 10));
+		for (i = 0; i < WORLD_VMS; i++)
+			cut_used(w, i, true);
+		for (i = 0; i < WORLD_WORKERS; i++)
+			if (world_starts_of(w, i))
+				world_unlist_worker(w, i, true);
+		world_run(w, 20);
+		world_kill_vm(w, vm);
+		world_set_page_delay(w, TABLE_PROGRESS, 600);
+		for (ms = 0; ms < 3000 && world_owner(w) < 0; ms++)
+			world_run(w, 1);
+		next = owner(w);
+		world_run(w, 300);
+		cr_assert_eq(world_sched(w, next)->own.state, OWN_LOADING);
+		world_stop_vm(w, next);
+		world_run(w, 10);
+		world_set_page_delay(w, TABLE_PROGRESS, 0);
+		world_run(w, 9000);
+		cr_expect_geq(world_starts(w), 6, "seed %llu: %u starts",
+			      (unsigned long long)seed, world_starts(w));
+		cr_expect_null(world_violation(w), "seed %llu: %s",
+			       (unsigned long long)seed, world_violation(w));
+		world_free(w);
+	}
+}
