Prop-sched: a mix with owners that follow each other quickly

Up to four owners are killed, stopped, frozen or cut off from the store in turn, each 5 ms to 1.5 s after it was named, while two to four workers are cut off of all VMs or of all but one; lasting tasks run, polls and writes are late.

--- a/tests/prop-sched.cc
+++ b/tests/prop-sched.cc
@@ -71,6 +71,8 @@
 		      of workers tell no age; only the first operation */
 	OP_RESTART_CUT, /* workers are cut off soon after a restart */
 	OP_POLLS_LATE,	/* all polls of workers are late */
+	OP_OWNERS, /* owners follow each other, while workers are cut off of
+		      all VMs or of all but one */
 	OPS
 };
 static const char *const names[OPS] = {
@@ -84,7 +86,7 @@
 	"MOST_LATE",  "RESTART",  "LATE_RESTART", "CUT_ALL",	 "RESETS",
 	"SLOW_JOB",   "EVACUATE", "UNTOLD",	  "DRIFT",	 "POOLS",
 	"ROUTE",      "RETAIN",	  "RESTART_LOSE", "LEASES",	 "RESTART_CUT",
-	"POLLS_LATE"};
+	"POLLS_LATE", "OWNERS"};
 
 struct operation {
 	op what;
@@ -272,6 +274,61 @@
 		world_start_vm(p.w, lost);
 }
 
+/* Ends the time of the owner, in one of four ways; returns the VM, or -1. */
+static int owner_end(simulation &p, unsigned how)
+{
+	int vm = world_owner(p.w);
+
+	if (vm == -1)
+		return vm;
+	if (how % 4 == 0)
+		world_kill_vm(p.w, vm);
+	else if (how % 4 == 1)
+		world_stop_vm(p.w, vm);
+	else if (how % 4 == 2)
+		world_freeze_vm(p.w, vm, 1700);
+	else
+		world_cut_store(p.w, vm, true);
+	return vm;
+}
+
+/*
+ * Lets up to four owners follow each other, each of which lives for 5 ms to 1.5
+ * s, while workers are cut off of all VMs, or of all but one.
+ */
+static void owners_follow(simulation &p, const operation &s)
+{
+	unsigned first = s.a % WORLD_WORKERS, count = 2 + s.a / 6 % 3, i, k;
+	unsigned reached = s.a / 18 % 8; /* by this VM; 4 and above: by none */
+	int lost[4];
+	int64_t live;
+
+	for (i = 0; i < count; i++)
+		for (k = 0; k < 4; k++)
+			world_cut_worker(p.w, k, (first + i) % WORLD_WORKERS,
+					 k != reached);
+	for (i = 0; i < 4; i++) {
+		lost[i] = owner_end(p, s.b / (1u << 2 * i));
+		for (k = 0; k < 300 && (k < 1 || world_owner(p.w) == -1 ||
+					world_owner(p.w) == lost[i]);
+		     k++)
+			world_run(p.w, 10);
+		live = (s.a + 97 * i) % 6;
+		world_run(p.w, 5 + live * live * 60);
+		if (i && lost[i - 1] != -1) {
+			world_cut_store(p.w, lost[i - 1], false);
+			world_start_vm(p.w, lost[i - 1]);
+		}
+	}
+	if (lost[3] != -1) {
+		world_cut_store(p.w, lost[3], false);
+		world_start_vm(p.w, lost[3]);
+	}
+	for (i = 0; i < count; i++)
+		world_cut_worker_of_all(p.w, (first + i) % WORLD_WORKERS,
+					false);
+}
+
 /* Applies an operation, whose numbers choose its target and extent. */
 static void operation_apply(simulation &p, const operation &s)
 {
@@ -457,6 +514,9 @@
 	case OP_RESTART_LOSE:
 		restart_and_cut(p, s, s.what == OP_RESTART_LOSE);
 		break;
+	case OP_OWNERS:
+		owners_follow(p, s);
+		break;
 	case OP_DRIFT: /* see run() */
 	case OP_POOLS:
 	case OP_RETAIN:
@@ -670,6 +730,15 @@
 	 false,
 	 false,
 	 true},
+	{"owners that follow each other, workers cut off for long",
+	 {OP_OWNERS, OP_CUT_WORKER, OP_CUT_ALL, OP_LASTING, OP_SLOW_JOB,
+	  OP_SLOW, OP_UNLIST, OP_CANCEL, OP_WRITES_LATE, OP_POLLS_LATE},
+	 false,
+	 true,
+	 false,
+	 false,
+	 false,
+	 true},
 };
 
 /* Generates operations: work, and faults of the mix. */
