One copy of the check that ends a world, and of its owner's index

In the way: check_free() stood eight times to the letter in the tests of the simulated world, and owner() of world-calm.h twice more. The functions of that header were static, so that a test that doesn't use all of them couldn't include it.

Six tests keep a check_free() of their own, in which other things are named: test-crash, test-ends, test-sched without a name, test-handover, test-takeover and test-restart with a row or a seed.

--- a/tests/test-advice.c
+++ b/tests/test-advice.c
@@ -2,9 +2,7 @@
  * Tests of placement tickets: which workers the advice service is asked about.
  */
 #include "../sched-state.h"
-#include "support-world.h"
-
-#include <criterion/criterion.h>
+#include "world-calm.h"
 
 #define JOB_FILLS "a000000000000001"
 #define JOB_QUICK "b000000000000001"
@@ -24,13 +22,6 @@
 	return w;
 }
 
-/* Checks that no invariant was violated, and frees the world. */
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /* A step waits for ever: its good workers are never asked about. */
 static const struct {
 	const char *name;
@@ -66,7 +57,7 @@
 		world_run(w, rows[i].within_ms);
 		cr_expect_str_eq(world_job_state(w, JOB_QUICK), "completed",
 				 "%s", rows[i].name);
-		check_free(w, rows[i].name);
+		world_check_free(w, rows[i].name);
 	}
 }
 
@@ -85,7 +76,7 @@
 	world_submit(w, 0, JOB_QUICK, &quick);
 	world_run(w, 2500);
 	cr_expect_str_eq(world_job_state(w, JOB_QUICK), "completed");
-	check_free(w, "lost");
+	world_check_free(w, "lost");
 }
 
 /* Steps for which no worker is good keep others from being asked about. */
@@ -112,7 +103,7 @@
 	world_replace_worker(w, 7);
 	world_run(w, 8000);
 	cr_expect_eq(world_starts(w), 20, "%u", world_starts(w));
-	check_free(w, "nobody is good");
+	world_check_free(w, "nobody is good");
 }
 
 /* Many waiting steps exceed the service's rate, or some are never served. */
@@ -136,7 +127,7 @@
 	}
 	cr_expect_eq(done, 100, "%u", done);
 	cr_expect_leq(world_advice_waiting_max(w), 4);
-	check_free(w, "many steps");
+	world_check_free(w, "many steps");
 }
 
 /* Calls of an earlier ownership raise the limit of those in flight. */
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -18,12 +18,6 @@
 static const struct world_job wide_of_second = {
 	.tasks = 60, .task_ms = 500, .second_queue = true};
 
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /* Submits jobs at an interval; each VM gets some. */
 static void work_go_on(struct world *w, unsigned first, unsigned count)
 {
@@ -180,7 +174,7 @@
 		cr_expect_eq(starts_in_dc(w, 0), before, "%s", rows[row].name);
 		cr_expect_str_eq(world_job_state(w, "f00000000000000f"),
 				 "completed", "%s", rows[row].name);
-		check_free(w, rows[row].name);
+		world_check_free(w, rows[row].name);
 	}
 }
 
@@ -196,7 +190,7 @@
 	before = starts_in_dc(w, 0);
 	work_go_on(w, 4, 8);
 	cr_expect_eq(starts_in_dc(w, 0), before);
-	check_free(w, "in force at once");
+	world_check_free(w, "in force at once");
 }
 
 /* Changes of the operator's requests, one after another. */
@@ -283,7 +277,7 @@
 		cr_expect_eq(starts_in_dc(w, 1) == second,
 			     change_rows[row].second, "%s",
 			     change_rows[row].name);
-		check_free(w, change_rows[row].name);
+		world_check_free(w, change_rows[row].name);
 	}
 }
 
@@ -310,7 +304,7 @@
 	world_evacuate(w, 0, false);
 	world_run(w, 2000);
 	cr_expect_eq(starts_in_dc(w, 0), 4, "they are when it is withdrawn");
-	check_free(w, "long-running tasks");
+	world_check_free(w, "long-running tasks");
 }
 
 /* Returns why a job waits, as the owner knows. */
@@ -343,7 +337,7 @@
 	world_evacuate(w, 0, false);
 	world_run(w, 1500);
 	cr_expect_str_eq(world_job_state(w, JOB_A), "completed");
-	check_free(w, "fits nowhere else");
+	world_check_free(w, "fits nowhere else");
 }
 
 /*
@@ -387,7 +381,7 @@
 					  move_rows[row].moves_max,
 			  "%s: %u moves", move_rows[row].name,
 			  world_move_count(w));
-		check_free(w, move_rows[row].name);
+		world_check_free(w, move_rows[row].name);
 	}
 }
 
@@ -405,5 +399,5 @@
 	world_evacuate(w, 0, false);
 	world_run(w, 20000);
 	cr_expect(world_wave_is_completed(w));
-	check_free(w, "wave");
+	world_check_free(w, "wave");
 }
--- a/tests/test-large.c
+++ b/tests/test-large.c
@@ -3,9 +3,7 @@
  * heartbeat and its notes, in a world whose rows are short.
  */
 #include "../sched-state.h"
-#include "support-world.h"
-
-#include <criterion/criterion.h>
+#include "world-calm.h"
 
 #define WORKERS 60
 #define CUT 50 /* a worker that is cut off */
@@ -32,15 +30,6 @@
 	{"texts of several rows, a planned stop", ROW_BYTES_SHORT, true, true},
 };
 
-/* Returns the VM that owns the scheduling. */
-static unsigned owner(struct world *w)
-{
-	int n = world_owner(w);
-
-	cr_assert_neq(n, -1, "nobody owns the scheduling");
-	return (unsigned)n;
-}
-
 /* Returns a world with such rows, in which a VM owns the scheduling. */
 static struct world *world_new_rows(uint64_t seed, size_t row_bytes)
 {
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -8,13 +8,6 @@
 #include <stdio.h>
 #include <string.h>
 
-/* Checks that no invariant was violated, and frees the world. */
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /*
  * Guards against a burst that waits after a takeover until each worker has had
  * time to answer, although standby machines are free.
@@ -47,7 +40,7 @@
 		world_run(w, 500);
 		cr_expect_gt(world_move_count(w), 0, "%s",
 			     burst_rows[row].name);
-		check_free(w, burst_rows[row].name);
+		world_check_free(w, burst_rows[row].name);
 	}
 }
 
@@ -93,7 +86,7 @@
 		cr_expect_geq(started, 1, "row %u: no job has started", row);
 		cr_expect_leq(started, begin_rows[row].most,
 			      "row %u: %u jobs have started", row, started);
-		check_free(w, "only jobs that fit start");
+		world_check_free(w, "only jobs that fit start");
 	}
 }
 
@@ -130,7 +123,7 @@
 		cr_expect_eq(world_move_count(w), before,
 			     "row %u: %u moves more", row,
 			     world_move_count(w) - before);
-		check_free(w, "busy pools keep their machines");
+		world_check_free(w, "busy pools keep their machines");
 	}
 }
 
@@ -154,7 +147,7 @@
 		cr_expect_str_eq(world_job_state(w, "00000000000000aa"),
 				 "completed", "%lld ms",
 				 (long long)slow_ms[row]);
-		check_free(w, "slow answers of the feed");
+		world_check_free(w, "slow answers of the feed");
 	}
 }
 
@@ -208,7 +201,7 @@
 	cr_expect_leq(llabs(s->now - j->submitted_at - waited_ms), 100,
 		      "%lld of %lld ms", (long long)(s->now - j->submitted_at),
 		      (long long)waited_ms);
-	check_free(w, "jobs submitted without an owner");
+	world_check_free(w, "jobs submitted without an owner");
 }
 
 /*
@@ -249,7 +242,7 @@
 			      beat_rows[row].name, (unsigned)asked);
 		cr_expect_leq(asked, beat_rows[row].most, "%s: %u",
 			      beat_rows[row].name, (unsigned)asked);
-		check_free(w, beat_rows[row].name);
+		world_check_free(w, beat_rows[row].name);
 	}
 }
 
@@ -288,7 +281,7 @@
 			most = s->place_at - s->now;
 	}
 	cr_expect_leq(most, 1, "%lld ms", (long long)most);
-	check_free(w, "final jobs");
+	world_check_free(w, "final jobs");
 }
 
 /*
@@ -323,7 +316,7 @@
 		cr_expect_geq(world_move_count(w), turn_rows[row].least,
 			      "%s: %u", turn_rows[row].name,
 			      world_move_count(w));
-		check_free(w, turn_rows[row].name);
+		world_check_free(w, turn_rows[row].name);
 	}
 }
 
@@ -371,7 +364,7 @@
 			      slow_start_rows[row].name, n);
 		cr_expect_leq(n, slow_start_rows[row].most, "%s: %u",
 			      slow_start_rows[row].name, n);
-		check_free(w, slow_start_rows[row].name);
+		world_check_free(w, slow_start_rows[row].name);
 	}
 }
 
@@ -423,7 +416,7 @@
 		world_run(w, 6000);
 		cr_expect_str_eq(world_job_state(w, "00000000000000aa"),
 				 "completed", "seed %u", seed);
-		check_free(w, "an end listed late");
+		world_check_free(w, "an end listed late");
 	}
 	cr_expect_gt(held, 0, "no end came while a start was in flight");
 }
@@ -498,7 +491,7 @@
 			      world_starts(w));
 		cr_expect_str_eq(world_job_state(w, "00000000000000bb"),
 				 "completed", "%s", behind_rows[row / 10].name);
-		check_free(w, behind_rows[row / 10].name);
+		world_check_free(w, behind_rows[row / 10].name);
 	}
 }
 
@@ -545,7 +538,7 @@
 			     "%s: %u jobs in %u passes", walk_rows[row].name,
 			     s->load.walked_jobs, passes);
 		cr_expect_eq(world_starts(w), before);
-		check_free(w, walk_rows[row].name);
+		world_check_free(w, walk_rows[row].name);
 	}
 }
 
@@ -635,7 +628,7 @@
 				      room_rows[row].workers,
 			      "%s: %u rooms in %u passes", room_rows[row].name,
 			      s->load.measured_rooms, passes);
-		check_free(w, room_rows[row].name);
+		world_check_free(w, room_rows[row].name);
 	}
 }
 
@@ -656,5 +649,5 @@
 	world_run(w, 3000);
 	cr_expect_geq(world_log_count(w, LOG_QUEUE_LOAD), before + 1);
 	cr_expect_leq(world_log_count(w, LOG_QUEUE_LOAD), before + 2);
-	check_free(w, "the queue's jobs are logged");
+	world_check_free(w, "the queue's jobs are logged");
 }
--- a/tests/test-move.c
+++ b/tests/test-move.c
@@ -2,9 +2,7 @@
  * Tests of moves and maintenance of machines: what late or missing answers do.
  */
 #include "../sched-demand.h"
-#include "support-world.h"
-
-#include <criterion/criterion.h>
+#include "world-calm.h"
 
 #define JOB_A "00000000000000aa"
 #define JOB_B "00000000000000bb"
@@ -14,12 +12,6 @@
 static const struct world_job burst = {
 	.tasks = 60, .task_ms = 500, .second_queue = true};
 
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /* Returns a world with two pools of three machines each. */
 static struct world *world_new_pools(uint64_t seed)
 {
@@ -30,14 +22,6 @@
 	return w;
 }
 
-static unsigned owner(struct world *w)
-{
-	int n = world_owner(w);
-
-	cr_assert_neq(n, -1, "nobody owns the scheduling");
-	return (unsigned)n;
-}
-
 /* Returns the number of machines whose move is ordered and not answered. */
 static unsigned moving_count(struct world *w)
 {
@@ -81,7 +65,7 @@
 		world_run(w, 14000);
 		cr_expect_eq(world_eligible_count(w), WORLD_WORKERS, "%s: %u",
 			     answer_rows[row].name, world_eligible_count(w));
-		check_free(w, answer_rows[row].name);
+		world_check_free(w, answer_rows[row].name);
 	}
 }
 
@@ -107,7 +91,7 @@
 		cr_expect(world_wave_is_completed(w), "row %u", row);
 		cr_expect_eq(world_eligible_count(w), WORLD_WORKERS,
 			     "row %u: %u", row, world_eligible_count(w));
-		check_free(w, "a refused wave");
+		world_check_free(w, "a refused wave");
 	}
 }
 
@@ -201,7 +185,7 @@
 				 silent_rows[row].name);
 		cr_expect_str_eq(world_job_state(w, JOB_B), "completed", "%s",
 				 silent_rows[row].name);
-		check_free(w, silent_rows[row].name);
+		world_check_free(w, silent_rows[row].name);
 	}
 }
 
@@ -296,7 +280,7 @@
 		cr_expect_eq(world_move_count(w), before, "%s: %u moves",
 			     waiting_rows[row].name,
 			     world_move_count(w) - before);
-		check_free(w, waiting_rows[row].name);
+		world_check_free(w, waiting_rows[row].name);
 	}
 }
 
@@ -338,5 +322,5 @@
 	cr_expect_eq(silent, 2);
 	cr_expect_eq(taken, WORLD_WORKERS - 2);
 	pool_loads_free(&l);
-	check_free(w, "a silent machine is taken");
+	world_check_free(w, "a silent machine is taken");
 }
--- a/tests/test-poll.c
+++ b/tests/test-poll.c
@@ -7,13 +7,6 @@
 
 #include <stdio.h>
 
-/* Checks that no invariant was violated, and frees the world. */
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /*
  * Guards against polls of a large, mostly idle fleet that use up the owner's
  * processor time, and against workers that seem lost between polls.
@@ -56,7 +49,7 @@
 		cr_expect_eq(world_eligible_count(w),
 			     idle_rows[row].workers - 1, "%s",
 			     idle_rows[row].name);
-		check_free(w, idle_rows[row].name);
+		world_check_free(w, idle_rows[row].name);
 	}
 }
 
@@ -105,7 +98,7 @@
 			cr_expect_str_eq(world_job_state(w, id), "completed",
 					 "%s", inbox_rows[row].name);
 		}
-		check_free(w, inbox_rows[row].name);
+		world_check_free(w, inbox_rows[row].name);
 	}
 }
 
@@ -219,7 +212,7 @@
 	}
 	cr_expect_eq(world_starts(w), 300, "%s: %u", name, world_starts(w));
 	before = lists_count(s) - before;
-	check_free(w, name);
+	world_check_free(w, name);
 	return before;
 }
 
@@ -271,6 +264,6 @@
 			     repeat_rows[row].name, l->ends);
 		cr_expect_leq(l->new_runs, 40, "%s: %u runs are new",
 			      repeat_rows[row].name, l->new_runs);
-		check_free(w, repeat_rows[row].name);
+		world_check_free(w, repeat_rows[row].name);
 	}
 }
--- a/tests/test-retention.c
+++ b/tests/test-retention.c
@@ -22,13 +22,6 @@
 	return id;
 }
 
-/* Checks that no invariant was violated, and frees the world. */
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /* Returns a world with a short retention and some jobs that have ended. */
 static struct world *world_new_ended(uint64_t seed)
 {
@@ -106,7 +99,7 @@
 			     rereading_rows[i].name);
 		for (k = 0; k < JOBS; k++)
 			expect_unknown(w, job_id(k), rereading_rows[i].name);
-		check_free(w, rereading_rows[i].name);
+		world_check_free(w, rereading_rows[i].name);
 	}
 }
 
@@ -125,7 +118,7 @@
 	cr_expect_eq(world_stored_rows(w, id), 3);
 	world_run(w, KEEP_MS + REMOVAL_MS);
 	cr_expect_eq(world_stored_rows(w, id), 0);
-	check_free(w, "cancelled");
+	world_check_free(w, "cancelled");
 }
 
 /* Jobs are submitted at the target's rate, 400 a second. */
@@ -157,7 +150,7 @@
 	for (i = 0; i < BURST_JOBS; i++)
 		left += world_stored_rows(w, job_id(i));
 	cr_expect_eq(left, 0);
-	check_free(w, "burst");
+	world_check_free(w, "burst");
 }
 
 /* Owner's rows that a process which isn't there any more has left. */
@@ -252,7 +245,7 @@
 				     upgrade_rows[i].name);
 			expect_unknown(w, id, upgrade_rows[i].name);
 		}
-		check_free(w, upgrade_rows[i].name);
+		world_check_free(w, upgrade_rows[i].name);
 	}
 }
 
@@ -276,7 +269,7 @@
 		cr_expect_eq(world_sched(w, owner(w))->own.removals_whole_since,
 			     since);
 	}
-	check_free(w, "handed on");
+	world_check_free(w, "handed on");
 }
 
 #define GATHER_MS 5000 /* rows wait this long for others */
@@ -384,7 +377,7 @@
 			cr_expect_str_eq(world_job_state(w, id), "completed",
 					 "%s, seed %u", reused_rows[i].name,
 					 seed);
-			check_free(w, reused_rows[i].name);
+			world_check_free(w, reused_rows[i].name);
 		}
 	}
 }
@@ -426,7 +419,7 @@
 		world_run(w, 10000 + REMOVAL_MS);
 		cr_expect_eq(world_stored_rows(w, job_id(JOBS)), 0, "%s",
 			     clock_rows[i].name);
-		check_free(w, clock_rows[i].name);
+		world_check_free(w, clock_rows[i].name);
 	}
 }
 
@@ -459,7 +452,7 @@
 		world_set_vm_store_mode(w, vm, WORLD_STORE_OK);
 		world_run(w, 20000);
 		cr_expect_eq(world_stored_rows(w, id), 0, "seed %u", seed);
-		check_free(w, "late progress");
+		world_check_free(w, "late progress");
 	}
 }
 
@@ -483,5 +476,5 @@
 	world_remove_row(w, TABLE_JOBS, gone);
 	world_run(w, REMOVAL_MS);
 	cr_expect_eq(world_stored_rows(w, id), 0);
-	check_free(w, "progress only");
+	world_check_free(w, "progress only");
 }
--- a/tests/test-upkeep.c
+++ b/tests/test-upkeep.c
@@ -22,12 +22,6 @@
 /* A backlog that exceeds the pool's capacity and keeps it busy. */
 static const struct world_job backlog = {.tasks = 240, .task_ms = 4000};
 
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /* Kills all VMs and starts them again. */
 static void all_vms_restart(struct world *w)
 {
@@ -74,7 +68,7 @@
 		cr_expect_eq(world_maintained_count(w), 6,
 			     "%s: %u of 6 in time", restart_rows[row].name,
 			     world_maintained_count(w));
-		check_free(w, restart_rows[row].name);
+		world_check_free(w, restart_rows[row].name);
 	}
 }
 
@@ -114,7 +108,7 @@
 		cr_expect_geq(world_maintained_count(w), silent_rows[row].least,
 			      "%s: %u", silent_rows[row].name,
 			      world_maintained_count(w));
-		check_free(w, silent_rows[row].name);
+		world_check_free(w, silent_rows[row].name);
 	}
 }
 
@@ -139,7 +133,7 @@
 		cr_expect_eq(world_maintained_count(w), 0,
 			     "row %u: %u taken during the burst", row,
 			     world_maintained_count(w));
-		check_free(w, "pools are read first");
+		world_check_free(w, "pools are read first");
 	}
 }
 
@@ -278,7 +272,7 @@
 		world_run(w, 12000);
 		snprintf(name, sizeof(name), "busy for %u ms", 20 * row);
 		cr_expect_eq(world_maintained_count(w), 6, "%s", name);
-		check_free(w, name);
+		world_check_free(w, name);
 	}
 }
 
@@ -345,7 +339,7 @@
 		cr_expect_leq(world_log_count(w, LOG_WAVE_MACHINE),
 			      GONE_CALLS_MAX, "%s: %u", gone_rows[row].name,
 			      world_log_count(w, LOG_WAVE_MACHINE));
-		check_free(w, gone_rows[row].name);
+		world_check_free(w, gone_rows[row].name);
 	}
 }
 
@@ -382,6 +376,6 @@
 			     "%s: the worker was not given up", name);
 		world_run(w, 4000);
 		cr_expect(world_wave_is_completed(w), "%s", name);
-		check_free(w, name);
+		world_check_free(w, name);
 	}
 }
--- a/tests/test-window.c
+++ b/tests/test-window.c
@@ -4,13 +4,6 @@
 #include "../sched-state.h"
 #include "world-calm.h"
 
-/* Checks that no invariant was violated, and frees the world. */
-static void check_free(struct world *w, const char *name)
-{
-	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
-	world_free(w);
-}
-
 /*
  * Guards against an owner with little processor time that sends more orders
  * than it can process the answers of: all time out, and the cost of that keeps
@@ -81,7 +74,7 @@
 	}
 	cr_expect_eq(world_starts(w), 40);
 	cr_expect_str_eq(world_job_state(w, "00000000000000aa"), "completed");
-	check_free(w, "a small window");
+	world_check_free(w, "a small window");
 }
 
 /*
@@ -124,7 +117,7 @@
 		}
 		cr_expect_str_eq(world_job_state(w, "00000000000000bb"),
 				 "completed", "%s", share_rows[row].name);
-		check_free(w, share_rows[row].name);
+		world_check_free(w, share_rows[row].name);
 	}
 }
 
@@ -167,6 +160,6 @@
 		cr_expect_eq(j->pending_reason, reason_rows[row].reason,
 			     "%s: %d", reason_rows[row].name,
 			     j->pending_reason);
-		check_free(w, reason_rows[row].name);
+		world_check_free(w, reason_rows[row].name);
 	}
 }
--- a/tests/world-calm.h
+++ b/tests/world-calm.h
@@ -1,5 +1,5 @@
 /*
- * Common setup of the tests that use the simulated world.
+ * What tests that use the simulated world begin and end with.
  */
 #ifndef WORLD_CALM_H
 #define WORLD_CALM_H
@@ -9,7 +9,7 @@
 #include <criterion/criterion.h>
 
 /* Returns a world in which a VM owns the scheduling and knows the workers. */
-static struct world *world_new_settled(uint64_t seed)
+static inline struct world *world_new_settled(uint64_t seed)
 {
 	struct world *w = world_new(seed, 4, 6);
 
@@ -19,7 +19,7 @@
 }
 
 /* Returns the VM that owns the scheduling. */
-static unsigned owner(struct world *w)
+static inline unsigned owner(struct world *w)
 {
 	int n = world_owner(w);
 
@@ -28,9 +28,16 @@
 }
 
 /* Returns a VM that doesn't own the scheduling. */
-static unsigned other(struct world *w)
+static inline unsigned other(struct world *w)
 {
 	return (owner(w) + 1) % 4;
 }
 
+/* Checks that no invariant was violated, and frees the world. */
+static inline void world_check_free(struct world *w, const char *name)
+{
+	cr_expect_null(world_violation(w), "%s: %s", name, world_violation(w));
+	world_free(w);
+}
+
 #endif
