An outage ends with load_finish(), as the other failure tests do

In the way: outage() had the lines of load_finish() once more, as that function stood below it.

Now load_finish() stands above outage(), which calls it. The same is checked: nothing wrong, nothing refused, as many done as before.

--- a/tests/test-failure.c
+++ b/tests/test-failure.c
@@ -53,6 +53,19 @@
 	return NULL;
 }
 
+/* Waits for the callers and checks that all they were answered is true. */
+static struct load_result load_finish(struct load *l)
+{
+	struct load_result r;
+
+	load_join(l);
+	r = load_check(l);
+	cr_expect_eq(r.wrong, 0);
+	cr_expect_eq(r.refused, 0, "some jobs were never accepted");
+	load_free(l);
+	return r;
+}
+
 /*
  * Kills one entry VM under load, or freezes it for longer than its lease.
  * Callers lose their connections, retry through another VM under the same key
@@ -71,7 +84,6 @@
 			 .long_ms = 2500,
 			 .threads = 12};
 	struct load_job *j = NULL;
-	struct load_result r;
 	size_t vm;
 
 	install_start(&in, &default_plan);
@@ -84,12 +96,7 @@
 		nap_ms(2 * LEASE_MS + 1000);
 		vm_signal(&in, vm, SIGCONT);
 	}
-	load_join(&l);
-	r = load_check(&l);
-	cr_expect_eq(r.wrong, 0);
-	cr_expect_eq(r.refused, 0, "some jobs were never accepted");
-	cr_expect_geq(r.done, l.count * 9 / 10);
-	load_free(&l);
+	cr_expect_geq(load_finish(&l).done, l.count * 9 / 10);
 	install_stop(&in);
 }
 
@@ -118,19 +125,6 @@
 	outage("freeze_entry", ENTRY, true);
 }
 
-/* Waits for the callers and checks that all they were answered is true. */
-static struct load_result load_finish(struct load *l)
-{
-	struct load_result r;
-
-	load_join(l);
-	r = load_check(l);
-	cr_expect_eq(r.wrong, 0);
-	cr_expect_eq(r.refused, 0, "some jobs were never accepted");
-	load_free(l);
-	return r;
-}
-
 /* Initialises a load that has jobs of every kind. */
 #define LOAD(installation, text, jobs_count)                                 \
 	{                                                                    \
