A test of owners in turn with workers that were restarted

They hold the longest lease and are cut off of all VMs or of all but one.

The test has no late orders.

--- a/tests/test-owners.c
+++ b/tests/test-owners.c
@@ -616,3 +616,60 @@
 		world_free(w);
 	}
 }
+
+/*
+ * Guards against two runs of a task: workers were restarted and hold the
+ * longest lease, as the first owner's deadlines were on the clock of before.
+ * They are cut off of all VMs or of all but one, and owners follow each other
+ * until all tasks run elsewhere.
+ */
+static const struct {
+	const char *name;
+	enum owner_end how;
+	unsigned live_ms;
+	bool reached; /* by one VM */
+	int64_t lease_max_ms;
+} restart_rows[] = {
+	{"killed after 0.3 s", OWNER_KILLED, 300, false, 10000},
+	{"killed after 0.3 s, one reaches", OWNER_KILLED, 300, true, 6000},
+	{"stopped after 0.1 s, one reaches", OWNER_STOPPED, 100, true, 10000},
+	{"frozen after 0.6 s, one reaches", OWNER_FROZEN, 600, true, 10000},
+	{"cut off after 0.04 s, one reaches", OWNER_CUT_OFF, 40, true, 6000},
+	{"in turn after 0.5 s, one reaches", OWNER_ENDS_IN_TURN, 500, true,
+	 10000},
+};
+static void restart_row(unsigned row, uint64_t seed)
+{
+	struct world *w = world_new(seed, 4, WORLD_WORKERS);
+	unsigned i, k, last;
+
+	world_set_clocks_behind(w);
+	world_set_lease_max(w, restart_rows[row].lease_max_ms);
+	world_reset_polls(w);
+	world_run(w, 8000 + 40 * (int64_t)(seed % 10));
+	last = (owner(w) + 2) % WORLD_VMS;
+	for (i = 0; i < 3; i++)
+		world_crash_worker(w, i);
+	world_run(w, 310);
+	world_submit(w, other(w), JOB_A, &four_tasks);
+	world_run(w, 40 + 60 * (int64_t)(seed % 7));
+	for (k = 0; k < WORLD_VMS; k++)
+		if (!restart_rows[row].reached || k != last)
+			world_cut_workers(w, k, 3, true);
+	world_kill_vm(w, owner(w));
+	owners_in_turn(w, restart_rows[row].how, restart_rows[row].live_ms,
+		       world_starts(w) + 12, 14000);
+	world_run(w, 6000);
+	cr_expect_null(world_violation(w), "%s, seed %llu: %s",
+		       restart_rows[row].name, (unsigned long long)seed,
+		       world_violation(w));
+	world_free(w);
+}
+Test(owners, leases_of_restarted_workers)
+{
+	unsigned row, seed;
+
+	for (row = 0; row < NELEMS(restart_rows); row++)
+		for (seed = 1450; seed < 1452; seed++)
+			restart_row(row, seed);
+}
