A wait for an empty worker outlives the owner that waits

What callers saw: a lasting task under which a worker has crashed once doesn't run again, with room for it, while owners follow each other each 1 to 2 s after they are ready.

Cause, the same as of the waits for leases: a successor takes the next loss of such a task for a second crash, so that the task waits for an empty worker for 2 s, and each owner counted that from its own first look at the step. The time at which the crash was counted is stored with it now, by the store's clock, and a task that was not placed since the takeover has waited from then on. If it ran well for long after that crash and is lost at a takeover, it waits less than 2 s; an empty worker is still taken first.

Found by a review.

--- a/sched-crash.c
+++ b/sched-crash.c
@@ -64,10 +64,20 @@
 	       !w->used.gpus;
 }
 
-/* Returns true if a task has waited long enough for an empty worker. */
+/*
+ * Returns true if a task has waited long enough for an empty worker.  A task
+ * that earlier owners did not start again has waited since its latest crash was
+ * counted: if each owner began the wait anew, owners that follow each other
+ * quickly would never start it.
+ */
 static bool isolation_wait_is_over(const struct sched *s, const struct task *t)
 {
-	return s->now - task_ready_at(t) >= ISOLATION_WAIT_MS;
+	int64_t since = task_ready_at(t);
+	int64_t counted_at = local_time_latest(s, t->crashed_at);
+
+	if (t->crash_wait_inherited && counted_at && counted_at < since)
+		since = counted_at;
+	return s->now - since >= ISOLATION_WAIT_MS;
 }
 
 /* Returns true if the crash counts of a worker's tasks allow a task there. */
@@ -181,6 +191,7 @@
 	if (w)
 		crash_task_unplaced(t, w);
 	t->crash_count = count;
+	t->crashed_at = store_clock(s);
 	if (w)
 		crash_task_placed(t);
 	job_mark_dirty(s, j);
--- a/sched-order.c
+++ b/sched-order.c
@@ -147,7 +147,7 @@
 	TAILQ_INSERT_TAIL(&w->tasks, t, worker_entry);
 	w->used = resources_add(w->used, step_need(task_step(t)));
 	crash_task_placed(t);
-	t->crash_inherited = false;
+	t->crash_inherited = t->crash_wait_inherited = false;
 	usage_add(s, t, 1);
 	j->placed++;
 	if (!j->starts++ && !j->inherited)
--- a/sched-progress.c
+++ b/sched-progress.c
@@ -167,10 +167,17 @@
 }
 
 /* What is recorded of a task that is not done. */
-enum task_member { MEMBER_FAILS, MEMBER_CRASHES, MEMBER_SAVED, MEMBER_MAX };
+enum task_member {
+	MEMBER_FAILS,
+	MEMBER_CRASHES,
+	MEMBER_CRASHED_AT,
+	MEMBER_SAVED,
+	MEMBER_MAX
+};
 static const char *const member_names[] = {
 	[MEMBER_FAILS] = "fails",
 	[MEMBER_CRASHES] = "crashes",
+	[MEMBER_CRASHED_AT] = "crashed_at",
 	[MEMBER_SAVED] = "saved",
 };
 
@@ -193,6 +200,10 @@
 		return t->crash_count
 			       ? runs_write(t->crashed_runs, t->crash_count)
 			       : NULL;
+	case MEMBER_CRASHED_AT:
+		return t->crash_count && t->crashed_at
+			       ? json_integer(t->crashed_at)
+			       : NULL;
 	case MEMBER_SAVED:
 		return t->checkpoint.bstr_len ? bstr_to_json(t->checkpoint)
 					      : NULL;
@@ -362,10 +373,13 @@
 	case MEMBER_CRASHES:
 		t->crash_count = runs_read(value, t, t->crashed_runs,
 					   CRASHED_RUNS_MAX);
-		t->crash_inherited = t->crash_count;
+		t->crash_inherited = t->crash_wait_inherited = t->crash_count;
 		if (t->crash_count)
 			t->occ->job->has_crashes = true;
 		break;
+	case MEMBER_CRASHED_AT:
+		t->crashed_at = json_integer_value(value);
+		break;
 	case MEMBER_SAVED:
 		bstr_free(&t->checkpoint);
 		t->checkpoint = bstr_from_json(value);
--- a/sched-state.h
+++ b/sched-state.h
@@ -246,7 +246,10 @@
 	uint64_t crashed_runs[CRASHED_RUNS_MAX]; /* worker crashed under them */
 	uint64_t crash_seq;   /* dirty_seq of the latest change of the count */
 	bool crash_counted;   /* in its worker's crash_tasks */
+	int64_t crashed_at;   /* time of that, by the store's clock; 0: not
+			       * known */
 	bool crash_inherited; /* the count was read at a takeover */
+	bool crash_wait_inherited; /* likewise, and it was not placed since */
 	struct loss losses[LOSSES_MAX]; /* of its workers, not yet explained */
 	int64_t evidence_until; /* not started again before, unless it is known
 				 * whether that worker has crashed */
--- a/tests/test-crash.c
+++ b/tests/test-crash.c
@@ -4,11 +4,17 @@
  */
 #include "world-calm.h"
 
+#include "../sched-state.h"
+
+#include <stdio.h>
 #include <string.h>
 
 #define POISON "00000000000000aa"
 #define FIRST "10000000000000bb"
 #define SECOND "f0000000000000cc"
+#define RESTART_MS 300 /* until an ended process is started again */
+/* The users ask for jobs this long after the end of the traffic. */
+#define FINISH_MS 14000
 
 static const struct world_job poison = {
 	.tasks = 1, .task_ms = 400, .crashes = true};
@@ -330,3 +336,115 @@
 	cr_expect_str_eq(world_job_state(w, SECOND), "completed");
 	check_free(w);
 }
+
+static const struct world_job lasting_fillers = {
+	.tasks = 12, .long_running = true, .max_per_worker = 3, .cpu = 500};
+static const struct world_job lasting_task = {
+	.tasks = 1, .long_running = true, .cpu = 500};
+
+/*
+ * Returns the worker that runs the only task of SECOND, as the owner knows it,
+ * or -1.
+ */
+static int task_runs_on(struct world *w)
+{
+	int o = world_owner(w);
+	struct sched *s = o < 0 ? NULL : world_sched(w, (unsigned)o);
+	struct job *j = s ? sched_job_find(s, SECOND) : NULL;
+	const struct occurrence *occ = j ? TAILQ_FIRST(&j->occs) : NULL;
+	unsigned n;
+
+	if (!occ || occ->tasks[0].phase != PHASE_RUNNING ||
+	    sscanf(occ->tasks[0].worker->id.bstr_val, "i-%u-", &n) != 1)
+		return -1;
+	return (int)n;
+}
+
+/*
+ * Kills each owner some time after it is ready, and starts its process again,
+ * until the task of SECOND runs.  Returns the time that it took.
+ */
+static unsigned owners_killed(struct world *w, unsigned live_ms,
+			      unsigned max_ms)
+{
+	unsigned ms, back_ms[WORLD_VMS] = {0}, k, ready_ms = 0;
+	struct sched *s;
+	int o;
+
+	for (ms = 1; ms < max_ms && task_runs_on(w) < 0; ms++) {
+		world_run(w, 1);
+		for (k = 0; k < WORLD_VMS; k++) {
+			if (!back_ms[k] || ms < back_ms[k])
+				continue;
+			world_start_vm(w, k);
+			back_ms[k] = 0;
+		}
+		o = world_owner(w);
+		s = o < 0 || back_ms[o] ? NULL : world_sched(w, (unsigned)o);
+		if (!s || s->own.state != OWN_OWNER) {
+			ready_ms = ms;
+		} else if (ms - ready_ms >= live_ms) {
+			world_kill_vm(w, (unsigned)o);
+			back_ms[o] = ms + RESTART_MS;
+		}
+	}
+	return ms;
+}
+
+/*
+ * Guards against a lasting task that never runs again: it waits for an empty
+ * worker, as a worker has crashed under it once, and each owner begins that
+ * wait anew.
+ */
+static const struct {
+	const char *name;
+	bool crash;
+	unsigned live_ms;
+} chain_rows[] = {
+	{"no crash, each lives for 1 s", false, 1000},
+	{"each lives for 20 s", true, 20000},
+	{"each lives for 3 s", true, 3000},
+	{"each lives for 1.8 s", true, 1800},
+	{"each lives for 1 s", true, 1000},
+};
+static void chain_row(unsigned row, uint64_t seed)
+{
+	struct world *w = world_new_settled(seed);
+	unsigned ms, killed;
+	int n;
+
+	world_run(w, 6000 + 40 * (int64_t)(seed % 10));
+	world_submit(w, other(w), FIRST, &lasting_fillers);
+	world_run(w, 3000);
+	cr_assert_eq(world_starts(w), 12);
+	world_submit(w, other(w), SECOND, &lasting_task);
+	world_run(w, 2000);
+	n = task_runs_on(w);
+	cr_assert_geq(n, 0);
+	if (chain_rows[row].crash)
+		world_crash_worker(w, (unsigned)n);
+	world_run(w, 5000);
+	cr_assert_eq(world_stored_crashes(w, SECOND), chain_rows[row].crash);
+	n = task_runs_on(w);
+	cr_assert_geq(n, 0);
+	world_cut_worker_of_all(w, (unsigned)n, true);
+	killed = owner(w);
+	world_kill_vm(w, killed);
+	world_run(w, RESTART_MS);
+	world_start_vm(w, killed);
+	ms = owners_killed(w, chain_rows[row].live_ms, 40000);
+	cr_expect_leq(ms, FINISH_MS, "%s, seed %llu: %u ms",
+		      chain_rows[row].name, (unsigned long long)seed, ms);
+	cr_expect_null(world_violation(w), "%s, seed %llu: %s",
+		       chain_rows[row].name, (unsigned long long)seed,
+		       world_violation(w));
+	world_free(w);
+}
+Test(crash, wait_for_an_empty_worker_that_begins_anew)
+{
+	unsigned row, seed;
+
+	for (row = 0; row < NELEMS(chain_rows); row++)
+		for (seed = 1800; seed < 1804; seed++)
+			chain_row(row, seed);
+}
