A new owner doesn't note workers for one that its process forgot before

Found by reading, in a review: workers_note_has_gone outlived an ownership, so that a process which had owned before wrote a note before any worker had answered it. If that heartbeat was lost, the next one told of a note that isn't in the store, and the successor counted the wait for leases anew once. Not shown by a test.

--- a/sched-own.c
+++ b/sched-own.c
@@ -145,6 +145,7 @@
 	usage_free(s);
 	home_sizes_reset(s);
 	backlogs_free(s);
+	s->workers_note_has_gone = false;
 	s->dirty_seq = 0;
 	s->commit_in_flight = false;
 	s->commit_jobs_max = COMMIT_ROWS_MAX;
