Test a lease that is renewed before the worker is noted

What callers would see: two runs of one task, if an owner that is cut off from the store renewed the leases of a worker that the stored note has as silent.

--- a/tests/test-owners.c
+++ b/tests/test-owners.c
@@ -678,3 +678,81 @@
 		for (seed = 1450; seed < 1452; seed++)
 			restart_row(row, seed);
 }
+
+/* Returns a VM's record of a worker, or NULL. */
+static const struct worker *worker_known(struct world *w, int vm, unsigned n)
+{
+	struct sched *s = vm < 0 ? NULL : world_sched(w, (unsigned)vm);
+	struct worker *k;
+	unsigned number;
+
+	if (!s || s->own.state != OWN_OWNER)
+		return NULL;
+	for (k = s->workers; k; k = k->hh.next)
+		if (sscanf(k->id.bstr_val, "i-%u-", &number) == 1 &&
+		    number == n)
+			return k;
+	return NULL;
+}
+
+/*
+ * Guards against two runs of one task: a worker that the note names as silent
+ * answers the next owner, which renews its lease, and is cut off from the store
+ * before it has noted that.  The owner after it goes by the old note, and
+ * doesn't reach the worker.
+ */
+static void cap_row(uint64_t seed, unsigned live_ms)
+{
+	struct world *w = world_new_settled(seed);
+	const struct worker *k;
+	unsigned ms, first, n, i;
+	int o;
+
+	world_run(w, 14000);
+	world_submit(w, other(w), JOB_A, &four_tasks);
+	world_run(w, 5000 + 50 * (int64_t)(seed % 20));
+	for (n = 0; n < WORLD_WORKERS && !world_starts_of(w, n); n++)
+		;
+	cr_assert_lt(n, WORLD_WORKERS);
+	first = owner(w);
+	for (i = 0; i < WORLD_VMS; i++)
+		world_cut_worker(w, i, n, i != first);
+	world_stop_vm(w, first);
+	/* The second owner doesn't hear the worker, and notes the others. */
+	for (ms = 0, k = NULL; ms < 2000 && !k; ms++) {
+		world_run(w, 1);
+		o = world_owner(w);
+		k = o == (int)first ? NULL : worker_known(w, o, n);
+	}
+	cr_assert(k);
+	world_run(w, live_ms);
+	cr_assert_not(k->has_answered);
+	first = owner(w);
+	world_stop_vm(w, first);
+	world_cut_worker_of_all(w, n, false);
+	/* The third one hears it. */
+	for (ms = 0; ms < 2000; ms++) {
+		world_run(w, 1);
+		o = world_owner(w);
+		k = o == (int)first ? NULL : worker_known(w, o, n);
+		if (k && k->has_answered && !k->noted)
+			break;
+	}
+	cr_assert_lt(ms, 2000);
+	world_cut_store(w, (unsigned)o, true);
+	for (i = 0; i < WORLD_VMS; i++)
+		world_cut_worker(w, i, n, (int)i != o);
+	world_run(w, 14000);
+	cr_expect_null(world_violation(w), "seed %llu, %u ms: %s",
+		       (unsigned long long)seed, live_ms, world_violation(w));
+	world_free(w);
+}
+Test(owners, lease_renewed_before_it_is_noted)
+{
+	unsigned seed;
+
+	for (seed = 1900; seed < 1908; seed++) {
+		cap_row(seed, 200);
+		cap_row(seed, 500);
+	}
+}
