A red test of late polls of restarted workers, listed

Found beside tests of owners in turn: with a fifth of the orders late, a poll that was meant for the process before is carried out by a later one, whose lease is the longest one anew, and no successor waits for that. Not new, and not mended.

--- a/tests/test-owners.c
+++ b/tests/test-owners.c
@@ -679,6 +679,38 @@
 			restart_row(row, seed);
 }
 
+/*
+ * Guards against two runs of a task: an owner's poll of a worker that was
+ * restarted is late, and its later process, which is cut off, carries it out.
+ * Its lease is the longest one anew, and the owner has been killed.
+ */
+Test(owners, late_polls_of_restarted_workers)
+{
+	struct world *w;
+	unsigned seed;
+
+	for (seed = 1480; seed < 1500; seed++) {
+		w = world_new(seed, 4, WORLD_WORKERS);
+		world_set_clocks_behind(w);
+		world_set_lease_max(w, seed % 2 ? 6000 : 10000);
+		world_reset_polls(w);
+		world_run(w, 8000 + 40 * (int64_t)(seed % 10));
+		world_set_late_orders(w, 20);
+		world_crash_worker(w, 0);
+		world_crash_worker(w, 1);
+		world_crash_worker(w, 2);
+		world_run(w, 310);
+		world_submit(w, other(w), JOB_A, &four_tasks);
+		world_run(w, 40 + 60 * (int64_t)(seed % 7));
+		world_cut_workers_of_all(w, 3, true);
+		world_kill_vm(w, owner(w));
+		world_run(w, 25000);
+		cr_expect_null(world_violation(w), "seed %u: %s", seed,
+			       world_violation(w));
+		world_free(w);
+	}
+}
+
 /* Returns a VM's record of a worker, or NULL. */
 static const struct worker *worker_known(struct world *w, int vm, unsigned n)
 {
