Soak: the retention that is asked for reaches the VMs

soak_start() cleared what soak_run() had set, so `soak-entry SEED S K` ran with the retention of 120 s and checked no removal. The memory comes zeroed.

--- a/tests/support-soak.c
+++ b/tests/support-soak.c
@@ -433,7 +433,6 @@
 	char *path;
 	unsigned i;
 
-	memset(s, 0, sizeof(*s));
 	pthread_mutex_init(&s->control, NULL);
 	s->random = seed;
 	snprintf(s->dir, sizeof(s->dir), "/tmp/soak-XXXXXX");
