--- a/sched-state.h
+++ b/sched-state.h
@@ -1192,7 +1192,13 @@
 bool large_read(struct sched *s, struct row *r);
 void large_free(struct sched *s);
 
-/* sched-count.c: numbers of waiting jobs, and the store's clock */
+/* sched-clock.c: the store's clock */
+int64_t store_clock(const struct sched *s);
+int64_t store_time_latest(const struct sched *s, int64_t at);
+int64_t local_time_latest(const struct sched *s, int64_t store_time);
+void store_clock_update(struct sched *s, const struct answer *a);
+
+/* sched-count.c: numbers of waiting jobs */
 json_t *counts_write(struct sched *s);
 void counts_read(struct sched *s, const json_t *counts, int64_t as_of);
 void counts_free(struct sched *s);
@@ -1200,10 +1206,6 @@
 int64_t job_list_as_of(const struct sched *s);
 void count_receive(struct sched *s, const struct call_in *in,
 		   const struct route *r);
-int64_t store_clock(const struct sched *s);
-int64_t store_time_latest(const struct sched *s, int64_t at);
-int64_t local_time_latest(const struct sched *s, int64_t store_time);
-void store_clock_update(struct sched *s, const struct answer *a);
 
 /* sched-admit.c: admission control of new jobs */
 unsigned admission_share(double drain_ms, double objective_ms);
@@ -1350,7 +1352,7 @@
 void workers_note_write(struct sched *s, struct tx *t);
 void workers_row_read(struct sched *s, bstr row);
 
-/* sched-inherit.c */
+/* sched-inherit.c: leases of earlier owners */
 void leases_claim(struct sched *s);
 void leases_inherit(struct sched *s);
 void leases_row_read(struct sched *s, bstr row);
